--- /dev/null
+++ b/crates/filbertcleat-base/src/lib.rs
@@ -0,0 +1,40 @@
+//! Ids, time and errors shared by all of filbertcleat.
+
+mod adapter;
+mod class;
+mod clock;
+mod error;
+mod id;
+mod monotonic;
+mod number;
+mod rendezvous;
+mod run;
+mod stamp;
+mod step;
+
+pub use adapter::AdapterRef;
+pub use adapter::AdapterRefError;
+pub use class::Class;
+pub use class::UnknownClass;
+pub use clock::HybridClock;
+pub use error::Fault;
+pub use id::AdapterName;
+pub use id::AttemptId;
+pub use id::ModelName;
+pub use id::NodeName;
+pub use id::OperatorName;
+pub use id::PatchId;
+pub use id::PlaceName;
+pub use id::RegionName;
+pub use id::RequestId;
+pub use id::ServiceName;
+pub use id::StoreName;
+pub use monotonic::MonoTime;
+pub use number::AdapterVersion;
+pub use number::ConfigVersion;
+pub use number::Fence;
+pub use rendezvous::hash;
+pub use rendezvous::mix;
+pub use run::Run;
+pub use stamp::Stamp;
+pub use step::Step;
--- /dev/null
+++ b/crates/filbertcleat-base/tests/adapter.rs
@@ -0,0 +1,24 @@
+//! References to adapter versions.
+
+use filbertcleat_base::AdapterRef;
+use rstest::rstest;
+
+#[rstest]
+#[case("roster@3")]
+#[case("team@north@12")]
+fn round_trip(#[case] text: &str) {
+    let adapter: AdapterRef = text.parse().expect("a good reference");
+    assert_eq!(adapter.to_string(), text);
+}
+
+#[rstest]
+#[case("")]
+#[case("roster")]
+#[case("@3")]
+#[case("roster@")]
+#[case("roster@-1")]
+#[case("roster@99999999999")]
+fn bad_text(#[case] text: &str) {
+    let error = text.parse::<AdapterRef>().expect_err("a bad reference");
+    assert!(error.to_string().contains("name@number"));
+}
--- /dev/null
+++ b/crates/filbertcleat-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' client filbertcleat.
+
+fn main() {}
--- /dev/null
+++ b/crates/filbertcleat-config/src/lib.rs
@@ -0,0 +1,48 @@
+//! Settings files and the numbered configuration.
+//!
+//! Settings belong to one process and are read at its start. The configuration is one document
+//! for the whole system, which changes only by patches.
+
+mod adapter;
+mod change;
+mod configuration;
+mod limits;
+mod patch;
+mod policy;
+mod problem;
+mod refusal;
+mod service;
+mod settings;
+mod weights;
+
+pub use adapter::AdapterEntry;
+pub use adapter::Canary;
+pub use change::Change;
+pub use configuration::Configuration;
+pub use configuration::ResolveError;
+pub use limits::Limits;
+pub use patch::Patch;
+pub use policy::Policy;
+pub use policy::QueuePolicy;
+pub use policy::RoutePolicy;
+pub use policy::SlotPolicy;
+pub use policy::TurnPolicy;
+pub use problem::Problem;
+pub use problem::Problems;
+pub use refusal::PatchRefusal;
+pub use service::ServiceEntry;
+pub use service::ServiceKind;
+pub use settings::AsyncSettings;
+pub use settings::BackendKind;
+pub use settings::BackendSettings;
+pub use settings::CallerSettings;
+pub use settings::DrainSettings;
+pub use settings::LogSettings;
+pub use settings::MetricsSettings;
+pub use settings::OperatorSettings;
+pub use settings::PeerSettings;
+pub use settings::PlatformSettings;
+pub use settings::Role;
+pub use settings::Settings;
+pub use settings::TokenSource;
+pub use weights::Weights;
--- /dev/null
+++ b/crates/filbertcleat-config/src/service.rs
@@ -0,0 +1,37 @@
+//! Services in the configuration.
+
+mod raw;
+
+use filbertcleat_base::ModelName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use self::raw::RawEntry;
+
+/// A service, which is a set of backend servers that answer alike.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(into = "RawEntry", try_from = "RawEntry")]
+pub struct ServiceEntry {
+    /// What kind of backend server stands behind it.
+    pub kind: ServiceKind,
+    /// Path prefixes whose calls may not be repeated.
+    pub non_repeatable: Vec<String>,
+}
+
+impl ServiceEntry {
+    /// Returns whether a call may be repeated after an unknown outcome.
+    pub fn is_repeatable(&self, method: &str, path: &str) -> bool {
+        let safe = matches!(method, "GET" | "HEAD" | "OPTIONS");
+        let listed = self.non_repeatable.iter().any(|prefix| path.starts_with(prefix.as_str()));
+        safe || !listed
+    }
+}
+
+/// The kinds of backend server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ServiceKind {
+    /// Model engines that hold a base model.
+    Engine(ModelName),
+    /// Plain HTTP services.
+    Plain,
+}
--- /dev/null
+++ b/crates/filbertcleat-config/src/service/raw.rs
@@ -0,0 +1,51 @@
+//! Services as they are written.
+
+use filbertcleat_base::ModelName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::ServiceEntry;
+use super::ServiceKind;
+
+/// A service as it is written: `kind`, the engines' `model`, and `non_repeatable`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RawEntry {
+    kind: RawKind,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    model: Option<ModelName>,
+    #[serde(default)]
+    non_repeatable: Vec<String>,
+}
+
+/// The word for a kind of backend server.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum RawKind {
+    Engine,
+    Plain,
+}
+
+impl TryFrom<RawEntry> for ServiceEntry {
+    type Error = &'static str;
+
+    fn try_from(raw: RawEntry) -> Result<Self, Self::Error> {
+        let kind = match (raw.kind, raw.model) {
+            (RawKind::Engine, Some(model)) => ServiceKind::Engine(model),
+            (RawKind::Engine, None) => return Err("a service of kind engine needs a model"),
+            (RawKind::Plain, None) => ServiceKind::Plain,
+            (RawKind::Plain, Some(_)) => return Err("a service of kind plain has no model"),
+        };
+        Ok(Self { kind, non_repeatable: raw.non_repeatable })
+    }
+}
+
+impl From<ServiceEntry> for RawEntry {
+    fn from(entry: ServiceEntry) -> Self {
+        let (kind, model) = match entry.kind {
+            ServiceKind::Engine(model) => (RawKind::Engine, Some(model)),
+            ServiceKind::Plain => (RawKind::Plain, None),
+        };
+        Self { kind, model, non_repeatable: entry.non_repeatable }
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-config/src/settings/drain.rs
@@ -0,0 +1,24 @@
+//! How a process stops.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
+
+/// How a process stops.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default)]
+pub struct DrainSettings {
+    /// How long the platform's balancer may go on sending to an entry that is no longer ready.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub balancer_lag_ms: Duration,
+}
+
+impl Default for DrainSettings {
+    fn default() -> Self {
+        Self { balancer_lag_ms: Duration::from_secs(5) }
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-daemon/src/agent/offered.rs
@@ -0,0 +1,54 @@
+//! An attempt that an entry has offered.
+
+use filbertcleat_base::AdapterRef;
+use filbertcleat_base::AttemptId;
+use filbertcleat_base::Class;
+use filbertcleat_base::ConfigVersion;
+use filbertcleat_base::MonoTime;
+use filbertcleat_base::RequestId;
+use filbertcleat_policy::Offer;
+use filbertcleat_policy::Target;
+use filbertcleat_wire::v1;
+use filbertcleat_wire::v1::attempt_request;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+/// An attempt with the way back to its entry.
+#[derive(Debug)]
+pub(super) struct Offered {
+    pub request: Box<v1::AttemptRequest>,
+    pub events: mpsc::UnboundedSender<v1::AttemptEvent>,
+    /// Cancels the call, once there is one.
+    pub cancel: Option<oneshot::Sender<()>>,
+}
+
+impl Offered {
+    pub fn request_id(&self) -> RequestId {
+        RequestId::new(&self.request.request)
+    }
+
+    /// Reads the offer; `None` means that it can't be understood.
+    pub fn offer(&self, now: MonoTime) -> Option<Offer> {
+        let request = &self.request;
+        let (target, resumes) = match request.target.as_ref()? {
+            attempt_request::Target::Completion(call) => {
+                let adapter: AdapterRef =
+                    format!("{}@{}", call.adapter, call.version).parse().ok()?;
+                (Target::Adapter(adapter), !call.resume_of.is_empty())
+            }
+            attempt_request::Target::Service(_) => (Target::Plain, false),
+        };
+        let class: Class = request.class.parse().ok()?;
+        let left_ms = request.deadline_left_ms;
+        Some(Offer {
+            attempt: AttemptId::new(&request.attempt),
+            service: request.service_name.as_str().into(),
+            target,
+            class,
+            deadline: (left_ms > 0).then(|| now.plus_ms(left_ms)),
+            config_version: ConfigVersion::new(request.config_version),
+            arrived: now,
+            resumes,
+        })
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-daemon/src/config/publish.rs
@@ -0,0 +1,41 @@
+//! Submits a patch to the table service.
+
+use std::time::Duration;
+
+use filbertcleat_base::ConfigVersion;
+use filbertcleat_config::Patch;
+use filbertcleat_config::PatchRefusal;
+use filbertcleat_platform::Table;
+use filbertcleat_store::Publish;
+use filbertcleat_store::PublishStep;
+use tokio::time::Instant;
+
+/// The time that an operator waits for the table service.
+const PUBLISH_TIMEOUT: Duration = Duration::from_secs(10);
+/// The pause after a failed operation.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Makes a patch the next version, or finds out why it can't be.
+pub(crate) async fn publish(
+    table: &impl Table,
+    patch: Patch,
+) -> Result<ConfigVersion, PatchRefusal> {
+    let deadline = Instant::now() + PUBLISH_TIMEOUT;
+    let mut publish = Publish::new(patch);
+    let mut op = publish.begin();
+    loop {
+        let result = table.run(&op).await;
+        match publish.step(&result) {
+            PublishStep::Accepted(version) => return Ok(version),
+            PublishStep::Refused(refusal) => return Err(refusal),
+            PublishStep::Ask(next) => op = next,
+            PublishStep::Wait(next) => {
+                tokio::time::sleep(PAUSE).await;
+                op = next;
+            }
+        }
+        if Instant::now() >= deadline {
+            return Err(publish.give_up("no answer in time"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-daemon/src/config/snapshot.rs
@@ -0,0 +1,74 @@
+//! Whole configurations in the object store, so that a new process need not read every patch.
+
+use filbertcleat_config::Configuration;
+use filbertcleat_platform::Objects;
+use filbertcleat_platform::Table;
+use filbertcleat_store::Expect;
+use filbertcleat_store::TableOp;
+use filbertcleat_store::TableResult;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The row that names the newest snapshot.
+const POINTER_KEY: &str = "config/snapshot";
+
+/// The row that names the newest snapshot.
+#[derive(Debug, Deserialize, Serialize)]
+struct Pointer {
+    version: u64,
+}
+
+/// Reads the newest snapshot, if there is one and it can be read.
+///
+/// Without it the chain of patches is read from its beginning, which gives the same.
+pub(super) async fn read_snapshot(
+    table: &impl Table,
+    objects: &impl Objects,
+) -> Option<Configuration> {
+    let (_, pointer) = read_pointer(table).await?;
+    let json = objects.read(&object_key(pointer.version)).await.ok()??;
+    serde_json::from_slice(&json).ok()
+}
+
+/// Writes a snapshot and points to it, unless a newer one is pointed to.
+///
+/// A write that fails is not tried again: the next snapshot makes up for it.
+pub(crate) async fn write_snapshot(
+    table: &impl Table,
+    objects: &impl Objects,
+    configuration: &Configuration,
+) {
+    let version = configuration.version.value();
+    let Ok(json) = serde_json::to_vec(configuration) else {
+        return;
+    };
+    if objects.write(&object_key(version), json).await.is_err() {
+        return;
+    }
+    let expect = match read_pointer(table).await {
+        Some((_, pointer)) if pointer.version >= version => return,
+        Some((revision, _)) => Expect::Revision(revision),
+        None => Expect::Absent,
+    };
+    let Ok(value) = serde_json::to_vec(&Pointer { version }) else {
+        return;
+    };
+    table.run(&TableOp::Write { key: POINTER_KEY.to_owned(), expect, value }).await;
+}
+
+async fn read_pointer(table: &impl Table) -> Option<(u64, Pointer)> {
+    match table.run(&TableOp::Read { key: POINTER_KEY.to_owned() }).await {
+        TableResult::Found { revision, value } => {
+            Some((revision, serde_json::from_slice(&value).ok()?))
+        }
+        TableResult::Missing
+        | TableResult::Written { .. }
+        | TableResult::Conflict
+        | TableResult::Lost
+        | TableResult::Down => None,
+    }
+}
+
+fn object_key(version: u64) -> String {
+    format!("config/snapshot/{version}")
+}
--- /dev/null
+++ b/crates/filbertcleat-daemon/src/entry/body.rs
@@ -0,0 +1,95 @@
+//! What callers are sent.
+
+use filbertcleat_base::Run;
+use filbertcleat_policy::Refusal;
+use serde_json::Value;
+use serde_json::json;
+
+/// Which of the two completion interfaces a caller uses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Shape {
+    Text,
+    Chat,
+}
+
+impl Shape {
+    /// Writes a piece of an answer.
+    pub fn chunk(self, id: &str, model: &str, text: &str, finish_reason: Option<&str>) -> Value {
+        let choice = match self {
+            Self::Text => json!({ "index": 0, "text": text, "finish_reason": finish_reason }),
+            Self::Chat => {
+                let delta = if text.is_empty() { json!({}) } else { json!({ "content": text }) };
+                json!({ "index": 0, "delta": delta, "finish_reason": finish_reason })
+            }
+        };
+        let object = match self {
+            Self::Text => "text_completion",
+            Self::Chat => "chat.completion.chunk",
+        };
+        json!({ "id": id, "object": object, "model": model, "choices": [choice] })
+    }
+
+    /// Writes a whole answer.
+    pub fn whole(
+        self,
+        id: &str,
+        model: &str,
+        text: &str,
+        finish_reason: &str,
+        tokens: u64,
+    ) -> Value {
+        let choice = match self {
+            Self::Text => json!({ "index": 0, "text": text, "finish_reason": finish_reason }),
+            Self::Chat => json!({
+                "index": 0,
+                "message": { "role": "assistant", "content": text },
+                "finish_reason": finish_reason,
+            }),
+        };
+        let object = match self {
+            Self::Text => "text_completion",
+            Self::Chat => "chat.completion",
+        };
+        json!({
+            "id": id,
+            "object": object,
+            "model": model,
+            "choices": [choice],
+            "usage": { "completion_tokens": tokens },
+        })
+    }
+}
+
+/// Writes an error of a request that was not run.
+pub(super) fn error(message: &str, step: &str) -> Value {
+    json!({ "error": { "message": message, "run": "no", "step": step, "peer": "entry" } })
+}
+
+/// Writes a refusal.
+pub(super) fn refusal(refusal: &Refusal) -> Value {
+    let fault = &refusal.fault;
+    let mut body = json!({
+        "error": {
+            "message": fault.reason,
+            "run": refusal.run.as_str(),
+            "step": fault.step,
+            "peer": fault.peer,
+        }
+    });
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        body["error"]["retry_after_ms"] = json!(retry_after_ms);
+    }
+    body
+}
+
+/// Returns the HTTP status of a refusal.
+pub(super) fn refusal_status(refusal: &Refusal) -> u16 {
+    use filbertcleat_base::Step;
+
+    match (refusal.run, refusal.fault.step) {
+        (Run::No, Step::Admit) => 429,
+        (Run::No, _) => 503,
+        (Run::Unknown, Step::Claim) => 409,
+        (Run::Unknown, _) => 502,
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-daemon/src/entry/role.rs
@@ -0,0 +1,544 @@
+//! The entry's part of the loop.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbertcleat_base::AttemptId;
+use filbertcleat_base::ConfigVersion;
+use filbertcleat_base::NodeName;
+use filbertcleat_base::RequestId;
+use filbertcleat_base::Run;
+use filbertcleat_config::Patch;
+use filbertcleat_config::PatchRefusal;
+use filbertcleat_config::ServiceKind;
+use filbertcleat_member::MemberRecord;
+use filbertcleat_member::MemberState;
+use filbertcleat_policy::Arrival;
+use filbertcleat_policy::ClaimOutcome;
+use filbertcleat_policy::Entry;
+use filbertcleat_policy::EntryAction;
+use filbertcleat_policy::EntryInput;
+use filbertcleat_policy::EntrySettings;
+use filbertcleat_policy::Target;
+use filbertcleat_store::ClaimRow;
+use filbertcleat_store::ClaimState;
+use filbertcleat_wire::v1;
+use filbertcleat_wire::v1::attempt_request;
+use tokio::sync::oneshot;
+
+use super::CallerGate;
+use super::EntryEvent;
+use super::attempts::Attempt;
+use super::caller::Caller;
+use super::caller::CallerEvent;
+use super::caller::Kept;
+use super::caller::Resolved;
+use super::caller::Work;
+use super::claims;
+use super::event::ClaimEnd;
+use super::event::Process;
+use crate::EventKind;
+use crate::config::ConfigEvent;
+use crate::config::publish;
+use crate::convert::event_from_wire;
+use crate::convert::report_from_wire;
+use crate::input::Input;
+use crate::input::tell;
+use crate::node::Node;
+
+/// The entry's part of the loop: its decisions, its callers and the attempts under way.
+#[derive(Debug)]
+pub(crate) struct EntryRole {
+    core: Entry,
+    gate: CallerGate,
+    callers: HashMap<RequestId, Caller>,
+    aborts: HashMap<AttemptId, oneshot::Sender<()>>,
+    leaving_since_ms: Option<u64>,
+}
+
+impl EntryRole {
+    /// The largest answer that is kept for repeats.
+    const KEPT_MAX_BYTES: usize = 256 * 1024;
+
+    pub fn new(node: &Node, gate: CallerGate) -> Self {
+        let seed =
+            filbertcleat_base::mix(node.incarnation, filbertcleat_base::hash(node.name().as_str()));
+        Self {
+            core: Entry::new(EntrySettings { node: node.name().clone(), seed }),
+            gate,
+            callers: HashMap::new(),
+            aborts: HashMap::new(),
+            leaving_since_ms: None,
+        }
+    }
+
+    pub fn held(&self) -> usize {
+        self.core.held()
+    }
+
+    pub fn gate(&self) -> &CallerGate {
+        &self.gate
+    }
+
+    /// Begins a planned stop: the balancer is told first.
+    pub fn drain(&mut self, node: &Node) {
+        self.gate.set_ready(false);
+        self.leaving_since_ms.get_or_insert(node.now().as_ms());
+    }
+
+    /// Returns whether the balancer has stopped sending and all callers are answered.
+    pub fn is_drained(&self, node: &Node) -> bool {
+        let lag_ms = node.settings.drain.balancer_lag_ms.as_millis() as u64;
+        let waited =
+            self.leaving_since_ms.is_some_and(|since_ms| node.now().as_ms() >= since_ms + lag_ms);
+        waited && self.callers.is_empty()
+    }
+
+    pub fn handle(&mut self, node: &mut Node, event: EntryEvent) {
+        match event {
+            EntryEvent::Arrive(caller) => self.arrive(node, *caller),
+            EntryEvent::CallerGone { request } => {
+                node.note(EventKind::Gone, Some(&request), String::new());
+                self.decide(node, EntryInput::CallerGone { request: request.clone() });
+                self.callers.remove(&request);
+            }
+            EntryEvent::Attempt { event, node: from } => self.attempt_event(node, event, from),
+            EntryEvent::Lost { attempt, sent, fault } => {
+                self.aborts.remove(&attempt);
+                node.note(
+                    EventKind::Broken,
+                    None,
+                    format!("attempt={attempt} sent={sent} fault=\"{fault}\""),
+                );
+                self.decide(node, EntryInput::Lost { attempt, sent, fault });
+            }
+            EntryEvent::Claimed { request, outcome } => self.claimed(node, &request, outcome),
+            EntryEvent::Patch { patch, reply } => submit(node, patch, reply),
+            EntryEvent::Configuration { reply } => {
+                // A caller that has gone away needs no answer.
+                let _ = reply.send(Arc::clone(node.config.current()));
+            }
+            EntryEvent::Processes { reply } => {
+                let _ = reply.send(processes(node));
+            }
+            EntryEvent::Drain { node: name, operator, reply } => {
+                node.note(EventKind::Drain, None, format!("of={name} operator={operator}"));
+                let _ = reply.send(node.address(&name));
+            }
+        }
+    }
+
+    pub fn tick(&mut self, node: &mut Node) {
+        self.decide(node, EntryInput::Tick);
+    }
+
+    pub fn configured(&mut self, node: &mut Node) {
+        let configuration = node.config.current();
+        let input =
+            EntryInput::Config { limits: configuration.limits, policy: configuration.policy };
+        self.decide(node, input);
+    }
+
+    /// Takes in what the membership says of a process.
+    pub fn member_changed(&mut self, node: &mut Node, record: &MemberRecord) {
+        let liveness = record.state.liveness();
+        self.decide(node, EntryInput::Liveness { node: record.name.clone(), liveness });
+        if record.state != MemberState::Gone
+            && let Some(report) = &record.replica
+        {
+            self.decide(node, EntryInput::Report(report.clone()));
+        }
+    }
+
+    fn arrive(&mut self, node: &mut Node, mut caller: Caller) {
+        let resolved = match resolve(node, &caller) {
+            Ok(resolved) => resolved,
+            Err(message) => {
+                node.metrics.count("refused.unknown", 1);
+                let _ = caller.reply.send(CallerEvent::NotFound(message));
+                return;
+            }
+        };
+        let target = match &resolved.adapter {
+            Some(adapter) => Target::Adapter(adapter.clone()),
+            None => Target::Plain,
+        };
+        let detail = format!("service={} target={target} class={}", resolved.service, caller.class);
+        node.note(EventKind::Arrive, Some(&caller.request), detail);
+        node.metrics.count("requests", 1);
+
+        let arrival = Arrival {
+            request: caller.request.clone(),
+            service: resolved.service.clone(),
+            target,
+            class: caller.class,
+            idempotent: is_idempotent(node, &caller, &resolved),
+            has_key: caller.key.is_some(),
+        };
+        let model = resolved.adapter.as_ref().map(ToString::to_string).unwrap_or_default();
+        let _ = caller.reply.send(CallerEvent::Accepted { model });
+        caller.resolved = Some(resolved);
+        self.callers.insert(caller.request.clone(), caller);
+        self.decide(node, EntryInput::Arrive(arrival));
+    }
+
+    fn attempt_event(&mut self, node: &mut Node, mut event: v1::AttemptEvent, from: NodeName) {
+        node.observe(event.stamp_wall_ms, event.stamp_count);
+        if let Some(status) = event.replica.take() {
+            let report = report_from_wire(from, status);
+            node.members.observe_report(&report);
+            self.decide(node, EntryInput::Report(report));
+        }
+        let Some(event) = event_from_wire(event) else {
+            node.metrics.count("attempts.unreadable", 1);
+            return;
+        };
+        if event.kind.is_last() {
+            self.aborts.remove(&event.attempt);
+        }
+        self.decide(node, EntryInput::Event(event));
+    }
+
+    fn claimed(&mut self, node: &mut Node, request: &RequestId, end: ClaimEnd) {
+        let mut outcome = ClaimOutcome::Unavailable;
+        match end {
+            ClaimEnd::Won { revision } => {
+                outcome = ClaimOutcome::Won;
+                if let Some(caller) = self.callers.get_mut(request) {
+                    caller.claim_revision = Some(revision);
+                }
+            }
+            ClaimEnd::Taken(row) => match row.state {
+                ClaimState::Claimed if is_running(node, &row.node) => {
+                    outcome = ClaimOutcome::Running;
+                }
+                ClaimState::Claimed | ClaimState::Unknown => outcome = ClaimOutcome::Unknown,
+                ClaimState::Done { status, content_type, body } => {
+                    outcome = ClaimOutcome::Done;
+                    if let Some(caller) = self.callers.get_mut(request) {
+                        caller.kept = Some(Kept { status, content_type, body });
+                    }
+                }
+            },
+            ClaimEnd::Unavailable => self.settle(node, request, None),
+        }
+        node.note(EventKind::Claim, Some(request), format!("outcome={outcome:?}"));
+        self.decide(node, EntryInput::Claimed { request: request.clone(), outcome });
+    }
+
+    /// Feeds the decisions and carries out what follows.
+    fn decide(&mut self, node: &mut Node, input: EntryInput) {
+        let now = node.now();
+        for action in self.core.handle(now, input) {
+            self.act(node, action);
+        }
+    }
+
+    fn act(&mut self, node: &mut Node, action: EntryAction) {
+        match action {
+            EntryAction::Claim { request } => self.claim(node, &request),
+            EntryAction::Settle { request, run } => self.settle(node, &request, Some(run)),
+            EntryAction::Record { request, status, content_type, body } => {
+                self.record(node, &request, status, &content_type, &body);
+            }
+            EntryAction::Replay { request } => self.replay(&request),
+            EntryAction::Send { attempt, request, node: to, resume_of, resume_offset } => {
+                self.send(node, &attempt, &request, &to, resume_of.as_ref(), resume_offset);
+            }
+            EntryAction::Abort { attempt } => {
+                if let Some(abort) = self.aborts.remove(&attempt) {
+                    // An attempt that has just ended needs no abort.
+                    let _ = abort.send(());
+                }
+            }
+            EntryAction::Started { request, node: at, load_stall_ms, queue_wait_ms } => {
+                let detail =
+                    format!("at={at} load_stall_ms={load_stall_ms} queue_wait_ms={queue_wait_ms}");
+                node.note(EventKind::Call, Some(&request), detail);
+            }
+            EntryAction::Refused { node: at, reason, config_version } => {
+                node.metrics.count("attempts.refused", 1);
+                log::debug!("event=attempt-refused at={at} reason={}", reason.as_str());
+                if config_version > node.config.version() {
+                    node.follow_store_now();
+                }
+            }
+            EntryAction::Deliver { request, text } => {
+                if let Some(caller) = self.callers.get(&request) {
+                    // A caller that is gone is told to the loop on its own.
+                    let _ = caller.reply.send(CallerEvent::Text(text));
+                }
+            }
+            EntryAction::Finish { request, finish_reason, tokens } => {
+                node.metrics.count("answers", 1);
+                node.metrics.count("tokens", tokens);
+                node.note(EventKind::Answer, Some(&request), format!("tokens={tokens}"));
+                self.end(&request, CallerEvent::Finished { finish_reason, tokens });
+            }
+            EntryAction::Answer { request, status, content_type, body } => {
+                node.metrics.count("answers", 1);
+                node.note(EventKind::Answer, Some(&request), format!("status={status}"));
+                self.end(&request, CallerEvent::Answer { status, content_type, body });
+            }
+            EntryAction::Refuse { request, refusal } => {
+                node.metrics.count(&format!("refused.{}", refusal.fault.step), 1);
+                let run = refusal.run.as_str();
+                node.note(
+                    EventKind::Refuse,
+                    Some(&request),
+                    format!("run={run} fault=\"{}\"", refusal.fault),
+                );
+                self.end(&request, CallerEvent::Refused(refusal));
+            }
+        }
+    }
+
+    fn end(&mut self, request: &RequestId, event: CallerEvent) {
+        if let Some(caller) = self.callers.remove(request) {
+            let _ = caller.reply.send(event);
+        }
+    }
+
+    fn claim(&mut self, node: &Node, request: &RequestId) {
+        let Some(key) = self.callers.get(request).and_then(|caller| caller.key.clone()) else {
+            return;
+        };
+        let wait = Duration::from_millis(node.config.current().limits.claim_wait_ms);
+        let (table, inputs, request) = (node.table.clone(), node.inputs.clone(), request.clone());
+        let holder = holder(node);
+        tokio::spawn(async move {
+            let outcome = claims::claim(&table, &key, &request, holder, wait).await;
+            tell(&inputs, Input::Entry(EntryEvent::Claimed { request, outcome }));
+        });
+    }
+
+    /// Releases the claim of a request that was not run, or marks its outcome as unknown.
+    fn settle(&self, node: &Node, request: &RequestId, run: Option<Run>) {
+        let state = match run {
+            Some(Run::Unknown) => Some(ClaimState::Unknown),
+            Some(Run::No) | None => None,
+        };
+        self.write_claim(node, request, state);
+    }
+
+    fn record(
+        &self,
+        node: &Node,
+        request: &RequestId,
+        status: u16,
+        content_type: &str,
+        body: &[u8],
+    ) {
+        let state = if body.len() <= Self::KEPT_MAX_BYTES {
+            let body = String::from_utf8_lossy(body).into_owned();
+            ClaimState::Done { status, content_type: content_type.to_owned(), body }
+        } else {
+            ClaimState::Unknown
+        };
+        self.write_claim(node, request, Some(state));
+    }
+
+    fn write_claim(&self, node: &Node, request: &RequestId, state: Option<ClaimState>) {
+        let Some(caller) = self.callers.get(request) else {
+            return;
+        };
+        let Some(key) = caller.key.clone() else {
+            return;
+        };
+        let revision = caller.claim_revision;
+        let row = state.map(|state| ClaimRow {
+            token: request.as_str().to_owned(),
+            node: holder(node),
+            state,
+        });
+        let (table, request) = (node.table.clone(), request.clone());
+        tokio::spawn(async move {
+            claims::settle(&table, &key, &request, row, revision).await;
+        });
+    }
+
+    fn replay(&mut self, request: &RequestId) {
+        let Some(caller) = self.callers.remove(request) else {
+            return;
+        };
+        let Some(kept) = caller.kept else {
+            return;
+        };
+        // Should the caller have gone, there is nobody to replay to.
+        let _ = match caller.work {
+            Work::Completion { .. } => {
+                let tokens = kept.body.split_inclusive(' ').count() as u64;
+                let _ = caller.reply.send(CallerEvent::Text(kept.body));
+                let finish_reason = "stop".to_owned();
+                caller.reply.send(CallerEvent::Finished { finish_reason, tokens })
+            }
+            Work::Service { .. } => caller.reply.send(CallerEvent::Answer {
+                status: kept.status,
+                content_type: kept.content_type,
+                body: kept.body.into_bytes(),
+            }),
+        };
+    }
+
+    fn send(
+        &mut self,
+        node: &mut Node,
+        attempt: &AttemptId,
+        request: &RequestId,
+        to: &NodeName,
+        resume_of: Option<&AttemptId>,
+        resume_offset: u64,
+    ) {
+        let address = node.address(to);
+        let stamp = node.stamp();
+        let message = self.callers.get(request).and_then(|caller| {
+            let resolved = caller.resolved.as_ref()?;
+            Some(v1::AttemptRequest {
+                attempt: attempt.to_string(),
+                request: request.to_string(),
+                config_version: resolved.config_version.value(),
+                class: caller.class.as_str().to_owned(),
+                deadline_left_ms: caller.deadline_ms.unwrap_or(0),
+                idempotent: !caller.non_idempotent,
+                target: Some(target(caller, resolved, resume_of, resume_offset)),
+                stamp_wall_ms: stamp.wall_ms,
+                stamp_count: stamp.count,
+                service_name: resolved.service.to_string(),
+            })
+        });
+        let (Some(address), Some(message)) = (address, message) else {
+            let fault =
+                filbertcleat_base::Fault::new(filbertcleat_base::Step::Route, to, "has left");
+            let event = EntryEvent::Lost { attempt: attempt.clone(), sent: false, fault };
+            tell(&node.inputs, Input::Entry(event));
+            return;
+        };
+
+        node.metrics.count("attempts", 1);
+        node.note(EventKind::Send, Some(request), format!("attempt={attempt} to={to}"));
+        let (abort, aborted) = oneshot::channel();
+        self.aborts.insert(attempt.clone(), abort);
+        let attempt = Attempt { id: attempt.clone(), node: to.clone(), address, request: message };
+        tokio::spawn(attempt.run(node.peers.clone(), node.inputs.clone(), aborted));
+    }
+}
+
+fn resolve(node: &Node, caller: &Caller) -> Result<Resolved, String> {
+    let configuration = node.config.current();
+    let config_version = configuration.version;
+    match &caller.work {
+        Work::Completion { model, .. } => {
+            let resolved = configuration.resolve(model, &caller.request);
+            let (adapter, service) = resolved.map_err(|error| error.to_string())?;
+            let service = service.clone();
+            Ok(Resolved { service, adapter: Some(adapter), config_version })
+        }
+        Work::Service { service, .. } => {
+            match configuration.services.get_key_value(service.as_str()) {
+                Some((name, entry)) if entry.kind == ServiceKind::Plain => {
+                    Ok(Resolved { service: name.clone(), adapter: None, config_version })
+                }
+                Some(_) => Err(format!(
+                    "service {service:?} has model engines: name an adapter as the model"
+                )),
+                None => Err(format!("service {service:?} does not exist")),
+            }
+        }
+    }
+}
+
+fn is_idempotent(node: &Node, caller: &Caller, resolved: &Resolved) -> bool {
+    let by_service = match &caller.work {
+        Work::Completion { .. } => true,
+        Work::Service { method, path, .. } => {
+            let entry = node.config.current().services.get(&resolved.service);
+            entry.is_some_and(|entry| entry.is_repeatable(method, path))
+        }
+    };
+    by_service && !caller.non_idempotent
+}
+
+fn target(
+    caller: &Caller,
+    resolved: &Resolved,
+    resume_of: Option<&AttemptId>,
+    resume_offset: u64,
+) -> attempt_request::Target {
+    match &caller.work {
+        Work::Completion { chat, body, .. } => {
+            let adapter = resolved.adapter.as_ref();
+            attempt_request::Target::Completion(v1::CompletionCall {
+                adapter: adapter.map(|adapter| adapter.name.to_string()).unwrap_or_default(),
+                version: adapter.map_or(0, |adapter| adapter.version.value()),
+                chat: *chat,
+                body: body.to_vec(),
+                resume_offset,
+                resume_of: resume_of.map(ToString::to_string).unwrap_or_default(),
+            })
+        }
+        Work::Service { service, method, path, content_type, body } => {
+            attempt_request::Target::Service(v1::ServiceCall {
+                service: service.clone(),
+                method: method.clone(),
+                path: path.clone(),
+                content_type: content_type.clone(),
+                body: body.to_vec(),
+            })
+        }
+    }
+}
+
+/// Returns the name under which this start of the process holds claims.
+fn holder(node: &Node) -> NodeName {
+    format!("{}#{}", node.name(), node.incarnation).into()
+}
+
+/// Returns whether the start of a process that made a claim is still running.
+fn is_running(node: &Node, holder: &NodeName) -> bool {
+    let Some((name, incarnation)) = holder.as_str().rsplit_once('#') else {
+        return false;
+    };
+    let record = node.members.record(&NodeName::new(name));
+    record.is_some_and(|record| {
+        record.incarnation.to_string() == incarnation && record.state != MemberState::Gone
+    })
+}
+
+fn processes(node: &Node) -> Vec<Process> {
+    let all = [node.members.me()].into_iter().chain(node.members.others());
+    all.filter(|record| record.state != MemberState::Gone)
+        .map(|record| Process {
+            name: record.name.clone(),
+            address: record.address.clone(),
+            state: record.state.as_str(),
+        })
+        .collect()
+}
+
+/// Checks a patch against the version in force and submits it.
+fn submit(
+    node: &mut Node,
+    patch: Patch,
+    reply: oneshot::Sender<Result<ConfigVersion, PatchRefusal>>,
+) {
+    let detail = format!("id={} operator={} base={}", patch.id, patch.operator, patch.base);
+    node.note(EventKind::Patch, None, detail);
+    let checked = if node.config.is_confirmed() {
+        node.config.current().apply(&patch).map(drop)
+    } else {
+        Err(PatchRefusal::Unavailable { reason: "no configuration is confirmed yet".to_owned() })
+    };
+    if let Err(refusal) = checked {
+        node.follow_store_now();
+        let _ = reply.send(Err(refusal));
+        return;
+    }
+
+    let table = node.table.clone();
+    let inputs = node.inputs.clone();
+    tokio::spawn(async move {
+        let outcome = publish(&table, patch.clone()).await;
+        tell(&inputs, Input::Config(ConfigEvent::Published { patch, outcome, reply }));
+    });
+}
--- /dev/null
+++ b/crates/filbertcleat-daemon/src/main.rs
@@ -0,0 +1,94 @@
+//! The daemon filbertcleatd.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use filbertcleat_config::Settings;
+use filbertcleat_daemon::Daemon;
+use getopts::Options;
+use mimalloc::MiMalloc;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+/// The exit code for a wrong command line or settings file.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.reqopt("s", "settings", "the settings file", "FILE");
+    options.optflag("c", "check", "check the settings and exit");
+    options.optflag("h", "help", "show this text");
+    let arguments: Vec<_> = std::env::args().skip(1).collect();
+    let usage = options.usage("Usage: filbertcleatd --settings FILE [--check]");
+    if arguments.iter().any(|argument| argument == "-h" || argument == "--help") {
+        println!("{usage}");
+        return ExitCode::SUCCESS;
+    }
+    let matches = match options.parse(arguments) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("{error}\n{usage}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+
+    let file = matches.opt_str("settings").unwrap_or_default();
+    let settings = match Settings::load(Path::new(&file)) {
+        Ok(settings) => settings,
+        Err(problems) => {
+            eprintln!("{problems}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if matches.opt_present("check") {
+        println!("{file}: settings are good");
+        return ExitCode::SUCCESS;
+    }
+    run(settings)
+}
+
+fn run(settings: Settings) -> ExitCode {
+    if let Err(error) = filbertcleat_daemon::start_logs(&settings.log) {
+        eprintln!("{error}");
+        return ExitCode::FAILURE;
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("runtime can't start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+
+    runtime.block_on(async {
+        match Daemon::start(settings).await {
+            Ok(daemon) => {
+                watch_signals(&daemon);
+                daemon.run().await;
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                log::error!("event=start-failed reason=\"{error}\"");
+                ExitCode::FAILURE
+            }
+        }
+    })
+}
+
+/// Turns a signal to end into a planned stop.
+fn watch_signals(daemon: &Daemon) {
+    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        let stop = daemon.stopper();
+        if let Ok(mut signals) = signal(kind) {
+            tokio::spawn(async move {
+                while signals.recv().await.is_some() {
+                    stop();
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-daemon/src/node.rs
@@ -0,0 +1,233 @@
+//! What every process has, whatever its role.
+
+use std::time::Duration;
+
+use filbertcleat_base::MonoTime;
+use filbertcleat_base::NodeName;
+use filbertcleat_base::RequestId;
+use filbertcleat_base::Stamp;
+use filbertcleat_config::Settings;
+use filbertcleat_member::MemberAction;
+use filbertcleat_member::MemberRecord;
+use filbertcleat_member::MemberSettings;
+use filbertcleat_member::MemberState;
+use filbertcleat_member::Membership;
+use filbertcleat_platform::HttpClient;
+use filbertcleat_platform::HttpObjects;
+use filbertcleat_platform::HttpTable;
+use filbertcleat_platform::HttpVms;
+use filbertcleat_platform::Vm;
+use filbertcleat_platform::VmState;
+use filbertcleat_wire::v1;
+use prost::Message;
+
+use crate::EventKind;
+use crate::clock::Clock;
+use crate::config::ConfigState;
+use crate::convert::digest_from_wire;
+use crate::convert::digest_to_wire;
+use crate::input::Input;
+use crate::input::Inputs;
+use crate::input::tell;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::timeline::Timeline;
+use crate::turns::TurnDesk;
+
+/// What every process has, whatever its role.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub settings: Settings,
+    pub clock: Clock,
+    pub timeline: Timeline,
+    pub metrics: Metrics,
+    pub members: Membership,
+    pub config: ConfigState,
+    pub desk: TurnDesk,
+    pub peers: Peers,
+    pub table: HttpTable,
+    pub objects: HttpObjects,
+    pub inputs: Inputs,
+    /// Different for each start of the process.
+    pub incarnation: u64,
+    vms: Option<HttpVms>,
+    next_vms_at: MonoTime,
+}
+
+impl Node {
+    /// The time between two looks at the VM list.
+    const VMS_EVERY_MS: u64 = 2000;
+    /// The longest time for one exchange.
+    const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
+
+    /// Creates the common part of a process that peers reach at `address`.
+    pub fn new(settings: Settings, address: String, peers: Peers, inputs: Inputs) -> Self {
+        let clock = Clock::new();
+        let incarnation = Clock::wall_ms();
+        let client = HttpClient::new(settings.platform.timeout_ms);
+        let me = MemberRecord {
+            name: settings.name.clone(),
+            address,
+            region: settings.region.clone(),
+            place: settings.place.clone(),
+            role: settings.role,
+            state: MemberState::Starting,
+            incarnation,
+            sequence: 1,
+            config_version: filbertcleat_base::ConfigVersion::default(),
+            replica: None,
+        };
+        let seed = filbertcleat_base::mix(filbertcleat_base::hash(me.name.as_str()), incarnation);
+        let exchange = MemberSettings {
+            exchange_ms: settings.peers.exchange_ms.as_millis() as u64,
+            gone_ms: settings.peers.gone_ms.as_millis() as u64,
+            seed,
+            ..MemberSettings::default()
+        };
+        let contacts = settings.peers.seeds.iter().map(ToString::to_string).collect();
+
+        Self {
+            clock,
+            timeline: Timeline::new(settings.name.clone()),
+            metrics: Metrics::new(&settings.metrics),
+            members: Membership::new(exchange, me, contacts),
+            config: ConfigState::new(settings.platform.poll_ms),
+            desk: TurnDesk::new(seed),
+            peers,
+            table: HttpTable::new(client.clone(), &settings.platform.table),
+            objects: HttpObjects::new(client.clone(), &settings.platform.objects),
+            inputs,
+            incarnation,
+            vms: settings.platform.vms.as_ref().map(|url| HttpVms::new(client, url)),
+            next_vms_at: MonoTime::ZERO,
+            settings,
+        }
+    }
+
+    pub fn now(&self) -> MonoTime {
+        self.clock.now()
+    }
+
+    pub fn name(&self) -> &NodeName {
+        &self.settings.name
+    }
+
+    /// Adds an event to the time line and the log.
+    pub fn note(&mut self, kind: EventKind, request: Option<&RequestId>, detail: String) {
+        self.timeline.add(Clock::wall_ms(), kind, request, detail);
+    }
+
+    /// Returns a stamp for a message.
+    pub fn stamp(&mut self) -> Stamp {
+        self.timeline.stamp(Clock::wall_ms())
+    }
+
+    /// Takes in the stamp of a message.
+    pub fn observe(&mut self, wall_ms: u64, count: u32) {
+        self.timeline.observe(Clock::wall_ms(), Stamp { wall_ms, count });
+    }
+
+    /// Makes the exchanges and looks that are due.
+    pub fn tick(&mut self) {
+        let now = self.now();
+        for action in self.members.tick(now) {
+            self.exchange(action);
+        }
+        if now >= self.next_vms_at
+            && let Some(vms) = self.vms.clone()
+        {
+            self.next_vms_at = now.plus_ms(Self::VMS_EVERY_MS);
+            let inputs = self.inputs.clone();
+            tokio::spawn(async move {
+                if let Some(list) = vms.list().await {
+                    tell(&inputs, Input::Vms(list));
+                }
+            });
+        }
+        self.desk.tick(now);
+    }
+
+    /// Answers a peer's message.
+    pub fn answer_exchange(&mut self, digest: v1::Digest) -> v1::Digest {
+        self.count_bytes(digest.encoded_len());
+        let (digest, stamp) = digest_from_wire(digest);
+        self.observe(stamp.wall_ms, stamp.count);
+        let answer = self.members.receive(self.now(), &digest);
+        let stamp = self.stamp();
+        let answer = digest_to_wire(&answer, stamp);
+        self.count_bytes(answer.encoded_len());
+        answer
+    }
+
+    /// Takes in the answer to a message.
+    pub fn exchange_answer(&mut self, digest: v1::Digest, bytes: usize) {
+        self.count_bytes(bytes);
+        let (digest, stamp) = digest_from_wire(digest);
+        self.observe(stamp.wall_ms, stamp.count);
+        self.members.replied(self.now(), &digest);
+    }
+
+    /// Takes in the platform's list of VMs.
+    ///
+    /// The list lags, so only its word that a VM leaves is acted on; a VM that it lacks may be
+    /// new.
+    pub fn vms(&mut self, list: &[Vm]) {
+        let now = self.now();
+        let seeds = self.settings.peers.seeds.iter().map(ToString::to_string);
+        let contacts = list.iter().map(|vm| vm.address.clone()).chain(seeds).collect();
+        self.members.set_contacts(contacts);
+        for vm in list.iter().filter(|vm| vm.state == VmState::Leaving) {
+            if vm.name == self.settings.name && vm.address == self.members.me().address {
+                tell(&self.inputs, Input::Stop);
+            }
+            self.members.note_leaving(now, &vm.name);
+        }
+    }
+
+    /// Returns the address of a process that can be spoken to.
+    pub fn address(&self, name: &NodeName) -> Option<String> {
+        self.members.record(name).map(|record| record.address.clone())
+    }
+
+    /// Returns the process whose keeper gives the load turns.
+    pub fn keeper(&self) -> Option<NodeName> {
+        let store = filbertcleat_base::hash(self.settings.platform.weight_store.as_str());
+        let others = self.members.others().chain([self.members.me()]);
+        others
+            .filter(|record| record.state == MemberState::Live)
+            .map(|record| &record.name)
+            .max_by_key(|name| {
+                filbertcleat_base::mix(store, filbertcleat_base::hash(name.as_str()))
+            })
+            .cloned()
+    }
+
+    fn exchange(&mut self, action: MemberAction) {
+        let stamp = self.stamp();
+        let message = digest_to_wire(&action.digest, stamp);
+        self.count_bytes(message.encoded_len());
+        let inputs = self.inputs.clone();
+        let client = self.peers.node(&action.address);
+        tokio::spawn(async move {
+            let answer = match client {
+                Ok(mut client) => {
+                    tokio::time::timeout(Self::EXCHANGE_TIMEOUT, client.exchange(message)).await
+                }
+                Err(_) => return,
+            };
+            match (answer, action.to) {
+                (Ok(Ok(digest)), _) => {
+                    let digest = digest.into_inner();
+                    let bytes = digest.encoded_len();
+                    tell(&inputs, Input::ExchangeAnswer { digest, bytes });
+                }
+                (_, Some(name)) => tell(&inputs, Input::ExchangeFailed { name }),
+                (_, None) => {}
+            }
+        });
+    }
+
+    fn count_bytes(&mut self, bytes: usize) {
+        self.metrics.count("control.bytes", bytes as u64);
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-member/src/membership.rs
@@ -0,0 +1,393 @@
+//! The view of all processes.
+
+use std::collections::BTreeMap;
+
+use filbertcleat_base::ConfigVersion;
+use filbertcleat_base::MonoTime;
+use filbertcleat_base::NodeName;
+use filbertcleat_policy::Report;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
+
+use crate::Digest;
+use crate::MemberAction;
+use crate::MemberEvent;
+use crate::MemberRecord;
+use crate::MemberSettings;
+use crate::MemberState;
+use crate::rumor::Rumor;
+
+/// Keeps the view of all processes by exchanging records with a few of them.
+#[derive(Debug)]
+pub struct Membership {
+    settings: MemberSettings,
+    me: MemberRecord,
+    others: BTreeMap<NodeName, Rumor>,
+    contacts: Vec<String>,
+    round: Vec<NodeName>,
+    my_sends_left: u32,
+    next_at: MonoTime,
+    next_full_at: MonoTime,
+    reported_at: MonoTime,
+    report: Option<Report>,
+    urgent: bool,
+    rng: SmallRng,
+    events: Vec<MemberEvent>,
+}
+
+impl Membership {
+    /// How long the record of a process that is gone is kept, so that old news can't revive it.
+    const TOMBSTONE_MS: u64 = 600_000;
+    /// The least time between two reports of a replica, per known process.
+    const REPORT_MS_PER_MEMBER: u64 = 8;
+    /// The least time between two reports of a replica.
+    const REPORT_MIN_MS: u64 = 100;
+    /// One in so many exchanges goes to a contact, so that parts cut off find each other again.
+    const CONTACT_SHARE: u32 = 8;
+
+    /// Creates a view that knows only the process itself and addresses to ask.
+    pub fn new(settings: MemberSettings, me: MemberRecord, contacts: Vec<String>) -> Self {
+        let rng = SmallRng::seed_from_u64(settings.seed);
+        Self {
+            settings,
+            me,
+            others: BTreeMap::new(),
+            contacts,
+            round: Vec::new(),
+            my_sends_left: 8,
+            next_at: MonoTime::ZERO,
+            next_full_at: MonoTime::ZERO,
+            reported_at: MonoTime::ZERO,
+            report: None,
+            urgent: false,
+            rng,
+            events: Vec::new(),
+        }
+    }
+
+    /// Returns the process's own record.
+    pub fn me(&self) -> &MemberRecord {
+        &self.me
+    }
+
+    /// Returns the records of the other processes, also of those that are gone.
+    pub fn others(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.others.values().map(|rumor| &rumor.record)
+    }
+
+    /// Returns the record of a process.
+    pub fn record(&self, name: &NodeName) -> Option<&MemberRecord> {
+        if *name == self.me.name {
+            return Some(&self.me);
+        }
+        self.others.get(name).map(|rumor| &rumor.record)
+    }
+
+    /// Returns the news since the last call.
+    pub fn take_events(&mut self) -> Vec<MemberEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Replaces the addresses that are asked besides the known processes.
+    pub fn set_contacts(&mut self, contacts: Vec<String>) {
+        self.contacts = contacts;
+    }
+
+    /// Sets the process's own state, which is urgent news.
+    pub fn set_state(&mut self, state: MemberState) {
+        if self.me.state != state {
+            self.me.state = state;
+            self.changed(true);
+        }
+    }
+
+    /// Sets the configuration version in force here, which is urgent news.
+    pub fn set_config_version(&mut self, version: ConfigVersion) {
+        if version > self.me.config_version {
+            self.me.config_version = version;
+            self.changed(true);
+        }
+    }
+
+    /// Sets the report of the replica beside this process.
+    ///
+    /// It is passed on only so often that all reports together fit the bytes of the exchange.
+    pub fn set_report(&mut self, report: Report) {
+        self.report = Some(report);
+    }
+
+    /// Takes in what an agent told about its replica in an answer.
+    pub fn observe_report(&mut self, report: &Report) {
+        if let Some(rumor) = self.others.get_mut(&report.node) {
+            rumor.record.replica = Some(report.clone());
+        }
+    }
+
+    /// Marks a process as leaving by the platform's word.
+    pub fn note_leaving(&mut self, now: MonoTime, name: &NodeName) {
+        let Some(rumor) = self.others.get(name) else {
+            return;
+        };
+        if rumor.record.state < MemberState::Leaving {
+            let record = MemberRecord { state: MemberState::Leaving, ..rumor.record.clone() };
+            self.merge(now, record);
+        }
+    }
+
+    /// Returns the messages that are due.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<MemberAction> {
+        self.age(now);
+        self.publish_report(now);
+
+        let mut actions = Vec::new();
+        if std::mem::take(&mut self.urgent) {
+            let count = self.settings.fanout;
+            for (name, address) in self.random_peers(count) {
+                actions.push(self.message(Some(name), address, false));
+            }
+        }
+        if now >= self.next_at {
+            self.next_at = now.plus_ms(self.jittered_ms());
+            actions.extend(self.exchange(now));
+        }
+        actions
+    }
+
+    /// Takes in a message and returns the answer to it.
+    pub fn receive(&mut self, now: MonoTime, digest: &Digest) -> Digest {
+        self.take_in(now, digest);
+        let known = self.others.contains_key(&digest.from);
+        self.answer(digest.full || !known)
+    }
+
+    /// Takes in the answer to a message.
+    pub fn replied(&mut self, now: MonoTime, digest: &Digest) {
+        self.take_in(now, digest);
+        let Some(rumor) = self.others.get(&digest.from) else {
+            return;
+        };
+        if rumor.record.state == MemberState::Suspect {
+            // It answered, and its answer carries a newer record of itself.
+            self.next_at = now;
+        }
+    }
+
+    /// Takes in that a process gave no answer.
+    pub fn failed(&mut self, now: MonoTime, name: &NodeName) {
+        let Some(rumor) = self.others.get(name) else {
+            return;
+        };
+        match rumor.record.state {
+            MemberState::Starting | MemberState::Live | MemberState::Leaving => {
+                let record = MemberRecord { state: MemberState::Suspect, ..rumor.record.clone() };
+                self.merge(now, record);
+            }
+            MemberState::Suspect | MemberState::Gone => {}
+        }
+    }
+
+    fn changed(&mut self, urgent: bool) {
+        self.me.sequence += 1;
+        self.my_sends_left = self.sends();
+        self.urgent |= urgent;
+    }
+
+    fn publish_report(&mut self, now: MonoTime) {
+        let every_ms = Self::REPORT_MS_PER_MEMBER * (self.others.len() as u64 + 1);
+        let due = now.ms_since(self.reported_at) >= every_ms.max(Self::REPORT_MIN_MS);
+        if !due || self.report.is_none() || self.report == self.me.replica {
+            return;
+        }
+        self.me.replica = self.report.clone();
+        self.reported_at = now;
+        self.changed(false);
+    }
+
+    /// Returns the number of messages that news goes into, enough to reach all with high odds.
+    fn sends(&self) -> u32 {
+        let members = self.others.len() as u32 + 2;
+        3 * (u32::BITS - members.leading_zeros())
+    }
+
+    fn jittered_ms(&mut self) -> u64 {
+        let exchange_ms = self.settings.exchange_ms.max(1);
+        exchange_ms * 3 / 4 + self.rng.random_range(0..=exchange_ms / 2)
+    }
+
+    fn exchange(&mut self, now: MonoTime) -> Vec<MemberAction> {
+        let mut actions = Vec::new();
+        let full = now >= self.next_full_at;
+        let ask_contact = self.others.is_empty() || self.rng.random_ratio(1, Self::CONTACT_SHARE);
+        if ask_contact && let Some(address) = self.contact() {
+            actions.push(self.message(None, address, true));
+        }
+        if let Some((name, address)) = self.next_in_round() {
+            if full {
+                self.next_full_at = now.plus_ms(self.settings.full_every_ms);
+            }
+            actions.push(self.message(Some(name), address, full));
+        }
+        if let Some((name, address)) = self.suspect() {
+            actions.push(self.message(Some(name), address, false));
+        }
+        actions
+    }
+
+    /// Returns an address besides the known processes, or that of a process thought gone.
+    fn contact(&mut self) -> Option<String> {
+        let gone = self.others.values().filter(|rumor| !rumor.is_reachable());
+        let mut list: Vec<_> = gone.map(|rumor| rumor.record.address.clone()).collect();
+        list.extend(self.contacts.iter().cloned());
+        list.retain(|address| *address != self.me.address);
+        list.choose(&mut self.rng).cloned()
+    }
+
+    /// Returns each process once before any comes again.
+    fn next_in_round(&mut self) -> Option<(NodeName, String)> {
+        for _ in 0..2 {
+            while let Some(name) = self.round.pop() {
+                if let Some(rumor) = self.others.get(&name).filter(|rumor| rumor.is_reachable()) {
+                    return Some((name, rumor.record.address.clone()));
+                }
+            }
+            let reachable = self.others.iter().filter(|(_, rumor)| rumor.is_reachable());
+            self.round = reachable.map(|(name, _)| name.clone()).collect();
+            self.round.shuffle(&mut self.rng);
+        }
+        None
+    }
+
+    /// Returns a suspected process, so that it can answer for itself.
+    ///
+    /// In a large system only a few of all that heard of the suspicion ask.
+    fn suspect(&mut self) -> Option<(NodeName, String)> {
+        let members = self.others.len() as u32 + 1;
+        let suspects: Vec<_> = self
+            .others
+            .iter()
+            .filter(|(_, rumor)| rumor.record.state == MemberState::Suspect)
+            .map(|(name, rumor)| (name.clone(), rumor.record.address.clone()))
+            .collect();
+        let asks = members <= 8 || self.rng.random_ratio(8, members);
+        if asks { suspects.choose(&mut self.rng).cloned() } else { None }
+    }
+
+    fn random_peers(&mut self, count: usize) -> Vec<(NodeName, String)> {
+        let peers: Vec<_> = self
+            .others
+            .iter()
+            .filter(|(_, rumor)| rumor.is_reachable())
+            .map(|(name, rumor)| (name.clone(), rumor.record.address.clone()))
+            .collect();
+        peers.choose_multiple(&mut self.rng, count).cloned().collect()
+    }
+
+    fn message(&mut self, to: Option<NodeName>, address: String, full: bool) -> MemberAction {
+        let mut digest = self.answer(full);
+        digest.full = full;
+        if let Some(rumor) = to.as_ref().and_then(|name| self.others.get(name))
+            && rumor.record.state == MemberState::Suspect
+            && !digest.records.contains(&rumor.record)
+        {
+            digest.records.push(rumor.record.clone());
+        }
+        MemberAction { to, address, digest }
+    }
+
+    /// Chooses the records for a message: all, or those that were passed on least.
+    fn answer(&mut self, full: bool) -> Digest {
+        let mut records = vec![self.me.clone()];
+        if full {
+            records.extend(self.others().cloned());
+        } else {
+            self.my_sends_left = self.my_sends_left.saturating_sub(1);
+            let mut room_bytes =
+                self.settings.message_max_bytes.saturating_sub(self.me.size_bytes());
+            let mut fresh: Vec<_> =
+                self.others.values_mut().filter(|rumor| rumor.sends_left > 0).collect();
+            fresh.sort_by_key(|rumor| std::cmp::Reverse(rumor.sends_left));
+            for rumor in fresh {
+                let size_bytes = rumor.record.size_bytes();
+                if size_bytes > room_bytes {
+                    break;
+                }
+                room_bytes -= size_bytes;
+                rumor.sends_left -= 1;
+                records.push(rumor.record.clone());
+            }
+        }
+        let config_version = self.me.config_version;
+        Digest { from: self.me.name.clone(), records, config_version, full: false }
+    }
+
+    fn take_in(&mut self, now: MonoTime, digest: &Digest) {
+        for record in &digest.records {
+            self.merge(now, record.clone());
+        }
+        if digest.config_version > self.me.config_version {
+            let address = self.others.get(&digest.from).map(|rumor| rumor.record.address.clone());
+            let version = digest.config_version;
+            self.events.push(MemberEvent::NewerConfig { version, address });
+        }
+    }
+
+    fn merge(&mut self, now: MonoTime, record: MemberRecord) {
+        if record.name == self.me.name {
+            self.refute(&record);
+            return;
+        }
+        let known = self.others.get(&record.name);
+        if known.is_some_and(|rumor| !record.is_newer(&rumor.record)) {
+            return;
+        }
+
+        let state_changed = known.is_none_or(|rumor| rumor.record.state != record.state);
+        let newer_config =
+            known.is_some_and(|rumor| record.config_version > rumor.record.config_version);
+        let news = state_changed && record.state >= MemberState::Leaving;
+        self.urgent |= news || (newer_config && record.config_version > self.me.config_version);
+
+        let since = match known {
+            Some(rumor) if !state_changed => rumor.since,
+            Some(_) | None => now,
+        };
+        let rumor = Rumor::new(record.clone(), self.sends(), since);
+        self.others.insert(record.name.clone(), rumor);
+        self.events.push(MemberEvent::Changed(record));
+    }
+
+    /// Speaks up against news that this process is suspected or gone.
+    ///
+    /// A newer incarnation is another process with the same name, which has taken its place.
+    fn refute(&mut self, record: &MemberRecord) {
+        if record.incarnation > self.me.incarnation {
+            self.events.push(MemberEvent::Superseded);
+            return;
+        }
+        let wrong = record.state != self.me.state && record.sequence >= self.me.sequence;
+        if record.incarnation == self.me.incarnation && wrong {
+            self.me.sequence = record.sequence;
+            self.changed(true);
+        }
+    }
+
+    fn age(&mut self, now: MonoTime) {
+        let gone_ms = self.settings.gone_ms;
+        let silent: Vec<_> = self
+            .others
+            .values()
+            .filter(|rumor| rumor.record.state == MemberState::Suspect)
+            .filter(|rumor| now.ms_since(rumor.since) >= gone_ms)
+            .map(|rumor| MemberRecord { state: MemberState::Gone, ..rumor.record.clone() })
+            .collect();
+        for record in silent {
+            self.merge(now, record);
+        }
+        self.others.retain(|_, rumor| {
+            rumor.is_reachable() || now.ms_since(rumor.since) < Self::TOMBSTONE_MS
+        });
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-platform/src/http/call.rs
@@ -0,0 +1,61 @@
+//! A call to make.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use filbertcleat_base::Step;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+
+/// A call to make.
+#[derive(Clone, Debug)]
+pub struct HttpCall {
+    pub(super) step: Step,
+    pub(super) method: Method,
+    pub(super) url: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) timeout: Option<Duration>,
+}
+
+impl HttpCall {
+    /// Creates a call without a body.
+    pub fn new(step: Step, method: Method, url: String) -> Self {
+        Self { step, method, url, headers: HeaderMap::new(), body: Bytes::new(), timeout: None }
+    }
+
+    /// Adds a header; one that HTTP can't carry is left out.
+    pub fn with_header(mut self, name: &str, value: &str) -> Self {
+        let name = HeaderName::try_from(name);
+        let value = HeaderValue::try_from(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            self.headers.insert(name, value);
+        }
+        self
+    }
+
+    /// Sets the body.
+    pub fn with_body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Sets a JSON body.
+    pub fn with_json(self, value: &serde_json::Value) -> Self {
+        self.with_header("content-type", "application/json").with_body(value.to_string())
+    }
+
+    /// Sets the time that the call may take, in place of the client's.
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = Some(timeout);
+        self
+    }
+
+    /// Returns the peer's address.
+    pub(super) fn peer(&self) -> String {
+        let rest = self.url.split_once("://").map_or(self.url.as_str(), |(_, rest)| rest);
+        rest.split('/').next().unwrap_or(rest).to_owned()
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-platform/src/table.rs
@@ -0,0 +1,118 @@
+//! The table service.
+
+use filbertcleat_base::Step;
+use filbertcleat_store::Expect;
+use filbertcleat_store::TableOp;
+use filbertcleat_store::TableResult;
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::HttpAnswer;
+use crate::HttpCall;
+use crate::HttpClient;
+use crate::paths;
+
+/// A table service with conditional writes.
+pub trait Table {
+    /// Carries out one operation.
+    fn run(&self, op: &TableOp) -> impl Future<Output = TableResult> + Send;
+
+    /// Lists at most `limit` rows whose keys begin with `prefix` and come after `after`.
+    ///
+    /// Returns `None` if the service gives no answer.
+    fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> impl Future<Output = Option<Vec<Row>>> + Send;
+}
+
+/// A row of the table service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Row {
+    /// Its key.
+    pub key: String,
+    /// Its revision.
+    pub revision: u64,
+    /// Its value.
+    pub value: String,
+}
+
+/// The table service over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpTable {
+    client: HttpClient,
+    url: String,
+}
+
+impl HttpTable {
+    /// Creates a client of the table service at `url`.
+    pub fn new(client: HttpClient, url: &str) -> Self {
+        Self { client, url: url.trim_end_matches('/').to_owned() }
+    }
+
+    fn call(&self, op: &TableOp) -> HttpCall {
+        let url = format!("{}{}{}", self.url, paths::TABLE_ROW, op.key());
+        match op {
+            TableOp::Read { .. } => HttpCall::new(Step::Store, Method::GET, url),
+            TableOp::Write { expect, value, .. } => {
+                let call = HttpCall::new(Step::Store, Method::PUT, url).with_body(value.clone());
+                match expect {
+                    Expect::Absent => call.with_header("if-none-match", "*"),
+                    Expect::Revision(revision) => {
+                        call.with_header("if-match", &revision.to_string())
+                    }
+                }
+            }
+            TableOp::Remove { revision, .. } => HttpCall::new(Step::Store, Method::DELETE, url)
+                .with_header("if-match", &revision.to_string()),
+        }
+    }
+}
+
+impl Table for HttpTable {
+    async fn run(&self, op: &TableOp) -> TableResult {
+        match self.client.call(self.call(op)).await {
+            Ok(answer) => result(op, &answer),
+            Err(error) if error.sent => TableResult::Lost,
+            Err(_) => TableResult::Down,
+        }
+    }
+
+    async fn list(&self, prefix: &str, after: &str, limit: usize) -> Option<Vec<Row>> {
+        let url = format!(
+            "{}{}?prefix={prefix}&after={after}&limit={limit}",
+            self.url,
+            paths::TABLE_LIST
+        );
+        let answer = self.client.call(HttpCall::new(Step::Store, Method::GET, url)).await.ok()?;
+        if answer.status != StatusCode::OK {
+            return None;
+        }
+        serde_json::from_slice(&answer.body).ok()
+    }
+}
+
+fn result(op: &TableOp, answer: &HttpAnswer) -> TableResult {
+    let revision = revision(&answer.headers);
+    match (answer.status, revision) {
+        (StatusCode::OK, Some(revision)) if op.is_write() => TableResult::Written { revision },
+        (StatusCode::OK, Some(revision)) => {
+            TableResult::Found { revision, value: answer.body.to_vec() }
+        }
+        (StatusCode::NO_CONTENT, _) if op.is_write() => TableResult::Written { revision: 0 },
+        (StatusCode::NOT_FOUND, _) => TableResult::Missing,
+        (StatusCode::PRECONDITION_FAILED, _) => TableResult::Conflict,
+        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _) => TableResult::Down,
+        // Any other answer tells nothing of whether the write took effect.
+        _ => TableResult::Lost,
+    }
+}
+
+fn revision(headers: &HeaderMap) -> Option<u64> {
+    headers.get("etag")?.to_str().ok()?.trim_matches('"').parse().ok()
+}
--- /dev/null
+++ b/crates/filbertcleat-platform/src/vms.rs
@@ -0,0 +1,57 @@
+//! The platform's list of VMs.
+
+use filbertcleat_base::NodeName;
+use filbertcleat_base::Step;
+use http::Method;
+use http::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::HttpCall;
+use crate::HttpClient;
+use crate::paths;
+
+/// The VM list over HTTP; it lags behind the VMs.
+#[derive(Clone, Debug)]
+pub struct HttpVms {
+    client: HttpClient,
+    url: String,
+}
+
+impl HttpVms {
+    /// Creates a client of the list at `url`.
+    pub fn new(client: HttpClient, url: &str) -> Self {
+        Self { client, url: url.trim_end_matches('/').to_owned() }
+    }
+
+    /// Reads the list; `None` means that the platform gave no answer.
+    pub async fn list(&self) -> Option<Vec<Vm>> {
+        let call = HttpCall::new(Step::Store, Method::GET, format!("{}{}", self.url, paths::VMS));
+        let answer = self.client.call(call).await.ok()?;
+        if answer.status != StatusCode::OK {
+            return None;
+        }
+        serde_json::from_slice(&answer.body).ok()
+    }
+}
+
+/// A VM that runs a process of the system.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Vm {
+    /// The process's name.
+    pub name: NodeName,
+    /// The address that its peers reach it at.
+    pub address: String,
+    /// Its state.
+    pub state: VmState,
+}
+
+/// The state of a VM.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VmState {
+    /// It is to go on.
+    Live,
+    /// It is about to be taken away.
+    Leaving,
+}
--- /dev/null
+++ b/crates/filbertcleat-policy/src/agent.rs
@@ -0,0 +1,517 @@
+//! The decisions of the process beside one backend server.
+
+mod action;
+mod average;
+mod call;
+mod engine_state;
+mod failures;
+mod input;
+mod offer;
+mod plan;
+mod queue;
+mod settings;
+mod slot;
+mod slots;
+
+use std::collections::HashMap;
+
+use filbertcleat_base::AdapterRef;
+use filbertcleat_base::AttemptId;
+use filbertcleat_base::Class;
+use filbertcleat_base::ConfigVersion;
+use filbertcleat_base::Fault;
+use filbertcleat_base::MonoTime;
+use filbertcleat_base::Step;
+use filbertcleat_config::Policy;
+use filbertcleat_config::Weights;
+use filbertcleat_store::Ownership;
+
+pub use self::action::AgentAction;
+use self::average::Average;
+use self::call::Call;
+pub use self::engine_state::EngineState;
+use self::failures::Failures;
+pub use self::input::AgentInput;
+pub use self::offer::Offer;
+use self::plan::LoadPlan;
+use self::queue::Queue;
+use self::queue::Waiting;
+pub use self::settings::AgentSettings;
+use self::slots::Slots;
+use crate::AttemptEvent;
+use crate::AttemptEventKind;
+use crate::Popularity;
+use crate::RefuseReason;
+use crate::Report;
+use crate::Target;
+
+/// Owns one backend server: what it runs next and which adapter is in which slot.
+#[derive(Debug)]
+pub struct Agent {
+    settings: AgentSettings,
+    policy: Policy,
+    weights: Weights,
+    config: ConfigVersion,
+    ownership: Ownership,
+    leaving: bool,
+    drained: bool,
+    queue: Queue,
+    parked: Vec<Offer>,
+    slots: Slots,
+    epoch: Option<u64>,
+    calls: HashMap<AttemptId, Call>,
+    running_key: usize,
+    key_streak: u32,
+    popularity: Popularity,
+    failures: Failures,
+    load: LoadPlan,
+    call_ms: Average,
+    load_ms: Average,
+    actions: Vec<AgentAction>,
+}
+
+impl Agent {
+    /// The half-life of the popularity estimate.
+    const HALF_LIFE_S: f64 = 300.0;
+    /// Key-account calls that may overtake waiting routine work in a row.
+    const KEY_STREAK_MAX: u32 = 6;
+    /// The longest time that an offer waits for its configuration version.
+    const PARK_MAX_MS: u64 = 3000;
+
+    /// Creates the agent of a backend server whose slots are not known yet.
+    pub fn new(settings: AgentSettings) -> Self {
+        let slots = Slots::new(settings.slots);
+        Self {
+            policy: Policy::default(),
+            weights: Weights::default(),
+            config: ConfigVersion::default(),
+            ownership: Ownership::None,
+            leaving: false,
+            drained: false,
+            queue: Queue::default(),
+            parked: Vec::new(),
+            slots,
+            epoch: None,
+            calls: HashMap::new(),
+            running_key: 0,
+            key_streak: 0,
+            popularity: Popularity::new(Self::HALF_LIFE_S),
+            failures: Failures::default(),
+            load: LoadPlan::default(),
+            call_ms: Average::new(settings.call_ms),
+            load_ms: Average::new(settings.load_ms),
+            actions: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes in one input and returns what is to be done.
+    pub fn handle(&mut self, now: MonoTime, input: AgentInput) -> Vec<AgentAction> {
+        match input {
+            AgentInput::Offer(offer) => self.offer(now, offer),
+            AgentInput::Cancel { attempt } => self.cancel(&attempt),
+            AgentInput::Chunk { attempt, text } => {
+                self.emit_call(&attempt, AttemptEventKind::Chunk { text });
+            }
+            AgentInput::Broken { attempt, fault, resumable } => {
+                self.broken(&attempt, fault, resumable);
+            }
+            AgentInput::Ended { attempt, kind } => self.end(now, &attempt, kind),
+            AgentInput::Loaded { adapter } => self.loaded(now, &adapter),
+            AgentInput::LoadFailed { adapter, certain } => self.load_failed(now, &adapter, certain),
+            AgentInput::Granted { grant, adapter, hold_ms } => {
+                self.load.granted(grant, adapter, now.plus_ms(hold_ms));
+            }
+            AgentInput::KeeperLost => self.load.keeper_lost(now),
+            AgentInput::Engine(state) => self.engine(now, &state),
+            AgentInput::Ownership(ownership) => self.own(ownership),
+            AgentInput::Config { version, policy, weights } => {
+                self.configure(now, version, policy, weights);
+            }
+            AgentInput::Drain => self.drain(),
+            AgentInput::Tick => self.expire_parked(now),
+        }
+
+        self.start_calls(now);
+        self.plan_loads(now);
+        self.start_calls(now);
+        self.check_drained();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Describes the replica for the entries.
+    pub fn report(&self, now: MonoTime) -> Report {
+        let spare = self.slots.spare(&self.queue);
+        let spare_value = spare
+            .iter()
+            .map(|index| self.slots.value(*index, now, &self.popularity))
+            .fold(f64::INFINITY, f64::min);
+        Report {
+            node: self.settings.node.clone(),
+            service: self.settings.service.clone(),
+            resident: self.slots.resident().cloned().collect(),
+            wanted: self.queue.absent(&self.slots).take(64).cloned().collect(),
+            queued: self.queue.len() as u32 + self.parked.len() as u32,
+            queued_key: self.queue.len_of(Class::KeyAccount) as u32,
+            running: self.calls.len() as u32,
+            batch_limit: self.settings.batch as u32,
+            slot_limit: self.settings.slots as u32,
+            spare_slots: spare.len() as u32,
+            spare_value: if spare_value.is_finite() {
+                (spare_value * 1000.0) as u32
+            } else {
+                u32::MAX
+            },
+            call_ms: self.call_ms.value() as u32,
+            load_ms: self.load_ms.value() as u32,
+        }
+    }
+
+    /// Returns whether the agent takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Returns the configuration version in force here.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.config
+    }
+
+    /// Returns the number of attempts that wait and that run.
+    pub fn load(&self) -> (usize, usize) {
+        (self.queue.len() + self.parked.len(), self.calls.len())
+    }
+
+    /// Returns each adapter in a slot with the number of calls that it serves.
+    pub fn serving(&self) -> Vec<(AdapterRef, usize)> {
+        self.slots.serving()
+    }
+
+    fn offer(&mut self, now: MonoTime, offer: Offer) {
+        if let Some(reason) = self.refuses(now, &offer) {
+            self.refuse(offer.attempt, reason);
+            return;
+        }
+        if offer.config_version > self.config {
+            self.actions.push(AgentAction::CatchUp { version: offer.config_version });
+            self.parked.push(Offer { arrived: now, ..offer });
+            return;
+        }
+        if offer.resumes && offer.target.adapter().is_some_and(|adapter| self.slots.holds(adapter))
+        {
+            // The call that broke off still has its place in the batch.
+            self.start(now, Waiting { offer });
+            return;
+        }
+        self.enqueue(now, offer);
+    }
+
+    fn refuses(&self, now: MonoTime, offer: &Offer) -> Option<RefuseReason> {
+        if self.leaving {
+            return Some(RefuseReason::Leaving);
+        }
+        if offer.service != self.settings.service {
+            return Some(RefuseReason::WrongService);
+        }
+        if self.queue.len() + self.parked.len() >= self.settings.queue_max {
+            return Some(RefuseReason::Full);
+        }
+        if self.ownership == Ownership::Lost {
+            return Some(RefuseReason::NoLease);
+        }
+        let adapter = offer.target.adapter()?;
+        if self.failures.given_up(now, adapter) && !self.slots.holds(adapter) {
+            return Some(RefuseReason::LoadFailed);
+        }
+        None
+    }
+
+    fn enqueue(&mut self, now: MonoTime, offer: Offer) {
+        if let Some(adapter) = offer.target.adapter() {
+            self.popularity.record(now, adapter);
+        }
+        let spacing_ms = self.call_ms.value() / self.settings.batch as f64;
+        self.queue.push(self.policy.queue, offer, spacing_ms);
+    }
+
+    fn cancel(&mut self, attempt: &AttemptId) {
+        if self.queue.remove(attempt).is_some() {
+            return;
+        }
+        if let Some(index) = self.parked.iter().position(|offer| offer.attempt == *attempt) {
+            self.parked.remove(index);
+            return;
+        }
+        if let Some(call) = self.calls.get_mut(attempt)
+            && !call.cancelled
+        {
+            // The slot stays in use until the engine has let go of the call.
+            call.cancelled = true;
+            self.actions.push(AgentAction::CancelCall { attempt: attempt.clone() });
+        }
+    }
+
+    /// Tells the entry of a broken stream; the slot stays in use until the call has ended.
+    fn broken(&mut self, attempt: &AttemptId, fault: Fault, resumable: bool) {
+        self.emit_call(attempt, AttemptEventKind::Broken { fault, resumable });
+        if let Some(call) = self.calls.get_mut(attempt) {
+            call.cancelled = true;
+        }
+    }
+
+    fn end(&mut self, now: MonoTime, attempt: &AttemptId, kind: AttemptEventKind) {
+        self.emit_call(attempt, kind);
+        let Some(call) = self.calls.remove(attempt) else {
+            return;
+        };
+        if call.class == Class::KeyAccount {
+            self.running_key -= 1;
+        }
+        if let Some(adapter) = call.target.adapter() {
+            self.slots.leave(adapter, now);
+        }
+        if !call.cancelled {
+            self.call_ms.add(now.ms_since(call.started) as f64);
+        }
+    }
+
+    fn loaded(&mut self, now: MonoTime, adapter: &AdapterRef) {
+        if let Some(since) = self.slots.loaded(adapter, now) {
+            self.load_ms.add(now.ms_since(since) as f64);
+        }
+        self.failures.clear(adapter);
+        self.give_back_turn();
+    }
+
+    fn load_failed(&mut self, now: MonoTime, adapter: &AdapterRef, certain: bool) {
+        self.slots.load_failed(adapter, certain);
+        self.give_back_turn();
+        if !certain {
+            self.actions.push(AgentAction::Inspect);
+        }
+        if self.failures.add(now, adapter) {
+            for waiting in self.queue.drain(&Target::Adapter(adapter.clone())) {
+                self.refuse(waiting.offer.attempt, RefuseReason::LoadFailed);
+            }
+        }
+    }
+
+    fn give_back_turn(&mut self) {
+        if let Some(grant) = self.load.finish() {
+            self.actions.push(AgentAction::TurnDone { grant });
+        }
+    }
+
+    fn engine(&mut self, now: MonoTime, state: &EngineState) {
+        let restarted = self.epoch.is_some_and(|epoch| epoch != state.epoch);
+        self.epoch = Some(state.epoch);
+        self.slots.reconcile(&state.resident, restarted, now);
+        if restarted {
+            self.actions.push(AgentAction::EngineRestarted { epoch: state.epoch });
+        }
+    }
+
+    fn own(&mut self, ownership: Ownership) {
+        self.ownership = ownership;
+        if ownership != Ownership::Lost {
+            return;
+        }
+        for waiting in self.queue.drain_all() {
+            self.refuse(waiting.offer.attempt, RefuseReason::NoLease);
+        }
+    }
+
+    fn configure(
+        &mut self,
+        now: MonoTime,
+        version: ConfigVersion,
+        policy: Policy,
+        weights: Weights,
+    ) {
+        if version <= self.config {
+            return;
+        }
+        self.config = version;
+        self.policy = policy;
+        self.weights = weights;
+
+        let (ready, parked): (Vec<_>, Vec<_>) =
+            self.parked.drain(..).partition(|offer| offer.config_version <= version);
+        self.parked = parked;
+        for offer in ready {
+            self.enqueue(now, offer);
+        }
+    }
+
+    fn drain(&mut self) {
+        self.leaving = true;
+        let waiting = self.queue.drain_all().into_iter().map(|waiting| waiting.offer.attempt);
+        let parked = self.parked.drain(..).map(|offer| offer.attempt);
+        for attempt in waiting.chain(parked).collect::<Vec<_>>() {
+            self.refuse(attempt, RefuseReason::Leaving);
+        }
+    }
+
+    fn check_drained(&mut self) {
+        if self.leaving && !self.drained && self.calls.is_empty() {
+            self.drained = true;
+            self.actions.push(AgentAction::Drained);
+        }
+    }
+
+    fn expire_parked(&mut self, now: MonoTime) {
+        let late = |offer: &Offer| now.ms_since(offer.arrived) >= Self::PARK_MAX_MS;
+        let (expired, parked): (Vec<_>, Vec<_>) = self.parked.drain(..).partition(late);
+        self.parked = parked;
+        for offer in expired {
+            self.refuse(offer.attempt, RefuseReason::Behind);
+        }
+    }
+
+    /// Hands waiting requests to the backend server while it has room.
+    fn start_calls(&mut self, now: MonoTime) {
+        if self.ownership == Ownership::Lost {
+            return;
+        }
+        while let Some(waiting) = self.next_call() {
+            self.start(now, waiting);
+        }
+    }
+
+    fn next_call(&mut self) -> Option<Waiting> {
+        let room = self.calls.len() < self.settings.batch;
+        let room_for_key = room
+            || (self.running_key < self.settings.batch
+                && self.calls.len() < self.settings.batch + self.settings.overcommit);
+        if !room_for_key {
+            return None;
+        }
+
+        let key = self.slots.first_startable(&self.queue, Class::KeyAccount);
+        let routine =
+            if room { self.slots.first_startable(&self.queue, Class::Routine) } else { None };
+        let place = match (key, routine) {
+            (Some(key), Some(routine)) => {
+                // Routine work ages: it takes every few starts, however much key work waits.
+                if self.key_streak >= Self::KEY_STREAK_MAX {
+                    self.key_streak = 0;
+                    routine
+                } else {
+                    self.key_streak += 1;
+                    key
+                }
+            }
+            (Some(place), None) => place,
+            (None, Some(place)) => {
+                self.key_streak = 0;
+                place
+            }
+            (None, None) => return None,
+        };
+        self.queue.take(&place)
+    }
+
+    fn start(&mut self, now: MonoTime, waiting: Waiting) {
+        let offer = waiting.offer;
+        let mut load_stall_ms = 0;
+        if let Some(adapter) = offer.target.adapter() {
+            load_stall_ms = self.slots.enter(adapter, now, offer.arrived);
+        }
+        if offer.class == Class::KeyAccount {
+            self.running_key += 1;
+        }
+
+        let attempt = offer.attempt.clone();
+        let call = Call {
+            target: offer.target,
+            class: offer.class,
+            started: now,
+            sequence: 0,
+            cancelled: false,
+        };
+        self.calls.insert(attempt.clone(), call);
+        self.actions.push(AgentAction::Call {
+            attempt: attempt.clone(),
+            class: offer.class,
+            fence: self.ownership.fence(),
+        });
+        let queue_wait_ms = now.ms_since(offer.arrived);
+        self.emit_call(&attempt, AttemptEventKind::Started { load_stall_ms, queue_wait_ms });
+    }
+
+    /// Decides which adapter to load into which slot, and what to ask of the keeper.
+    fn plan_loads(&mut self, now: MonoTime) {
+        if self.settings.slots == 0 || self.leaving {
+            return;
+        }
+        let may_order = self.ownership.may_order(self.settings.checks_fence);
+        let idle = self.settings.batch.saturating_sub(self.calls.len()) as f64;
+        let fill = 1.0 + 2.0 * self.weights.batch_share() * idle / self.settings.batch as f64;
+
+        let candidates = if may_order && self.load.is_due(now) {
+            self.load.planned(now);
+            self.queue.candidates(now, self.policy.queue, fill, |adapter| {
+                !self.slots.holds_or_loads(adapter) && !self.failures.waits(now, adapter)
+            })
+        } else {
+            self.load.retry_wants(now);
+            return;
+        };
+
+        self.slots.close_for(&candidates, &self.queue, self.policy.slots, now, &self.popularity);
+        let spare = self.slots.spare(&self.queue).len();
+        let wants: Vec<_> = candidates.iter().take(spare).map(|group| group.want.clone()).collect();
+
+        if let Some(adapter) = self.load.pick(now, &wants) {
+            self.start_load(now, &adapter);
+        } else if let Some(grant) = self.load.unused(now, wants.is_empty()) {
+            self.actions.push(AgentAction::TurnDone { grant });
+        }
+        if let Some(wants) = self.load.changed(now, wants) {
+            self.actions.push(AgentAction::Wants { wants });
+        }
+    }
+
+    fn start_load(&mut self, now: MonoTime, adapter: &AdapterRef) {
+        let Some(index) = self.slots.victim(&self.queue, self.policy.slots, now, &self.popularity)
+        else {
+            self.give_back_turn();
+            return;
+        };
+        let since = self.queue.oldest(adapter).unwrap_or(now);
+        let evict = self.slots.start_load(index, adapter.clone(), since);
+        self.load.started();
+        self.actions.push(AgentAction::Load {
+            adapter: adapter.clone(),
+            evict,
+            fence: self.ownership.fence(),
+        });
+    }
+
+    fn refuse(&mut self, attempt: AttemptId, reason: RefuseReason) {
+        let retry_after_ms = match reason {
+            RefuseReason::Leaving | RefuseReason::WrongService => 0,
+            RefuseReason::Full => self.call_ms.value() as u64,
+            RefuseReason::LoadFailed => Failures::GIVE_UP_MS,
+            RefuseReason::Behind | RefuseReason::NoLease | RefuseReason::BackendDown => 1000,
+        };
+        let config_version = self.config;
+        let kind = AttemptEventKind::Refused { reason, retry_after_ms, config_version };
+        self.actions.push(AgentAction::Emit(AttemptEvent { attempt, sequence: 0, kind }));
+    }
+
+    fn emit_call(&mut self, attempt: &AttemptId, kind: AttemptEventKind) {
+        let Some(call) = self.calls.get_mut(attempt).filter(|call| !call.cancelled) else {
+            return;
+        };
+        let sequence = call.sequence;
+        call.sequence += 1;
+        let attempt = attempt.clone();
+        self.actions.push(AgentAction::Emit(AttemptEvent { attempt, sequence, kind }));
+    }
+
+    /// Returns the fault of a call that broke at this agent.
+    pub fn call_fault(&self, step: Step, reason: impl std::fmt::Display) -> Fault {
+        Fault::new(step, &self.settings.node, reason)
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-policy/src/agent/action.rs
@@ -0,0 +1,64 @@
+//! What an agent does.
+
+use filbertcleat_base::AdapterRef;
+use filbertcleat_base::AttemptId;
+use filbertcleat_base::Class;
+use filbertcleat_base::ConfigVersion;
+use filbertcleat_base::Fence;
+
+use crate::AttemptEvent;
+use crate::Want;
+
+/// Something that an agent wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AgentAction {
+    /// Hand an attempt to the backend server.
+    Call {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Its class, which becomes the engine's priority.
+        class: Class,
+        /// The fencing number, if one is held.
+        fence: Option<Fence>,
+    },
+    /// Cancel a call at the backend server.
+    CancelCall {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Order a load, after taking another adapter out.
+    Load {
+        /// The adapter to load.
+        adapter: AdapterRef,
+        /// The idle adapter to take out first.
+        evict: Option<AdapterRef>,
+        /// The fencing number, if one is held.
+        fence: Option<Fence>,
+    },
+    /// List the engine's slots.
+    Inspect,
+    /// Tell the keeper which loads are wanted.
+    Wants {
+        /// All of them, the most urgent first.
+        wants: Vec<Want>,
+    },
+    /// Give the turn back to the keeper.
+    TurnDone {
+        /// The turn.
+        grant: u64,
+    },
+    /// Send an event to the entry that made the attempt.
+    Emit(AttemptEvent),
+    /// Fetch a newer configuration.
+    CatchUp {
+        /// The version that is needed at least.
+        version: ConfigVersion,
+    },
+    /// Note that the engine restarted cold.
+    EngineRestarted {
+        /// Its new epoch.
+        epoch: u64,
+    },
+    /// All accepted work has ended and the process may exit.
+    Drained,
+}
--- /dev/null
+++ b/crates/filbertcleat-policy/src/agent/offer.rs
@@ -0,0 +1,30 @@
+//! An attempt as it reaches an agent.
+
+use filbertcleat_base::AttemptId;
+use filbertcleat_base::Class;
+use filbertcleat_base::ConfigVersion;
+use filbertcleat_base::MonoTime;
+use filbertcleat_base::ServiceName;
+
+use crate::Target;
+
+/// An attempt that an entry offers an agent.
+#[derive(Clone, Debug)]
+pub struct Offer {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The service that it is meant for.
+    pub service: ServiceName,
+    /// What it runs on.
+    pub target: Target,
+    /// Its class.
+    pub class: Class,
+    /// The time by which the caller wants the answer.
+    pub deadline: Option<MonoTime>,
+    /// The configuration version that the entry resolved it with.
+    pub config_version: ConfigVersion,
+    /// When it arrived.
+    pub arrived: MonoTime,
+    /// Whether it resumes a stream that the backend server still holds.
+    pub resumes: bool,
+}
--- /dev/null
+++ b/crates/filbertcleat-policy/src/agent/queue/place.rs
@@ -0,0 +1,22 @@
+//! A request's place in the queue.
+
+use filbertcleat_base::Class;
+use filbertcleat_base::MonoTime;
+
+use crate::Target;
+use crate::agent::Offer;
+
+/// A place in the queue; earlier places go first.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(in crate::agent) struct Place {
+    pub tag: MonoTime,
+    pub number: u64,
+    pub class: Class,
+    pub target: Target,
+}
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(in crate::agent) struct Waiting {
+    pub offer: Offer,
+}
--- /dev/null
+++ b/crates/filbertcleat-policy/src/entry.rs
@@ -0,0 +1,517 @@
+//! The decisions of the process before the callers.
+
+mod action;
+mod arrival;
+mod claim;
+mod input;
+mod pending;
+mod settings;
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use filbertcleat_base::AttemptId;
+use filbertcleat_base::ConfigVersion;
+use filbertcleat_base::Fault;
+use filbertcleat_base::MonoTime;
+use filbertcleat_base::NodeName;
+use filbertcleat_base::RequestId;
+use filbertcleat_base::Run;
+use filbertcleat_base::Step;
+use filbertcleat_config::Limits;
+use filbertcleat_config::Policy;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+pub use self::action::EntryAction;
+pub use self::arrival::Arrival;
+pub use self::claim::ClaimOutcome;
+pub use self::input::EntryInput;
+use self::pending::Pending;
+use self::pending::Phase;
+pub use self::settings::EntrySettings;
+use crate::Admission;
+use crate::AttemptEvent;
+use crate::AttemptEventKind;
+use crate::Refusal;
+use crate::RefuseReason;
+use crate::RetryBudget;
+use crate::Router;
+use crate::Search;
+
+/// Owns the requests of its callers: where each goes, and what follows a failure.
+///
+/// It alone repeats calls, from one budget per request and one for all, so that repeats never
+/// multiply across processes.
+#[derive(Debug)]
+pub struct Entry {
+    settings: EntrySettings,
+    limits: Limits,
+    router: Router,
+    admission: Admission,
+    budget: RetryBudget,
+    rng: SmallRng,
+    requests: HashMap<RequestId, Pending>,
+    attempts: HashMap<AttemptId, RequestId>,
+    held: BTreeSet<RequestId>,
+    swept: MonoTime,
+    calls: u64,
+    actions: Vec<EntryAction>,
+}
+
+impl Entry {
+    /// How long a call lasts while no agent has reported it.
+    const CALL_MS: u64 = 1000;
+    /// The least time between two sweeps over the held requests.
+    const SWEEP_MS: u64 = 20;
+
+    /// Creates an entry that knows no agents.
+    pub fn new(settings: EntrySettings) -> Self {
+        let limits = Limits::default();
+        Self {
+            limits,
+            router: Router::new(Policy::default().routing),
+            admission: Admission::new(limits),
+            budget: RetryBudget::new(limits.retry_share_percent),
+            rng: SmallRng::seed_from_u64(settings.seed),
+            requests: HashMap::new(),
+            attempts: HashMap::new(),
+            held: BTreeSet::new(),
+            swept: MonoTime::ZERO,
+            calls: 0,
+            actions: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes in one input and returns what is to be done.
+    pub fn handle(&mut self, now: MonoTime, input: EntryInput) -> Vec<EntryAction> {
+        match input {
+            EntryInput::Arrive(arrival) => self.arrive(now, arrival),
+            EntryInput::Claimed { request, outcome } => self.claimed(now, &request, outcome),
+            EntryInput::Event(event) => self.event(now, event),
+            EntryInput::Lost { attempt, sent, fault } => self.lost(now, &attempt, sent, fault),
+            EntryInput::CallerGone { request } => self.caller_gone(&request),
+            EntryInput::Report(report) => self.router.report(report),
+            EntryInput::Liveness { node, liveness } => self.router.set_liveness(&node, liveness),
+            EntryInput::Config { limits, policy } => self.configure(limits, policy),
+            EntryInput::Tick => {}
+        }
+
+        self.sweep(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn held(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns the number of calls made to agents so far.
+    pub fn calls(&self) -> u64 {
+        self.calls
+    }
+
+    /// Returns the router, for status.
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    fn arrive(&mut self, now: MonoTime, arrival: Arrival) {
+        let call_ms = self.router.call_ms(&arrival.service).unwrap_or(Self::CALL_MS);
+        if let Err(refusal) = self.admission.admit(arrival.class, &arrival.target, call_ms) {
+            self.actions.push(EntryAction::Refuse { request: arrival.request, refusal });
+            return;
+        }
+
+        let request = arrival.request.clone();
+        let claims = !arrival.idempotent && arrival.has_key;
+        self.requests.insert(request.clone(), Pending::new(now, arrival));
+        if claims {
+            self.actions.push(EntryAction::Claim { request });
+        } else {
+            self.route(now, &request);
+        }
+    }
+
+    fn claimed(&mut self, now: MonoTime, request: &RequestId, outcome: ClaimOutcome) {
+        let Some(pending) = self.requests.get_mut(request) else {
+            // The caller went away while the claim was made, and nothing was sent.
+            if outcome == ClaimOutcome::Won {
+                let request = request.clone();
+                self.actions.push(EntryAction::Settle { request, run: Run::No });
+            }
+            return;
+        };
+        let peer = "table service";
+        match outcome {
+            ClaimOutcome::Won => {
+                pending.claimed = true;
+                self.route(now, request);
+            }
+            ClaimOutcome::Done => {
+                self.forget(request);
+                self.actions.push(EntryAction::Replay { request: request.clone() });
+            }
+            ClaimOutcome::Running => {
+                let fault =
+                    Fault::new(Step::Claim, peer, "first call with this key is still running");
+                let refusal = Refusal { retry_after_ms: Some(1000), ..Refusal::unknown(fault) };
+                self.refuse(request, refusal);
+            }
+            ClaimOutcome::Unknown => {
+                let reason = "outcome of the first call with this key is unknown";
+                self.refuse(request, Refusal::unknown(Fault::new(Step::Claim, peer, reason)));
+            }
+            ClaimOutcome::Unavailable => {
+                let fault = Fault::new(Step::Claim, peer, "table service is unavailable");
+                self.refuse(request, Refusal::not_run(fault, Some(5000)));
+            }
+        }
+    }
+
+    /// Sends a request to a replica, or holds it until one can take it.
+    fn route(&mut self, now: MonoTime, request: &RequestId) {
+        let Some(pending) = self.requests.get_mut(request) else {
+            return;
+        };
+        let search = Search {
+            service: &pending.arrival.service,
+            adapter: pending.arrival.target.adapter(),
+            class: pending.arrival.class,
+            exclude: &pending.excluded,
+        };
+        let resume_at = pending.resume_at.clone();
+        let node = match &resume_at {
+            Some(resume) => Some(resume.node.clone()),
+            None => self.router.choose(now, &search, &mut self.rng).map(|choice| choice.node),
+        };
+        let Some(node) = node else {
+            self.hold(now, request);
+            return;
+        };
+
+        let resume_of = resume_at.map(|resume| resume.attempt);
+        let attempt = pending.start(node.clone(), resume_of.is_some());
+        let resume_offset = if resume_of.is_some() { pending.chunks } else { 0 };
+        self.held.remove(request);
+        self.attempts.insert(attempt.clone(), request.clone());
+        self.calls += 1;
+        self.actions.push(EntryAction::Send {
+            attempt,
+            request: request.clone(),
+            node,
+            resume_of,
+            resume_offset,
+        });
+    }
+
+    fn hold(&mut self, now: MonoTime, request: &RequestId) {
+        if let Some(pending) = self.requests.get_mut(request) {
+            if !matches!(pending.phase, Phase::Held { .. }) {
+                pending.phase = Phase::Held { since: now };
+            }
+            self.held.insert(request.clone());
+        }
+    }
+
+    fn event(&mut self, now: MonoTime, event: AttemptEvent) {
+        let Some(request) = self.attempts.get(&event.attempt).cloned() else {
+            return;
+        };
+        let Some(pending) = self.requests.get_mut(&request) else {
+            return;
+        };
+        if event.sequence != pending.expected_sequence {
+            let reason =
+                format!("event {} came in place of {}", event.sequence, pending.expected_sequence);
+            let fault = Fault::new(Step::Stream, pending.node(), reason);
+            self.abort(&event.attempt);
+            self.broken(now, &request, fault, false);
+            return;
+        }
+        pending.expected_sequence += 1;
+
+        match event.kind {
+            AttemptEventKind::Started { load_stall_ms, queue_wait_ms } => {
+                let node = pending.node();
+                self.actions.push(EntryAction::Started {
+                    request,
+                    node,
+                    load_stall_ms,
+                    queue_wait_ms,
+                });
+            }
+            AttemptEventKind::Chunk { text } => self.chunk(&event.attempt, &request, &text),
+            AttemptEventKind::Done { finish_reason, tokens } => {
+                self.done(now, &request, finish_reason, tokens);
+            }
+            AttemptEventKind::Answer { status, content_type, body } => {
+                self.finish(&request, status, &content_type, &body);
+                self.actions.push(EntryAction::Answer { request, status, content_type, body });
+            }
+            AttemptEventKind::Refused { reason, retry_after_ms, config_version } => {
+                self.refused(now, &request, reason, retry_after_ms, config_version);
+            }
+            AttemptEventKind::Broken { fault, resumable } => {
+                self.broken(now, &request, fault, resumable);
+            }
+        }
+    }
+
+    fn chunk(&mut self, attempt: &AttemptId, request: &RequestId, text: &str) {
+        let Some(pending) = self.requests.get_mut(request) else {
+            return;
+        };
+        match pending.join(text) {
+            Ok("") => {}
+            Ok(fresh) => {
+                let text = fresh.to_owned();
+                pending.delivered.push_str(&text);
+                pending.matched = pending.delivered.len();
+                self.actions.push(EntryAction::Deliver { request: request.clone(), text });
+            }
+            Err(()) => {
+                let fault = Fault::new(
+                    Step::Stream,
+                    pending.node(),
+                    "repeated answer differs from the part already sent",
+                );
+                self.abort(attempt);
+                self.refuse_last(request, fault);
+            }
+        }
+    }
+
+    fn done(&mut self, now: MonoTime, request: &RequestId, finish_reason: String, tokens: u64) {
+        let Some(pending) = self.requests.get_mut(request) else {
+            return;
+        };
+        if pending.matched < pending.delivered.len() {
+            let fault = Fault::new(
+                Step::Stream,
+                pending.node(),
+                "repeated answer is shorter than the part already sent",
+            );
+            self.refuse_last(request, fault);
+            return;
+        }
+        if pending.chunks != tokens {
+            let reason = format!("answer has {tokens} tokens, but {} came", pending.chunks);
+            let fault = Fault::new(Step::Stream, pending.node(), reason);
+            self.broken(now, request, fault, false);
+            return;
+        }
+        let text = std::mem::take(&mut pending.delivered);
+        self.finish(request, 200, "text/plain", text.as_bytes());
+        self.actions.push(EntryAction::Finish { request: request.clone(), finish_reason, tokens });
+    }
+
+    fn refused(
+        &mut self,
+        now: MonoTime,
+        request: &RequestId,
+        reason: RefuseReason,
+        retry_after_ms: u64,
+        config_version: ConfigVersion,
+    ) {
+        let Some(pending) = self.requests.get_mut(request) else {
+            return;
+        };
+        let node = pending.node();
+        let fault = Fault::new(refusal_step(reason), &node, reason.as_str());
+        pending.retry_after_ms = retry_after_ms;
+        pending.resume_at = None;
+        self.actions.push(EntryAction::Refused { node: node.clone(), reason, config_version });
+        if reason == RefuseReason::Leaving {
+            self.router.set_liveness(&node, crate::Liveness::Leaving);
+        }
+        self.retry(now, request, fault);
+    }
+
+    fn lost(&mut self, now: MonoTime, attempt: &AttemptId, sent: bool, fault: Fault) {
+        let Some(request) = self.attempts.get(attempt).cloned() else {
+            return;
+        };
+        if sent {
+            self.broken(now, &request, fault, false);
+            return;
+        }
+        if let Some(pending) = self.requests.get_mut(&request) {
+            let node = pending.node();
+            pending.resume_at = None;
+            self.router.set_liveness(&node, crate::Liveness::Slow);
+        }
+        self.retry(now, &request, fault);
+    }
+
+    /// Goes on after an attempt that may have been run.
+    fn broken(&mut self, now: MonoTime, request: &RequestId, fault: Fault, resumable: bool) {
+        let Some(pending) = self.requests.get_mut(request) else {
+            return;
+        };
+        pending.run = Run::Unknown;
+        let resumes = resumable && pending.resume_here();
+        if resumes || pending.arrival.idempotent {
+            if !resumes {
+                pending.resume_at = None;
+            }
+            self.retry(now, request, fault);
+        } else {
+            self.refuse(request, Refusal::unknown(fault));
+        }
+    }
+
+    /// Tries again within both budgets, or ends the request.
+    fn retry(&mut self, now: MonoTime, request: &RequestId, fault: Fault) {
+        let Some(pending) = self.requests.get_mut(request) else {
+            return;
+        };
+        if let Some(attempt) = pending.end_attempt() {
+            self.attempts.remove(&attempt);
+        }
+        if pending.attempts >= self.limits.attempts_max {
+            self.refuse_last(request, fault);
+            return;
+        }
+        pending.fault = Some(fault);
+        pending.needs_token = true;
+        self.hold(now, request);
+        self.resume_held(now, request);
+    }
+
+    /// Sends a held request if the shared budget allows it and a replica can take it.
+    fn resume_held(&mut self, now: MonoTime, request: &RequestId) {
+        let Some(pending) = self.requests.get_mut(request) else {
+            return;
+        };
+        if pending.needs_token {
+            if !self.budget.take(now) {
+                return;
+            }
+            pending.needs_token = false;
+        }
+        self.route(now, request);
+    }
+
+    fn refuse_last(&mut self, request: &RequestId, fault: Fault) {
+        let Some(pending) = self.requests.get(request) else {
+            return;
+        };
+        let retry_after_ms = match pending.run {
+            Run::No => Some(pending.retry_after_ms.max(1000)),
+            Run::Unknown => pending.arrival.idempotent.then_some(pending.retry_after_ms.max(1000)),
+        };
+        let refusal = Refusal { run: pending.run, fault, retry_after_ms };
+        self.refuse(request, refusal);
+    }
+
+    fn refuse(&mut self, request: &RequestId, refusal: Refusal) {
+        if let Some(pending) = self.forget(request)
+            && pending.claimed
+        {
+            let run = refusal.run;
+            self.actions.push(EntryAction::Settle { request: request.clone(), run });
+        }
+        self.actions.push(EntryAction::Refuse { request: request.clone(), refusal });
+    }
+
+    fn finish(&mut self, request: &RequestId, status: u16, content_type: &str, body: &[u8]) {
+        self.budget.success();
+        if let Some(pending) = self.forget(request)
+            && pending.claimed
+        {
+            self.actions.push(EntryAction::Record {
+                request: request.clone(),
+                status,
+                content_type: content_type.to_owned(),
+                body: body.to_vec(),
+            });
+        }
+    }
+
+    fn caller_gone(&mut self, request: &RequestId) {
+        let Some(pending) = self.requests.get(request) else {
+            return;
+        };
+        let attempt = pending.attempt().cloned();
+        let started = pending.attempts > 0;
+        let claimed = pending.claimed;
+        if let Some(attempt) = attempt {
+            self.abort(&attempt);
+        }
+        self.forget(request);
+        if claimed {
+            let run = if started { Run::Unknown } else { Run::No };
+            self.actions.push(EntryAction::Settle { request: request.clone(), run });
+        }
+    }
+
+    fn abort(&mut self, attempt: &AttemptId) {
+        self.actions.push(EntryAction::Abort { attempt: attempt.clone() });
+    }
+
+    fn forget(&mut self, request: &RequestId) -> Option<Pending> {
+        let pending = self.requests.remove(request)?;
+        if let Some(attempt) = pending.attempt() {
+            self.attempts.remove(attempt);
+        }
+        self.held.remove(request);
+        self.admission.release(&pending.arrival.target);
+        Some(pending)
+    }
+
+    fn configure(&mut self, limits: Limits, policy: Policy) {
+        self.limits = limits;
+        self.router.set_policy(policy.routing);
+        self.admission.set_limits(limits);
+        self.budget.set_share(limits.retry_share_percent);
+    }
+
+    /// Tries the held requests again, and ends those that were held too long.
+    fn sweep(&mut self, now: MonoTime) {
+        if self.held.is_empty() || now.ms_since(self.swept) < Self::SWEEP_MS {
+            return;
+        }
+        self.swept = now;
+
+        let held: Vec<_> = self.held.iter().cloned().collect();
+        for request in held {
+            let Some(pending) = self.requests.get_mut(&request) else {
+                continue;
+            };
+            let Phase::Held { since } = pending.phase else {
+                continue;
+            };
+            if now.ms_since(since) >= self.limits.hold_ms {
+                let none = Fault::new(Step::Route, "entry", "no backend server takes the request");
+                let fault = pending.fault.clone().unwrap_or(none);
+                self.refuse_last(&request, fault);
+                continue;
+            }
+            // Refusals are forgotten for a held request, since it has nowhere else to go.
+            pending.excluded.clear();
+            self.resume_held(now, &request);
+        }
+    }
+
+    /// Returns the agent's name that a request was last sent to.
+    pub fn node_of(&self, request: &RequestId) -> Option<NodeName> {
+        self.requests.get(request).map(Pending::node)
+    }
+
+    /// Returns the name of the entry.
+    pub fn name(&self) -> &NodeName {
+        &self.settings.node
+    }
+}
+
+fn refusal_step(reason: RefuseReason) -> Step {
+    match reason {
+        RefuseReason::Leaving | RefuseReason::Full | RefuseReason::WrongService => Step::Queue,
+        RefuseReason::LoadFailed => Step::Load,
+        RefuseReason::Behind => Step::Patch,
+        RefuseReason::NoLease => Step::Lease,
+        RefuseReason::BackendDown => Step::Call,
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-policy/src/entry/action.rs
@@ -0,0 +1,115 @@
+//! What an entry does.
+
+use filbertcleat_base::AttemptId;
+use filbertcleat_base::ConfigVersion;
+use filbertcleat_base::NodeName;
+use filbertcleat_base::RequestId;
+use filbertcleat_base::Run;
+
+use crate::Refusal;
+use crate::RefuseReason;
+
+/// Something that an entry wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum EntryAction {
+    /// Claim a non-idempotent request in the table service.
+    Claim {
+        /// The request.
+        request: RequestId,
+    },
+    /// Keep what is known of a claimed request that got no answer.
+    Settle {
+        /// The request.
+        request: RequestId,
+        /// Whether it was run; the claim of one that was not is released.
+        run: Run,
+    },
+    /// Keep the answer of a claimed request.
+    Record {
+        /// The request.
+        request: RequestId,
+        /// The HTTP status.
+        status: u16,
+        /// The content type.
+        content_type: String,
+        /// The body, or the text of a completion.
+        body: Vec<u8>,
+    },
+    /// Answer a repeated call with the kept answer.
+    Replay {
+        /// The request.
+        request: RequestId,
+    },
+    /// Send an attempt to an agent.
+    Send {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The request.
+        request: RequestId,
+        /// The agent.
+        node: NodeName,
+        /// The earlier attempt whose stream is to be resumed there.
+        resume_of: Option<AttemptId>,
+        /// The number of chunks that the caller has.
+        resume_offset: u64,
+    },
+    /// Cancel an attempt.
+    Abort {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Note that a call has begun.
+    Started {
+        /// The request.
+        request: RequestId,
+        /// The agent.
+        node: NodeName,
+        /// How long it waited for its adapter's load.
+        load_stall_ms: u64,
+        /// How long it waited in all.
+        queue_wait_ms: u64,
+    },
+    /// Note that an agent refused an attempt.
+    Refused {
+        /// The agent.
+        node: NodeName,
+        /// Why.
+        reason: RefuseReason,
+        /// The agent's configuration version.
+        config_version: ConfigVersion,
+    },
+    /// Pass a piece of the answer to the caller.
+    Deliver {
+        /// The request.
+        request: RequestId,
+        /// The text.
+        text: String,
+    },
+    /// End the caller's answer, which is whole.
+    Finish {
+        /// The request.
+        request: RequestId,
+        /// Why the engine stopped.
+        finish_reason: String,
+        /// The number of tokens.
+        tokens: u64,
+    },
+    /// Pass a plain service's answer to the caller.
+    Answer {
+        /// The request.
+        request: RequestId,
+        /// The HTTP status.
+        status: u16,
+        /// The content type.
+        content_type: String,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// Tell the caller that there is no whole answer.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// Why, and whether it was run.
+        refusal: Refusal,
+    },
+}
--- /dev/null
+++ b/crates/filbertcleat-policy/src/keeper.rs
@@ -0,0 +1,161 @@
+//! The turns at one weight store.
+
+use std::collections::BTreeMap;
+
+use filbertcleat_base::AdapterRef;
+use filbertcleat_base::MonoTime;
+use filbertcleat_base::NodeName;
+use filbertcleat_config::TurnPolicy;
+
+/// Gives the turn at a weight store to one agent at a time.
+///
+/// Losing a keeper or having two of them only slows loads, so nothing of it is kept.
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    policy: TurnPolicy,
+    hold_ms: u64,
+    wants: BTreeMap<NodeName, Vec<Asked>>,
+    current: Option<Held>,
+    last_grant: u64,
+}
+
+impl Keeper {
+    /// Creates a keeper that takes a turn back after `hold_ms`.
+    ///
+    /// Grants are numbered from `first_grant`, which keepers choose apart from each other so that
+    /// a turn of one is never given back to another.
+    pub fn new(policy: TurnPolicy, hold_ms: u64, first_grant: u64) -> Self {
+        Self { policy, hold_ms, wants: BTreeMap::new(), current: None, last_grant: first_grant }
+    }
+
+    /// Changes the policy.
+    pub fn set_policy(&mut self, policy: TurnPolicy) {
+        self.policy = policy;
+    }
+
+    /// Takes in all that one agent wants to load, in place of what it wanted before.
+    pub fn want(&mut self, now: MonoTime, node: &NodeName, wants: Vec<Want>) {
+        let before = self.wants.remove(node).unwrap_or_default();
+        if wants.is_empty() {
+            return;
+        }
+
+        let asked = wants
+            .into_iter()
+            .map(|want| {
+                let known = before.iter().find(|asked| asked.want.adapter == want.adapter);
+                let since = known.map_or(now, |asked| asked.since);
+                Asked { want, since, updated: now }
+            })
+            .collect();
+        self.wants.insert(node.clone(), asked);
+    }
+
+    /// Takes the turn back from its holder.
+    pub fn done(&mut self, grant: u64) {
+        if self.current.as_ref().is_some_and(|held| held.grant == grant) {
+            self.current = None;
+        }
+    }
+
+    /// Forgets an agent that is gone, and takes its turn back.
+    pub fn forget(&mut self, node: &NodeName) {
+        self.wants.remove(node);
+        if self.current.as_ref().is_some_and(|held| held.node == *node) {
+            self.current = None;
+        }
+    }
+
+    /// Returns the number of loads that are waited for.
+    pub fn waiting(&self) -> usize {
+        self.wants.values().map(Vec::len).sum()
+    }
+
+    /// Returns the time at which the present turn is taken back, if there is one.
+    pub fn due(&self) -> Option<MonoTime> {
+        self.current.as_ref().map(|held| held.until)
+    }
+
+    /// Gives the turn to the next agent, if it is free and wanted.
+    pub fn grant(&mut self, now: MonoTime) -> Option<Grant> {
+        if self.current.as_ref().is_some_and(|held| held.until > now) {
+            return None;
+        }
+        self.current = None;
+
+        let (node, adapter) = self.next(now)?;
+        self.last_grant += 1;
+        let until = now.plus_ms(self.hold_ms);
+        self.current = Some(Held { grant: self.last_grant, node: node.clone(), until });
+        self.remove(&node, &adapter);
+
+        Some(Grant { grant: self.last_grant, node, adapter, hold_ms: self.hold_ms })
+    }
+
+    fn next(&self, now: MonoTime) -> Option<(NodeName, AdapterRef)> {
+        let all =
+            self.wants.iter().flat_map(|(node, list)| list.iter().map(move |ask| (node, ask)));
+        let best = match self.policy {
+            TurnPolicy::Urgency => all.max_by(|(_, left), (_, right)| {
+                left.urgency(now).total_cmp(&right.urgency(now)).then(right.since.cmp(&left.since))
+            }),
+            TurnPolicy::FirstCome => all.min_by_key(|(_, ask)| ask.since),
+        };
+        best.map(|(node, ask)| (node.clone(), ask.want.adapter.clone()))
+    }
+
+    fn remove(&mut self, node: &NodeName, adapter: &AdapterRef) {
+        if let Some(list) = self.wants.get_mut(node) {
+            list.retain(|asked| asked.want.adapter != *adapter);
+            if list.is_empty() {
+                self.wants.remove(node);
+            }
+        }
+    }
+}
+
+/// A load that an agent wants.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Want {
+    /// The adapter to load.
+    pub adapter: AdapterRef,
+    /// How urgent the waiting work is.
+    pub urgency: f64,
+    /// How much more urgent it becomes a second.
+    pub growth_per_s: f64,
+}
+
+/// A turn given to an agent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Grant {
+    /// Tells this turn from all others.
+    pub grant: u64,
+    /// The agent that holds the turn.
+    pub node: NodeName,
+    /// The adapter to load.
+    pub adapter: AdapterRef,
+    /// How long the turn lasts at most.
+    pub hold_ms: u64,
+}
+
+/// A want with its times.
+#[derive(Clone, Debug)]
+struct Asked {
+    want: Want,
+    since: MonoTime,
+    updated: MonoTime,
+}
+
+impl Asked {
+    fn urgency(&self, now: MonoTime) -> f64 {
+        self.want.urgency + self.want.growth_per_s * now.since(self.updated).as_secs_f64()
+    }
+}
+
+/// The turn in progress.
+#[derive(Clone, Debug)]
+struct Held {
+    grant: u64,
+    node: NodeName,
+    until: MonoTime,
+}
--- /dev/null
+++ b/crates/filbertcleat-policy/src/lib.rs
@@ -0,0 +1,45 @@
+//! The state machines that decide: routing, queueing, slots, load turns and retries.
+//!
+//! Each takes the time and an input, and returns actions. None has a clock, a socket or a
+//! thread of its own, so the daemon, the tests and the bench drive the same code.
+
+mod admission;
+mod agent;
+mod attempt;
+mod budget;
+mod entry;
+mod keeper;
+mod popularity;
+mod refusal;
+mod report;
+mod router;
+mod target;
+
+pub use admission::Admission;
+pub use agent::Agent;
+pub use agent::AgentAction;
+pub use agent::AgentInput;
+pub use agent::AgentSettings;
+pub use agent::EngineState;
+pub use agent::Offer;
+pub use attempt::AttemptEvent;
+pub use attempt::AttemptEventKind;
+pub use attempt::RefuseReason;
+pub use budget::RetryBudget;
+pub use entry::Arrival;
+pub use entry::ClaimOutcome;
+pub use entry::Entry;
+pub use entry::EntryAction;
+pub use entry::EntryInput;
+pub use entry::EntrySettings;
+pub use keeper::Grant;
+pub use keeper::Keeper;
+pub use keeper::Want;
+pub use popularity::Popularity;
+pub use refusal::Refusal;
+pub use report::Report;
+pub use router::Choice;
+pub use router::Liveness;
+pub use router::Router;
+pub use router::Search;
+pub use target::Target;
--- /dev/null
+++ b/crates/filbertcleat-policy/src/popularity.rs
@@ -0,0 +1,82 @@
+//! Decaying counts of requests by adapter.
+
+use std::collections::HashMap;
+
+use filbertcleat_base::AdapterRef;
+use filbertcleat_base::MonoTime;
+
+/// Estimates how often each adapter is asked for.
+#[derive(Clone, Debug)]
+pub struct Popularity {
+    counts: HashMap<AdapterRef, Decayed>,
+    half_life_s: f64,
+}
+
+impl Popularity {
+    /// The most adapters that are remembered before faint ones are forgotten.
+    const REMEMBERED_MAX: usize = 16_384;
+    /// A count below this is forgotten.
+    const FAINT: f64 = 0.02;
+
+    /// Creates an estimate whose counts halve every `half_life_s` seconds.
+    pub fn new(half_life_s: f64) -> Self {
+        Self { counts: HashMap::new(), half_life_s }
+    }
+
+    /// Counts one request.
+    pub fn record(&mut self, now: MonoTime, adapter: &AdapterRef) {
+        let half_life_s = self.half_life_s;
+        if let Some(count) = self.counts.get_mut(adapter) {
+            count.value = count.at(now, half_life_s) + 1.0;
+            count.updated = now;
+        } else {
+            self.make_room(now);
+            self.counts.insert(adapter.clone(), Decayed { value: 1.0, updated: now });
+        }
+    }
+
+    /// Returns the requests a second for an adapter.
+    pub fn rate(&self, now: MonoTime, adapter: &AdapterRef) -> f64 {
+        let count = self.counts.get(adapter).map_or(0.0, |count| count.at(now, self.half_life_s));
+        count * std::f64::consts::LN_2 / self.half_life_s
+    }
+
+    /// Returns the adapters asked for most, the most popular first.
+    pub fn top(&self, now: MonoTime, most: usize) -> Vec<(AdapterRef, f64)> {
+        let mut rates: Vec<_> =
+            self.counts.keys().map(|adapter| (adapter.clone(), self.rate(now, adapter))).collect();
+        rates.sort_by(|left, right| right.1.total_cmp(&left.1).then_with(|| left.0.cmp(&right.0)));
+        rates.truncate(most);
+        rates
+    }
+
+    fn make_room(&mut self, now: MonoTime) {
+        if self.counts.len() < Self::REMEMBERED_MAX {
+            return;
+        }
+
+        let half_life_s = self.half_life_s;
+        self.counts.retain(|_, count| count.at(now, half_life_s) > Self::FAINT);
+        if self.counts.len() >= Self::REMEMBERED_MAX {
+            // All are loud, which takes tens of thousands of requests within a half-life.
+            self.counts.retain(|_, count| count.at(now, half_life_s) > 1.0);
+        }
+        if self.counts.len() >= Self::REMEMBERED_MAX {
+            self.counts.clear();
+        }
+    }
+}
+
+/// A count as it was at one time.
+#[derive(Clone, Copy, Debug)]
+struct Decayed {
+    value: f64,
+    updated: MonoTime,
+}
+
+impl Decayed {
+    fn at(self, now: MonoTime, half_life_s: f64) -> f64 {
+        let age_s = now.since(self.updated).as_secs_f64();
+        self.value * (-age_s / half_life_s).exp2()
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-policy/src/router/choice.rs
@@ -0,0 +1,12 @@
+//! The outcome of a choice.
+
+use filbertcleat_base::NodeName;
+
+/// The backend server chosen for a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// The agent beside it.
+    pub node: NodeName,
+    /// Whether it holds the adapter, as far as is known.
+    pub holds: bool,
+}
--- /dev/null
+++ b/crates/filbertcleat-policy/src/router/replica.rs
@@ -0,0 +1,82 @@
+//! One replica in an entry's view.
+
+use filbertcleat_base::AdapterRef;
+use filbertcleat_base::Class;
+use filbertcleat_base::NodeName;
+
+use super::Liveness;
+use crate::Report;
+
+/// What an entry knows of one replica.
+#[derive(Clone, Debug)]
+pub(super) struct Replica {
+    pub node: NodeName,
+    pub hash: u64,
+    pub liveness: Liveness,
+    pub report: Option<Report>,
+    pub sent_since_report: u32,
+}
+
+impl Replica {
+    /// The horizon over which an evicted adapter's requests are counted.
+    const EVICT_HORIZON_S: f64 = 30.0;
+    /// The cost of a replica that has been silent, which leaves it as the last resort.
+    const SLOW_MS: f64 = 1e6;
+
+    pub fn new(node: NodeName) -> Self {
+        let hash = filbertcleat_base::hash(node.as_str());
+        Self { node, hash, liveness: Liveness::Live, report: None, sent_since_report: 0 }
+    }
+
+    pub fn holds(&self, adapter: &AdapterRef) -> bool {
+        self.report.as_ref().is_some_and(|report| report.resident.contains(adapter))
+    }
+
+    pub fn wants(&self, adapter: &AdapterRef) -> bool {
+        self.report.as_ref().is_some_and(|report| report.wanted.contains(adapter))
+    }
+
+    /// Returns how long a request would wait for a place in the batch.
+    pub fn wait_ms(&self, class: Class) -> f64 {
+        let Some(report) = &self.report else {
+            return 0.0;
+        };
+        let batch = f64::from(report.batch_limit.max(1));
+        let spacing_ms = f64::from(report.call_ms) / batch;
+        let sent = f64::from(self.sent_since_report);
+        let running = f64::from(report.running);
+
+        let ahead = match class {
+            Class::KeyAccount => f64::from(report.queued_key),
+            Class::Routine => f64::from(report.queued),
+        };
+        (running + ahead + sent + 1.0 - batch).max(0.0) * spacing_ms
+    }
+
+    pub fn load_ms(&self) -> f64 {
+        self.report.as_ref().map_or(0.0, |report| f64::from(report.load_ms))
+    }
+
+    /// Returns the cost of taking a slot: the loads that evicting will cause, or the wait for one.
+    pub fn slot_cost_ms(&self) -> f64 {
+        let Some(report) = &self.report else {
+            return 0.0;
+        };
+        let slots = f64::from(report.slot_limit.max(1));
+        let wanted = report.wanted.len() as f64 + f64::from(self.sent_since_report);
+        let short = (wanted + 1.0 - f64::from(report.spare_slots)).max(0.0);
+
+        let wait_ms = short * f64::from(report.call_ms) / slots;
+        let returns = (f64::from(report.spare_value) / 1000.0 * Self::EVICT_HORIZON_S).min(1.0);
+        let evict_ms =
+            if report.spare_slots > 0 { returns * f64::from(report.load_ms) } else { 0.0 };
+        wait_ms + evict_ms
+    }
+
+    pub fn liveness_cost_ms(&self) -> f64 {
+        match self.liveness {
+            Liveness::Live | Liveness::Leaving | Liveness::Gone => 0.0,
+            Liveness::Slow => Self::SLOW_MS,
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-store/src/publish.rs
@@ -0,0 +1,100 @@
+//! The configuration's chain of patches.
+//!
+//! Version N is the row `config/patch/N`, which is only ever created. So the creation of one row
+//! decides between racing operators, and nothing can take a version back.
+
+use filbertcleat_base::ConfigVersion;
+use filbertcleat_config::Patch;
+use filbertcleat_config::PatchRefusal;
+
+use crate::Expect;
+use crate::TableOp;
+use crate::TableResult;
+
+/// Makes a patch the next version, or finds out that another one is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Publish {
+    patch: Patch,
+    version: ConfigVersion,
+    reading: bool,
+    may_be_written: bool,
+}
+
+impl Publish {
+    /// Creates the publication of a patch that has been checked against its base.
+    pub fn new(patch: Patch) -> Self {
+        let version = patch.base.next();
+        Self { patch, version, reading: false, may_be_written: false }
+    }
+
+    /// Returns the first operation.
+    pub fn begin(&mut self) -> TableOp {
+        self.write()
+    }
+
+    /// Takes in a result and returns what follows.
+    pub fn step(&mut self, result: &TableResult) -> PublishStep {
+        match result {
+            TableResult::Written { .. } => PublishStep::Accepted(self.version),
+            TableResult::Conflict => PublishStep::Ask(self.read()),
+            TableResult::Lost => {
+                self.may_be_written |= !self.reading;
+                PublishStep::Wait(self.read())
+            }
+            TableResult::Missing => PublishStep::Ask(self.write()),
+            TableResult::Down => {
+                let op = if self.reading { self.read() } else { self.write() };
+                PublishStep::Wait(op)
+            }
+            TableResult::Found { value, .. } => self.found(value),
+        }
+    }
+
+    /// Ends a publication that has taken too long.
+    pub fn give_up(&self, reason: &str) -> PatchRefusal {
+        if self.may_be_written {
+            PatchRefusal::Unknown { id: self.patch.id.as_str().to_owned() }
+        } else {
+            PatchRefusal::Unavailable { reason: reason.to_owned() }
+        }
+    }
+
+    fn found(&self, value: &[u8]) -> PublishStep {
+        match Patch::parse(value) {
+            Ok(patch) if patch.id == self.patch.id => PublishStep::Accepted(self.version),
+            Ok(_) | Err(_) => PublishStep::Refused(PatchRefusal::Stale {
+                base: self.patch.base,
+                head: self.version,
+            }),
+        }
+    }
+
+    fn write(&mut self) -> TableOp {
+        self.reading = false;
+        let value = self.patch.to_json();
+        TableOp::Write { key: patch_key(self.version), expect: Expect::Absent, value }
+    }
+
+    fn read(&mut self) -> TableOp {
+        self.reading = true;
+        TableOp::Read { key: patch_key(self.version) }
+    }
+}
+
+/// What follows in a publication.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PublishStep {
+    /// Ask the table service at once.
+    Ask(TableOp),
+    /// Ask the table service after a pause.
+    Wait(TableOp),
+    /// The patch is this version.
+    Accepted(ConfigVersion),
+    /// The patch is refused, and the configuration is as it was.
+    Refused(PatchRefusal),
+}
+
+/// Returns the key of the row that holds the patch to a version.
+pub fn patch_key(version: ConfigVersion) -> String {
+    format!("config/patch/{version}")
+}
