Count every load at its shared cost and choose slots over all replicas

Cause: each replica's own load average moved costs by seconds, the popularity seen by one agent was diluted once routing spread, loads were taken back unused, and several loads at one replica were all priced by its least worthy slot. Now the load's cost is the service's mean, entries send the demand along, a slot that has not served is not closed, and the n-th load is priced by the n-th spare slot. Ruled out by trial: half-life of 900 s, horizons of 20 and 90 s.

--- a/crates/filbertcleat-daemon/src/agent/offered.rs
+++ b/crates/filbertcleat-daemon/src/agent/offered.rs
@@ -48,6 +48,7 @@
             deadline: (left_ms > 0).then(|| now.plus_ms(left_ms)),
             config_version: ConfigVersion::new(request.config_version),
             arrived: now,
+            demand: request.demand,
             resumes,
         })
     }
--- a/crates/filbertcleat-daemon/src/convert/member.rs
+++ b/crates/filbertcleat-daemon/src/convert/member.rs
@@ -47,8 +47,7 @@
         running: report.running,
         batch_limit: report.batch_limit,
         slot_limit: report.slot_limit,
-        spare_slots: report.spare_slots,
-        spare_value: report.spare_value,
+        spare: report.spare.clone(),
         call_ms: report.call_ms,
         load_ms: report.load_ms,
     }
@@ -67,8 +66,7 @@
         running: status.running,
         batch_limit: status.batch_limit,
         slot_limit: status.slot_limit,
-        spare_slots: status.spare_slots,
-        spare_value: status.spare_value,
+        spare: status.spare,
         call_ms: status.call_ms,
         load_ms: status.load_ms,
     }
--- a/crates/filbertcleat-daemon/src/entry/role.rs
+++ b/crates/filbertcleat-daemon/src/entry/role.rs
@@ -11,6 +11,7 @@
 use filbertcleat_base::Run;
 use filbertcleat_config::Patch;
 use filbertcleat_config::PatchRefusal;
+use filbertcleat_config::Role;
 use filbertcleat_config::ServiceKind;
 use filbertcleat_member::MemberRecord;
 use filbertcleat_member::MemberState;
@@ -20,6 +21,7 @@
 use filbertcleat_policy::EntryAction;
 use filbertcleat_policy::EntryInput;
 use filbertcleat_policy::EntrySettings;
+use filbertcleat_policy::Sending;
 use filbertcleat_policy::Target;
 use filbertcleat_store::ClaimRow;
 use filbertcleat_store::ClaimState;
@@ -142,6 +144,12 @@
 
     /// Takes in what the membership says of a process.
     pub fn member_changed(&mut self, node: &mut Node, record: &MemberRecord) {
+        let entries = node
+            .members
+            .others()
+            .filter(|other| other.role == Role::Entry && other.state == MemberState::Live);
+        let count = entries.count() + 1;
+        self.decide(node, EntryInput::Entries { count });
         let liveness = record.state.liveness();
         self.decide(node, EntryInput::Liveness { node: record.name.clone(), liveness });
         if record.state != MemberState::Gone
@@ -243,9 +251,7 @@
                 self.record(node, &request, status, &content_type, &body);
             }
             EntryAction::Replay { request } => self.replay(&request),
-            EntryAction::Send { attempt, request, node: to, resume_of, resume_offset } => {
-                self.send(node, &attempt, &request, &to, resume_of.as_ref(), resume_offset);
-            }
+            EntryAction::Send(sending) => self.send(node, &sending),
             EntryAction::Abort { attempt } => {
                 if let Some(abort) = self.aborts.remove(&attempt) {
                     // An attempt that has just ended needs no abort.
@@ -381,15 +387,8 @@
         };
     }
 
-    fn send(
-        &mut self,
-        node: &mut Node,
-        attempt: &AttemptId,
-        request: &RequestId,
-        to: &NodeName,
-        resume_of: Option<&AttemptId>,
-        resume_offset: u64,
-    ) {
+    fn send(&mut self, node: &mut Node, sending: &Sending) {
+        let Sending { attempt, request, node: to, .. } = sending;
         let address = node.address(to);
         let stamp = node.stamp();
         let message = self.callers.get(request).and_then(|caller| {
@@ -401,10 +400,11 @@
                 class: caller.class.as_str().to_owned(),
                 deadline_left_ms: caller.deadline_ms.unwrap_or(0),
                 idempotent: !caller.non_idempotent,
-                target: Some(target(caller, resolved, resume_of, resume_offset)),
+                target: Some(target(caller, resolved, sending)),
                 stamp_wall_ms: stamp.wall_ms,
                 stamp_count: stamp.count,
                 service_name: resolved.service.to_string(),
+                demand: sending.demand,
             })
         });
         let (Some(address), Some(message)) = (address, message) else {
@@ -459,12 +459,7 @@
     by_service && !caller.non_idempotent
 }
 
-fn target(
-    caller: &Caller,
-    resolved: &Resolved,
-    resume_of: Option<&AttemptId>,
-    resume_offset: u64,
-) -> attempt_request::Target {
+fn target(caller: &Caller, resolved: &Resolved, sending: &Sending) -> attempt_request::Target {
     match &caller.work {
         Work::Completion { chat, body, .. } => {
             let adapter = resolved.adapter.as_ref();
@@ -473,8 +468,8 @@
                 version: adapter.map_or(0, |adapter| adapter.version.value()),
                 chat: *chat,
                 body: body.to_vec(),
-                resume_offset,
-                resume_of: resume_of.map(ToString::to_string).unwrap_or_default(),
+                resume_offset: sending.resume_offset,
+                resume_of: sending.resume_of.as_ref().map(ToString::to_string).unwrap_or_default(),
             })
         }
         Work::Service { service, method, path, content_type, body } => {
--- a/crates/filbertcleat-fakes/examples/policy_bench/measure.rs
+++ b/crates/filbertcleat-fakes/examples/policy_bench/measure.rs
@@ -72,7 +72,7 @@
 
     pub fn heading() -> String {
         format!(
-            "{:<11}{:<16}{:<11}{:>13}{:>9}{:>9}{:>9}{:>8}{:>8}{:>8}{:>8}{:>8}{:>10}{:>10}{:>8}{:>8}{:>6}",
+            "{:<11}{:<16}{:<11}{:>13}{:>9}{:>9}{:>9}{:>6}{:>8}{:>8}{:>8}{:>8}{:>8}{:>10}{:>10}{:>8}{:>8}{:>6}",
             "deployment",
             "workload",
             "policy",
@@ -80,6 +80,7 @@
             "mean",
             "p50",
             "p99",
+            "hit%",
             "loads",
             "wasted",
             "doubled",
@@ -99,11 +100,12 @@
             let _ = stall.add(&class.stall);
         }
         format!(
-            "{:>13}{:>9.0}{:>9}{:>9}{:>8}{:>8}{:>8}{:>8.1}{:>8.1}{:>10}{:>10}{:>8}{:>8}{:>6}",
+            "{:>13}{:>9.0}{:>9}{:>9}{:>6.1}{:>8}{:>8}{:>8}{:>8.1}{:>8.1}{:>10}{:>10}{:>8}{:>8}{:>6}",
             self.stall_sum_ms(),
             stall.mean(),
             stall.value_at_quantile(0.5),
             stall.value_at_quantile(0.99),
+            stall.quantile_below(0) * 100.0,
             self.loads,
             self.loads_wasted,
             self.loads_doubled,
--- a/crates/filbertcleat-fakes/examples/policy_bench/sim.rs
+++ b/crates/filbertcleat-fakes/examples/policy_bench/sim.rs
@@ -34,6 +34,7 @@
 use filbertcleat_policy::Keeper;
 use filbertcleat_policy::Offer;
 use filbertcleat_policy::Report;
+use filbertcleat_policy::Sending;
 use filbertcleat_policy::Target;
 use filbertcleat_store::Ownership;
 
@@ -117,7 +118,7 @@
 #[derive(Clone, Eq, Ord, PartialEq, PartialOrd)]
 enum SimEvent {
     Arrive(usize),
-    Offer(usize, AttemptId),
+    Offer(usize, AttemptId, u32),
     Step(usize),
     LoadDone(u64),
     Report(usize),
@@ -180,6 +181,7 @@
         let limits = Limits { waiting_max: 1_000_000, hold_ms: u64::MAX / 2, ..Limits::default() };
         for entry in 0..self.entries.len() {
             self.entry(entry, EntryInput::Config { limits, policy: setup.policy });
+            self.entry(entry, EntryInput::Entries { count: Deployment::ENTRIES });
         }
         for agent in 0..self.agents.len() {
             self.agent(agent, AgentInput::Engine(EngineState { epoch: 1, resident: Vec::new() }));
@@ -219,7 +221,7 @@
     fn dispatch(&mut self, event: SimEvent) {
         match event {
             SimEvent::Arrive(index) => self.arrive(index),
-            SimEvent::Offer(agent, attempt) => self.offer(agent, &attempt),
+            SimEvent::Offer(agent, attempt, demand) => self.offer(agent, &attempt, demand),
             SimEvent::Step(agent) => self.step(agent),
             SimEvent::LoadDone(changed) => self.load_done(changed),
             SimEvent::Report(agent) => {
@@ -275,14 +277,14 @@
     fn entry(&mut self, index: usize, input: EntryInput) {
         for action in self.entries[index].handle(self.now, input) {
             match action {
-                EntryAction::Send { attempt, request, node, .. } => {
+                EntryAction::Send(Sending { attempt, request, node, demand, .. }) => {
                     let agent = self.index[&node];
                     if let Some(open) = self.requests.get_mut(&request) {
                         open.attempts += 1;
                         self.measures.calls_max = self.measures.calls_max.max(open.attempts);
                     }
                     self.attempts.insert(attempt.clone(), request);
-                    self.schedule(HOP_US, SimEvent::Offer(agent, attempt));
+                    self.schedule(HOP_US, SimEvent::Offer(agent, attempt, demand));
                 }
                 EntryAction::Started { request, load_stall_ms, .. } => {
                     self.started(&request, load_stall_ms)
@@ -327,7 +329,7 @@
         }
     }
 
-    fn offer(&mut self, agent: usize, attempt: &AttemptId) {
+    fn offer(&mut self, agent: usize, attempt: &AttemptId, demand: u32) {
         let Some(open) = self.attempts.get(attempt).and_then(|request| self.requests.get(request))
         else {
             return;
@@ -341,6 +343,7 @@
             deadline: None,
             config_version: ConfigVersion::new(1),
             arrived: self.now,
+            demand,
             resumes: false,
         };
         self.agent(agent, AgentInput::Offer(offer));
--- a/crates/filbertcleat-policy/src/agent.rs
+++ b/crates/filbertcleat-policy/src/agent.rs
@@ -23,6 +23,7 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::Step;
 use filbertcleat_config::Policy;
+use filbertcleat_config::QueuePolicy;
 use filbertcleat_config::Weights;
 use filbertcleat_store::Ownership;
 
@@ -34,6 +35,7 @@
 pub use self::input::AgentInput;
 pub use self::offer::Offer;
 use self::plan::LoadPlan;
+use self::queue::LoadCandidate;
 use self::queue::Queue;
 use self::queue::Waiting;
 pub use self::settings::AgentSettings;
@@ -71,10 +73,10 @@
 }
 
 impl Agent {
-    /// The half-life of the popularity estimate.
-    const HALF_LIFE_S: f64 = 300.0;
     /// Key-account calls that may overtake waiting routine work in a row.
     const KEY_STREAK_MAX: u32 = 6;
+    /// Startable requests beyond the batch's room that make another load useless for now.
+    const CALLS_AHEAD: usize = 2;
     /// The longest time that an offer waits for its configuration version.
     const PARK_MAX_MS: u64 = 3000;
 
@@ -95,7 +97,7 @@
             calls: HashMap::new(),
             running_key: 0,
             key_streak: 0,
-            popularity: Popularity::new(Self::HALF_LIFE_S),
+            popularity: Popularity::new(Popularity::HALF_LIFE_S),
             failures: Failures::default(),
             load: LoadPlan::default(),
             call_ms: Average::new(settings.call_ms),
@@ -141,11 +143,11 @@
 
     /// Describes the replica for the entries.
     pub fn report(&self, now: MonoTime) -> Report {
-        let spare = self.slots.spare(&self.queue);
-        let spare_value = spare
-            .iter()
-            .map(|index| self.slots.value(*index, now, &self.popularity))
-            .fold(f64::INFINITY, f64::min);
+        let spare = self.slots.spare(&self.queue).into_iter();
+        let mut spare: Vec<_> = spare
+            .map(|index| (self.slots.value(index, now, &self.popularity) * 1000.0) as u32)
+            .collect();
+        spare.sort_unstable();
         Report {
             node: self.settings.node.clone(),
             service: self.settings.service.clone(),
@@ -156,12 +158,7 @@
             running: self.calls.len() as u32,
             batch_limit: self.settings.batch as u32,
             slot_limit: self.settings.slots as u32,
-            spare_slots: spare.len() as u32,
-            spare_value: if spare_value.is_finite() {
-                (spare_value * 1000.0) as u32
-            } else {
-                u32::MAX
-            },
+            spare,
             call_ms: self.call_ms.value() as u32,
             load_ms: self.load_ms.value() as u32,
         }
@@ -228,7 +225,7 @@
 
     fn enqueue(&mut self, now: MonoTime, offer: Offer) {
         if let Some(adapter) = offer.target.adapter() {
-            self.popularity.record(now, adapter);
+            self.popularity.set_rate(now, adapter, f64::from(offer.demand) / 1000.0);
         }
         let spacing_ms = self.call_ms.value() / self.settings.batch as f64;
         self.queue.push(self.policy.queue, offer, spacing_ms);
@@ -448,15 +445,17 @@
         let idle = self.settings.batch.saturating_sub(self.calls.len()) as f64;
         let fill = 1.0 + 2.0 * self.weights.batch_share() * idle / self.settings.batch as f64;
 
-        let candidates = if may_order && self.load.is_due(now) {
-            self.load.planned(now);
-            self.queue.candidates(now, self.policy.queue, fill, |adapter| {
-                !self.slots.holds_or_loads(adapter) && !self.failures.waits(now, adapter)
-            })
-        } else {
+        if !may_order || !self.load.is_due(now) {
             self.load.retry_wants(now);
             return;
-        };
+        }
+        self.load.planned(now);
+        let mut candidates = self.queue.candidates(now, self.policy.queue, fill, |adapter| {
+            !self.slots.holds_or_loads(adapter) && !self.failures.waits(now, adapter)
+        });
+        if self.policy.queue == QueuePolicy::Grouped {
+            self.keep_useful(&mut candidates);
+        }
 
         self.slots.close_for(&candidates, &self.queue, self.policy.slots, now, &self.popularity);
         let spare = self.slots.spare(&self.queue).len();
@@ -472,6 +471,17 @@
         }
     }
 
+    /// Drops loads whose requests could not be called soon, since others go before them.
+    fn keep_useful(&self, candidates: &mut Vec<LoadCandidate>) {
+        let room = self.settings.batch.saturating_sub(self.calls.len());
+        if self.slots.startable(&self.queue) < room + Self::CALLS_AHEAD {
+            return;
+        }
+        let first = Class::ALL.map(|class| self.slots.first_startable(&self.queue, class));
+        let first = first.into_iter().flatten().min();
+        candidates.retain(|candidate| first.as_ref().is_none_or(|first| candidate.place < *first));
+    }
+
     fn start_load(&mut self, now: MonoTime, adapter: &AdapterRef) {
         let Some(index) = self.slots.victim(&self.queue, self.policy.slots, now, &self.popularity)
         else {
--- a/crates/filbertcleat-policy/src/agent/offer.rs
+++ b/crates/filbertcleat-policy/src/agent/offer.rs
@@ -25,6 +25,8 @@
     pub config_version: ConfigVersion,
     /// When it arrived.
     pub arrived: MonoTime,
+    /// How often all entries together are asked for the adapter, in requests per 1000 seconds.
+    pub demand: u32,
     /// Whether it resumes a stream that the backend server still holds.
     pub resumes: bool,
 }
--- a/crates/filbertcleat-policy/src/agent/queue.rs
+++ b/crates/filbertcleat-policy/src/agent/queue.rs
@@ -79,6 +79,11 @@
         self.groups.get(target).is_some_and(|group| !group.is_empty())
     }
 
+    /// Returns the number of requests that wait for `target`.
+    pub fn len_for(&self, target: &Target) -> usize {
+        self.groups.get(target).map_or(0, Group::len)
+    }
+
     /// Takes a request out of the queue.
     pub fn take(&mut self, place: &Place) -> Option<Waiting> {
         let group = self.groups.get_mut(&place.target)?;
--- a/crates/filbertcleat-policy/src/agent/queue/group.rs
+++ b/crates/filbertcleat-policy/src/agent/queue/group.rs
@@ -44,6 +44,10 @@
         Some(waiting)
     }
 
+    pub fn len(&self) -> usize {
+        self.waiting.iter().map(BTreeMap::len).sum()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.waiting.iter().all(BTreeMap::is_empty)
     }
--- a/crates/filbertcleat-policy/src/agent/slot.rs
+++ b/crates/filbertcleat-policy/src/agent/slot.rs
@@ -19,7 +19,8 @@
     }
 
     pub fn resident(adapter: AdapterRef, now: MonoTime) -> Self {
-        let state = SlotState::Resident { adapter, running: 0, loaded: now, used: now };
+        let state =
+            SlotState::Resident { adapter, running: 0, loaded: now, used: now, served: false };
         Self { state, closing: None }
     }
 
@@ -47,8 +48,8 @@
     Empty,
     /// An adapter that is being loaded for requests waiting since `since`.
     Loading { adapter: AdapterRef, since: MonoTime },
-    /// An adapter that can be called.
-    Resident { adapter: AdapterRef, running: usize, loaded: MonoTime, used: MonoTime },
+    /// An adapter that can be called, and whether it has been since its load.
+    Resident { adapter: AdapterRef, running: usize, loaded: MonoTime, used: MonoTime, served: bool },
     /// Whatever a load of unknown outcome left, until the engine's slots are listed.
     Unsure,
 }
--- a/crates/filbertcleat-policy/src/agent/slots.rs
+++ b/crates/filbertcleat-policy/src/agent/slots.rs
@@ -68,12 +68,23 @@
             .cloned()
     }
 
+    /// Returns the number of waiting requests that could be called now.
+    pub fn startable(&self, queue: &Queue) -> usize {
+        self.list
+            .iter()
+            .filter(|slot| slot.closing.is_none())
+            .filter_map(Slot::adapter)
+            .map(|adapter| queue.len_for(&Target::Adapter(adapter.clone())))
+            .sum()
+    }
+
     /// Counts a call, and returns how long its request waited for the load.
     pub fn enter(&mut self, wanted: &AdapterRef, now: MonoTime, arrived: MonoTime) -> u64 {
         for slot in &mut self.list {
-            if let SlotState::Resident { adapter, running, loaded, used } = &mut slot.state
+            if let SlotState::Resident { adapter, running, loaded, used, served } = &mut slot.state
                 && adapter == wanted
             {
+                *served = true;
                 *running += 1;
                 *used = now;
                 return loaded.ms_since(arrived);
@@ -209,7 +220,10 @@
             SlotPolicy::Value => self.value(index, now, popularity),
             SlotPolicy::LeastRecent => self.used(index).as_us() as f64,
         };
-        let busy = (0..self.list.len()).filter(|index| self.list[*index].adapter().is_some());
+        // A slot that has not served since its load would be a load wasted.
+        let busy = (0..self.list.len()).filter(|index| {
+            matches!(self.list[*index].state, SlotState::Resident { served: true, .. })
+        });
         let index = busy.min_by(|left, right| score(*left).total_cmp(&score(*right)));
         if let Some(index) = index {
             self.list[index].closing = Some(first);
--- a/crates/filbertcleat-policy/src/entry.rs
+++ b/crates/filbertcleat-policy/src/entry.rs
@@ -5,6 +5,7 @@
 mod claim;
 mod input;
 mod pending;
+mod sending;
 mod settings;
 
 use std::collections::BTreeSet;
@@ -29,10 +30,12 @@
 pub use self::input::EntryInput;
 use self::pending::Pending;
 use self::pending::Phase;
+pub use self::sending::Sending;
 pub use self::settings::EntrySettings;
 use crate::Admission;
 use crate::AttemptEvent;
 use crate::AttemptEventKind;
+use crate::Popularity;
 use crate::Refusal;
 use crate::RefuseReason;
 use crate::RetryBudget;
@@ -50,6 +53,8 @@
     router: Router,
     admission: Admission,
     budget: RetryBudget,
+    popularity: Popularity,
+    entries: usize,
     rng: SmallRng,
     requests: HashMap<RequestId, Pending>,
     attempts: HashMap<AttemptId, RequestId>,
@@ -73,6 +78,8 @@
             router: Router::new(Policy::default().routing),
             admission: Admission::new(limits),
             budget: RetryBudget::new(limits.retry_share_percent),
+            popularity: Popularity::new(Popularity::HALF_LIFE_S),
+            entries: 1,
             rng: SmallRng::seed_from_u64(settings.seed),
             requests: HashMap::new(),
             attempts: HashMap::new(),
@@ -94,6 +101,7 @@
             EntryInput::CallerGone { request } => self.caller_gone(&request),
             EntryInput::Report(report) => self.router.report(report),
             EntryInput::Liveness { node, liveness } => self.router.set_liveness(&node, liveness),
+            EntryInput::Entries { count } => self.entries = count.max(1),
             EntryInput::Config { limits, policy } => self.configure(limits, policy),
             EntryInput::Tick => {}
         }
@@ -124,6 +132,10 @@
             return;
         }
 
+        if let Some(adapter) = arrival.target.adapter() {
+            self.popularity.record(now, adapter);
+        }
+
         let request = arrival.request.clone();
         let claims = !arrival.idempotent && arrival.has_key;
         self.requests.insert(request.clone(), Pending::new(now, arrival));
@@ -192,18 +204,22 @@
         };
 
         let resume_of = resume_at.map(|resume| resume.attempt);
+        let demand = pending.arrival.target.adapter().map_or(0, |adapter| {
+            (self.popularity.rate(now, adapter) * self.entries as f64 * 1000.0) as u32
+        });
         let attempt = pending.start(node.clone(), resume_of.is_some());
         let resume_offset = if resume_of.is_some() { pending.chunks } else { 0 };
         self.held.remove(request);
         self.attempts.insert(attempt.clone(), request.clone());
         self.calls += 1;
-        self.actions.push(EntryAction::Send {
+        self.actions.push(EntryAction::Send(Sending {
             attempt,
             request: request.clone(),
             node,
             resume_of,
             resume_offset,
-        });
+            demand,
+        }));
     }
 
     fn hold(&mut self, now: MonoTime, request: &RequestId) {
--- a/crates/filbertcleat-policy/src/entry/action.rs
+++ b/crates/filbertcleat-policy/src/entry/action.rs
@@ -6,6 +6,7 @@
 use filbertcleat_base::RequestId;
 use filbertcleat_base::Run;
 
+use super::Sending;
 use crate::Refusal;
 use crate::RefuseReason;
 
@@ -41,18 +42,7 @@
         request: RequestId,
     },
     /// Send an attempt to an agent.
-    Send {
-        /// The attempt.
-        attempt: AttemptId,
-        /// The request.
-        request: RequestId,
-        /// The agent.
-        node: NodeName,
-        /// The earlier attempt whose stream is to be resumed there.
-        resume_of: Option<AttemptId>,
-        /// The number of chunks that the caller has.
-        resume_offset: u64,
-    },
+    Send(Sending),
     /// Cancel an attempt.
     Abort {
         /// The attempt.
--- a/crates/filbertcleat-policy/src/entry/input.rs
+++ b/crates/filbertcleat-policy/src/entry/input.rs
@@ -50,6 +50,11 @@
         /// Whether it can be used.
         liveness: Liveness,
     },
+    /// The number of entries that share the callers, this one among them.
+    Entries {
+        /// The number.
+        count: usize,
+    },
     /// A configuration version is in force.
     Config {
         /// Its limits.
--- a/crates/filbertcleat-policy/src/lib.rs
+++ b/crates/filbertcleat-policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub use entry::EntryAction;
 pub use entry::EntryInput;
 pub use entry::EntrySettings;
+pub use entry::Sending;
 pub use keeper::Grant;
 pub use keeper::Keeper;
 pub use keeper::Want;
--- a/crates/filbertcleat-policy/src/popularity.rs
+++ b/crates/filbertcleat-policy/src/popularity.rs
@@ -13,6 +13,8 @@
 }
 
 impl Popularity {
+    /// The half-life of the estimates that decide.
+    pub const HALF_LIFE_S: f64 = 300.0;
     /// The most adapters that are remembered before faint ones are forgotten.
     const REMEMBERED_MAX: usize = 16_384;
     /// A count below this is forgotten.
@@ -35,6 +37,15 @@
         }
     }
 
+    /// Takes over another process's estimate in requests a second, which decays from now on.
+    pub fn set_rate(&mut self, now: MonoTime, adapter: &AdapterRef, per_s: f64) {
+        let value = per_s * self.half_life_s / std::f64::consts::LN_2;
+        if !self.counts.contains_key(adapter) {
+            self.make_room(now);
+        }
+        self.counts.insert(adapter.clone(), Decayed { value, updated: now });
+    }
+
     /// Returns the requests a second for an adapter.
     pub fn rate(&self, now: MonoTime, adapter: &AdapterRef) -> f64 {
         let count = self.counts.get(adapter).map_or(0.0, |count| count.at(now, self.half_life_s));
--- a/crates/filbertcleat-policy/src/report.rs
+++ b/crates/filbertcleat-policy/src/report.rs
@@ -25,10 +25,9 @@
     pub batch_limit: u32,
     /// The number of slots.
     pub slot_limit: u32,
-    /// Slots that a load could take at once.
-    pub spare_slots: u32,
-    /// Requests a second for the least worthy spare slot's adapter, times 1000.
-    pub spare_value: u32,
+    /// The slots that a load could take at once: for each the requests for its adapter per 1000
+    /// seconds, the least first.
+    pub spare: Vec<u32>,
     /// How long a call lasts on average.
     pub call_ms: u32,
     /// How long a load takes on average, with the wait for its turn.
--- a/crates/filbertcleat-policy/src/router.rs
+++ b/crates/filbertcleat-policy/src/router.rs
@@ -40,7 +40,7 @@
     /// How much more a load costs than the wait that it causes, since the weight store is shared.
     const LOAD_WEIGHT: f64 = 1.5;
     /// Costs that differ by less than this share of a load count as equal.
-    const TIE_SHARE: f64 = 0.5;
+    const TIE_SHARE: f64 = 0.3;
 
     /// Creates a router that knows no replicas.
     pub fn new(policy: RoutePolicy) -> Self {
@@ -148,11 +148,12 @@
         let holders = self.holders.get(adapter).map_or(&[][..], Vec::as_slice);
         let held = holders.iter().any(|index| self.is_usable(*index, search));
 
+        let load_ms = self.load_ms(search);
+
         let mut best: Option<Scored> = None;
         for index in self.usable(search) {
             let replica = &self.replicas[index];
             let wait_ms = replica.wait_ms(search.class);
-            let load_ms = replica.load_ms();
             let is_sent = sent.is_some_and(|sent| sent.index == index);
             let cost_ms = if replica.holds(adapter) {
                 wait_ms
@@ -160,7 +161,7 @@
                 wait_ms + load_ms
             } else {
                 let weight = if held || sent.is_some() { Self::LOAD_WEIGHT } else { 1.0 };
-                wait_ms + load_ms * (weight + 1.0) + replica.slot_cost_ms()
+                wait_ms + load_ms * (weight + 1.0) + replica.slot_cost_ms(load_ms)
             };
             let scored = Scored {
                 index,
@@ -175,6 +176,13 @@
         best.map(|best| best.index)
     }
 
+    /// Returns how long a load takes on average; the store is shared, so it is alike for all.
+    fn load_ms(&self, search: &Search<'_>) -> f64 {
+        let times = self.usable(search).map(|index| self.replicas[index].load_ms());
+        let (sum, count) = times.fold((0.0, 0.0), |(sum, count), ms| (sum + ms, count + 1.0));
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
     fn random(&self, search: &Search<'_>, rng: &mut SmallRng) -> Option<usize> {
         let usable: Vec<_> = self.usable(search).collect();
         (!usable.is_empty()).then(|| usable[rng.random_range(0..usable.len())])
--- a/crates/filbertcleat-policy/src/router/replica.rs
+++ b/crates/filbertcleat-policy/src/router/replica.rs
@@ -19,7 +19,7 @@
 
 impl Replica {
     /// The horizon over which an evicted adapter's requests are counted.
-    const EVICT_HORIZON_S: f64 = 30.0;
+    const EVICT_HORIZON_S: f64 = 45.0;
     /// The cost of a replica that has been silent, which leaves it as the last resort.
     const SLOW_MS: f64 = 1e6;
 
@@ -58,19 +58,17 @@
     }
 
     /// Returns the cost of taking a slot: the loads that evicting will cause, or the wait for one.
-    pub fn slot_cost_ms(&self) -> f64 {
+    pub fn slot_cost_ms(&self, load_ms: f64) -> f64 {
         let Some(report) = &self.report else {
             return 0.0;
         };
-        let slots = f64::from(report.slot_limit.max(1));
-        let wanted = report.wanted.len() as f64 + f64::from(self.sent_since_report);
-        let short = (wanted + 1.0 - f64::from(report.spare_slots)).max(0.0);
-
-        let wait_ms = short * f64::from(report.call_ms) / slots;
-        let returns = (f64::from(report.spare_value) / 1000.0 * Self::EVICT_HORIZON_S).min(1.0);
-        let evict_ms =
-            if report.spare_slots > 0 { returns * f64::from(report.load_ms) } else { 0.0 };
-        wait_ms + evict_ms
+        let taken = report.wanted.len() + self.sent_since_report as usize;
+        let Some(value) = report.spare.get(taken) else {
+            let short = (taken + 1 - report.spare.len()) as f64;
+            let slots = f64::from(report.slot_limit.max(1));
+            return load_ms + short * f64::from(report.call_ms) / slots;
+        };
+        (f64::from(*value) / 1000.0 * Self::EVICT_HORIZON_S).min(1.0) * load_ms
     }
 
     pub fn liveness_cost_ms(&self) -> f64 {
