Weigh the evicted adapter against the load when asking for a turn

Cause: a saturated store spent turns on loads that evicted adapters which had to be loaded again at once, since each agent only sees its own spare slots.

--- a/crates/filbertcleat-policy/src/agent.rs
+++ b/crates/filbertcleat-policy/src/agent.rs
@@ -143,11 +143,8 @@
 
     /// Describes the replica for the entries.
     pub fn report(&self, now: MonoTime) -> Report {
-        let spare = self.slots.spare(&self.queue).into_iter();
-        let mut spare: Vec<_> = spare
-            .map(|index| (self.slots.value(index, now, &self.popularity) * 1000.0) as u32)
-            .collect();
-        spare.sort_unstable();
+        let spare = self.spare_rates(now).into_iter();
+        let spare = spare.map(|per_s| (per_s * 1000.0) as u32).collect();
         Report {
             node: self.settings.node.clone(),
             service: self.settings.service.clone(),
@@ -458,8 +455,12 @@
         }
 
         self.slots.close_for(&candidates, &self.queue, self.policy.slots, now, &self.popularity);
-        let spare = self.slots.spare(&self.queue).len();
-        let wants: Vec<_> = candidates.iter().take(spare).map(|group| group.want.clone()).collect();
+        let spare = self.spare_rates(now);
+        let wants: Vec<_> = candidates
+            .iter()
+            .zip(&spare)
+            .map(|(group, per_s)| group.want.clone().after_eviction(*per_s))
+            .collect();
 
         if let Some(adapter) = self.load.pick(now, &wants) {
             self.start_load(now, &adapter);
@@ -471,6 +472,15 @@
         }
     }
 
+    /// Returns the requests a second for the adapter in each spare slot, the least first.
+    fn spare_rates(&self, now: MonoTime) -> Vec<f64> {
+        let spare = self.slots.spare(&self.queue).into_iter();
+        let mut rates: Vec<_> =
+            spare.map(|index| self.slots.value(index, now, &self.popularity)).collect();
+        rates.sort_by(f64::total_cmp);
+        rates
+    }
+
     /// Drops loads whose requests could not be called soon, since others go before them.
     fn keep_useful(&self, candidates: &mut Vec<LoadCandidate>) {
         let room = self.settings.batch.saturating_sub(self.calls.len());
