Let requests beyond an adapter's share fill gaps only

Now such requests have an engine priority of their own, are left out of the queue lengths that others are routed by, and an adapter is held by a third of the replicas at most unless another is quiet.

--- a/crates/filbertcleat-daemon/src/agent/call.rs
+++ b/crates/filbertcleat-daemon/src/agent/call.rs
@@ -4,7 +4,6 @@
 
 use filbertcleat_base::AdapterRef;
 use filbertcleat_base::AttemptId;
-use filbertcleat_base::Class;
 use filbertcleat_base::Fault;
 use filbertcleat_base::Fence;
 use filbertcleat_base::Step;
@@ -16,6 +15,7 @@
 use filbertcleat_platform::HttpCall;
 use filbertcleat_platform::HttpClient;
 use filbertcleat_policy::AttemptEventKind;
+use filbertcleat_policy::Priority;
 use filbertcleat_policy::RefuseReason;
 use filbertcleat_wire::v1;
 use filbertcleat_wire::v1::attempt_request::Target;
@@ -33,7 +33,7 @@
 pub(super) struct Call {
     pub attempt: AttemptId,
     pub target: Option<Target>,
-    pub class: Class,
+    pub priority: Priority,
     pub fence: Option<Fence>,
     pub engine: Engine,
     pub client: HttpClient,
@@ -75,7 +75,7 @@
             adapter: &adapter,
             chat: call.chat,
             body: &call.body,
-            class: self.class,
+            priority: self.priority.number(),
             fence: self.fence,
             resume_of,
             resume_offset: call.resume_offset,
--- a/crates/filbertcleat-daemon/src/agent/role.rs
+++ b/crates/filbertcleat-daemon/src/agent/role.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 
 use filbertcleat_base::AttemptId;
-use filbertcleat_base::Class;
 use filbertcleat_base::Fence;
 use filbertcleat_base::MonoTime;
 use filbertcleat_config::BackendKind;
@@ -21,6 +20,7 @@
 use filbertcleat_policy::AttemptEvent;
 use filbertcleat_policy::AttemptEventKind;
 use filbertcleat_policy::EngineState;
+use filbertcleat_policy::Priority;
 use filbertcleat_policy::RefuseReason;
 use filbertcleat_policy::Want;
 use filbertcleat_store::Lease;
@@ -289,7 +289,9 @@
 
     fn act(&mut self, node: &mut Node, action: AgentAction) {
         match action {
-            AgentAction::Call { attempt, class, fence } => self.call(node, &attempt, class, fence),
+            AgentAction::Call { attempt, priority, fence } => {
+                self.call(node, &attempt, priority, fence)
+            }
             AgentAction::CancelCall { attempt } => {
                 let cancel =
                     self.attempts.get_mut(&attempt).and_then(|offered| offered.cancel.take());
@@ -317,7 +319,13 @@
         }
     }
 
-    fn call(&mut self, node: &mut Node, attempt: &AttemptId, class: Class, fence: Option<Fence>) {
+    fn call(
+        &mut self,
+        node: &mut Node,
+        attempt: &AttemptId,
+        priority: Priority,
+        fence: Option<Fence>,
+    ) {
         let Some(offered) = self.attempts.get_mut(attempt) else {
             // The entry has dropped the attempt in the meantime.
             let kind = self.refusal(RefuseReason::WrongService);
@@ -330,7 +338,7 @@
         let call = Call {
             attempt: attempt.clone(),
             target: offered.request.target.take(),
-            class,
+            priority,
             fence,
             engine: self.engine.clone(),
             client: self.client.clone(),
--- a/crates/filbertcleat-fakes/examples/policy_bench/sim.rs
+++ b/crates/filbertcleat-fakes/examples/policy_bench/sim.rs
@@ -6,7 +6,6 @@
 
 use filbertcleat_base::AdapterRef;
 use filbertcleat_base::AttemptId;
-use filbertcleat_base::Class;
 use filbertcleat_base::ConfigVersion;
 use filbertcleat_base::Fence;
 use filbertcleat_base::MonoTime;
@@ -33,6 +32,7 @@
 use filbertcleat_policy::EntrySettings;
 use filbertcleat_policy::Keeper;
 use filbertcleat_policy::Offer;
+use filbertcleat_policy::Priority;
 use filbertcleat_policy::Report;
 use filbertcleat_policy::Sending;
 use filbertcleat_policy::Target;
@@ -352,7 +352,7 @@
     fn agent(&mut self, index: usize, input: AgentInput) {
         for action in self.agents[index].core.handle(self.now, input) {
             match action {
-                AgentAction::Call { attempt, class, .. } => self.call(index, &attempt, class),
+                AgentAction::Call { attempt, priority, .. } => self.call(index, &attempt, priority),
                 AgentAction::Load { adapter, evict, .. } => {
                     self.load(index, adapter, evict.as_ref())
                 }
@@ -385,7 +385,7 @@
         self.entry(entry, EntryInput::Event(event));
     }
 
-    fn call(&mut self, agent: usize, attempt: &AttemptId, class: Class) {
+    fn call(&mut self, agent: usize, attempt: &AttemptId, priority: Priority) {
         let Some(open) = self.attempts.get(attempt).and_then(|request| self.requests.get(request))
         else {
             return;
@@ -396,7 +396,7 @@
         let call = ModelCall {
             id: attempt.to_string(),
             adapter: adapter.clone(),
-            priority: if class == Class::KeyAccount { 0 } else { 1 },
+            priority: priority.number(),
             number: self.sequence,
             tokens: traced.tokens,
             produced: 0,
--- a/crates/filbertcleat-platform/src/engine/call.rs
+++ b/crates/filbertcleat-platform/src/engine/call.rs
@@ -1,7 +1,6 @@
 //! A completion to ask an engine for.
 
 use filbertcleat_base::AdapterRef;
-use filbertcleat_base::Class;
 use filbertcleat_base::Fence;
 use serde_json::Value;
 use serde_json::json;
@@ -17,8 +16,8 @@
     pub chat: bool,
     /// The caller's body.
     pub body: &'a [u8],
-    /// Its class, which becomes the engine's priority.
-    pub class: Class,
+    /// Its priority in the engine; lower goes first.
+    pub priority: u8,
     /// The fencing number, if one is held.
     pub fence: Option<Fence>,
     /// The id of the call whose stream is resumed, if any.
@@ -33,10 +32,7 @@
         let mut body: Value = serde_json::from_slice(self.body).unwrap_or_else(|_| json!({}));
         body["model"] = json!(self.adapter.to_string());
         body["stream"] = json!(true);
-        body["priority"] = json!(match self.class {
-            Class::KeyAccount => 0,
-            Class::Routine => 1,
-        });
+        body["priority"] = json!(self.priority);
         if let Some(resume_of) = self.resume_of {
             body["resume_of"] = json!(resume_of);
             body["resume_offset"] = json!(self.resume_offset);
--- a/crates/filbertcleat-policy/src/agent.rs
+++ b/crates/filbertcleat-policy/src/agent.rs
@@ -8,6 +8,7 @@
 mod input;
 mod offer;
 mod plan;
+mod priority;
 mod queue;
 mod settings;
 mod slot;
@@ -35,6 +36,7 @@
 pub use self::input::AgentInput;
 pub use self::offer::Offer;
 use self::plan::LoadPlan;
+pub use self::priority::Priority;
 use self::queue::LoadCandidate;
 use self::queue::Queue;
 use self::queue::Waiting;
@@ -63,6 +65,7 @@
     epoch: Option<u64>,
     calls: HashMap<AttemptId, Call>,
     running_key: usize,
+    filling: usize,
     key_streak: u32,
     popularity: Popularity,
     failures: Failures,
@@ -96,6 +99,7 @@
             epoch: None,
             calls: HashMap::new(),
             running_key: 0,
+            filling: 0,
             key_streak: 0,
             popularity: Popularity::new(Popularity::HALF_LIFE_S),
             failures: Failures::default(),
@@ -145,15 +149,17 @@
     pub fn report(&self, now: MonoTime) -> Report {
         let spare = self.spare_rates(now).into_iter();
         let spare = spare.map(|per_s| (per_s * 1000.0) as u32).collect();
+        let waiting = self.queue.len() + self.parked.len();
         Report {
             node: self.settings.node.clone(),
             service: self.settings.service.clone(),
             resident: self.slots.resident().cloned().collect(),
             wanted: self.queue.absent(&self.slots).take(64).cloned().collect(),
             wanted_key: self.queue.absent_key(&self.slots) as u32,
-            queued: self.queue.len() as u32 + self.parked.len() as u32,
+            queued: (waiting - self.queue.len_over_share()) as u32,
+            queued_over: self.queue.len_over_share() as u32,
             queued_key: self.queue.len_of(Class::KeyAccount) as u32,
-            running: self.calls.len() as u32,
+            running: (self.calls.len() - self.filling) as u32,
             batch_limit: self.settings.batch as u32,
             slot_limit: self.settings.slots as u32,
             spare,
@@ -195,7 +201,7 @@
         if offer.resumes && offer.target.adapter().is_some_and(|adapter| self.slots.holds(adapter))
         {
             // The call that broke off still has its place in the batch.
-            self.start(now, Waiting { offer });
+            self.start(now, Waiting { offer, over_share: false });
             return;
         }
         self.enqueue(now, offer);
@@ -262,6 +268,7 @@
         if call.class == Class::KeyAccount {
             self.running_key -= 1;
         }
+        self.filling -= usize::from(call.over_share);
         if let Some(adapter) = call.target.adapter() {
             self.slots.leave(adapter, now);
         }
@@ -374,17 +381,25 @@
     }
 
     fn next_call(&mut self) -> Option<Waiting> {
-        let room = self.calls.len() < self.settings.batch;
-        let room_for_key = room
-            || (self.running_key < self.settings.batch
-                && self.calls.len() < self.settings.batch + self.settings.overcommit);
+        let batch = self.settings.batch;
+        let room = self.calls.len() < batch;
+        // Calls that only fill gaps are paused by the engine while others need their places.
+        let firm = self.calls.len() - self.filling;
+        let room_in_share =
+            room || (firm < batch && self.filling > 0 && self.calls.len() < batch * 2);
+        let room_for_key = room_in_share
+            || (self.running_key < batch
+                && self.calls.len() < batch + self.settings.overcommit + self.filling);
         if !room_for_key {
             return None;
         }
 
-        let key = self.slots.first_startable(&self.queue, Class::KeyAccount);
-        let routine =
-            if room { self.slots.first_startable(&self.queue, Class::Routine) } else { None };
+        let key = self.slots.first_startable(&self.queue, Class::KeyAccount, !room);
+        let routine = if room_in_share {
+            self.slots.first_startable(&self.queue, Class::Routine, !room)
+        } else {
+            None
+        };
         let place = match (key, routine) {
             (Some(key), Some(routine)) => {
                 // Routine work ages: it takes every few starts, however much key work waits.
@@ -417,17 +432,20 @@
         }
 
         let attempt = offer.attempt.clone();
+        let over_share = waiting.over_share && self.settings.slots > 0;
+        self.filling += usize::from(over_share);
         let call = Call {
             target: offer.target,
             class: offer.class,
             started: now,
             sequence: 0,
             cancelled: false,
+            over_share,
         };
         self.calls.insert(attempt.clone(), call);
         self.actions.push(AgentAction::Call {
             attempt: attempt.clone(),
-            class: offer.class,
+            priority: Priority::of(offer.class, over_share),
             fence: self.ownership.fence(),
         });
         let queue_wait_ms = now.ms_since(offer.arrived);
@@ -484,11 +502,11 @@
 
     /// Drops loads whose requests could not be called soon, since others go before them.
     fn keep_useful(&self, candidates: &mut Vec<LoadCandidate>) {
-        let room = self.settings.batch.saturating_sub(self.calls.len());
+        let room = self.settings.batch.saturating_sub(self.calls.len() - self.filling);
         if self.slots.startable(&self.queue) < room + Self::CALLS_AHEAD {
             return;
         }
-        let first = Class::ALL.map(|class| self.slots.first_startable(&self.queue, class));
+        let first = Class::ALL.map(|class| self.slots.first_startable(&self.queue, class, true));
         let first = first.into_iter().flatten().min();
         candidates.retain(|candidate| first.as_ref().is_none_or(|first| candidate.place < *first));
     }
--- a/crates/filbertcleat-policy/src/agent/action.rs
+++ b/crates/filbertcleat-policy/src/agent/action.rs
@@ -2,10 +2,10 @@
 
 use filbertcleat_base::AdapterRef;
 use filbertcleat_base::AttemptId;
-use filbertcleat_base::Class;
 use filbertcleat_base::ConfigVersion;
 use filbertcleat_base::Fence;
 
+use super::Priority;
 use crate::AttemptEvent;
 use crate::Want;
 
@@ -16,8 +16,8 @@
     Call {
         /// The attempt.
         attempt: AttemptId,
-        /// Its class, which becomes the engine's priority.
-        class: Class,
+        /// Its priority in the engine.
+        priority: Priority,
         /// The fencing number, if one is held.
         fence: Option<Fence>,
     },
--- a/crates/filbertcleat-policy/src/agent/call.rs
+++ b/crates/filbertcleat-policy/src/agent/call.rs
@@ -13,4 +13,6 @@
     pub started: MonoTime,
     pub sequence: u64,
     pub cancelled: bool,
+    /// Whether it only fills a gap, and gives way to others in the engine.
+    pub over_share: bool,
 }
--- a/crates/filbertcleat-policy/src/agent/queue.rs
+++ b/crates/filbertcleat-policy/src/agent/queue.rs
@@ -29,11 +29,14 @@
     order: [BTreeSet<Place>; 2],
     places: HashMap<AttemptId, Place>,
     next_number: u64,
+    over_share: usize,
 }
 
 impl Queue {
     /// The share of a backend server that one adapter may take before its tags move back.
-    const FAIR_SHARE: f64 = 0.25;
+    const FAIR_SHARE: f64 = 0.9;
+    /// The calls by which an adapter may run ahead of its share before it only fills gaps.
+    const BURST_CALLS: f64 = 16.0;
     /// How far a late deadline may move a request back.
     const DEADLINE_DELAY_MAX_MS: u64 = 600_000;
     /// How long before its deadline a request should start.
@@ -43,6 +46,11 @@
         self.places.len()
     }
 
+    /// Returns the number of requests beyond their adapters' shares.
+    pub fn len_over_share(&self) -> usize {
+        self.over_share
+    }
+
     pub fn len_of(&self, class: Class) -> usize {
         self.order[class as usize].len()
     }
@@ -54,19 +62,21 @@
             QueuePolicy::Grouped => offer.class,
             QueuePolicy::FirstCome => Class::Routine,
         };
+        let base = base_tag(&offer);
         let tag = match policy {
             QueuePolicy::Grouped => {
-                let base = base_tag(&offer);
                 group.space(class, base, (spacing_ms / Self::FAIR_SHARE) as u64)
             }
             QueuePolicy::FirstCome => offer.arrived,
         };
+        let over_share = tag > base.plus_ms((spacing_ms * Self::BURST_CALLS) as u64);
 
+        self.over_share += usize::from(over_share);
         self.next_number += 1;
         let place = Place { class, tag, number: self.next_number, target: offer.target.clone() };
         self.order[class as usize].insert(place.clone());
         self.places.insert(offer.attempt.clone(), place.clone());
-        group.insert(&place, Waiting { offer });
+        group.insert(&place, Waiting { offer, over_share });
     }
 
     /// Returns the place of the first request for `target` in a class.
@@ -79,9 +89,15 @@
         self.groups.get(target).is_some_and(|group| !group.is_empty())
     }
 
-    /// Returns the number of requests that wait for `target`.
-    pub fn len_for(&self, target: &Target) -> usize {
-        self.groups.get(target).map_or(0, Group::len)
+    /// Returns the place of the first request for `target` that is within its adapter's share.
+    pub fn first_in_share(&self, target: &Target, class: Class) -> Option<&Place> {
+        let (place, waiting) = self.groups.get(target)?.first_waiting(class)?;
+        (!waiting.over_share).then_some(place)
+    }
+
+    /// Returns the number of requests that wait for `target` within its adapter's share.
+    pub fn len_in_share(&self, target: &Target) -> usize {
+        self.groups.get(target).map_or(0, Group::len_in_share)
     }
 
     /// Takes a request out of the queue.
@@ -90,6 +106,7 @@
         let waiting = group.remove(place)?;
         self.order[place.class as usize].remove(place);
         self.places.remove(&waiting.offer.attempt);
+        self.over_share -= usize::from(waiting.over_share);
         Some(waiting)
     }
 
--- a/crates/filbertcleat-policy/src/agent/queue/group.rs
+++ b/crates/filbertcleat-policy/src/agent/queue/group.rs
@@ -16,6 +16,8 @@
     waiting: [BTreeMap<Place, Waiting>; 2],
     last_tag: [MonoTime; 2],
     arrived_sum_ms: [u64; 2],
+    /// Requests beyond the adapter's share.
+    over_share: usize,
 }
 
 impl Group {
@@ -34,18 +36,21 @@
     }
 
     pub fn insert(&mut self, place: &Place, waiting: Waiting) {
+        self.over_share += usize::from(waiting.over_share);
         self.arrived_sum_ms[place.class as usize] += waiting.offer.arrived.as_ms();
         self.waiting[place.class as usize].insert(place.clone(), waiting);
     }
 
     pub fn remove(&mut self, place: &Place) -> Option<Waiting> {
         let waiting = self.waiting[place.class as usize].remove(place)?;
+        self.over_share -= usize::from(waiting.over_share);
         self.arrived_sum_ms[place.class as usize] -= waiting.offer.arrived.as_ms();
         Some(waiting)
     }
 
-    pub fn len(&self) -> usize {
-        self.waiting.iter().map(BTreeMap::len).sum()
+    pub fn len_in_share(&self) -> usize {
+        let all: usize = self.waiting.iter().map(BTreeMap::len).sum();
+        all - self.over_share
     }
 
     pub fn is_empty(&self) -> bool {
@@ -61,6 +66,10 @@
         self.waiting[class as usize].keys().next()
     }
 
+    pub fn first_waiting(&self, class: Class) -> Option<(&Place, &Waiting)> {
+        self.waiting[class as usize].first_key_value()
+    }
+
     pub fn places(&self) -> Vec<Place> {
         self.waiting.iter().flat_map(BTreeMap::keys).cloned().collect()
     }
--- a/crates/filbertcleat-policy/src/agent/queue/place.rs
+++ b/crates/filbertcleat-policy/src/agent/queue/place.rs
@@ -19,4 +19,6 @@
 #[derive(Clone, Debug)]
 pub(in crate::agent) struct Waiting {
     pub offer: Offer,
+    /// Whether its adapter asks for more than its share, so that it only fills gaps.
+    pub over_share: bool,
 }
--- a/crates/filbertcleat-policy/src/agent/slots.rs
+++ b/crates/filbertcleat-policy/src/agent/slots.rs
@@ -53,28 +53,31 @@
     }
 
     /// Returns the first waiting request of a class that could be called now.
-    pub fn first_startable(&self, queue: &Queue, class: Class) -> Option<Place> {
-        let plain = queue.first(&Target::Plain, class);
+    ///
+    /// With `in_share` the requests of adapters that ask for more than their share are left out.
+    pub fn first_startable(&self, queue: &Queue, class: Class, in_share: bool) -> Option<Place> {
+        let first = |target: &Target| {
+            if in_share { queue.first_in_share(target, class) } else { queue.first(target, class) }
+        };
+        let plain = first(&Target::Plain).cloned();
         self.list
             .iter()
             .filter_map(|slot| {
-                let target = Target::Adapter(slot.adapter()?.clone());
-                let place = queue.first(&target, class)?;
+                let place = first(&Target::Adapter(slot.adapter()?.clone()))?;
                 let held_back = slot.closing.as_ref().is_some_and(|limit| place > limit);
-                (!held_back).then_some(place)
+                (!held_back).then(|| place.clone())
             })
             .chain(plain)
             .min()
-            .cloned()
     }
 
-    /// Returns the number of waiting requests that could be called now.
+    /// Returns the number of waiting requests within their share that could be called now.
     pub fn startable(&self, queue: &Queue) -> usize {
         self.list
             .iter()
             .filter(|slot| slot.closing.is_none())
             .filter_map(Slot::adapter)
-            .map(|adapter| queue.len_for(&Target::Adapter(adapter.clone())))
+            .map(|adapter| queue.len_in_share(&Target::Adapter(adapter.clone())))
             .sum()
     }
 
--- a/crates/filbertcleat-policy/src/lib.rs
+++ b/crates/filbertcleat-policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub use agent::AgentSettings;
 pub use agent::EngineState;
 pub use agent::Offer;
+pub use agent::Priority;
 pub use attempt::AttemptEvent;
 pub use attempt::AttemptEventKind;
 pub use attempt::RefuseReason;
--- a/crates/filbertcleat-policy/src/report.rs
+++ b/crates/filbertcleat-policy/src/report.rs
@@ -17,11 +17,13 @@
     pub wanted: Vec<AdapterRef>,
     /// The number of those that key-account requests wait for.
     pub wanted_key: u32,
-    /// Requests that wait.
+    /// Requests that wait, within their adapters' shares.
     pub queued: u32,
+    /// Requests that wait beyond their adapters' shares and only fill gaps.
+    pub queued_over: u32,
     /// Key-account requests among them.
     pub queued_key: u32,
-    /// Calls in progress.
+    /// Calls in progress, without those that only fill gaps.
     pub running: u32,
     /// The most calls at a time.
     pub batch_limit: u32,
--- a/crates/filbertcleat-policy/src/router.rs
+++ b/crates/filbertcleat-policy/src/router.rs
@@ -39,6 +39,8 @@
     const SENT_MS: u64 = 3000;
     /// How much more a load costs than the wait that it causes, since the weight store is shared.
     const LOAD_WEIGHT: f64 = 1.5;
+    /// One adapter may be held by one in so many replicas, unless another one is quiet.
+    const COPIES_DIVISOR: usize = 3;
     /// Costs that differ by less than this share of a load count as equal.
     const TIE_SHARE: f64 = 0.3;
 
@@ -138,7 +140,7 @@
     fn cheapest(&self, now: MonoTime, search: &Search<'_>) -> Option<usize> {
         let Some(adapter) = search.adapter else {
             return self.usable(search).min_by(|left, right| {
-                let cost = |index: usize| self.replicas[index].wait_ms(search.class);
+                let cost = |index: usize| self.replicas[index].wait_ms(search.class, false);
                 cost(*left).total_cmp(&cost(*right))
             });
         };
@@ -150,13 +152,19 @@
 
         let load_ms = self.load_ms(search);
 
+        let copies = holders.iter().filter(|index| self.is_usable(**index, search)).count();
+        let at_most = self.usable(search).count().div_ceil(Self::COPIES_DIVISOR).max(2);
+
         let mut best: Option<Scored> = None;
         for index in self.usable(search) {
             let replica = &self.replicas[index];
-            let wait_ms = replica.wait_ms(search.class);
+            let shares_gaps = copies > 1 && replica.holds(adapter);
+            let wait_ms = replica.wait_ms(search.class, shares_gaps);
             let is_sent = sent.is_some_and(|sent| sent.index == index);
             let cost_ms = if replica.holds(adapter) {
                 wait_ms
+            } else if copies >= at_most && !replica.is_quiet() {
+                continue;
             } else if is_sent || replica.wants(adapter) {
                 wait_ms + load_ms
             } else {
--- a/crates/filbertcleat-policy/src/router/replica.rs
+++ b/crates/filbertcleat-policy/src/router/replica.rs
@@ -36,8 +36,17 @@
         self.report.as_ref().is_some_and(|report| report.wanted.contains(adapter))
     }
 
+    /// Returns whether the replica has little to do, so that a further copy takes nothing away.
+    pub fn is_quiet(&self) -> bool {
+        self.report.as_ref().is_none_or(|report| {
+            report.wanted.is_empty() && (report.running + report.queued) * 2 < report.batch_limit
+        })
+    }
+
     /// Returns how long a request would wait for a place in the batch.
-    pub fn wait_ms(&self, class: Class) -> f64 {
+    ///
+    /// With `shares_gaps` the requests that only fill gaps are ahead of it too.
+    pub fn wait_ms(&self, class: Class, shares_gaps: bool) -> f64 {
         let Some(report) = &self.report else {
             return 0.0;
         };
@@ -50,7 +59,8 @@
             Class::KeyAccount => f64::from(report.queued_key),
             Class::Routine => f64::from(report.queued),
         };
-        (running + ahead + sent + 1.0 - batch).max(0.0) * spacing_ms
+        let filling = if shares_gaps { f64::from(report.queued_over) } else { 0.0 };
+        (running + ahead + filling + sent + 1.0 - batch).max(0.0) * spacing_ms
     }
 
     pub fn load_ms(&self) -> f64 {
