Run the demo and the tests on processes that can be killed and frozen

Cause: a daemon on the test's own runtime can't be killed or frozen alone. Each now has a thread and a runtime of its own.

--- a/crates/filbertcleat-daemon/src/agent/role.rs
+++ b/crates/filbertcleat-daemon/src/agent/role.rs
@@ -290,7 +290,7 @@
     fn act(&mut self, node: &mut Node, action: AgentAction) {
         match action {
             AgentAction::Call { attempt, priority, fence } => {
-                self.call(node, &attempt, priority, fence)
+                self.call(node, &attempt, priority, fence);
             }
             AgentAction::CancelCall { attempt } => {
                 let cancel =
--- a/crates/filbertcleat-fakes/examples/policy_bench/main.rs
+++ b/crates/filbertcleat-fakes/examples/policy_bench/main.rs
@@ -105,7 +105,7 @@
         Deployment::Coldwater => Weights::BATCH,
     };
     let setup = Setup { deployment, policy, weights, seed };
-    let mut measures = Bench::new(&setup, trace).run();
+    let measures = Bench::new(&setup, trace).run();
     println!("{:<11}{:<16}{name:<11}{}", deployment.name(), load.name(), measures.row());
     let mut value = measures.to_json();
     value["deployment"] = json!(deployment.name());
--- a/crates/filbertcleat-fakes/examples/policy_bench/measure.rs
+++ b/crates/filbertcleat-fakes/examples/policy_bench/measure.rs
@@ -119,7 +119,7 @@
         )
     }
 
-    pub fn to_json(&mut self) -> Value {
+    pub fn to_json(&self) -> Value {
         let classes: Vec<_> = Class::ALL
             .iter()
             .map(|class| {
--- a/crates/filbertcleat-fakes/examples/policy_bench/sim.rs
+++ b/crates/filbertcleat-fakes/examples/policy_bench/sim.rs
@@ -129,7 +129,7 @@
     pub fn new(setup: &Setup, trace: &'a Trace) -> Self {
         let spec = Deployment::engine();
         let service: ServiceName = "service".into();
-        let overcommit = if setup.policy == Policy::default() { 1 } else { 0 };
+        let overcommit = usize::from(setup.policy == Policy::default());
         let agents: Vec<_> = (0..setup.deployment.replicas())
             .map(|number| {
                 let name: NodeName = format!("agent-{number:02}").into();
@@ -287,7 +287,7 @@
                     self.schedule(HOP_US, SimEvent::Offer(agent, attempt, demand));
                 }
                 EntryAction::Started { request, load_stall_ms, .. } => {
-                    self.started(&request, load_stall_ms)
+                    self.started(&request, load_stall_ms);
                 }
                 EntryAction::Finish { request, .. } => {
                     self.requests.remove(&request);
@@ -354,7 +354,7 @@
             match action {
                 AgentAction::Call { attempt, priority, .. } => self.call(index, &attempt, priority),
                 AgentAction::Load { adapter, evict, .. } => {
-                    self.load(index, adapter, evict.as_ref())
+                    self.load(index, adapter, evict.as_ref());
                 }
                 AgentAction::Wants { wants } => {
                     let name = self.agents[index].name.clone();
--- a/crates/filbertcleat-fakes/examples/policy_bench/trace.rs
+++ b/crates/filbertcleat-fakes/examples/policy_bench/trace.rs
@@ -98,9 +98,8 @@
             Self::Steady { percent, .. } => f64::from(percent) / 100.0,
             Self::Dawn if (0.4..0.7).contains(&share) => 1.0,
             Self::Dawn => 0.25,
-            Self::Front => 0.6,
+            Self::Front | Self::Storm => 0.6,
             Self::Backlog => 0.3,
-            Self::Storm => 0.6,
         }
     }
 }
--- /dev/null
+++ b/crates/filbertcleat-fakes/src/process.rs
@@ -0,0 +1,139 @@
+//! A daemon on a thread and a runtime of its own.
+
+use std::net::SocketAddr;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use filbertcleat_config::Settings;
+use filbertcleat_daemon::Daemon;
+use filbertcleat_daemon::StartError;
+use tokio::sync::oneshot;
+
+/// A daemon on a thread and a runtime of its own, so that it can be killed and frozen.
+#[derive(Debug)]
+pub struct Process {
+    /// The settings that it was started with.
+    pub settings: Settings,
+    /// The address for peers.
+    pub peers: SocketAddr,
+    /// The address for callers, if it is an entry.
+    pub callers: Option<SocketAddr>,
+    /// The address for operators, if it is an entry.
+    pub operators: Option<SocketAddr>,
+    handle: tokio::runtime::Handle,
+    stop: Option<oneshot::Sender<()>>,
+    kill: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Process {
+    /// Starts a daemon.
+    pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let (started, ready) = oneshot::channel();
+        let (stop, stopped) = oneshot::channel();
+        let (kill, killed) = oneshot::channel();
+        let own = settings.clone();
+        let thread = std::thread::spawn(move || run(own, started, stopped, killed));
+        let beginning = ready.await.expect("the thread reports its start");
+        let beginning = beginning?;
+        Ok(Self {
+            settings,
+            peers: beginning.peers,
+            callers: beginning.callers,
+            operators: beginning.operators,
+            handle: beginning.handle,
+            stop: Some(stop),
+            kill: Some(kill),
+            thread: Some(thread),
+        })
+    }
+
+    /// Asks for a planned stop.
+    pub fn stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            // A daemon that has ended needs no stop.
+            let _ = stop.send(());
+        }
+    }
+
+    /// Ends the daemon at once, with all that it was doing.
+    pub fn kill(&mut self) {
+        if let Some(kill) = self.kill.take() {
+            let _ = kill.send(());
+        }
+        self.join();
+    }
+
+    /// Stops the daemon's thread for a while, in the middle of whatever it does.
+    pub fn freeze(&self, time: Duration) {
+        self.handle.spawn(async move { std::thread::sleep(time) });
+    }
+
+    /// Returns whether the daemon has ended.
+    pub fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+
+    /// Waits until the daemon has ended.
+    pub fn join(&mut self) {
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// What a daemon's thread reports once it listens.
+#[derive(Debug)]
+struct Beginning {
+    peers: SocketAddr,
+    callers: Option<SocketAddr>,
+    operators: Option<SocketAddr>,
+    handle: tokio::runtime::Handle,
+}
+
+fn run(
+    settings: Settings,
+    started: oneshot::Sender<Result<Beginning, StartError>>,
+    stopped: oneshot::Receiver<()>,
+    killed: oneshot::Receiver<()>,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime can be built");
+    let whole = async {
+        let daemon = match Daemon::start(settings).await {
+            Ok(daemon) => daemon,
+            Err(error) => {
+                let _ = started.send(Err(error));
+                return;
+            }
+        };
+        let beginning = Beginning {
+            peers: daemon.peer_address(),
+            callers: daemon.caller_address(),
+            operators: daemon.operator_address(),
+            handle: tokio::runtime::Handle::current(),
+        };
+        let stop = daemon.stopper();
+        tokio::spawn(async move {
+            if stopped.await.is_ok() {
+                stop();
+            }
+        });
+        if started.send(Ok(beginning)).is_ok() {
+            daemon.run().await;
+        }
+    };
+    runtime.block_on(async {
+        tokio::select! {
+            () = whole => {}
+            _ = killed => {}
+        }
+    });
+    runtime.shutdown_background();
+}
--- a/crates/filbertcleat-member/src/event.rs
+++ b/crates/filbertcleat-member/src/event.rs
@@ -21,7 +21,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum MemberEvent {
     /// A process's record has changed.
-    Changed(MemberRecord),
+    Changed(Box<MemberRecord>),
     /// A peer knows a newer configuration version.
     NewerConfig {
         /// The version.
--- a/crates/filbertcleat-member/src/membership.rs
+++ b/crates/filbertcleat-member/src/membership.rs
@@ -356,7 +356,7 @@
         };
         let rumor = Rumor::new(record.clone(), self.sends(), since);
         self.others.insert(record.name.clone(), rumor);
-        self.events.push(MemberEvent::Changed(record));
+        self.events.push(MemberEvent::Changed(Box::new(record)));
     }
 
     /// Speaks up against news that this process is suspected or gone.
