Test the promises under kills, freezes, outages and bad input

Cause: 36 tests against real daemons on loopback; one failed first: after an engine's cold restart the agent resumed a stream that the new engine did not know, called adapters that it no longer held, and the entry spent all attempts within milliseconds. Now a stream is resumable only in the same epoch, a refused call makes the agent read the engine's list, and a replica that refused is asked again only after a pause.

--- a/crates/filbertcleat-daemon/src/agent/call.rs
+++ b/crates/filbertcleat-daemon/src/agent/call.rs
@@ -38,6 +38,8 @@
     pub engine: Engine,
     pub client: HttpClient,
     pub url: String,
+    /// The engine's epoch when the call began.
+    pub epoch: Option<u64>,
     pub silence: Duration,
     pub inputs: Inputs,
     pub config_version: filbertcleat_base::ConfigVersion,
@@ -136,7 +138,9 @@
 
     /// Ends a call whose stream broke off, after the time in which it can be resumed.
     async fn broken(&self, error: CallError) -> AttemptEventKind {
-        let resumable = self.engine.adapters().await.is_ok();
+        // An engine that has restarted since knows nothing of the call.
+        let listing = self.engine.adapters().await;
+        let resumable = listing.is_ok_and(|listing| Some(listing.epoch) == self.epoch);
         let attempt = self.attempt.clone();
         let fault = error.fault.clone();
         self.tell(AgentEvent::Broken { attempt, fault, resumable });
--- a/crates/filbertcleat-daemon/src/agent/role.rs
+++ b/crates/filbertcleat-daemon/src/agent/role.rs
@@ -343,6 +343,7 @@
             engine: self.engine.clone(),
             client: self.client.clone(),
             url: self.backend.url.clone(),
+            epoch: self.epoch,
             silence: self.backend.silence_ms,
             inputs: node.inputs.clone(),
             config_version: self.core.config_version(),
--- /dev/null
+++ b/crates/filbertcleat-fakes/tests/drain.rs
@@ -0,0 +1,85 @@
+//! Planned stops.
+
+use std::time::Duration;
+
+use filbertcleat_fakes::Loopback;
+use filbertcleat_fakes::LoopbackError;
+use filbertcleat_fakes::LoopbackSize;
+use filbertcleat_fakes::Reply;
+use filbertcleat_fakes::Seen;
+use filbertcleat_fakes::answer_text;
+use http::Method;
+use serde_json::Value;
+use tokio::task::JoinHandle;
+
+type Asked = JoinHandle<(String, Reply)>;
+
+fn ask(system: &Loopback, entry: usize, number: usize) -> Asked {
+    let caller = system.caller(entry);
+    tokio::spawn(async move {
+        let prompt = format!("request {number}");
+        let adapter = format!("school-{}", number % 6);
+        let reply = caller.stream(&adapter, &prompt, 60).await.expect("the entry answers");
+        (prompt, reply)
+    })
+}
+
+async fn check(asked: Vec<Asked>) -> Result<(), LoopbackError> {
+    for (number, task) in asked.into_iter().enumerate() {
+        let (prompt, reply) = task.await?;
+        let adapter = format!("school-{}@1", number % 6).parse()?;
+        assert!(reply.whole, "{prompt}: {reply:?}");
+        assert_eq!(reply.text, answer_text(&adapter, &prompt, 60));
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn agent_under_load() -> Result<(), LoopbackError> {
+    let mut system =
+        Loopback::start(LoopbackSize { engines: 3, ..LoopbackSize::default() }).await?;
+    let mut asked: Vec<_> = (0..60).map(|number| ask(&system, number % 2, number)).collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    let answer =
+        system.operator(0).send(Method::POST, "/operator/drain/agent-1", &Value::Null).await?;
+    assert!(answer.status.is_success());
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = runs_of(&system, "engine-1");
+    asked.extend((60..120).map(|number| ask(&system, number % 2, number)));
+
+    check(asked).await?;
+    assert_eq!(runs_of(&system, "engine-1"), before, "a leaving server gets no new work");
+    system.agents[1].join();
+    assert_eq!(system.observed.evicted_serving(), 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn entry_under_load() -> Result<(), LoopbackError> {
+    let mut system = Loopback::start(LoopbackSize::default()).await?;
+    let asked: Vec<_> = (0..30).map(|number| ask(&system, 1, number)).collect();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    system.entries[1].stop();
+
+    check(asked).await?;
+    system.entries[1].join();
+    Ok(())
+}
+
+#[tokio::test]
+async fn unknown_process() -> Result<(), LoopbackError> {
+    let system = Loopback::start(LoopbackSize { plain: false, ..LoopbackSize::default() }).await?;
+
+    let answer =
+        system.operator(0).send(Method::POST, "/operator/drain/nobody", &Value::Null).await?;
+
+    assert_eq!(answer.status.as_u16(), 404);
+    Ok(())
+}
+
+fn runs_of(system: &Loopback, name: &str) -> usize {
+    let all = system.observed.all();
+    all.iter().filter(|seen| matches!(seen, Seen::Run { engine, .. } if engine == name)).count()
+}
--- /dev/null
+++ b/crates/filbertcleat-fakes/tests/failures.rs
@@ -0,0 +1,93 @@
+//! Processes that are killed, frozen and replaced.
+
+use std::time::Duration;
+
+use filbertcleat_fakes::Loopback;
+use filbertcleat_fakes::LoopbackError;
+use filbertcleat_fakes::LoopbackSize;
+use filbertcleat_fakes::answer_text;
+use serde_json::json;
+
+#[tokio::test]
+async fn agent_killed() -> Result<(), LoopbackError> {
+    let mut system =
+        Loopback::start(LoopbackSize { engines: 3, ..LoopbackSize::default() }).await?;
+    let mut asked = Vec::new();
+    for number in 0..40 {
+        let caller = system.caller(number % 2);
+        asked.push(tokio::spawn(async move {
+            let prompt = format!("killed {number}");
+            (prompt.clone(), caller.stream(&format!("school-{}", number % 6), &prompt, 80).await)
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    system.agents[0].kill();
+
+    for (number, task) in asked.into_iter().enumerate() {
+        let (prompt, reply) = task.await?;
+        let reply = reply?;
+        assert!(reply.whole, "{prompt}: {reply:?}");
+        let adapter = format!("school-{}@1", number % 6).parse()?;
+        assert_eq!(reply.text, answer_text(&adapter, &prompt, 80));
+    }
+    assert_eq!(system.observed.evicted_serving(), 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn agent_frozen() -> Result<(), LoopbackError> {
+    let system = Loopback::start(LoopbackSize { engines: 2, ..LoopbackSize::default() }).await?;
+    let mut asked = Vec::new();
+    for number in 0..20 {
+        let caller = system.caller(number % 2);
+        asked.push(tokio::spawn(async move {
+            let prompt = format!("frozen {number}");
+            (prompt.clone(), caller.complete(&format!("school-{}", number % 6), &prompt, 30).await)
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    system.agents[0].freeze(Duration::from_secs(4));
+
+    for (number, task) in asked.into_iter().enumerate() {
+        let (prompt, reply) = task.await?;
+        let adapter = format!("school-{}@1", number % 6).parse()?;
+        assert_eq!(reply?.text, answer_text(&adapter, &prompt, 30), "{prompt}");
+    }
+    assert_eq!(system.observed.evicted_serving(), 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn all_replaced() -> Result<(), LoopbackError> {
+    let mut system = Loopback::start(LoopbackSize::default()).await?;
+    system.patch(1, &json!([{ "op": "add-version", "adapter": "school-0", "version": 2 }])).await?;
+    for entry in 0..system.entries.len() {
+        system.replace_entry(entry).await?;
+    }
+    for agent in 0..system.agents.len() {
+        system.replace_agent(agent).await?;
+    }
+
+    system.wait_until_live(5, 2).await?;
+    let reply = system.caller(0).complete("school-0@2", "after all were replaced", 8).await?;
+
+    assert_eq!(reply.text, answer_text(&"school-0@2".parse()?, "after all were replaced", 8));
+    Ok(())
+}
+
+#[tokio::test]
+async fn replaced_in_outage() -> Result<(), LoopbackError> {
+    let mut system = Loopback::start(LoopbackSize::default()).await?;
+    system.patch(1, &json!([{ "op": "add-version", "adapter": "school-0", "version": 2 }])).await?;
+    system.wait_until_live(5, 2).await?;
+    system.platform.faults().set_down(true);
+
+    system.replace_entry(1).await?;
+
+    system.wait_until_live(5, 2).await?;
+    let reply = system.caller(1).complete("school-0@2", "in an outage", 8).await?;
+    assert_eq!(reply.text, answer_text(&"school-0@2".parse()?, "in an outage", 8));
+    Ok(())
+}
--- /dev/null
+++ b/crates/filbertcleat-fakes/tests/loads.rs
@@ -0,0 +1,63 @@
+//! Loads that fail, hang or end late.
+
+use filbertcleat_fakes::Loopback;
+use filbertcleat_fakes::LoopbackError;
+use filbertcleat_fakes::LoopbackSize;
+use filbertcleat_fakes::answer_text;
+
+fn one_engine() -> LoopbackSize {
+    LoopbackSize { engines: 1, entries: 1, plain: false, ..LoopbackSize::default() }
+}
+
+#[tokio::test]
+async fn failed_load() -> Result<(), LoopbackError> {
+    let system = Loopback::start(one_engine()).await?;
+    system.engines[0].faults().fail_loads(1);
+
+    let reply = system.caller(0).complete("school-0", "after a failure", 8).await?;
+
+    assert_eq!(reply.text, answer_text(&"school-0@1".parse()?, "after a failure", 8));
+    Ok(())
+}
+
+#[tokio::test]
+async fn hanging_load() -> Result<(), LoopbackError> {
+    let system = Loopback::start(one_engine()).await?;
+    system.engines[0].faults().hang_loads(1);
+
+    // The load ends late and takes a slot that the agent gave to others meanwhile.
+    let mut asked = Vec::new();
+    for number in 0..6 {
+        let caller = system.caller(0);
+        asked.push(tokio::spawn(async move {
+            let adapter = format!("school-{number}");
+            (adapter.clone(), caller.complete(&adapter, "late load", 8).await)
+        }));
+    }
+
+    for task in asked {
+        let (adapter, reply) = task.await?;
+        let adapter = format!("{adapter}@1").parse()?;
+        assert_eq!(reply?.text, answer_text(&adapter, "late load", 8));
+    }
+    assert_eq!(system.observed.evicted_serving(), 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn lasting_failure() -> Result<(), LoopbackError> {
+    let system = Loopback::start(LoopbackSize { entries: 1, ..LoopbackSize::default() }).await?;
+    for engine in &system.engines {
+        engine.faults().fail_loads(u32::MAX);
+    }
+
+    let reply = system.caller(0).complete("school-0", "never", 8).await?;
+
+    assert_eq!(reply.status, 503);
+    let error = reply.error.unwrap_or_default();
+    assert_eq!(error["run"], "no");
+    assert_eq!(error["step"], "load");
+    assert!(error["retry_after_ms"].as_u64() > Some(0));
+    assert!(!system.observed.runs().contains_key("never"));
+    Ok(())
+}
--- a/crates/filbertcleat-policy/src/agent.rs
+++ b/crates/filbertcleat-policy/src/agent.rs
@@ -261,6 +261,7 @@
     }
 
     fn end(&mut self, now: MonoTime, attempt: &AttemptId, kind: AttemptEventKind) {
+        let refused = matches!(kind, AttemptEventKind::Refused { .. });
         self.emit_call(attempt, kind);
         let Some(call) = self.calls.remove(attempt) else {
             return;
@@ -271,6 +272,12 @@
         self.filling -= usize::from(call.over_share);
         if let Some(adapter) = call.target.adapter() {
             self.slots.leave(adapter, now);
+            if refused {
+                // The engine has not what this agent thought, so nothing more is called there
+                // until its own list has been read.
+                self.slots.doubt(adapter);
+                self.actions.push(AgentAction::Inspect);
+            }
         }
         if !call.cancelled {
             self.call_ms.add(now.ms_since(call.started) as f64);
--- a/crates/filbertcleat-policy/src/agent/slots.rs
+++ b/crates/filbertcleat-policy/src/agent/slots.rs
@@ -125,6 +125,16 @@
         }
     }
 
+    /// Marks an adapter's slot as unsure, unless it serves calls.
+    pub fn doubt(&mut self, adapter: &AdapterRef) {
+        for slot in &mut self.list {
+            if matches!(&slot.state, SlotState::Resident { adapter: held, running: 0, .. } if held == adapter)
+            {
+                slot.state = SlotState::Unsure;
+            }
+        }
+    }
+
     /// Gives a slot to a load, and returns the adapter to take out.
     pub fn start_load(
         &mut self,
--- a/crates/filbertcleat-policy/src/entry.rs
+++ b/crates/filbertcleat-policy/src/entry.rs
@@ -67,6 +67,8 @@
 impl Entry {
     /// How long a call lasts while no agent has reported it.
     const CALL_MS: u64 = 1000;
+    /// The pause before a replica that refused is asked again, for each attempt made.
+    const RETRY_PAUSE_MS: u64 = 200;
     /// The least time between two sweeps over the held requests.
     const SWEEP_MS: u64 = 20;
 
@@ -505,8 +507,10 @@
                 self.refuse_last(&request, fault);
                 continue;
             }
-            // Refusals are forgotten for a held request, since it has nowhere else to go.
-            pending.excluded.clear();
+            // Refusals are forgotten after a pause, since the request has nowhere else to go.
+            if now.ms_since(since) >= Self::RETRY_PAUSE_MS * u64::from(pending.attempts) {
+                pending.excluded.clear();
+            }
             self.resume_held(now, &request);
         }
     }
