Keep adapters that serve a former owner's calls

Cause: a new agent counted only its own calls, so it evicted adapters that the engine still served for a killed agent. The engine's list now carries the calls of each adapter, and a slot with foreign calls is never given to a load. Before: former_owners_calls sees an eviction of a serving adapter.

--- a/crates/filbertcleat-daemon/src/agent/role.rs
+++ b/crates/filbertcleat-daemon/src/agent/role.rs
@@ -20,6 +20,7 @@
 use filbertcleat_policy::AttemptEvent;
 use filbertcleat_policy::AttemptEventKind;
 use filbertcleat_policy::EngineState;
+use filbertcleat_policy::HeldAdapter;
 use filbertcleat_policy::Priority;
 use filbertcleat_policy::RefuseReason;
 use filbertcleat_policy::Want;
@@ -414,7 +415,11 @@
         };
         self.listed = true;
         self.epoch = Some(listing.epoch);
-        let resident = listing.adapters.into_iter().map(|held| held.adapter).collect();
+        let resident = listing
+            .adapters
+            .into_iter()
+            .map(|held| HeldAdapter { adapter: held.adapter, running: held.running })
+            .collect();
         self.decide(node, AgentInput::Engine(EngineState { epoch: listing.epoch, resident }));
     }
 
--- a/crates/filbertcleat-fakes/tests/failures.rs
+++ b/crates/filbertcleat-fakes/tests/failures.rs
@@ -91,3 +91,30 @@
     assert_eq!(reply.text, answer_text(&"school-0@2".parse()?, "in an outage", 8));
     Ok(())
 }
+
+#[tokio::test]
+async fn former_owners_calls() -> Result<(), LoopbackError> {
+    let size = LoopbackSize { engines: 1, entries: 1, plain: false, ..LoopbackSize::default() };
+    let mut system = Loopback::start(size).await?;
+    let caller = system.caller(0).with_header("x-non-idempotent", "true");
+    let asked = tokio::spawn(async move { caller.complete("school-0", "former", 1500).await });
+    while !system.observed.runs().contains_key("former") {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+
+    system.replace_agent(0).await?;
+    system.wait_until_live(2, 1).await?;
+    let mut others = Vec::new();
+    for number in 1..6 {
+        let caller = system.caller(0);
+        let adapter = format!("school-{number}");
+        others.push(tokio::spawn(async move { caller.complete(&adapter, "later", 8).await }));
+    }
+    for other in others {
+        assert!(other.await??.whole);
+    }
+
+    assert!(!asked.await??.whole);
+    assert_eq!(system.observed.evicted_serving(), 0);
+    Ok(())
+}
--- a/crates/filbertcleat-policy/src/agent.rs
+++ b/crates/filbertcleat-policy/src/agent.rs
@@ -32,6 +32,7 @@
 use self::average::Average;
 use self::call::Call;
 pub use self::engine_state::EngineState;
+pub use self::engine_state::HeldAdapter;
 use self::failures::Failures;
 pub use self::input::AgentInput;
 pub use self::offer::Offer;
@@ -63,6 +64,7 @@
     parked: Vec<Offer>,
     slots: Slots,
     epoch: Option<u64>,
+    inspected: MonoTime,
     calls: HashMap<AttemptId, Call>,
     running_key: usize,
     filling: usize,
@@ -80,6 +82,8 @@
     const KEY_STREAK_MAX: u32 = 6;
     /// Startable requests beyond the batch's room that make another load useless for now.
     const CALLS_AHEAD: usize = 2;
+    /// The time between two looks at calls that others made.
+    const INSPECT_MS: u64 = 300;
     /// The longest time that an offer waits for its configuration version.
     const PARK_MAX_MS: u64 = 3000;
 
@@ -97,6 +101,7 @@
             parked: Vec::new(),
             slots,
             epoch: None,
+            inspected: MonoTime::ZERO,
             calls: HashMap::new(),
             running_key: 0,
             filling: 0,
@@ -135,7 +140,7 @@
                 self.configure(now, version, policy, weights);
             }
             AgentInput::Drain => self.drain(),
-            AgentInput::Tick => self.expire_parked(now),
+            AgentInput::Tick => self.tick(now),
         }
 
         self.start_calls(now);
@@ -368,6 +373,15 @@
         }
     }
 
+    fn tick(&mut self, now: MonoTime) {
+        self.expire_parked(now);
+        // Calls of a former owner keep their adapters in use until the engine says otherwise.
+        if self.slots.has_foreign() && now.ms_since(self.inspected) >= Self::INSPECT_MS {
+            self.inspected = now;
+            self.actions.push(AgentAction::Inspect);
+        }
+    }
+
     fn expire_parked(&mut self, now: MonoTime) {
         let late = |offer: &Offer| now.ms_since(offer.arrived) >= Self::PARK_MAX_MS;
         let (expired, parked): (Vec<_>, Vec<_>) = self.parked.drain(..).partition(late);
--- a/crates/filbertcleat-policy/src/agent/engine_state.rs
+++ b/crates/filbertcleat-policy/src/agent/engine_state.rs
@@ -8,5 +8,14 @@
     /// A number that changes when the engine restarts.
     pub epoch: u64,
     /// The adapters that it holds.
-    pub resident: Vec<AdapterRef>,
+    pub resident: Vec<HeldAdapter>,
+}
+
+/// An adapter that an engine holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HeldAdapter {
+    /// The adapter.
+    pub adapter: AdapterRef,
+    /// The calls that it serves, whoever made them.
+    pub running: usize,
 }
--- a/crates/filbertcleat-policy/src/agent/slot.rs
+++ b/crates/filbertcleat-policy/src/agent/slot.rs
@@ -9,19 +9,21 @@
 #[derive(Clone, Debug)]
 pub(super) struct Slot {
     pub state: SlotState,
+    /// Calls that a former owner made and that the engine still serves.
+    pub foreign: usize,
     /// Requests behind this place are not started, so that the slot becomes free.
     pub closing: Option<Place>,
 }
 
 impl Slot {
     pub fn empty() -> Self {
-        Self { state: SlotState::Empty, closing: None }
+        Self { state: SlotState::Empty, foreign: 0, closing: None }
     }
 
     pub fn resident(adapter: AdapterRef, now: MonoTime) -> Self {
         let state =
             SlotState::Resident { adapter, running: 0, loaded: now, used: now, served: false };
-        Self { state, closing: None }
+        Self { state, foreign: 0, closing: None }
     }
 
     /// Returns the adapter that can be called.
--- a/crates/filbertcleat-policy/src/agent/slots.rs
+++ b/crates/filbertcleat-policy/src/agent/slots.rs
@@ -5,6 +5,7 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_config::SlotPolicy;
 
+use super::HeldAdapter;
 use super::queue::LoadCandidate;
 use super::queue::Place;
 use super::queue::Queue;
@@ -144,15 +145,16 @@
     ) -> Option<AdapterRef> {
         let slot = &mut self.list[index];
         let evict = slot.adapter().cloned();
-        *slot = Slot { state: SlotState::Loading { adapter, since }, closing: None };
+        *slot = Slot { state: SlotState::Loading { adapter, since }, foreign: 0, closing: None };
         evict
     }
 
     /// Brings the slots in line with the engine's own list.
-    pub fn reconcile(&mut self, listed: &[AdapterRef], restarted: bool, now: MonoTime) {
+    pub fn reconcile(&mut self, listed: &[HeldAdapter], restarted: bool, now: MonoTime) {
+        let is_listed = |adapter: &AdapterRef| listed.iter().any(|held| held.adapter == *adapter);
         for slot in &mut self.list {
             let lost = match &slot.state {
-                SlotState::Resident { adapter, .. } => restarted || !listed.contains(adapter),
+                SlotState::Resident { adapter, .. } => restarted || !is_listed(adapter),
                 SlotState::Loading { .. } => restarted,
                 SlotState::Unsure => true,
                 SlotState::Empty => false,
@@ -162,21 +164,34 @@
             }
         }
 
-        for adapter in listed {
-            if self.holds_or_loads(adapter) {
-                continue;
+        for held in listed {
+            if !self.holds_or_loads(&held.adapter) {
+                let empty =
+                    self.list.iter_mut().find(|slot| matches!(slot.state, SlotState::Empty));
+                if let Some(slot) = empty {
+                    *slot = Slot::resident(held.adapter.clone(), now);
+                }
             }
-            let empty = self.list.iter_mut().find(|slot| matches!(slot.state, SlotState::Empty));
-            if let Some(slot) = empty {
-                *slot = Slot::resident(adapter.clone(), now);
+            for slot in &mut self.list {
+                if let SlotState::Resident { adapter, running, .. } = &slot.state
+                    && *adapter == held.adapter
+                {
+                    slot.foreign = held.running.saturating_sub(*running);
+                }
             }
         }
     }
 
+    /// Returns whether a former owner's calls are still served.
+    pub fn has_foreign(&self) -> bool {
+        self.list.iter().any(|slot| slot.foreign > 0)
+    }
+
     /// Returns the slots that a load could take at once.
     pub fn spare(&self, queue: &Queue) -> Vec<usize> {
         let is_spare = |slot: &Slot| match &slot.state {
             SlotState::Empty => true,
+            SlotState::Resident { .. } if slot.foreign > 0 => false,
             SlotState::Resident { adapter, running: 0, .. } => {
                 slot.closing.is_some() || !queue.wants(&Target::Adapter(adapter.clone()))
             }
--- a/crates/filbertcleat-policy/src/lib.rs
+++ b/crates/filbertcleat-policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub use agent::AgentInput;
 pub use agent::AgentSettings;
 pub use agent::EngineState;
+pub use agent::HeldAdapter;
 pub use agent::Offer;
 pub use agent::Priority;
 pub use attempt::AttemptEvent;
