--- /dev/null
+++ b/crates/filbertcleat-cli/src/client.rs
@@ -0,0 +1,55 @@
+//! Calls to an entry.
+
+use std::time::Duration;
+
+use filbertcleat_base::Step;
+use filbertcleat_platform::HttpCall;
+use filbertcleat_platform::HttpClient;
+use http::Method;
+use http::StatusCode;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::error::ClientError;
+use crate::options::Invocation;
+
+/// The longest time that an entry may take; a patch waits for the table service.
+const TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Reads something from the entry.
+pub async fn read<T: DeserializeOwned>(
+    invocation: &Invocation,
+    path: &str,
+) -> Result<T, ClientError> {
+    let body = send(invocation, Method::GET, path, &Value::Null).await?;
+    serde_json::from_value(body)
+        .map_err(|error| ClientError::unreachable(format!("answer can't be read: {error}")))
+}
+
+/// Makes a call to the entry and returns its answer.
+pub async fn send(
+    invocation: &Invocation,
+    method: Method,
+    path: &str,
+    body: &Value,
+) -> Result<Value, ClientError> {
+    let url = format!("http://{}{path}", invocation.entry.trim_start_matches("http://"));
+    let mut call = HttpCall::new(Step::Patch, method, url)
+        .with_header("authorization", &format!("Bearer {}", invocation.token))
+        .with_header("x-operator", invocation.operator.as_str());
+    if !body.is_null() {
+        call = call.with_json(body);
+    }
+
+    let answer = HttpClient::new(TIMEOUT).call(call).await.map_err(ClientError::unreachable)?;
+    let value: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+    if answer.status.is_success() {
+        return Ok(value);
+    }
+    let message = value["error"]["message"].as_str().unwrap_or("no reason given");
+    let reason = format!("{message} (status {})", answer.status.as_u16());
+    if answer.status == StatusCode::BAD_GATEWAY {
+        return Err(ClientError::Unknown { reason });
+    }
+    Err(ClientError::Refused { reason })
+}
--- a/crates/filbertcleat-cli/src/main.rs
+++ b/crates/filbertcleat-cli/src/main.rs
@@ -1,3 +1,50 @@
 //! The operators' client filbertcleat.
 
-fn main() {}
+mod client;
+mod command;
+mod error;
+mod options;
+mod output;
+
+use std::process::ExitCode;
+
+use crate::command::Command;
+use crate::error::ClientError;
+use crate::options::Invocation;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let invocation = match Invocation::parse(&arguments) {
+        Ok(Some(invocation)) => invocation,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(error) => return report(&error),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let outcome = match runtime {
+        Ok(runtime) => runtime.block_on(run(&invocation)),
+        Err(error) => Err(ClientError::unreachable(error)),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => report(&error),
+    }
+}
+
+async fn run(invocation: &Invocation) -> Result<(), ClientError> {
+    match &invocation.command {
+        Command::Check { file } => command::check(file),
+        Command::Patch { file, base } => command::patch(invocation, file, *base).await,
+        Command::Config => command::config(invocation).await,
+        Command::Status => command::status(invocation).await,
+        Command::Adapters { prefix } => command::adapters(invocation, prefix).await,
+        Command::Drain { node } => command::drain(invocation, node).await,
+        Command::Timeline { request, since_ms } => {
+            command::timeline(invocation, request, *since_ms).await
+        }
+    }
+}
+
+fn report(error: &ClientError) -> ExitCode {
+    eprintln!("filbertcleat: {error}");
+    ExitCode::from(error.exit_code())
+}
--- /dev/null
+++ b/crates/filbertcleat-cli/src/options.rs
@@ -0,0 +1,152 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use filbertcleat_base::NodeName;
+use filbertcleat_base::OperatorName;
+use getopts::Matches;
+use getopts::Options;
+
+use crate::command::Command;
+use crate::error::ClientError;
+
+/// What the client was called with.
+#[derive(Debug)]
+pub struct Invocation {
+    /// The operators' address of an entry.
+    pub entry: String,
+    /// The operators' token.
+    pub token: String,
+    /// Who the operator is.
+    pub operator: OperatorName,
+    /// Whether answers are written as JSON.
+    pub json: bool,
+    /// What to do.
+    pub command: Command,
+}
+
+/// The commands with what each does.
+const COMMANDS: &str = "\
+Commands:
+  patch FILE [--base N]     submit the changes in FILE (YAML or JSON) against version N
+  config                    show the configuration in force
+  status                    show all processes
+  adapters [PREFIX]         list adapters, their versions and serving rules
+  drain NODE                start a planned stop of a process
+  timeline [--request ID] [--since 10m]
+                            show the merged events of all processes
+  check FILE                validate a settings file
+
+Exit codes: 0 done, 1 refused, 2 wrong command line or settings, 3 entry not reached,
+4 unknown outcome";
+
+impl Invocation {
+    /// Reads the command line; `None` means that only help was asked for.
+    pub fn parse(arguments: &[String]) -> Result<Option<Self>, ClientError> {
+        let options = options();
+        let matches = options.parse(arguments).map_err(ClientError::usage)?;
+        if matches.opt_present("help") || matches.free.is_empty() {
+            let brief = "Usage: filbertcleat [options] COMMAND";
+            println!("{}\n{COMMANDS}", options.usage(brief));
+            return Ok(None);
+        }
+
+        let command = command(&matches)?;
+        let needs_entry = !matches!(command, Command::Check { .. });
+        let entry = setting(&matches, "entry", "FILBERTCLEAT_ENTRY");
+        let operator =
+            setting(&matches, "operator", "USER").unwrap_or_else(|| "unnamed".to_owned());
+        if needs_entry && entry.is_none() {
+            return Err(ClientError::usage("no entry is named: use --entry or FILBERTCLEAT_ENTRY"));
+        }
+        Ok(Some(Self {
+            entry: entry.unwrap_or_default(),
+            token: if needs_entry { token(&matches)? } else { String::new() },
+            operator: operator.into(),
+            json: matches.opt_present("json"),
+            command,
+        }))
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt(
+        "e",
+        "entry",
+        "operators' address of an entry (or FILBERTCLEAT_ENTRY)",
+        "IP:PORT",
+    );
+    options.optopt("t", "token-file", "file with the token (or FILBERTCLEAT_TOKEN)", "FILE");
+    options.optopt("o", "operator", "your name (default: USER)", "NAME");
+    options.optopt(
+        "b",
+        "base",
+        "version that a patch is meant for (default: the one in force)",
+        "N",
+    );
+    options.optopt("r", "request", "only the events of this request", "ID");
+    options.optopt("s", "since", "only later events: a number with ms, s, m or h", "TIME");
+    options.optflag("j", "json", "write JSON");
+    options.optflag("h", "help", "show this text");
+    options
+}
+
+fn command(matches: &Matches) -> Result<Command, ClientError> {
+    let mut words = matches.free.iter().map(String::as_str);
+    let name = words.next().unwrap_or_default();
+    let argument = words.next();
+    if let Some(extra) = words.next() {
+        return Err(ClientError::usage(format!("argument {extra:?} is not expected")));
+    }
+    let needed =
+        |what: &str| argument.ok_or_else(|| ClientError::usage(format!("{name} needs {what}")));
+    match name {
+        "patch" => {
+            let base = matches.opt_str("base").map(|text| {
+                text.parse().map_err(|error| ClientError::usage(format!("base {text:?}: {error}")))
+            });
+            Ok(Command::Patch { file: PathBuf::from(needed("a FILE")?), base: base.transpose()? })
+        }
+        "config" => Ok(Command::Config),
+        "status" => Ok(Command::Status),
+        "adapters" => Ok(Command::Adapters { prefix: argument.unwrap_or_default().to_owned() }),
+        "drain" => Ok(Command::Drain { node: NodeName::new(needed("a NODE")?) }),
+        "timeline" => Ok(Command::Timeline {
+            request: matches.opt_str("request").unwrap_or_default(),
+            since_ms: matches.opt_str("since").map(|text| span_ms(&text)).transpose()?,
+        }),
+        "check" => Ok(Command::Check { file: PathBuf::from(needed("a FILE")?) }),
+        _ => Err(ClientError::usage(format!("command {name:?} does not exist"))),
+    }
+}
+
+fn token(matches: &Matches) -> Result<String, ClientError> {
+    if let Some(file) = matches.opt_str("token-file") {
+        let text = std::fs::read_to_string(&file);
+        let text =
+            text.map_err(|error| ClientError::usage(format!("token file {file:?}: {error}")))?;
+        return Ok(text.trim().to_owned());
+    }
+    let missing = |_| ClientError::usage("no token: use --token-file or FILBERTCLEAT_TOKEN");
+    std::env::var("FILBERTCLEAT_TOKEN").map_err(missing)
+}
+
+fn setting(matches: &Matches, option: &str, variable: &str) -> Option<String> {
+    matches.opt_str(option).or_else(|| std::env::var(variable).ok())
+}
+
+/// Reads a span of time such as `90s`.
+fn span_ms(text: &str) -> Result<u64, ClientError> {
+    let error = || ClientError::usage(format!("time {text:?}: write a number with ms, s, m or h"));
+    let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+    let number: u64 = digits.parse().ok().ok_or_else(error)?;
+    let unit_ms = match &text[digits.len()..] {
+        "ms" => 1,
+        "s" => 1000,
+        "m" => 60_000,
+        "h" => 3_600_000,
+        _ => return Err(error()),
+    };
+    Ok(number.saturating_mul(unit_ms))
+}
--- /dev/null
+++ b/crates/filbertcleat-cli/src/output.rs
@@ -0,0 +1,129 @@
+//! What the client prints.
+
+use filbertcleat_base::AdapterName;
+use filbertcleat_config::AdapterEntry;
+use filbertcleat_config::Configuration;
+use filbertcleat_config::ServiceKind;
+use filbertcleat_operate::ProcessStatus;
+use filbertcleat_operate::TimelinePage;
+use filbertcleat_operate::merge_pages;
+use serde_json::Value;
+use serde_json::json;
+
+/// Prints the configuration without its adapters.
+pub fn configuration(configuration: &Configuration) {
+    let limits = &configuration.limits;
+    let weights = &configuration.weights;
+    println!("version   {}", configuration.version);
+    println!(
+        "weights   load_stall={} batch_efficiency={}",
+        weights.load_stall, weights.batch_efficiency
+    );
+    println!(
+        "limits    waiting_max={} routine_share_percent={} adapter_share_percent={} attempts_max={} \
+         retry_share_percent={} hold_ms={} claim_wait_ms={}",
+        limits.waiting_max,
+        limits.routine_share_percent,
+        limits.adapter_share_percent,
+        limits.attempts_max,
+        limits.retry_share_percent,
+        limits.hold_ms,
+        limits.claim_wait_ms,
+    );
+    for (name, entry) in &configuration.services {
+        let kind = match &entry.kind {
+            ServiceKind::Engine(model) => format!("engine model={model}"),
+            ServiceKind::Plain => "plain".to_owned(),
+        };
+        println!("service   {name} {kind} non_repeatable={}", entry.non_repeatable.join(","));
+    }
+    println!("adapters  {}", configuration.adapters.len());
+}
+
+/// Prints a table of all processes, and the slots of each replica.
+pub fn status(list: Vec<Value>) {
+    println!(
+        "{:<20}{:<8}{:<14}{:<10}{:>8}{:>7}{:>9}{:>8}{:>9}  LEASE",
+        "PROCESS", "ROLE", "PLACE", "STATE", "VERSION", "PEERS", "REQUESTS", "QUEUED", "RUNNING"
+    );
+    for value in list {
+        let Ok(status) = serde_json::from_value::<ProcessStatus>(value.clone()) else {
+            let node = value["node"].as_str().unwrap_or("?");
+            println!("{node:<20}{:<8}{:<14}{:<10}", "?", "?", "no answer");
+            continue;
+        };
+        let (queued, running, lease) = match &status.replica {
+            Some(replica) => (
+                replica.queued.to_string(),
+                format!("{}/{}", replica.running, replica.batch_limit),
+                replica.lease.clone(),
+            ),
+            None => ("-".to_owned(), "-".to_owned(), "-".to_owned()),
+        };
+        println!(
+            "{:<20}{:<8}{:<14}{:<10}{:>8}{:>7}{:>9}{queued:>8}{running:>9}  {lease}",
+            status.node.as_str(),
+            status.role.as_str(),
+            status.place.as_str(),
+            status.state,
+            status.config_version.value(),
+            status.peers_live,
+            status.requests,
+        );
+        if let Some(replica) = &status.replica
+            && !replica.slots.is_empty()
+        {
+            println!(
+                "{:<20}slots {}/{}: {}",
+                "",
+                replica.slots.len(),
+                replica.slot_limit,
+                replica.slots.join(" ")
+            );
+        }
+    }
+}
+
+/// Prints adapters with their versions and serving rules.
+pub fn adapters<'a>(
+    list: impl Iterator<Item = (&'a AdapterName, &'a AdapterEntry)>,
+    as_json: bool,
+) {
+    if as_json {
+        let list: Vec<_> =
+            list.map(|(name, entry)| json!({ "adapter": name, "entry": entry })).collect();
+        println!("{}", Value::Array(list));
+        return;
+    }
+    println!("{:<32}{:<20}{:>8}  VERSIONS", "ADAPTER", "SERVICE", "SERVING");
+    for (name, entry) in list {
+        let versions: Vec<_> = entry.versions.iter().map(ToString::to_string).collect();
+        let canary = entry.canary.as_ref().map_or_else(String::new, |canary| {
+            format!("  canary {} {}%", canary.version, canary.share_percent)
+        });
+        println!(
+            "{:<32}{:<20}{:>8}  {}{canary}",
+            name.as_str(),
+            entry.service.as_str(),
+            entry.serving.value(),
+            versions.join(",")
+        );
+    }
+}
+
+/// Prints the merged events, and says where a process no longer has all of them.
+pub fn timeline(pages: Vec<TimelinePage>, since_ms: u64, as_json: bool) {
+    if as_json {
+        println!("{}", json!(pages));
+        return;
+    }
+    for page in &pages {
+        let begins = page.oldest.filter(|oldest| page.dropped > 0 && oldest.wall_ms >= since_ms);
+        if let Some(oldest) = begins {
+            println!("{oldest} --- {} dropped {} older events ---", page.node, page.dropped);
+        }
+    }
+    for event in merge_pages(pages) {
+        println!("{} {event}", event.stamp);
+    }
+}
--- a/crates/filbertcleat-daemon/src/daemon.rs
+++ b/crates/filbertcleat-daemon/src/daemon.rs
@@ -8,14 +8,14 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_member::MemberEvent;
 use filbertcleat_member::MemberState;
+use filbertcleat_operate::EventKind;
+use filbertcleat_operate::ProcessStatus;
 use filbertcleat_wire::v1;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 
 pub use self::start::StartError;
-use crate::EventKind;
-use crate::ProcessStatus;
 use crate::agent::AgentRole;
 use crate::config::ConfigEvent;
 use crate::config::follow_peer;
--- a/crates/filbertcleat-daemon/src/node.rs
+++ b/crates/filbertcleat-daemon/src/node.rs
@@ -12,6 +12,7 @@
 use filbertcleat_member::MemberSettings;
 use filbertcleat_member::MemberState;
 use filbertcleat_member::Membership;
+use filbertcleat_operate::EventKind;
 use filbertcleat_platform::HttpClient;
 use filbertcleat_platform::HttpObjects;
 use filbertcleat_platform::HttpTable;
@@ -21,7 +22,6 @@
 use filbertcleat_wire::v1;
 use prost::Message;
 
-use crate::EventKind;
 use crate::clock::Clock;
 use crate::config::ConfigState;
 use crate::convert::digest_from_wire;
--- a/crates/filbertcleat-daemon/src/timeline.rs
+++ b/crates/filbertcleat-daemon/src/timeline.rs
@@ -6,11 +6,9 @@
 use filbertcleat_base::NodeName;
 use filbertcleat_base::RequestId;
 use filbertcleat_base::Stamp;
-use serde::Deserialize;
-use serde::Serialize;
-
-use crate::Event;
-use crate::EventKind;
+use filbertcleat_operate::Event;
+use filbertcleat_operate::EventKind;
+use filbertcleat_operate::TimelinePage;
 
 /// Keeps the last events of a process.
 #[derive(Debug)]
@@ -79,25 +77,3 @@
         }
     }
 }
-
-/// A part of one process's events.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct TimelinePage {
-    /// The process.
-    pub node: NodeName,
-    /// The number of events that it no longer has.
-    pub dropped: u64,
-    /// The stamp of the oldest event that it has.
-    pub oldest: Option<Stamp>,
-    /// The events asked for.
-    pub events: Vec<Event>,
-}
-
-/// Merges the events of all processes in the order of their stamps.
-pub fn merge_pages(pages: Vec<TimelinePage>) -> Vec<Event> {
-    let mut events: Vec<_> = pages.into_iter().flat_map(|page| page.events).collect();
-    events.sort_by(|left, right| {
-        left.stamp.cmp(&right.stamp).then_with(|| left.node.cmp(&right.node))
-    });
-    events
-}
--- a/crates/filbertcleat-fakes/examples/demo.rs
+++ b/crates/filbertcleat-fakes/examples/demo.rs
@@ -2,14 +2,14 @@
 
 use std::process::ExitCode;
 
-use filbertcleat_daemon::TimelinePage;
-use filbertcleat_daemon::merge_pages;
 use filbertcleat_fakes::Loopback;
 use filbertcleat_fakes::LoopbackError;
 use filbertcleat_fakes::LoopbackSize;
 use filbertcleat_fakes::Reply;
 use filbertcleat_fakes::TestCaller;
 use filbertcleat_fakes::answer_text;
+use filbertcleat_operate::TimelinePage;
+use filbertcleat_operate::merge_pages;
 use http::Method;
 use serde_json::Value;
 use serde_json::json;
--- /dev/null
+++ b/crates/filbertcleat-fakes/examples/fakes.rs
@@ -0,0 +1,72 @@
+//! Serves stand-ins for the platform, one engine and one plain service, until it is stopped.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use filbertcleat_fakes::EngineSpec;
+use filbertcleat_fakes::FakeEngine;
+use filbertcleat_fakes::FakePlain;
+use filbertcleat_fakes::FakePlatform;
+use filbertcleat_fakes::LoopbackError;
+use filbertcleat_fakes::Observed;
+use filbertcleat_fakes::WeightModel;
+use getopts::Options;
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("p", "platform", "address of the platform's services", "IP:PORT");
+    options.optopt("e", "engine", "address of the engine", "IP:PORT");
+    options.optopt("s", "service", "address of the plain service", "IP:PORT");
+    options.optflag("h", "help", "show this text");
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) if !matches.opt_present("help") => matches,
+        Ok(_) => {
+            println!("{}", options.usage("Usage: fakes [options]"));
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
+    let address = |name: &str, default: &str| {
+        matches.opt_str(name).unwrap_or_else(|| default.to_owned()).parse::<SocketAddr>()
+    };
+    let addresses = (
+        address("platform", "127.0.0.1:7300"),
+        address("engine", "127.0.0.1:7500"),
+        address("service", "127.0.0.1:7501"),
+    );
+    let (Ok(platform), Ok(engine), Ok(service)) = addresses else {
+        eprintln!("an address is wrong: write an IP number and a port");
+        return ExitCode::from(2);
+    };
+
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let outcome = match runtime {
+        Ok(runtime) => runtime.block_on(serve(platform, engine, service)),
+        Err(error) => Err(error.into()),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(
+    platform: SocketAddr,
+    engine: SocketAddr,
+    service: SocketAddr,
+) -> Result<(), LoopbackError> {
+    let observed = Observed::default();
+    let weights = WeightModel::new(2.0);
+    let platform = FakePlatform::start(platform).await?;
+    let engine =
+        FakeEngine::start(engine, "engine", EngineSpec::usual(), weights, observed.clone()).await?;
+    let service = FakePlain::start(service, observed).await?;
+    println!("platform {} engine {} service {}", platform.url(), engine.url(), service.url());
+    std::future::pending().await
+}
--- /dev/null
+++ b/crates/filbertcleat-operate/src/lib.rs
@@ -0,0 +1,12 @@
+//! What operators are told: the status of each process and the time line of events.
+
+mod event;
+mod status;
+mod timeline;
+
+pub use event::Event;
+pub use event::EventKind;
+pub use status::ProcessStatus;
+pub use status::ReplicaStatus;
+pub use timeline::TimelinePage;
+pub use timeline::merge_pages;
