--- a/crates/filbertcleat-config/src/settings/check.rs
+++ b/crates/filbertcleat-config/src/settings/check.rs
@@ -18,7 +18,8 @@
     })?;
 
     let mut unknown = Vec::new();
-    let mut record = |path: serde_ignored::Path<'_>| unknown.push(path.to_string().replace(".?", ""));
+    let mut record =
+        |path: serde_ignored::Path<'_>| unknown.push(path.to_string().replace(".?", ""));
     let source = serde_ignored::Deserializer::new(&document, &mut record);
     let parsed: Result<Settings, _> = serde_path_to_error::deserialize(source);
 
--- a/crates/filbertcleat-daemon/src/daemon/start.rs
+++ b/crates/filbertcleat-daemon/src/daemon/start.rs
@@ -10,8 +10,8 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 
 use super::Daemon;
 use super::RoleLoop;
@@ -121,9 +121,11 @@
     let check = Check { token: token.clone() };
     let node = NodeServer::with_interceptor(service.clone(), check.clone());
     let agent = is_agent.then(|| AgentServer::with_interceptor(service, check));
-    let server = Server::builder().tcp_nodelay(true).add_service(node).add_optional_service(agent);
+    let server = Server::builder().add_service(node).add_optional_service(agent);
+    // Small pieces of an answer must not wait for each other.
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     let serving = tokio::spawn(async move {
-        if let Err(error) = server.serve_with_incoming(TcpListenerStream::new(listener)).await {
+        if let Err(error) = server.serve_with_incoming(incoming).await {
             log::error!("event=peers-failed reason=\"{error}\"");
         }
     });
--- a/crates/filbertcleat-fakes/src/process.rs
+++ b/crates/filbertcleat-fakes/src/process.rs
@@ -24,6 +24,8 @@
     stop: Option<oneshot::Sender<()>>,
     kill: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
+    /// The thread's folder below `/proc`.
+    thread_path: String,
 }
 
 impl Process {
@@ -45,6 +47,7 @@
             stop: Some(stop),
             kill: Some(kill),
             thread: Some(thread),
+            thread_path: beginning.thread_path,
         })
     }
 
@@ -69,6 +72,14 @@
         self.handle.spawn(async move { std::thread::sleep(time) });
     }
 
+    /// Returns the processor time that the daemon's thread has taken.
+    pub fn cpu(&self) -> Duration {
+        let path = format!("/proc/{}/schedstat", self.thread_path);
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let nanos = text.split(' ').next().and_then(|text| text.parse().ok());
+        Duration::from_nanos(nanos.unwrap_or(0))
+    }
+
     /// Returns whether the daemon has ended.
     pub fn has_ended(&self) -> bool {
         self.thread.as_ref().is_none_or(JoinHandle::is_finished)
@@ -95,6 +106,7 @@
     callers: Option<SocketAddr>,
     operators: Option<SocketAddr>,
     handle: tokio::runtime::Handle,
+    thread_path: String,
 }
 
 fn run(
@@ -118,6 +130,7 @@
             callers: daemon.caller_address(),
             operators: daemon.operator_address(),
             handle: tokio::runtime::Handle::current(),
+            thread_path: thread_path(),
         };
         let stop = daemon.stopper();
         tokio::spawn(async move {
@@ -137,3 +150,9 @@
     });
     runtime.shutdown_background();
 }
+
+/// Returns the present thread's folder below `/proc`.
+fn thread_path() -> String {
+    let link = std::fs::read_link("/proc/thread-self").unwrap_or_default();
+    link.display().to_string()
+}
--- a/crates/filbertcleat-policy/src/agent.rs
+++ b/crates/filbertcleat-policy/src/agent.rs
@@ -122,7 +122,9 @@
             AgentInput::Offer(offer) => self.offer(now, offer),
             AgentInput::Cancel { attempt } => self.cancel(&attempt),
             AgentInput::Chunk { attempt, text } => {
+                // A piece changes nothing that calls or loads are decided by.
                 self.emit_call(&attempt, AttemptEventKind::Chunk { text });
+                return std::mem::take(&mut self.actions);
             }
             AgentInput::Broken { attempt, fault, resumable } => {
                 self.broken(&attempt, fault, resumable);
