--- a/crates/filbertcleat-store/src/lease.rs
+++ b/crates/filbertcleat-store/src/lease.rs
@@ -18,7 +18,7 @@
 /// Durations are counted on the process's own clock: a holder counts from before its write was
 /// sent, and a rival from when it first saw the row unchanged. So the holder's time always ends
 /// before a rival's does, whatever the clocks say.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Lease {
     settings: LeaseSettings,
     asked: Option<Asked>,
@@ -213,7 +213,7 @@
 }
 
 /// An operation under way.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Asked {
     sent: MonoTime,
     fence: Fence,
@@ -221,7 +221,7 @@
 }
 
 /// A lease that is held, or was until it lapsed.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Held {
     fence: Fence,
     revision: u64,
@@ -229,7 +229,7 @@
 }
 
 /// Another holder's row.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Seen {
     revision: u64,
     fence: Fence,
--- a/crates/filbertcleat-store/src/lease/settings.rs
+++ b/crates/filbertcleat-store/src/lease/settings.rs
@@ -3,7 +3,7 @@
 use filbertcleat_base::NodeName;
 
 /// The settings of a lease.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct LeaseSettings {
     /// The row's key.
     pub key: String,
