Keep accepted overnight work and answer it whoever is replaced

Cause: Prefer: respond-async had no answer. A request is in the object store and a row before 202; any entry takes the row by a conditional write; four writes a request.

--- a/crates/filbertcleat-daemon/src/agent/role.rs
+++ b/crates/filbertcleat-daemon/src/agent/role.rs
@@ -80,8 +80,7 @@
 
     pub fn new(node: &Node, backend: BackendSettings) -> Self {
         let name = node.name();
-        let holder = format!("{name}#{}", node.incarnation).into();
-        let lease = LeaseSettings::new(format!("lease/{name}"), holder);
+        let lease = LeaseSettings::new(format!("lease/{name}"), node.holder());
         let lease = LeaseSettings { travel_ms: backend.travel_ms.as_millis() as u64, ..lease }
             .with_seizes(backend.checks_fence);
         let settings =
--- a/crates/filbertcleat-daemon/src/daemon.rs
+++ b/crates/filbertcleat-daemon/src/daemon.rs
@@ -2,11 +2,14 @@
 
 mod start;
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use filbertcleat_base::MonoTime;
+use filbertcleat_base::NodeName;
 use filbertcleat_member::MemberEvent;
+use filbertcleat_member::MemberRecord;
 use filbertcleat_member::MemberState;
 use filbertcleat_operate::EventKind;
 use filbertcleat_operate::ProcessStatus;
@@ -37,6 +40,7 @@
     tasks: Vec<tokio::task::AbortHandle>,
     addresses: start::Addresses,
     seen_version: filbertcleat_base::ConfigVersion,
+    member_states: HashMap<NodeName, MemberState>,
     stopping: bool,
     left_at: Option<MonoTime>,
     last_tick: MonoTime,
@@ -280,6 +284,7 @@
         for event in self.node.members.take_events() {
             match event {
                 MemberEvent::Changed(record) => {
+                    self.note_member(&record);
                     if let RoleLoop::Entry(entry) = &mut self.role {
                         entry.member_changed(&mut self.node, &record);
                     }
@@ -298,6 +303,15 @@
         }
     }
 
+    /// Notes a peer's state when it changes.
+    fn note_member(&mut self, record: &MemberRecord) {
+        let before = self.member_states.insert(record.name.clone(), record.state);
+        if before != Some(record.state) {
+            let detail = format!("of={} state={}", record.name, record.state.as_str());
+            self.node.note(EventKind::Member, None, detail);
+        }
+    }
+
     /// Serves once a configuration is confirmed and the backend server can be called.
     fn update_state(&mut self) {
         if self.stopping {
--- a/crates/filbertcleat-daemon/src/daemon/start.rs
+++ b/crates/filbertcleat-daemon/src/daemon/start.rs
@@ -1,5 +1,6 @@
 //! The start of a process.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use filbertcleat_base::ConfigVersion;
@@ -18,6 +19,7 @@
 use crate::agent::AgentRole;
 use crate::entry::CallerGate;
 use crate::entry::EntryRole;
+use crate::entry::NightDesk;
 use crate::entry::serve_callers;
 use crate::entry::serve_operators;
 use crate::input::Inputs;
@@ -61,11 +63,13 @@
             (Some(callers), Some(operators), _) => {
                 let listener = bind("callers.listen", callers.listen).await?;
                 addresses.callers = Some(address(&listener)?);
-                let gate =
-                    CallerGate::new(&settings.name, node.incarnation, callers, inputs.clone());
+                let gate = CallerGate::new(&node, callers);
                 let serving = tokio::spawn(serve_callers(listener, callers.clone(), gate.clone()));
                 tasks.push(serving.abort_handle());
 
+                let desk = NightDesk::new(gate.clone(), settings.nightly.clone(), node.holder());
+                tasks.push(tokio::spawn(desk.work()).abort_handle());
+
                 let listener = bind("operators.listen", operators.listen).await?;
                 addresses.operators = Some(address(&listener)?);
                 let token =
@@ -90,6 +94,7 @@
             tasks,
             addresses,
             seen_version: ConfigVersion::default(),
+            member_states: HashMap::new(),
             stopping: false,
             left_at: None,
             last_tick: MonoTime::ZERO,
--- a/crates/filbertcleat-daemon/src/entry/callers.rs
+++ b/crates/filbertcleat-daemon/src/entry/callers.rs
@@ -18,10 +18,11 @@
 
 use self::answer::send_answer;
 pub(crate) use self::gate::CallerGate;
-use self::ticket::Ticket;
+pub(super) use self::ticket::Ticket;
 use super::body;
 use super::body::Shape;
 use super::caller::Work;
+use super::nightly;
 use super::request::CompletionFields;
 use super::request::Marks;
 use super::server;
@@ -38,6 +39,7 @@
         .push(Router::with_path("v1/completions").post(post_completion))
         .push(Router::with_path("v1/chat/completions").post(post_chat))
         .push(Router::with_path("v1/models").get(list_models))
+        .push(Router::with_path("v1/work/{id}").get(show_work))
         .push(Router::with_path("services/{name}/{**path}").goal(call_service))
         .push(Router::with_path("ready").get(show_ready));
     server::serve(listener, Service::new(router), Limits::of(&settings)).await;
@@ -77,6 +79,9 @@
     };
 
     let chat = shape == Shape::Chat;
+    if marks.respond_async {
+        return nightly::accept(&gate, marks, fields.model, chat, &body, response).await;
+    }
     let work = Work::Completion { model: fields.model, chat, body };
     let ticket = Ticket::submit(&gate, work, marks);
     send_answer(ticket, Some(shape), fields.stream, response).await;
@@ -126,6 +131,15 @@
     write_json(response, StatusCode::OK, &json!({ "object": "list", "data": data }));
 }
 
+#[handler]
+async fn show_work(request: &mut Request, depot: &mut Depot, response: &mut Response) {
+    let Some(gate) = gate(depot) else {
+        return;
+    };
+    let id = request.param::<String>("id").unwrap_or_default();
+    nightly::fetch(&gate, &id, response).await;
+}
+
 /// Tells the platform's balancer whether to send callers here.
 #[handler]
 async fn show_ready(depot: &mut Depot, response: &mut Response) {
@@ -168,7 +182,7 @@
     write_json(response, status, &body::error(message, "parse"));
 }
 
-fn write_json(response: &mut Response, status: StatusCode, value: &serde_json::Value) {
+pub(super) fn write_json(response: &mut Response, status: StatusCode, value: &serde_json::Value) {
     response.status_code(status);
     response.render(salvo::writing::Json(value));
 }
--- a/crates/filbertcleat-daemon/src/entry/callers/gate.rs
+++ b/crates/filbertcleat-daemon/src/entry/callers/gate.rs
@@ -6,16 +6,19 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use filbertcleat_base::NodeName;
 use filbertcleat_base::RequestId;
 use filbertcleat_config::CallerSettings;
 use filbertcleat_config::Configuration;
+use filbertcleat_platform::HttpObjects;
+use filbertcleat_platform::HttpTable;
 use tokio::sync::oneshot;
 
+use crate::clock::Clock;
 use crate::entry::EntryEvent;
 use crate::input::Input;
 use crate::input::Inputs;
 use crate::input::tell;
+use crate::node::Node;
 
 /// What the callers' interface shares with the loop.
 #[derive(Clone, Debug)]
@@ -23,23 +26,22 @@
     pub inputs: Inputs,
     pub body_max_bytes: usize,
     pub read_timeout: Duration,
+    pub table: HttpTable,
+    pub objects: HttpObjects,
     prefix: Arc<str>,
     next_request: Arc<AtomicU64>,
     ready: Arc<AtomicBool>,
 }
 
 impl CallerGate {
-    pub fn new(
-        name: &NodeName,
-        incarnation: u64,
-        settings: &CallerSettings,
-        inputs: Inputs,
-    ) -> Self {
+    pub fn new(node: &Node, settings: &CallerSettings) -> Self {
         Self {
-            inputs,
+            inputs: node.inputs.clone(),
+            table: node.table.clone(),
+            objects: node.objects.clone(),
             body_max_bytes: settings.body_max_bytes,
             read_timeout: settings.read_timeout_ms,
-            prefix: Arc::from(format!("{name}-{incarnation:x}")),
+            prefix: Arc::from(format!("{}-{:x}", node.name(), node.incarnation)),
             next_request: Arc::default(),
             ready: Arc::default(),
         }
@@ -51,6 +53,12 @@
         RequestId::from(format!("{}-{number}", self.prefix))
     }
 
+    /// Returns an id for accepted work; later ids come after earlier ones of all entries.
+    pub fn next_work(&self) -> String {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        format!("{:012x}-{}-{number}", Clock::wall_ms(), self.prefix)
+    }
+
     pub fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed)
     }
--- a/crates/filbertcleat-daemon/src/entry/callers/ticket.rs
+++ b/crates/filbertcleat-daemon/src/entry/callers/ticket.rs
@@ -20,7 +20,7 @@
 
 /// A caller's connection to its request; dropping it tells the loop that the caller is gone.
 #[derive(Debug)]
-pub(super) struct Ticket {
+pub(in crate::entry) struct Ticket {
     pub request: RequestId,
     events: mpsc::UnboundedReceiver<CallerEvent>,
     inputs: Inputs,
--- a/crates/filbertcleat-daemon/src/entry/event.rs
+++ b/crates/filbertcleat-daemon/src/entry/event.rs
@@ -28,6 +28,8 @@
     Lost { attempt: AttemptId, sent: bool, fault: Fault },
     /// A claim has been decided.
     Claimed { request: RequestId, outcome: ClaimEnd },
+    /// Accepted work asks whether its holder is still running.
+    IsRunning { holder: NodeName, reply: oneshot::Sender<bool> },
     /// An operator submits a patch.
     Patch {
         patch: Patch,
--- a/crates/filbertcleat-daemon/src/entry/request.rs
+++ b/crates/filbertcleat-daemon/src/entry/request.rs
@@ -19,6 +19,7 @@
     pub non_idempotent: bool,
     pub key: Option<String>,
     pub deadline_ms: Option<u64>,
+    pub respond_async: bool,
 }
 
 impl Marks {
@@ -44,7 +45,9 @@
             None => None,
         };
         let key = header(request, "idempotency-key")?.map(check_key).transpose()?;
-        Ok(Self { class, non_idempotent, key, deadline_ms })
+        let respond_async = header(request, "prefer")?
+            .is_some_and(|prefer| prefer.split(',').any(|part| part.trim() == "respond-async"));
+        Ok(Self { class, non_idempotent, key, deadline_ms, respond_async })
     }
 }
 
--- a/crates/filbertcleat-daemon/src/entry/role.rs
+++ b/crates/filbertcleat-daemon/src/entry/role.rs
@@ -116,6 +116,9 @@
                 self.decide(node, EntryInput::Lost { attempt, sent, fault });
             }
             EntryEvent::Claimed { request, outcome } => self.claimed(node, &request, outcome),
+            EntryEvent::IsRunning { holder, reply } => {
+                let _ = reply.send(is_running(node, &holder));
+            }
             EntryEvent::Patch { patch, reply } => submit(node, patch, reply),
             EntryEvent::Configuration { reply } => {
                 // A caller that has gone away needs no answer.
@@ -312,7 +315,7 @@
         };
         let wait = Duration::from_millis(node.config.current().limits.claim_wait_ms);
         let (table, inputs, request) = (node.table.clone(), node.inputs.clone(), request.clone());
-        let holder = holder(node);
+        let holder = node.holder();
         tokio::spawn(async move {
             let outcome = claims::claim(&table, &key, &request, holder, wait).await;
             tell(&inputs, Input::Entry(EntryEvent::Claimed { request, outcome }));
@@ -355,7 +358,7 @@
         let revision = caller.claim_revision;
         let row = state.map(|state| ClaimRow {
             token: request.as_str().to_owned(),
-            node: holder(node),
+            node: node.holder(),
             state,
         });
         let (table, request) = (node.table.clone(), request.clone());
@@ -484,11 +487,6 @@
     }
 }
 
-/// Returns the name under which this start of the process holds claims.
-fn holder(node: &Node) -> NodeName {
-    format!("{}#{}", node.name(), node.incarnation).into()
-}
-
 /// Returns whether the start of a process that made a claim is still running.
 fn is_running(node: &Node, holder: &NodeName) -> bool {
     let Some((name, incarnation)) = holder.as_str().rsplit_once('#') else {
--- a/crates/filbertcleat-daemon/src/node.rs
+++ b/crates/filbertcleat-daemon/src/node.rs
@@ -112,6 +112,11 @@
         &self.settings.name
     }
 
+    /// Returns the name under which this start of the process holds things in the table service.
+    pub fn holder(&self) -> NodeName {
+        format!("{}#{}", self.name(), self.incarnation).into()
+    }
+
     /// Adds an event to the time line and the log.
     pub fn note(&mut self, kind: EventKind, request: Option<&RequestId>, detail: String) {
         self.timeline.add(Clock::wall_ms(), kind, request, detail);
--- a/crates/filbertcleat-policy/tests/world/mod.rs
+++ b/crates/filbertcleat-policy/tests/world/mod.rs
@@ -241,7 +241,7 @@
         let now = self.now();
         for action in self.nodes[index].core.handle(now, input) {
             match action {
-                AgentAction::Call { attempt, .. } => self.call(index, attempt),
+                AgentAction::Call { attempt, .. } => self.call(index, &attempt),
                 AgentAction::CancelCall { attempt } => {
                     self.nodes[index].calls.remove(&attempt);
                     let fault = Fault::new(Step::Stream, "engine", "cancelled");
@@ -280,15 +280,15 @@
         }
     }
 
-    fn call(&mut self, index: usize, attempt: AttemptId) {
-        let request = &self.attempts[&attempt].request;
+    fn call(&mut self, index: usize, attempt: &AttemptId) {
+        let request = &self.attempts[attempt].request;
         let node = &mut self.nodes[index];
         node.calls_after_drain += usize::from(node.drained);
         node.calls.insert(attempt.clone(), 0);
         if let Some(request) = self.requests.get_mut(request) {
             request.runs += 1;
         }
-        let adapter = self.adapter_of(&attempt);
+        let adapter = self.adapter_of(attempt);
         assert!(
             self.nodes[index].held.contains(&adapter),
             "a call for an adapter that is not held"
