Measure and mend the exchange: contacts, doubts and lost messages

Now contacts get news only and are asked more rarely in larger systems, the receiver is told what is held against it, and suspicion takes three failures.

--- a/crates/filbertcleat-member/src/membership.rs
+++ b/crates/filbertcleat-member/src/membership.rs
@@ -34,11 +34,14 @@
     reported_at: MonoTime,
     report: Option<Report>,
     urgent: bool,
+    ask_again: Vec<NodeName>,
     rng: SmallRng,
     events: Vec<MemberEvent>,
 }
 
 impl Membership {
+    /// Messages in a row without an answer after which a process is suspected.
+    const FAILURES_MAX: u32 = 3;
     /// How long the record of a process that is gone is kept, so that old news can't revive it.
     const TOMBSTONE_MS: u64 = 600_000;
     /// The least time between two reports of a replica, per known process.
@@ -47,6 +50,10 @@
     const REPORT_MIN_MS: u64 = 100;
     /// One in so many exchanges goes to a contact, so that parts cut off find each other again.
     const CONTACT_SHARE: u32 = 8;
+    /// Contacts are few, so each process asks them the more rarely the more processes there are.
+    const CONTACT_DIVISOR: u32 = 4;
+    /// The processes for which all records are exchanged at the set interval.
+    const FULL_CROWD: u32 = 50;
 
     /// Creates a view that knows only the process itself and addresses to ask.
     pub fn new(settings: MemberSettings, me: MemberRecord, contacts: Vec<String>) -> Self {
@@ -63,6 +70,7 @@
             reported_at: MonoTime::ZERO,
             report: None,
             urgent: false,
+            ask_again: Vec::new(),
             rng,
             events: Vec::new(),
         }
@@ -149,6 +157,12 @@
                 actions.push(self.message(Some(name), address, false));
             }
         }
+        for name in std::mem::take(&mut self.ask_again) {
+            if let Some(address) = self.others.get(&name).map(|rumor| rumor.record.address.clone())
+            {
+                actions.push(self.message(Some(name), address, false));
+            }
+        }
         if now >= self.next_at {
             self.next_at = now.plus_ms(self.jittered_ms());
             actions.extend(self.exchange(now));
@@ -160,26 +174,34 @@
     pub fn receive(&mut self, now: MonoTime, digest: &Digest) -> Digest {
         self.take_in(now, digest);
         let known = self.others.contains_key(&digest.from);
-        self.answer(digest.full || !known)
+        let mut answer = self.answer(digest.full || !known);
+        self.add_doubt(&mut answer, |rumor| rumor.record.name == digest.from);
+        answer
     }
 
     /// Takes in the answer to a message.
     pub fn replied(&mut self, now: MonoTime, digest: &Digest) {
         self.take_in(now, digest);
-        let Some(rumor) = self.others.get(&digest.from) else {
+        let Some(rumor) = self.others.get_mut(&digest.from) else {
             return;
         };
+        rumor.failures = 0;
         if rumor.record.state == MemberState::Suspect {
             // It answered, and its answer carries a newer record of itself.
             self.next_at = now;
         }
     }
 
-    /// Takes in that a process gave no answer.
+    /// Takes in that a process gave no answer; it is asked again before it is suspected.
     pub fn failed(&mut self, now: MonoTime, name: &NodeName) {
-        let Some(rumor) = self.others.get(name) else {
+        let Some(rumor) = self.others.get_mut(name) else {
             return;
         };
+        rumor.failures += 1;
+        if rumor.failures < Self::FAILURES_MAX {
+            self.ask_again.push(name.clone());
+            return;
+        }
         match rumor.record.state {
             MemberState::Starting | MemberState::Live | MemberState::Leaving => {
                 let record = MemberRecord { state: MemberState::Suspect, ..rumor.record.clone() };
@@ -220,13 +242,19 @@
     fn exchange(&mut self, now: MonoTime) -> Vec<MemberAction> {
         let mut actions = Vec::new();
         let full = now >= self.next_full_at;
-        let ask_contact = self.others.is_empty() || self.rng.random_ratio(1, Self::CONTACT_SHARE);
-        if ask_contact && let Some(address) = self.contact() {
-            actions.push(self.message(None, address, true));
+        let alone = self.others.is_empty();
+        let members = self.others.len() as u32 + 1;
+        let share = Self::CONTACT_SHARE.max(members / Self::CONTACT_DIVISOR);
+        if (alone || self.rng.random_ratio(1, share))
+            && let Some(address) = self.contact()
+        {
+            // Whoever is asked by a stranger answers with all it knows.
+            actions.push(self.message(None, address, alone));
         }
         if let Some((name, address)) = self.next_in_round() {
             if full {
-                self.next_full_at = now.plus_ms(self.settings.full_every_ms);
+                let crowd = u64::from(members.div_ceil(Self::FULL_CROWD));
+                self.next_full_at = now.plus_ms(self.settings.full_every_ms * crowd);
             }
             actions.push(self.message(Some(name), address, full));
         }
@@ -288,13 +316,21 @@
     fn message(&mut self, to: Option<NodeName>, address: String, full: bool) -> MemberAction {
         let mut digest = self.answer(full);
         digest.full = full;
-        if let Some(rumor) = to.as_ref().and_then(|name| self.others.get(name))
-            && rumor.record.state == MemberState::Suspect
+        self.add_doubt(&mut digest, |rumor| rumor.record.address == address);
+        MemberAction { to, address, digest }
+    }
+
+    /// Adds what is held against the receiver, so that it can speak up.
+    fn add_doubt(&self, digest: &mut Digest, is_receiver: impl Fn(&Rumor) -> bool) {
+        let doubted = self
+            .others
+            .values()
+            .find(|rumor| rumor.record.state >= MemberState::Suspect && is_receiver(rumor));
+        if let Some(rumor) = doubted
             && !digest.records.contains(&rumor.record)
         {
             digest.records.push(rumor.record.clone());
         }
-        MemberAction { to, address, digest }
     }
 
     /// Chooses the records for a message: all, or those that were passed on least.
@@ -345,6 +381,10 @@
         }
 
         let state_changed = known.is_none_or(|rumor| rumor.record.state != record.state);
+        if record.config_version > self.me.config_version && record.state == MemberState::Live {
+            let (version, address) = (record.config_version, Some(record.address.clone()));
+            self.events.push(MemberEvent::NewerConfig { version, address });
+        }
         let newer_config =
             known.is_some_and(|rumor| record.config_version > rumor.record.config_version);
         let news = state_changed && record.state >= MemberState::Leaving;
@@ -354,7 +394,8 @@
             Some(rumor) if !state_changed => rumor.since,
             Some(_) | None => now,
         };
-        let rumor = Rumor::new(record.clone(), self.sends(), since);
+        let failures = known.map_or(0, |rumor| rumor.failures);
+        let rumor = Rumor { failures, ..Rumor::new(record.clone(), self.sends(), since) };
         self.others.insert(record.name.clone(), rumor);
         self.events.push(MemberEvent::Changed(Box::new(record)));
     }
--- a/crates/filbertcleat-member/src/rumor.rs
+++ b/crates/filbertcleat-member/src/rumor.rs
@@ -13,11 +13,13 @@
     pub sends_left: u32,
     /// When its state was last taken in.
     pub since: MonoTime,
+    /// Messages in a row that got no answer.
+    pub failures: u32,
 }
 
 impl Rumor {
     pub fn new(record: MemberRecord, sends_left: u32, since: MonoTime) -> Self {
-        Self { record, sends_left, since }
+        Self { record, sends_left, since, failures: 0 }
     }
 
     /// Returns whether the process can be spoken to.
--- /dev/null
+++ b/crates/filbertcleat-policy/benches/decisions.rs
@@ -0,0 +1,69 @@
+//! The cost of a decision at today's size and at the size to design for.
+
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use filbertcleat_base::AdapterRef;
+use filbertcleat_base::Class;
+use filbertcleat_base::MonoTime;
+use filbertcleat_config::RoutePolicy;
+use filbertcleat_policy::Report;
+use filbertcleat_policy::Router;
+use filbertcleat_policy::Search;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn adapter(number: usize) -> AdapterRef {
+    format!("adapter-{number:05}@1").parse().expect("a good reference")
+}
+
+fn router(replicas: usize, adapters: usize) -> Router {
+    let mut router = Router::new(RoutePolicy::Affinity);
+    for number in 0..replicas {
+        router.report(Report {
+            node: format!("agent-{number}").into(),
+            service: "service".into(),
+            resident: (0..4).map(|slot| adapter((number * 4 + slot) % adapters)).collect(),
+            wanted: vec![adapter((number * 7) % adapters)],
+            wanted_key: 0,
+            queued: (number % 5) as u32,
+            queued_over: 0,
+            queued_key: 0,
+            running: (number % 4) as u32,
+            batch_limit: 4,
+            slot_limit: 4,
+            spare: vec![3, 10],
+            call_ms: 8000,
+            load_ms: 600,
+        });
+    }
+    router
+}
+
+fn route(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("route");
+    for (replicas, adapters) in [(18, 3000), (100, 10_000), (600, 41_000)] {
+        let mut router = router(replicas, adapters);
+        let names: Vec<_> = (0..adapters).map(adapter).collect();
+        let mut rng = SmallRng::seed_from_u64(1);
+        let service = "service".into();
+        let id = BenchmarkId::new("replicas", replicas);
+        group.bench_function(id, |bencher| {
+            bencher.iter(|| {
+                let search = Search {
+                    service: &service,
+                    adapter: Some(&names[rng.random_range(0..adapters)]),
+                    class: Class::Routine,
+                    exclude: &[],
+                };
+                router.choose(MonoTime::from_ms(5), &search, &mut rng)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, route);
+criterion_main!(benches);
