--- a/crates/filbertcleat-daemon/src/entry/role.rs
+++ b/crates/filbertcleat-daemon/src/entry/role.rs
@@ -1,14 +1,14 @@
 //! The entry's part of the loop.
 
+mod claiming;
+
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use filbertcleat_base::AttemptId;
 use filbertcleat_base::ConfigVersion;
 use filbertcleat_base::NodeName;
 use filbertcleat_base::RequestId;
-use filbertcleat_base::Run;
 use filbertcleat_config::Patch;
 use filbertcleat_config::PatchRefusal;
 use filbertcleat_config::Role;
@@ -17,15 +17,12 @@
 use filbertcleat_member::MemberState;
 use filbertcleat_operate::EventKind;
 use filbertcleat_policy::Arrival;
-use filbertcleat_policy::ClaimOutcome;
 use filbertcleat_policy::Entry;
 use filbertcleat_policy::EntryAction;
 use filbertcleat_policy::EntryInput;
 use filbertcleat_policy::EntrySettings;
 use filbertcleat_policy::Sending;
 use filbertcleat_policy::Target;
-use filbertcleat_store::ClaimRow;
-use filbertcleat_store::ClaimState;
 use filbertcleat_wire::v1;
 use filbertcleat_wire::v1::attempt_request;
 use tokio::sync::oneshot;
@@ -211,33 +208,6 @@
         self.decide(node, EntryInput::Event(event));
     }
 
-    fn claimed(&mut self, node: &mut Node, request: &RequestId, end: ClaimEnd) {
-        let mut outcome = ClaimOutcome::Unavailable;
-        match end {
-            ClaimEnd::Won { revision } => {
-                outcome = ClaimOutcome::Won;
-                if let Some(caller) = self.callers.get_mut(request) {
-                    caller.claim_revision = Some(revision);
-                }
-            }
-            ClaimEnd::Taken(row) => match row.state {
-                ClaimState::Claimed if is_running(node, &row.node) => {
-                    outcome = ClaimOutcome::Running;
-                }
-                ClaimState::Claimed | ClaimState::Unknown => outcome = ClaimOutcome::Unknown,
-                ClaimState::Done { status, content_type, body } => {
-                    outcome = ClaimOutcome::Done;
-                    if let Some(caller) = self.callers.get_mut(request) {
-                        caller.kept = Some(Kept { status, content_type, body });
-                    }
-                }
-            },
-            ClaimEnd::Unavailable => self.settle(node, request, None),
-        }
-        node.note(EventKind::Claim, Some(request), format!("outcome={outcome:?}"));
-        self.decide(node, EntryInput::Claimed { request: request.clone(), outcome });
-    }
-
     /// Feeds the decisions and carries out what follows.
     fn decide(&mut self, node: &mut Node, input: EntryInput) {
         let now = node.now();
@@ -309,87 +279,6 @@
         }
     }
 
-    fn claim(&mut self, node: &Node, request: &RequestId) {
-        let Some(key) = self.callers.get(request).and_then(|caller| caller.key.clone()) else {
-            return;
-        };
-        let wait = Duration::from_millis(node.config.current().limits.claim_wait_ms);
-        let (table, inputs, request) = (node.table.clone(), node.inputs.clone(), request.clone());
-        let holder = node.holder();
-        tokio::spawn(async move {
-            let outcome = claims::claim(&table, &key, &request, holder, wait).await;
-            tell(&inputs, Input::Entry(EntryEvent::Claimed { request, outcome }));
-        });
-    }
-
-    /// Releases the claim of a request that was not run, or marks its outcome as unknown.
-    fn settle(&self, node: &Node, request: &RequestId, run: Option<Run>) {
-        let state = match run {
-            Some(Run::Unknown) => Some(ClaimState::Unknown),
-            Some(Run::No) | None => None,
-        };
-        self.write_claim(node, request, state);
-    }
-
-    fn record(
-        &self,
-        node: &Node,
-        request: &RequestId,
-        status: u16,
-        content_type: &str,
-        body: &[u8],
-    ) {
-        let state = if body.len() <= Self::KEPT_MAX_BYTES {
-            let body = String::from_utf8_lossy(body).into_owned();
-            ClaimState::Done { status, content_type: content_type.to_owned(), body }
-        } else {
-            ClaimState::Unknown
-        };
-        self.write_claim(node, request, Some(state));
-    }
-
-    fn write_claim(&self, node: &Node, request: &RequestId, state: Option<ClaimState>) {
-        let Some(caller) = self.callers.get(request) else {
-            return;
-        };
-        let Some(key) = caller.key.clone() else {
-            return;
-        };
-        let revision = caller.claim_revision;
-        let row = state.map(|state| ClaimRow {
-            token: request.as_str().to_owned(),
-            node: node.holder(),
-            state,
-        });
-        let (table, request) = (node.table.clone(), request.clone());
-        tokio::spawn(async move {
-            claims::settle(&table, &key, &request, row, revision).await;
-        });
-    }
-
-    fn replay(&mut self, request: &RequestId) {
-        let Some(caller) = self.callers.remove(request) else {
-            return;
-        };
-        let Some(kept) = caller.kept else {
-            return;
-        };
-        // Should the caller have gone, there is nobody to replay to.
-        let _ = match caller.work {
-            Work::Completion { .. } => {
-                let tokens = kept.body.split_inclusive(' ').count() as u64;
-                let _ = caller.reply.send(CallerEvent::Text(kept.body));
-                let finish_reason = "stop".to_owned();
-                caller.reply.send(CallerEvent::Finished { finish_reason, tokens })
-            }
-            Work::Service { .. } => caller.reply.send(CallerEvent::Answer {
-                status: kept.status,
-                content_type: kept.content_type,
-                body: kept.body.into_bytes(),
-            }),
-        };
-    }
-
     fn send(&mut self, node: &mut Node, sending: &Sending) {
         let Sending { attempt, request, node: to, .. } = sending;
         let address = node.address(to);
--- a/crates/filbertcleat-policy/src/agent.rs
+++ b/crates/filbertcleat-policy/src/agent.rs
@@ -6,6 +6,7 @@
 mod engine_state;
 mod failures;
 mod input;
+mod loads;
 mod offer;
 mod plan;
 mod priority;
@@ -13,6 +14,7 @@
 mod settings;
 mod slot;
 mod slots;
+mod starts;
 
 use std::collections::HashMap;
 
@@ -24,7 +26,6 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::Step;
 use filbertcleat_config::Policy;
-use filbertcleat_config::QueuePolicy;
 use filbertcleat_config::Weights;
 use filbertcleat_store::Ownership;
 
@@ -48,7 +49,6 @@
 use crate::Popularity;
 use crate::RefuseReason;
 use crate::Report;
-use crate::Target;
 
 /// Owns one backend server: what it runs next and which adapter is in which slot.
 #[derive(Debug)]
@@ -259,65 +259,6 @@
         }
     }
 
-    /// Tells the entry of a broken stream; the slot stays in use until the call has ended.
-    fn broken(&mut self, attempt: &AttemptId, fault: Fault, resumable: bool) {
-        self.emit_call(attempt, AttemptEventKind::Broken { fault, resumable });
-        if let Some(call) = self.calls.get_mut(attempt) {
-            call.cancelled = true;
-        }
-    }
-
-    fn end(&mut self, now: MonoTime, attempt: &AttemptId, kind: AttemptEventKind) {
-        let refused = matches!(kind, AttemptEventKind::Refused { .. });
-        self.emit_call(attempt, kind);
-        let Some(call) = self.calls.remove(attempt) else {
-            return;
-        };
-        if call.class == Class::KeyAccount {
-            self.running_key -= 1;
-        }
-        self.filling -= usize::from(call.over_share);
-        if let Some(adapter) = call.target.adapter() {
-            self.slots.leave(adapter, now);
-            if refused {
-                // The engine has not what this agent thought, so nothing more is called there
-                // until its own list has been read.
-                self.slots.doubt(adapter);
-                self.actions.push(AgentAction::Inspect);
-            }
-        }
-        if !call.cancelled {
-            self.call_ms.add(now.ms_since(call.started) as f64);
-        }
-    }
-
-    fn loaded(&mut self, now: MonoTime, adapter: &AdapterRef) {
-        if let Some(since) = self.slots.loaded(adapter, now) {
-            self.load_ms.add(now.ms_since(since) as f64);
-        }
-        self.failures.clear(adapter);
-        self.give_back_turn();
-    }
-
-    fn load_failed(&mut self, now: MonoTime, adapter: &AdapterRef, certain: bool) {
-        self.slots.load_failed(adapter, certain);
-        self.give_back_turn();
-        if !certain {
-            self.actions.push(AgentAction::Inspect);
-        }
-        if self.failures.add(now, adapter) {
-            for waiting in self.queue.drain(&Target::Adapter(adapter.clone())) {
-                self.refuse(waiting.offer.attempt, RefuseReason::LoadFailed);
-            }
-        }
-    }
-
-    fn give_back_turn(&mut self) {
-        if let Some(grant) = self.load.finish() {
-            self.actions.push(AgentAction::TurnDone { grant });
-        }
-    }
-
     fn engine(&mut self, now: MonoTime, state: &EngineState) {
         let restarted = self.epoch.is_some_and(|epoch| epoch != state.epoch);
         self.epoch = Some(state.epoch);
@@ -393,163 +334,6 @@
         }
     }
 
-    /// Hands waiting requests to the backend server while it has room.
-    fn start_calls(&mut self, now: MonoTime) {
-        if self.ownership == Ownership::Lost {
-            return;
-        }
-        while let Some(waiting) = self.next_call() {
-            self.start(now, waiting);
-        }
-    }
-
-    fn next_call(&mut self) -> Option<Waiting> {
-        let batch = self.settings.batch;
-        let room = self.calls.len() < batch;
-        // Calls that only fill gaps are paused by the engine while others need their places.
-        let firm = self.calls.len() - self.filling;
-        let room_in_share =
-            room || (firm < batch && self.filling > 0 && self.calls.len() < batch * 2);
-        let room_for_key = room_in_share
-            || (self.running_key < batch
-                && self.calls.len() < batch + self.settings.overcommit + self.filling);
-        if !room_for_key {
-            return None;
-        }
-
-        let key = self.slots.first_startable(&self.queue, Class::KeyAccount, !room);
-        let routine = if room_in_share {
-            self.slots.first_startable(&self.queue, Class::Routine, !room)
-        } else {
-            None
-        };
-        let place = match (key, routine) {
-            (Some(key), Some(routine)) => {
-                // Routine work ages: it takes every few starts, however much key work waits.
-                if self.key_streak >= Self::KEY_STREAK_MAX {
-                    self.key_streak = 0;
-                    routine
-                } else {
-                    self.key_streak += 1;
-                    key
-                }
-            }
-            (Some(place), None) => place,
-            (None, Some(place)) => {
-                self.key_streak = 0;
-                place
-            }
-            (None, None) => return None,
-        };
-        self.queue.take(&place)
-    }
-
-    fn start(&mut self, now: MonoTime, waiting: Waiting) {
-        let offer = waiting.offer;
-        let mut load_stall_ms = 0;
-        if let Some(adapter) = offer.target.adapter() {
-            load_stall_ms = self.slots.enter(adapter, now, offer.arrived);
-        }
-        if offer.class == Class::KeyAccount {
-            self.running_key += 1;
-        }
-
-        let attempt = offer.attempt.clone();
-        let over_share = waiting.over_share && self.settings.slots > 0;
-        self.filling += usize::from(over_share);
-        let call = Call {
-            target: offer.target,
-            class: offer.class,
-            started: now,
-            sequence: 0,
-            cancelled: false,
-            over_share,
-        };
-        self.calls.insert(attempt.clone(), call);
-        self.actions.push(AgentAction::Call {
-            attempt: attempt.clone(),
-            priority: Priority::of(offer.class, over_share),
-            fence: self.ownership.fence(),
-        });
-        let queue_wait_ms = now.ms_since(offer.arrived);
-        self.emit_call(&attempt, AttemptEventKind::Started { load_stall_ms, queue_wait_ms });
-    }
-
-    /// Decides which adapter to load into which slot, and what to ask of the keeper.
-    fn plan_loads(&mut self, now: MonoTime) {
-        if self.settings.slots == 0 || self.leaving {
-            return;
-        }
-        let may_order = self.ownership.may_order(self.settings.checks_fence);
-        let idle = self.settings.batch.saturating_sub(self.calls.len()) as f64;
-        let fill = 1.0 + 2.0 * self.weights.batch_share() * idle / self.settings.batch as f64;
-
-        if !may_order || !self.load.is_due(now) {
-            self.load.retry_wants(now);
-            return;
-        }
-        self.load.planned(now);
-        let mut candidates = self.queue.candidates(now, self.policy.queue, fill, |adapter| {
-            !self.slots.holds_or_loads(adapter) && !self.failures.waits(now, adapter)
-        });
-        if self.policy.queue == QueuePolicy::Grouped {
-            self.keep_useful(&mut candidates);
-        }
-
-        self.slots.close_for(&candidates, &self.queue, self.policy.slots, now, &self.popularity);
-        let spare = self.spare_rates(now);
-        let wants: Vec<_> = candidates
-            .iter()
-            .zip(&spare)
-            .map(|(group, per_s)| group.want.clone().after_eviction(*per_s))
-            .collect();
-
-        if let Some(adapter) = self.load.pick(now, &wants) {
-            self.start_load(now, &adapter);
-        } else if let Some(grant) = self.load.unused(now, wants.is_empty()) {
-            self.actions.push(AgentAction::TurnDone { grant });
-        }
-        if let Some(wants) = self.load.changed(now, wants) {
-            self.actions.push(AgentAction::Wants { wants });
-        }
-    }
-
-    /// Returns the requests a second for the adapter in each spare slot, the least first.
-    fn spare_rates(&self, now: MonoTime) -> Vec<f64> {
-        let spare = self.slots.spare(&self.queue).into_iter();
-        let mut rates: Vec<_> =
-            spare.map(|index| self.slots.value(index, now, &self.popularity)).collect();
-        rates.sort_by(f64::total_cmp);
-        rates
-    }
-
-    /// Drops loads whose requests could not be called soon, since others go before them.
-    fn keep_useful(&self, candidates: &mut Vec<LoadCandidate>) {
-        let room = self.settings.batch.saturating_sub(self.calls.len() - self.filling);
-        if self.slots.startable(&self.queue) < room + Self::CALLS_AHEAD {
-            return;
-        }
-        let first = Class::ALL.map(|class| self.slots.first_startable(&self.queue, class, true));
-        let first = first.into_iter().flatten().min();
-        candidates.retain(|candidate| first.as_ref().is_none_or(|first| candidate.place < *first));
-    }
-
-    fn start_load(&mut self, now: MonoTime, adapter: &AdapterRef) {
-        let Some(index) = self.slots.victim(&self.queue, self.policy.slots, now, &self.popularity)
-        else {
-            self.give_back_turn();
-            return;
-        };
-        let since = self.queue.oldest(adapter).unwrap_or(now);
-        let evict = self.slots.start_load(index, adapter.clone(), since);
-        self.load.started();
-        self.actions.push(AgentAction::Load {
-            adapter: adapter.clone(),
-            evict,
-            fence: self.ownership.fence(),
-        });
-    }
-
     fn refuse(&mut self, attempt: AttemptId, reason: RefuseReason) {
         let retry_after_ms = match reason {
             RefuseReason::Leaving | RefuseReason::WrongService => 0,
