--- a/crates/filbertcleat-policy/src/router.rs
+++ b/crates/filbertcleat-policy/src/router.rs
@@ -220,6 +220,10 @@
         if self.sent.len() >= SENT_MAX {
             self.sent.retain(|_, sent| now.ms_since(sent.at) < Self::SENT_MS);
         }
+        if self.sent.len() >= SENT_MAX {
+            // All are fresh; forgetting them costs a few loads made twice.
+            self.sent.clear();
+        }
         self.sent.insert(adapter.clone(), Sent { index, at: now });
     }
 
