Count calls and loads under a lasting failure; look for work more rarely

Cause: 410 entries that each list overnight rows every 2 s exceed the table service; now the interval grows with the entries beyond four. The composed count under a lasting failure is now a check: at most 4 attempts and 3 failed loads for each engine (budgets of layers multiply unless one repeats).

--- a/crates/filbertcleat-daemon/src/entry/event.rs
+++ b/crates/filbertcleat-daemon/src/entry/event.rs
@@ -30,6 +30,8 @@
     Claimed { request: RequestId, outcome: ClaimEnd },
     /// Accepted work asks whether its holder is still running.
     IsRunning { holder: NodeName, reply: oneshot::Sender<bool> },
+    /// Accepted work asks how many entries there are.
+    Entries { reply: oneshot::Sender<usize> },
     /// An operator submits a patch.
     Patch {
         patch: Patch,
--- a/crates/filbertcleat-daemon/src/entry/nightly/desk.rs
+++ b/crates/filbertcleat-daemon/src/entry/nightly/desk.rs
@@ -31,6 +31,8 @@
 }
 
 impl NightDesk {
+    /// The entries that look at the set interval; more of them look more rarely.
+    const LOOKERS: usize = 4;
     /// The rows read at a time.
     const PAGE: usize = 100;
 
@@ -42,7 +44,8 @@
     /// Works until the task is dropped; an entry that is not ready takes nothing up.
     pub async fn work(mut self) {
         loop {
-            tokio::time::sleep(self.settings.poll_ms).await;
+            let crowd = self.entries().await.div_ceil(Self::LOOKERS).max(1);
+            tokio::time::sleep(self.settings.poll_ms * crowd as u32).await;
             if self.gate.is_ready() {
                 self.look().await;
             }
@@ -104,6 +107,12 @@
         false
     }
 
+    async fn entries(&self) -> usize {
+        let (reply, answer) = oneshot::channel();
+        tell(&self.gate.inputs, Input::Entry(EntryEvent::Entries { reply }));
+        answer.await.unwrap_or(1)
+    }
+
     async fn is_running(&self, holder: &NodeName) -> bool {
         let (reply, answer) = oneshot::channel();
         let event = EntryEvent::IsRunning { holder: holder.clone(), reply };
--- a/crates/filbertcleat-daemon/src/entry/role.rs
+++ b/crates/filbertcleat-daemon/src/entry/role.rs
@@ -116,6 +116,9 @@
             EntryEvent::IsRunning { holder, reply } => {
                 let _ = reply.send(is_running(node, &holder));
             }
+            EntryEvent::Entries { reply } => {
+                let _ = reply.send(live_entries(node));
+            }
             EntryEvent::Patch { patch, reply } => submit(node, patch, reply),
             EntryEvent::Configuration { reply } => {
                 // A caller that has gone away needs no answer.
@@ -144,11 +147,7 @@
 
     /// Takes in what the membership says of a process.
     pub fn member_changed(&mut self, node: &mut Node, record: &MemberRecord) {
-        let entries = node
-            .members
-            .others()
-            .filter(|other| other.role == Role::Entry && other.state == MemberState::Live);
-        let count = entries.count() + 1;
+        let count = live_entries(node);
         self.decide(node, EntryInput::Entries { count });
         let liveness = record.state.liveness();
         self.decide(node, EntryInput::Liveness { node: record.name.clone(), liveness });
@@ -424,3 +423,11 @@
         tell(&inputs, Input::Config(ConfigEvent::Published { patch, outcome, reply }));
     });
 }
+
+/// Returns the number of entries that share the callers, this one among them.
+fn live_entries(node: &Node) -> usize {
+    let others = node.members.others();
+    let is_entry =
+        |record: &&MemberRecord| record.role == Role::Entry && record.state == MemberState::Live;
+    others.filter(is_entry).count() + 1
+}
--- a/crates/filbertcleat-fakes/tests/loads.rs
+++ b/crates/filbertcleat-fakes/tests/loads.rs
@@ -1,5 +1,6 @@
 //! Loads that fail, hang or end late.
 
+use filbertcleat_config::Limits;
 use filbertcleat_fakes::Loopback;
 use filbertcleat_fakes::LoopbackError;
 use filbertcleat_fakes::LoopbackSize;
@@ -59,5 +60,21 @@
     assert_eq!(error["step"], "load");
     assert!(error["retry_after_ms"].as_u64() > Some(0));
     assert!(!system.observed.runs().contains_key("never"));
+
+    // One layer repeats calls, within the request's own budget, and each agent gives a load up
+    // after three failures: the composed counts are sums, not products.
+    let status = system.status().await?;
+    let total = |name: &str| {
+        let counts = status.iter().filter_map(|process| process["totals"][name].as_u64());
+        counts.sum::<u64>()
+    };
+    let attempts_max = u64::from(Limits::default().attempts_max);
+    assert!(total("attempts") <= attempts_max, "{} attempts", total("attempts"));
+    assert!(
+        total("loads.failed") <= 3 * system.engines.len() as u64,
+        "{} loads",
+        total("loads.failed")
+    );
+    assert_eq!(total("calls"), 0);
     Ok(())
 }
--- a/crates/filbertcleat-member/src/membership.rs
+++ b/crates/filbertcleat-member/src/membership.rs
@@ -50,8 +50,6 @@
     const REPORT_MIN_MS: u64 = 100;
     /// One in so many exchanges goes to a contact, so that parts cut off find each other again.
     const CONTACT_SHARE: u32 = 8;
-    /// Contacts are few, so each process asks them the more rarely the more processes there are.
-    const CONTACT_DIVISOR: u32 = 4;
     /// The processes for which all records are exchanged at the set interval.
     const FULL_CROWD: u32 = 50;
 
--- a/crates/filbertcleat-member/src/membership/spread.rs
+++ b/crates/filbertcleat-member/src/membership/spread.rs
@@ -18,7 +18,8 @@
         let full = now >= self.next_full_at;
         let alone = self.others.is_empty();
         let members = self.others.len() as u32 + 1;
-        let share = Self::CONTACT_SHARE.max(members / Self::CONTACT_DIVISOR);
+        // Contacts are few, so each process asks them the more rarely the more processes there are.
+        let share = Self::CONTACT_SHARE.max(members);
         if (alone || self.rng.random_ratio(1, share))
             && let Some(address) = self.contact()
         {
--- a/crates/filbertcleat-member/src/settings.rs
+++ b/crates/filbertcleat-member/src/settings.rs
@@ -23,7 +23,7 @@
             exchange_ms: 500,
             gone_ms: 3000,
             message_max_bytes: 1000,
-            fanout: 3,
+            fanout: 5,
             full_every_ms: 60_000,
             seed: 0,
         }
