--- a/crates/filbertcleat-daemon/src/entry/caller.rs
+++ b/crates/filbertcleat-daemon/src/entry/caller.rs
@@ -4,6 +4,7 @@
 use filbertcleat_base::AdapterRef;
 use filbertcleat_base::Class;
 use filbertcleat_base::ConfigVersion;
+use filbertcleat_base::MonoTime;
 use filbertcleat_base::RequestId;
 use filbertcleat_base::ServiceName;
 use filbertcleat_policy::Refusal;
@@ -26,6 +27,16 @@
     pub kept: Option<Kept>,
 }
 
+impl Caller {
+    /// Returns the time left until the caller's deadline, at least 1 ms; 0 stands for none.
+    pub fn deadline_left_ms(&self, now: MonoTime) -> u64 {
+        let (Some(deadline_ms), Some(resolved)) = (self.deadline_ms, &self.resolved) else {
+            return 0;
+        };
+        deadline_ms.saturating_sub(now.ms_since(resolved.arrived)).max(1)
+    }
+}
+
 /// What a caller asks for.
 #[derive(Clone, Debug)]
 pub(crate) enum Work {
@@ -41,6 +52,7 @@
     pub service: ServiceName,
     pub adapter: Option<AdapterRef>,
     pub config_version: ConfigVersion,
+    pub arrived: MonoTime,
 }
 
 /// The kept answer of an earlier call with the same key.
--- a/crates/filbertcleat-daemon/src/entry/role.rs
+++ b/crates/filbertcleat-daemon/src/entry/role.rs
@@ -281,7 +281,7 @@
     fn send(&mut self, node: &mut Node, sending: &Sending) {
         let Sending { attempt, request, node: to, .. } = sending;
         let address = node.address(to);
-        let stamp = node.stamp();
+        let (stamp, now) = (node.stamp(), node.now());
         let message = self.callers.get(request).and_then(|caller| {
             let resolved = caller.resolved.as_ref()?;
             Some(v1::AttemptRequest {
@@ -289,7 +289,7 @@
                 request: request.to_string(),
                 config_version: resolved.config_version.value(),
                 class: caller.class.as_str().to_owned(),
-                deadline_left_ms: caller.deadline_ms.unwrap_or(0),
+                deadline_left_ms: caller.deadline_left_ms(now),
                 idempotent: !caller.non_idempotent,
                 target: Some(target(caller, resolved, sending)),
                 stamp_wall_ms: stamp.wall_ms,
@@ -318,17 +318,18 @@
 fn resolve(node: &Node, caller: &Caller) -> Result<Resolved, String> {
     let configuration = node.config.current();
     let config_version = configuration.version;
+    let arrived = node.now();
     match &caller.work {
         Work::Completion { model, .. } => {
             let resolved = configuration.resolve(model, &caller.request);
             let (adapter, service) = resolved.map_err(|error| error.to_string())?;
             let service = service.clone();
-            Ok(Resolved { service, adapter: Some(adapter), config_version })
+            Ok(Resolved { service, adapter: Some(adapter), config_version, arrived })
         }
         Work::Service { service, .. } => {
             match configuration.services.get_key_value(service.as_str()) {
                 Some((name, entry)) if entry.kind == ServiceKind::Plain => {
-                    Ok(Resolved { service: name.clone(), adapter: None, config_version })
+                    Ok(Resolved { service: name.clone(), adapter: None, config_version, arrived })
                 }
                 Some(_) => Err(format!(
                     "service {service:?} has model engines: name an adapter as the model"
