--- /dev/null
+++ b/crates/filbertcleat-config/src/policy/order.rs
@@ -0,0 +1,26 @@
+//! The policies for queues and turns.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How waiting requests are ordered.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum QueuePolicy {
+    /// By class, deadline and age, with requests for one adapter together.
+    #[default]
+    Grouped,
+    /// By arrival.
+    FirstCome,
+}
+
+/// How the turn at the weight store is given.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TurnPolicy {
+    /// To the load with the most urgent waiting work.
+    #[default]
+    Urgency,
+    /// To the load asked for first.
+    FirstCome,
+}
--- a/crates/filbertcleat-daemon/src/entry/caller.rs
+++ b/crates/filbertcleat-daemon/src/entry/caller.rs
@@ -1,15 +1,18 @@
 //! A caller's request on its way.
 
-use bytes::Bytes;
-use filbertcleat_base::AdapterRef;
+mod reply;
+mod work;
+
 use filbertcleat_base::Class;
-use filbertcleat_base::ConfigVersion;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::RequestId;
-use filbertcleat_base::ServiceName;
-use filbertcleat_policy::Refusal;
 use tokio::sync::mpsc;
 
+pub(crate) use self::reply::CallerEvent;
+pub(crate) use self::reply::Kept;
+pub(crate) use self::work::Resolved;
+pub(crate) use self::work::Work;
+
 /// A caller's request, with the way back to the caller.
 #[derive(Debug)]
 pub(crate) struct Caller {
@@ -36,46 +39,3 @@
         deadline_ms.saturating_sub(now.ms_since(resolved.arrived)).max(1)
     }
 }
-
-/// What a caller asks for.
-#[derive(Clone, Debug)]
-pub(crate) enum Work {
-    /// A completion by an adapter.
-    Completion { model: String, chat: bool, body: Bytes },
-    /// A call of a plain service.
-    Service { service: String, method: String, path: String, content_type: String, body: Bytes },
-}
-
-/// What a request runs on, by the configuration in force when it came.
-#[derive(Clone, Debug)]
-pub(crate) struct Resolved {
-    pub service: ServiceName,
-    pub adapter: Option<AdapterRef>,
-    pub config_version: ConfigVersion,
-    pub arrived: MonoTime,
-}
-
-/// The kept answer of an earlier call with the same key.
-#[derive(Clone, Debug)]
-pub(crate) struct Kept {
-    pub status: u16,
-    pub content_type: String,
-    pub body: String,
-}
-
-/// What the loop tells a caller's connection.
-#[derive(Debug)]
-pub(crate) enum CallerEvent {
-    /// The request was accepted.
-    Accepted { model: String },
-    /// A piece of the answer.
-    Text(String),
-    /// The end of a whole answer.
-    Finished { finish_reason: String, tokens: u64 },
-    /// A plain service's answer.
-    Answer { status: u16, content_type: String, body: Vec<u8> },
-    /// There is no whole answer.
-    Refused(Refusal),
-    /// What the request names does not exist.
-    NotFound(String),
-}
--- a/crates/filbertcleat-daemon/src/input.rs
+++ b/crates/filbertcleat-daemon/src/input.rs
@@ -1,5 +1,7 @@
 //! What the loop is told.
 
+mod question;
+
 use filbertcleat_base::NodeName;
 use filbertcleat_platform::Vm;
 use filbertcleat_policy::Want;
@@ -7,6 +9,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+pub(crate) use self::question::Inspection;
+pub(crate) use self::question::PeerQuestion;
 use crate::agent::AgentEvent;
 use crate::config::ConfigEvent;
 use crate::entry::EntryEvent;
@@ -40,26 +44,6 @@
     Stop,
 }
 
-/// A peer's question about the configuration.
-#[derive(Debug)]
-pub(crate) enum PeerQuestion {
-    /// The patches after a version.
-    Patches { after: u64, reply: oneshot::Sender<v1::PatchesReply> },
-    /// The whole configuration.
-    Snapshot { reply: oneshot::Sender<v1::SnapshotReply> },
-}
-
-/// An operator's question, passed on by an entry.
-#[derive(Debug)]
-pub(crate) enum Inspection {
-    /// The status of this process.
-    Status { reply: oneshot::Sender<v1::StatusReply> },
-    /// The events of this process.
-    Timeline { query: v1::TimelineRequest, reply: oneshot::Sender<v1::TimelineReply> },
-    /// A planned stop of this process.
-    Drain { operator: String, reply: oneshot::Sender<v1::DrainReply> },
-}
-
 /// Where tasks send what they tell the loop.
 pub(crate) type Inputs = mpsc::UnboundedSender<Input>;
 
--- a/crates/filbertcleat-platform/src/engine/listing.rs
+++ b/crates/filbertcleat-platform/src/engine/listing.rs
@@ -1,9 +1,15 @@
 //! What an engine tells of itself.
 
+mod cache;
+mod load;
+
 use filbertcleat_base::AdapterRef;
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::cache::CacheEvent;
+pub use self::load::LoadReport;
+
 /// The adapters that an engine holds.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EngineListing {
@@ -21,29 +27,3 @@
     /// The calls that it serves.
     pub running: usize,
 }
-
-/// An engine's report of its load, which lags.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct LoadReport {
-    /// A number that changes when the engine restarts.
-    pub epoch: u64,
-    /// The calls in its batch.
-    pub running: usize,
-    /// The calls that wait in it.
-    pub waiting: usize,
-    /// The steps that it has made.
-    pub steps: u64,
-    /// The places that calls took in those steps.
-    pub step_places: u64,
-}
-
-/// An event of an engine's prefix cache.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct CacheEvent {
-    /// Its number; a gap means that events are missing.
-    pub number: u64,
-    /// The hash of the prompt's prefix.
-    pub prefix: u64,
-    /// Whether the prefix was cached or dropped.
-    pub cached: bool,
-}
--- a/crates/filbertcleat-platform/src/table.rs
+++ b/crates/filbertcleat-platform/src/table.rs
@@ -1,5 +1,7 @@
 //! The table service.
 
+mod row;
+
 use filbertcleat_base::Step;
 use filbertcleat_store::Expect;
 use filbertcleat_store::TableOp;
@@ -7,9 +9,8 @@
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
-use serde::Deserialize;
-use serde::Serialize;
 
+pub use self::row::Row;
 use crate::HttpAnswer;
 use crate::HttpCall;
 use crate::HttpClient;
@@ -31,17 +32,6 @@
     ) -> impl Future<Output = Option<Vec<Row>>> + Send;
 }
 
-/// A row of the table service.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Row {
-    /// Its key.
-    pub key: String,
-    /// Its revision.
-    pub revision: u64,
-    /// Its value.
-    pub value: String,
-}
-
 /// The table service over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpTable {
--- a/crates/filbertcleat-platform/src/vms.rs
+++ b/crates/filbertcleat-platform/src/vms.rs
@@ -1,12 +1,13 @@
 //! The platform's list of VMs.
 
-use filbertcleat_base::NodeName;
+mod vm;
+
 use filbertcleat_base::Step;
 use http::Method;
 use http::StatusCode;
-use serde::Deserialize;
-use serde::Serialize;
 
+pub use self::vm::Vm;
+pub use self::vm::VmState;
 use crate::HttpCall;
 use crate::HttpClient;
 use crate::paths;
@@ -34,24 +35,3 @@
         serde_json::from_slice(&answer.body).ok()
     }
 }
-
-/// A VM that runs a process of the system.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Vm {
-    /// The process's name.
-    pub name: NodeName,
-    /// The address that its peers reach it at.
-    pub address: String,
-    /// Its state.
-    pub state: VmState,
-}
-
-/// The state of a VM.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum VmState {
-    /// It is to go on.
-    Live,
-    /// It is about to be taken away.
-    Leaving,
-}
--- a/crates/filbertcleat-policy/src/keeper.rs
+++ b/crates/filbertcleat-policy/src/keeper.rs
@@ -1,5 +1,8 @@
 //! The turns at one weight store.
 
+mod turn;
+mod want;
+
 use std::collections::BTreeMap;
 
 use filbertcleat_base::AdapterRef;
@@ -8,6 +11,9 @@
 use filbertcleat_base::NodeName;
 use filbertcleat_config::TurnPolicy;
 
+pub use self::turn::Grant;
+pub use self::want::Want;
+
 /// Gives the turn at a weight store to one agent at a time.
 ///
 /// Losing a keeper or having two of them only slows loads, so nothing of it is kept.
@@ -144,47 +150,6 @@
     }
 }
 
-/// A load that an agent wants.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Want {
-    /// The adapter to load.
-    pub adapter: AdapterRef,
-    /// The most important class among the waiting work.
-    pub class: Class,
-    /// How urgent the waiting work is.
-    pub urgency: f64,
-    /// How much more urgent it becomes a second.
-    pub growth_per_s: f64,
-}
-
-impl Want {
-    /// The time within which an evicted adapter's next request counts against the load.
-    pub const EVICT_HORIZON_S: f64 = 45.0;
-    /// How much of the urgency an eviction can take away.
-    const EVICT_WEIGHT: f64 = 0.9;
-
-    /// Lowers the urgency by the chance that the evicted adapter has to be loaded again soon.
-    pub fn after_eviction(mut self, evicted_per_s: f64) -> Self {
-        let kept = 1.0 - Self::EVICT_WEIGHT * (evicted_per_s * Self::EVICT_HORIZON_S).min(1.0);
-        self.urgency *= kept;
-        self.growth_per_s *= kept;
-        self
-    }
-}
-
-/// A turn given to an agent.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Grant {
-    /// Tells this turn from all others.
-    pub grant: u64,
-    /// The agent that holds the turn.
-    pub node: NodeName,
-    /// The adapter to load.
-    pub adapter: AdapterRef,
-    /// How long the turn lasts at most.
-    pub hold_ms: u64,
-}
-
 fn owned((node, asked): (&NodeName, &Asked)) -> (NodeName, AdapterRef) {
     (node.clone(), asked.want.adapter.clone())
 }
