--- a/crates/filbertcleat-fakes/src/settings.rs
+++ b/crates/filbertcleat-fakes/src/settings.rs
@@ -1,15 +1,22 @@
 //! Settings of processes on loopback.
 
 use std::path::PathBuf;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use filbertcleat_config::Settings;
 
 /// The token that processes on loopback share.
 pub const LOOPBACK_TOKEN: &str = "loopback-token";
 
+/// The token files written by this process.
+static TOKENS: AtomicU64 = AtomicU64::new(0);
+
 /// Writes the token of processes on loopback to a file, and returns its path.
 pub fn write_token() -> std::io::Result<String> {
-    let name = format!("filbertcleat-token-{}", std::process::id());
+    // A file of its own for each system, since another may read its token at this moment.
+    let number = TOKENS.fetch_add(1, Ordering::Relaxed);
+    let name = format!("filbertcleat-token-{}-{number}", std::process::id());
     let path: PathBuf = std::env::temp_dir().join(name);
     std::fs::write(&path, LOOPBACK_TOKEN)?;
     Ok(path.display().to_string())
