Remove decisions' accessors that nothing calls

Cause: on reading the whole change again, five public functions of the policy crate had no caller: the agent's call_fault, the entry's node_of, the keeper's waiting and due, and the popularity's top (meant for prefetch, which is not built). Removed, 31 lines; behaviour is the same. Checks before and after: imports, formatter, clippy with warnings as errors, and all tests pass.

--- a/crates/filbertcleat-policy/src/agent.rs
+++ b/crates/filbertcleat-policy/src/agent.rs
@@ -22,9 +22,7 @@
 use filbertcleat_base::AttemptId;
 use filbertcleat_base::Class;
 use filbertcleat_base::ConfigVersion;
-use filbertcleat_base::Fault;
 use filbertcleat_base::MonoTime;
-use filbertcleat_base::Step;
 use filbertcleat_config::Policy;
 use filbertcleat_config::Weights;
 use filbertcleat_store::Ownership;
@@ -355,9 +353,4 @@
         let attempt = attempt.clone();
         self.actions.push(AgentAction::Emit(AttemptEvent { attempt, sequence, kind }));
     }
-
-    /// Returns the fault of a call that broke at this agent.
-    pub fn call_fault(&self, step: Step, reason: impl std::fmt::Display) -> Fault {
-        Fault::new(step, &self.settings.node, reason)
-    }
 }
--- a/crates/filbertcleat-policy/src/entry.rs
+++ b/crates/filbertcleat-policy/src/entry.rs
@@ -386,11 +386,6 @@
         self.budget.set_share(limits.retry_share_percent);
     }
 
-    /// Returns the agent's name that a request was last sent to.
-    pub fn node_of(&self, request: &RequestId) -> Option<NodeName> {
-        self.requests.get(request).map(Pending::node)
-    }
-
     /// Returns the name of the entry.
     pub fn name(&self) -> &NodeName {
         &self.settings.node
--- a/crates/filbertcleat-policy/src/keeper.rs
+++ b/crates/filbertcleat-policy/src/keeper.rs
@@ -84,16 +84,6 @@
         }
     }
 
-    /// Returns the number of loads that are waited for.
-    pub fn waiting(&self) -> usize {
-        self.wants.values().map(Vec::len).sum()
-    }
-
-    /// Returns the time at which the present turn is taken back, if there is one.
-    pub fn due(&self) -> Option<MonoTime> {
-        self.current.as_ref().map(|held| held.until)
-    }
-
     /// Gives the turn to the next agent, if it is free and wanted.
     pub fn grant(&mut self, now: MonoTime) -> Option<Grant> {
         if self.current.as_ref().is_some_and(|held| held.until > now) {
--- a/crates/filbertcleat-policy/src/popularity.rs
+++ b/crates/filbertcleat-policy/src/popularity.rs
@@ -52,15 +52,6 @@
         count * std::f64::consts::LN_2 / self.half_life_s
     }
 
-    /// Returns the adapters asked for most, the most popular first.
-    pub fn top(&self, now: MonoTime, most: usize) -> Vec<(AdapterRef, f64)> {
-        let mut rates: Vec<_> =
-            self.counts.keys().map(|adapter| (adapter.clone(), self.rate(now, adapter))).collect();
-        rates.sort_by(|left, right| right.1.total_cmp(&left.1).then_with(|| left.0.cmp(&right.0)));
-        rates.truncate(most);
-        rates
-    }
-
     fn make_room(&mut self, now: MonoTime) {
         if self.counts.len() < Self::REMEMBERED_MAX {
             return;
