--- a/crates/filbertcleat-daemon/src/main.rs
+++ b/crates/filbertcleat-daemon/src/main.rs
@@ -1,5 +1,7 @@
 //! The daemon filbertcleatd.
 
+mod prepared;
+
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -18,11 +20,12 @@
 
 fn main() -> ExitCode {
     let mut options = Options::new();
-    options.reqopt("s", "settings", "the settings file", "FILE");
+    options.optopt("s", "settings", "the settings file", "FILE");
+    options.optflag("p", "prepared", "run on a prepared machine, whose settings file it names");
     options.optflag("c", "check", "check the settings and exit");
     options.optflag("h", "help", "show this text");
     let arguments: Vec<_> = std::env::args().skip(1).collect();
-    let usage = options.usage("Usage: filbertcleatd --settings FILE [--check]");
+    let usage = options.usage("Usage: filbertcleatd --settings FILE [--check]\n       filbertcleatd --prepared [--check]");
     if arguments.iter().any(|argument| argument == "-h" || argument == "--help") {
         println!("{usage}");
         return ExitCode::SUCCESS;
@@ -35,7 +38,19 @@
         }
     };
 
-    let file = matches.opt_str("settings").unwrap_or_default();
+    if matches.opt_present("prepared") {
+        return match prepared::run(matches.opt_present("check")) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(fault) => {
+                eprintln!("{fault}");
+                ExitCode::from(EXIT_USAGE)
+            }
+        };
+    }
+    let Some(file) = matches.opt_str("settings") else {
+        eprintln!("a settings file or --prepared is needed\n{usage}");
+        return ExitCode::from(EXIT_USAGE);
+    };
     let settings = match Settings::load(Path::new(&file)) {
         Ok(settings) => settings,
         Err(problems) => {
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -0,0 +1,214 @@
+//! The agent beside an engine.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filbertcleat_base::Fault;
+use filbertcleat_base::MonoTime;
+use filbertcleat_base::Step;
+use filbertcleat_serve::AgentNews;
+use filbertcleat_serve::Order;
+use filbertcleat_serve::OrderKind;
+use filbertcleat_serve::Shelf;
+use tokio::time::Instant;
+
+use crate::EngineControl;
+use crate::GatewaySettings;
+use crate::OrderAnswer;
+use crate::Stop;
+use crate::clock::Clock;
+use crate::exchange::Exchange;
+use crate::exchange::News;
+use crate::exchange::sender_id;
+
+/// Runs the agent until it shall end.
+pub async fn run_agent<E: EngineControl>(
+    settings: &GatewaySettings,
+    engine: E,
+    stop: Stop,
+) -> Result<(), Fault> {
+    let address = SocketAddr::new(settings.ip, settings.peer_port);
+    let exchange = Exchange::bind(address)
+        .await
+        .map_err(|error| Fault::new(Step::Connect, address, error))?;
+    log::info!("event=start role=agent node={} peers={address}", settings.name);
+    let mut agent = Agent {
+        clock: Clock::start(),
+        engine,
+        exchange,
+        shelf: Shelf::default(),
+        listeners: HashMap::new(),
+        told: None,
+        told_at: MonoTime::ZERO,
+        id: sender_id(),
+        sequence: 0,
+        is_engine_lost: false,
+    };
+    tokio::select! {
+        () = agent.run() => {}
+        () = stop.stopped() => {}
+    }
+    log::info!("event=stop role=agent node={}", settings.name);
+    Ok(())
+}
+
+struct Agent<E> {
+    clock: Clock,
+    engine: E,
+    exchange: Exchange,
+    shelf: Shelf,
+    /// Where entries are heard from, and when they last were.
+    listeners: HashMap<SocketAddr, MonoTime>,
+    told: Option<AgentNews>,
+    told_at: MonoTime,
+    id: u64,
+    sequence: u64,
+    is_engine_lost: bool,
+}
+
+impl<E: EngineControl> Agent<E> {
+    /// The engine is asked at this pace; its answer on the own VM is fresh and free.
+    const REPORT_EVERY: Duration = Duration::from_millis(100);
+    /// The pace while an order is under way or waited for: a tenth of a load's time.
+    const REPORT_BUSY: Duration = Duration::from_millis(25);
+    /// Entries take news for stale after 1,600 ms, so three may be lost.
+    const TELL_AT_LEAST_MS: u64 = 400;
+    /// News that only the load changed are told at this pace.
+    const TELL_LOAD_MS: u64 = 100;
+    /// An entry that is silent for longer is told nothing.
+    const LISTENER_LIVE_MS: u64 = 3_000;
+
+    async fn run(&mut self) {
+        let mut buffer = Vec::new();
+        let mut report_at = Instant::now();
+        loop {
+            tokio::select! {
+                (news, from) = self.exchange.receive(&mut buffer) => {
+                    let now = self.clock.now();
+                    let News::Entry(news) = news else { continue };
+                    self.listeners.insert(from, now);
+                    let was_busy = self.shelf.is_busy(now);
+                    self.shelf.hear(now, news);
+                    if self.shelf.is_busy(now) && !was_busy {
+                        report_at = report_at.min(Instant::now() + Self::REPORT_BUSY);
+                    }
+                    self.give_orders().await;
+                }
+                () = tokio::time::sleep_until(report_at) => {
+                    self.ask_engine().await;
+                    self.give_orders().await;
+                    let is_busy = self.shelf.is_busy(self.clock.now());
+                    let pause = if is_busy { Self::REPORT_BUSY } else { Self::REPORT_EVERY };
+                    report_at = Instant::now() + pause;
+                }
+            }
+            self.tell();
+        }
+    }
+
+    async fn ask_engine(&mut self) {
+        match self.engine.report().await {
+            Ok(report) => {
+                if self.is_engine_lost {
+                    self.is_engine_lost = false;
+                    log::info!("event=engine-regained server={}", report.server);
+                }
+                self.shelf.report(report);
+            }
+            Err(fault) => {
+                if !self.is_engine_lost {
+                    self.is_engine_lost = true;
+                    log::warn!("event=engine-lost reason=\"{fault}\"");
+                }
+                self.shelf.lose();
+            }
+        }
+    }
+
+    /// Gives orders until none is due; a longer series than the places is the sign of an error.
+    async fn give_orders(&mut self) {
+        const SERIES_MAX: usize = 8;
+        for _ in 0..SERIES_MAX {
+            let Some(order) = self.shelf.next_order(self.clock.now()) else { return };
+            let is_done = self.give(&order).await;
+            if !is_done {
+                return;
+            }
+        }
+    }
+
+    /// Gives one order and returns whether the next may follow.
+    async fn give(&mut self, order: &Order) -> bool {
+        let answer = self.engine.order(order).await;
+        let now = self.clock.now();
+        let what = describe(&order.kind);
+        let expected = order.expected;
+        match answer {
+            Ok(OrderAnswer::Accepted | OrderAnswer::Holds) => {
+                log::info!("event=order {what} expected={expected} outcome=accepted");
+                self.shelf.accepted(order);
+                true
+            }
+            Ok(OrderAnswer::Refused { status }) => {
+                log::info!("event=order {what} expected={expected} outcome=refused status={status}");
+                self.shelf.refused(now, order);
+                false
+            }
+            Err(error) => {
+                log::warn!(
+                    "event=order {what} expected={expected} outcome=unknown reason=\"{}\"",
+                    error.fault
+                );
+                false
+            }
+        }
+    }
+
+    fn tell(&mut self) {
+        let now = self.clock.now();
+        self.listeners.retain(|_, heard| now.ms_since(*heard) <= Self::LISTENER_LIVE_MS);
+        let Some(news) = self.news(now) else { return };
+        let since_ms = now.ms_since(self.told_at);
+        let is_due = match &self.told {
+            None => true,
+            Some(told) if told.held != news.held || told.models != news.models => true,
+            Some(told) if *told != news => since_ms >= Self::TELL_LOAD_MS,
+            Some(_) => since_ms >= Self::TELL_AT_LEAST_MS,
+        };
+        if !is_due {
+            return;
+        }
+        self.told = Some(news.clone());
+        self.told_at = now;
+        self.sequence += 1;
+        let news = News::Agent(AgentNews { sequence: self.sequence, ..news });
+        for to in self.listeners.keys() {
+            self.exchange.send(*to, &news);
+        }
+    }
+
+    fn news(&self, now: MonoTime) -> Option<AgentNews> {
+        let report = self.shelf.engine()?;
+        Some(AgentNews {
+            agent: self.id,
+            server: report.server.clone(),
+            sequence: 0,
+            models: report.models.clone(),
+            held: self.shelf.held(),
+            running: report.running,
+            waiting: report.waiting,
+            memory_used_tokens: report.memory_used_tokens,
+            memory_tokens: report.memory_tokens,
+            entries: u32::try_from(self.shelf.entries(now)).unwrap_or(u32::MAX),
+        })
+    }
+}
+
+fn describe(kind: &OrderKind) -> String {
+    match kind {
+        OrderKind::LoadModel(model) => format!("order=load-model model={model}"),
+        OrderKind::Load(key, version) => format!("order=load adapter={key} version={version}"),
+        OrderKind::Drop(key) => format!("order=drop adapter={key}"),
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -0,0 +1,98 @@
+//! An entry: it answers callers by speaking with backend servers itself.
+
+mod body;
+mod caller;
+mod connection;
+mod events;
+mod follow;
+mod handle;
+mod line;
+mod open;
+mod pool;
+mod pump;
+mod readiness;
+mod refusal;
+mod send;
+mod state;
+mod stream;
+mod tell;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertcleat_base::Fault;
+use filbertcleat_base::Step;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use self::connection::serve_callers;
+use self::follow::follow;
+use self::pump::pump;
+use self::readiness::serve_readiness;
+use self::state::Entry;
+use self::tell::hear_agents;
+use crate::Catalogue;
+use crate::Dialect;
+use crate::GatewaySettings;
+use crate::Stop;
+use crate::Topic;
+use crate::exchange::Exchange;
+
+/// A balancer that asks each second takes a process out after two misses; until then, and a little
+/// longer, it still sends callers.
+const BALANCER_LAG_MS: u64 = 2_600;
+/// The part of the grace that is kept for the end of the process itself.
+const END_MS: u64 = 600;
+/// How often a stopping process looks whether its requests have ended.
+const END_LOOK: Duration = Duration::from_millis(50);
+
+/// Runs an entry until it shall end; it has to run within a `LocalSet`.
+pub async fn run_entry<C: Catalogue, D: Dialect>(
+    settings: &GatewaySettings,
+    addresses: (SocketAddr, SocketAddr),
+    catalogue: C,
+    dialect: D,
+    stop: Stop,
+) -> Result<(), Fault> {
+    let (callers, readiness) = addresses;
+    let peers = SocketAddr::new(settings.ip, settings.peer_port);
+    let exchange =
+        Exchange::bind(peers).await.map_err(|error| Fault::new(Step::Connect, peers, error))?;
+    let callers_listener = bind(callers).await?;
+    let readiness_listener = bind(readiness).await?;
+    let entry = Rc::new(Entry::new(settings.clone(), dialect, exchange, stop.clone()));
+    log::info!("event=start role=entry node={} callers={callers} peers={peers}", settings.name);
+
+    spawn_local(follow(Rc::clone(&entry), catalogue.clone(), Topic::Operators));
+    spawn_local(follow(Rc::clone(&entry), catalogue, Topic::Servers));
+    spawn_local(hear_agents(Rc::clone(&entry)));
+    spawn_local(pump(Rc::clone(&entry)));
+    spawn_local(serve_readiness(Rc::clone(&entry), readiness_listener));
+    spawn_local(serve_callers(Rc::clone(&entry), callers_listener));
+
+    stop.stopped().await;
+    let open = entry.requests();
+    log::info!("event=stopping role=entry node={} requests={open}", settings.name);
+    wait_for_end(&entry).await;
+    log::info!("event=stop role=entry node={} requests={}", settings.name, entry.requests());
+    Ok(())
+}
+
+/// Waits until the balancer has taken the process out and its requests have ended.
+async fn wait_for_end<D: Dialect>(entry: &Entry<D>) {
+    entry.stops();
+    let since = entry.now();
+    loop {
+        let passed_ms = entry.now().ms_since(since);
+        let is_done = passed_ms >= BALANCER_LAG_MS && entry.requests() == 0;
+        if is_done || passed_ms + END_MS >= entry.settings.grace_ms {
+            return;
+        }
+        tokio::time::sleep(END_LOOK).await;
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Fault> {
+    TcpListener::bind(address).await.map_err(|error| Fault::new(Step::Connect, address, error))
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/open.rs
@@ -0,0 +1,76 @@
+//! Requests at backend servers.
+
+use std::rc::Rc;
+
+use filbertcleat_base::MonoTime;
+use filbertcleat_serve::Demand;
+use filbertcleat_serve::Ending;
+use filbertcleat_serve::ServerId;
+use filbertcleat_serve::Ticket;
+
+use super::state::Entry;
+use crate::Dialect;
+
+/// A request that is counted at a backend server, until it is dropped.
+pub(super) struct OpenSend<D: Dialect> {
+    entry: Rc<Entry<D>>,
+    server: ServerId,
+    demand: Demand,
+    sent: MonoTime,
+    has_started: bool,
+    ending: Ending,
+}
+
+impl<D: Dialect> OpenSend<D> {
+    /// Takes charge of a request that the fleet counts already.
+    pub fn counted(entry: &Rc<Entry<D>>, server: ServerId, demand: Demand) -> Self {
+        let sent = entry.now();
+        let entry = Rc::clone(entry);
+        Self { entry, server, demand, sent, has_started: false, ending: Ending::Left }
+    }
+
+    /// Returns the backend server.
+    pub fn server(&self) -> &ServerId {
+        &self.server
+    }
+
+    /// Notes that bytes of the answer came.
+    pub fn hears(&mut self) {
+        let now = self.entry.now();
+        let fleet = &mut self.entry.state.borrow_mut().fleet;
+        if self.has_started {
+            fleet.heard(now, &self.server);
+        } else {
+            self.has_started = true;
+            fleet.started(now, &self.server, &self.demand, now.ms_since(self.sent));
+        }
+    }
+
+    /// Ends the request.
+    pub fn end(mut self, ending: Ending) {
+        self.ending = ending;
+    }
+}
+
+impl<D: Dialect> Drop for OpenSend<D> {
+    fn drop(&mut self) {
+        let now = self.entry.now();
+        let fleet = &mut self.entry.state.borrow_mut().fleet;
+        fleet.ended(now, &self.server, &self.demand, self.has_started, self.ending);
+        self.entry.changed.notify_one();
+    }
+}
+
+/// A request in the queue, until it is dropped.
+pub(super) struct Queued<D: Dialect> {
+    pub entry: Rc<Entry<D>>,
+    pub ticket: Ticket,
+}
+
+impl<D: Dialect> Drop for Queued<D> {
+    fn drop(&mut self) {
+        let state = &mut *self.entry.state.borrow_mut();
+        state.queue.leave(self.ticket);
+        state.waiting.remove(&self.ticket);
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/pump.rs
@@ -0,0 +1,40 @@
+//! Sending waiting requests on their way.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertcleat_base::MonoTime;
+use filbertcleat_serve::Demand;
+
+use super::state::Entry;
+use super::tell::tell_agents;
+use crate::Dialect;
+
+/// How long the queue may go without a look at the time: pauses of backend servers end and news
+/// become stale without an event.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Sends waiting requests on their way whenever something has changed.
+pub(super) async fn pump<D: Dialect>(entry: Rc<Entry<D>>) {
+    loop {
+        // A look is due after the time, with or without a change.
+        let _ = tokio::time::timeout(LOOK, entry.changed.notified()).await;
+        let now = entry.now();
+        send_waiting(&entry, now);
+        tell_agents(&entry);
+    }
+}
+
+fn send_waiting<D: Dialect>(entry: &Entry<D>, now: MonoTime) {
+    let state = &mut *entry.state.borrow_mut();
+    state.fleet.tick(now);
+    let Some(deployment) = state.deployment.clone() else { return };
+    let shape = |demand: &Demand| deployment.services.get(&demand.service)?.engine.as_ref();
+    let home = &entry.settings.domain;
+    for (ticket, server) in state.queue.pump(now, &mut state.fleet, home, shape) {
+        if let Some(waiting) = state.waiting.remove(&ticket) {
+            // A waiter leaves the queue before it drops its receiver.
+            let _ = waiting.send(server);
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -0,0 +1,167 @@
+//! The state of an entry.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use filbertcleat_base::MonoTime;
+use filbertcleat_base::ServiceName;
+use filbertcleat_serve::AdapterKey;
+use filbertcleat_serve::Deployment;
+use filbertcleat_serve::Fleet;
+use filbertcleat_serve::Queue;
+use filbertcleat_serve::RepeatBudget;
+use filbertcleat_serve::ServerId;
+use filbertcleat_serve::Ticket;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use super::BALANCER_LAG_MS;
+use super::pool::Pool;
+use super::tell::Told;
+use crate::CatalogueFact;
+use crate::Dialect;
+use crate::GatewaySettings;
+use crate::Stop;
+use crate::clock::Clock;
+use crate::exchange::Exchange;
+
+/// An entry: its state, and what its tasks share.
+pub(super) struct Entry<D> {
+    pub settings: GatewaySettings,
+    pub dialect: D,
+    pub exchange: Exchange,
+    pub stop: Stop,
+    pub pool: Pool,
+    /// Woken when a waiting request might go.
+    pub changed: Notify,
+    pub state: RefCell<State>,
+    clock: Clock,
+    requests: Cell<usize>,
+    stopping_since: Cell<Option<MonoTime>>,
+}
+
+/// What an entry knows and decides upon.
+pub(super) struct State {
+    pub deployment: Option<Rc<Deployment>>,
+    pub versions: HashMap<AdapterKey, u64>,
+    pub fleet: Fleet,
+    pub queue: Queue,
+    pub waiting: HashMap<Ticket, oneshot::Sender<ServerId>>,
+    pub told: Told,
+    budgets: HashMap<ServiceName, RepeatBudget>,
+}
+
+impl<D: Dialect> Entry<D> {
+    pub fn new(settings: GatewaySettings, dialect: D, exchange: Exchange, stop: Stop) -> Self {
+        let clock = Clock::start();
+        Self {
+            settings,
+            dialect,
+            exchange,
+            stop,
+            pool: Pool::new(clock),
+            changed: Notify::new(),
+            state: RefCell::new(State {
+                deployment: None,
+                versions: HashMap::new(),
+                fleet: Fleet::default(),
+                queue: Queue::default(),
+                waiting: HashMap::new(),
+                told: Told::new(),
+                budgets: HashMap::new(),
+            }),
+            clock,
+            requests: Cell::new(0),
+            stopping_since: Cell::new(None),
+        }
+    }
+
+    pub fn now(&self) -> MonoTime {
+        self.clock.now()
+    }
+
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Returns the requests that callers wait for.
+    pub fn requests(&self) -> usize {
+        self.requests.get()
+    }
+
+    pub fn request_begins(&self) {
+        self.requests.set(self.requests.get() + 1);
+    }
+
+    pub fn request_ends(&self) {
+        self.requests.set(self.requests.get().saturating_sub(1));
+    }
+
+    /// Returns whether the process answers callers: it knows a configuration and is not leaving.
+    pub fn is_ready(&self) -> bool {
+        self.state.borrow().deployment.is_some() && !self.stop.is_stopping()
+    }
+
+    /// Returns whether the balancer has had the time to take a stopping process out.
+    pub fn is_out(&self) -> bool {
+        let now = self.now();
+        self.stopping_since.get().is_some_and(|since| now.ms_since(since) >= BALANCER_LAG_MS)
+    }
+
+    /// Notes that the process shall end.
+    pub fn stops(&self) {
+        self.stopping_since.set(Some(self.now()));
+    }
+
+    /// Takes in a fact of the catalogue; configurations and versions never go back.
+    pub fn learn(&self, fact: CatalogueFact) {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        match fact {
+            CatalogueFact::Deployment(deployment) => {
+                let known = state.deployment.as_ref().map(|known| known.version);
+                if known.is_some_and(|known| known >= deployment.version) {
+                    return;
+                }
+                log::info!(
+                    "event=configuration version={} before={} routes={}",
+                    deployment.version,
+                    known.unwrap_or(0),
+                    deployment.routes.len()
+                );
+                state.deployment = Some(Rc::new(deployment));
+            }
+            CatalogueFact::AdapterVersion { key, version } => {
+                let known = state.versions.entry(key).or_default();
+                *known = version.max(*known);
+            }
+            CatalogueFact::Listing(change) => state.fleet.apply(now, change),
+        }
+        self.changed.notify_one();
+    }
+
+    /// Counts a request for the budget of repeats.
+    pub fn count_request(&self, service: &ServiceName) {
+        let now = self.now();
+        self.state.borrow_mut().budget(&self.settings, service).request(now);
+    }
+
+    /// Takes one repeat from the budget if there is one.
+    pub fn take_repeat(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        let entries = state.fleet.entries(now);
+        state.budget(&self.settings, service).take(now, entries)
+    }
+}
+
+impl State {
+    fn budget(&mut self, settings: &GatewaySettings, service: &ServiceName) -> &mut RepeatBudget {
+        let grant = settings.repeats;
+        self.budgets
+            .entry(service.clone())
+            .or_insert_with(|| RepeatBudget::new(grant.ratio, grant.slack, grant.window_ms))
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/tell.rs
@@ -0,0 +1,93 @@
+//! What an entry tells agents and hears from them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use filbertcleat_base::MonoTime;
+use filbertcleat_serve::EntryNews;
+use filbertcleat_serve::ServerId;
+use filbertcleat_serve::Want;
+
+use super::state::Entry;
+use super::state::State;
+use crate::Dialect;
+use crate::exchange::News;
+use crate::exchange::sender_id;
+
+/// An entry speaks to each agent at least this often; agents take it for gone after 3,000 ms.
+const TELL_AT_LEAST_MS: u64 = 400;
+/// New wants are told at once, but not more often than this.
+const TELL_WANTS_MS: u64 = 15;
+
+/// What has been told to agents.
+pub(super) struct Told {
+    entry: u64,
+    sequence: u64,
+    servers: HashMap<ServerId, (MonoTime, Vec<Want>)>,
+}
+
+impl Told {
+    pub fn new() -> Self {
+        Self { entry: sender_id(), sequence: 0, servers: HashMap::new() }
+    }
+}
+
+/// Hears agents for as long as the process runs.
+pub(super) async fn hear_agents<D: Dialect>(entry: Rc<Entry<D>>) {
+    let mut buffer = Vec::new();
+    loop {
+        let (news, from) = entry.exchange.receive(&mut buffer).await;
+        let News::Agent(mut news) = news else { continue };
+        let now = entry.now();
+        let fleet = &mut entry.state.borrow_mut().fleet;
+        if news.server.as_str().is_empty() {
+            // An engine that does not name itself is the one at its agent's address.
+            let beside = fleet.servers().find(|server| server.listed.address.ip() == from.ip());
+            let Some(beside) = beside else { continue };
+            news.server = beside.listed.id.clone();
+        }
+        fleet.news(now, news);
+        entry.changed.notify_one();
+    }
+}
+
+/// Tells each agent whose turn it is what this entry wants and uses.
+pub(super) fn tell_agents<D: Dialect>(entry: &Entry<D>) {
+    let now = entry.now();
+    let state = &mut *entry.state.borrow_mut();
+    for (to, news) in due_news(now, state, entry.settings.peer_port) {
+        entry.exchange.send(to, &News::Entry(news));
+    }
+}
+
+fn due_news(now: MonoTime, state: &mut State, port: u16) -> Vec<(SocketAddr, EntryNews)> {
+    let Some(deployment) = state.deployment.clone() else { return Vec::new() };
+    let mut due = Vec::new();
+    for server in state.fleet.servers() {
+        let shape = deployment.services.get(&server.listed.service);
+        let Some(shape) = shape.and_then(|service| service.engine.as_ref()) else { continue };
+        let wants = state.queue.wants(&server.listed.id);
+        let last = state.told.servers.get(&server.listed.id);
+        let is_due = last.is_none_or(|(at, told)| {
+            let since_ms = now.ms_since(*at);
+            since_ms >= TELL_AT_LEAST_MS || (*told != wants && since_ms >= TELL_WANTS_MS)
+        });
+        if !is_due {
+            continue;
+        }
+        state.told.sequence += 1;
+        let news = EntryNews {
+            entry: state.told.entry,
+            sequence: state.told.sequence,
+            wants: wants.clone(),
+            uses: server.uses().map(|(key, count)| (key.clone(), count)).collect(),
+            shape: Some(shape.clone()),
+            demand: Vec::new(),
+        };
+        due.push((SocketAddr::new(server.listed.address.ip(), port), news));
+        state.told.servers.insert(server.listed.id.clone(), (now, wants));
+    }
+    state.told.servers.retain(|id, _| state.fleet.server(id).is_some());
+    due
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/lib.rs
@@ -0,0 +1,32 @@
+//! The direct path: entries that speak with backend servers, and agents that order adapters.
+//!
+//! The decisions are those of `filbertcleat-serve`; this crate moves bytes and keeps time. What
+//! differs between deployments stands behind three traits: `Dialect` for headers, `Catalogue` for
+//! the list of configurations and backend servers, and `EngineControl` for an engine's orders.
+
+mod agent;
+mod catalogue;
+mod clock;
+mod control;
+mod dialect;
+mod entry;
+mod exchange;
+mod settings;
+mod stop;
+
+pub use agent::run_agent;
+pub use catalogue::Catalogue;
+pub use catalogue::CatalogueFact;
+pub use catalogue::Changes;
+pub use catalogue::Topic;
+pub use control::EngineControl;
+pub use control::OrderAnswer;
+pub use dialect::AnswerFacts;
+pub use dialect::Dialect;
+pub use dialect::RequestFacts;
+pub use dialect::SendFacts;
+pub use entry::run_entry;
+pub use settings::GatewayRole;
+pub use settings::GatewaySettings;
+pub use settings::RepeatGrant;
+pub use stop::Stop;
--- a/crates/filbertcleat-platform/src/http.rs
+++ b/crates/filbertcleat-platform/src/http.rs
@@ -46,6 +46,11 @@
         Self { client, timeout }
     }
 
+    /// Returns the time that a call may take.
+    pub fn timeout(&self) -> Duration {
+        self.timeout
+    }
+
     /// Makes a call and reads the whole answer.
     pub async fn call(&self, call: HttpCall) -> Result<HttpAnswer, CallError> {
         let (step, peer) = (call.step, call.peer());
--- /dev/null
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -0,0 +1,150 @@
+//! What an entry believes of the backend servers.
+
+mod server;
+
+use std::collections::BTreeMap;
+
+use filbertcleat_base::MonoTime;
+
+pub use self::server::Ending;
+pub use self::server::Server;
+use crate::AgentNews;
+use crate::Demand;
+use crate::Listed;
+use crate::ListingChange;
+use crate::ServerId;
+
+/// All backend servers that an entry knows of.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    servers: BTreeMap<ServerId, Server>,
+    doubted: BTreeMap<ServerId, MonoTime>,
+    unsure_until: MonoTime,
+}
+
+impl Fleet {
+    /// Entries that lapsed during an outage of the list are back within two seconds of its end;
+    /// until then a missing entry is no proof, and a little longer for the answer to travel.
+    const RELIST_MS: u64 = 2_200;
+
+    /// Takes in a change of the deployment's list.
+    pub fn apply(&mut self, now: MonoTime, change: ListingChange) {
+        match change {
+            ListingChange::Whole(list) => {
+                let missing: Vec<_> = self
+                    .servers
+                    .keys()
+                    .filter(|id| !list.iter().any(|listed| listed.id == **id))
+                    .cloned()
+                    .collect();
+                for listed in list {
+                    self.put(now, listed);
+                }
+                for id in missing {
+                    self.remove(now, &id);
+                }
+            }
+            ListingChange::Put(listed) => self.put(now, listed),
+            ListingChange::Gone(id) | ListingChange::Spoilt(id) => self.remove(now, &id),
+        }
+    }
+
+    /// Notes that the list has answered again after an outage.
+    pub fn regained(&mut self, now: MonoTime) {
+        self.unsure_until = now.plus_ms(Self::RELIST_MS);
+    }
+
+    /// Drops the backend servers whose entries did not come back after an outage.
+    pub fn tick(&mut self, now: MonoTime) {
+        let lapsed: Vec<_> = self
+            .doubted
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lapsed {
+            self.doubted.remove(&id);
+            self.servers.remove(&id);
+        }
+    }
+
+    /// Takes in what an agent says of its engine.
+    pub fn news(&mut self, now: MonoTime, news: AgentNews) {
+        if let Some(server) = self.servers.get_mut(&news.server) {
+            server.hear(now, news);
+        }
+    }
+
+    /// Notes that a request goes to a backend server.
+    pub fn sent(&mut self, now: MonoTime, id: &ServerId, demand: &Demand) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.sent(now, demand);
+        }
+    }
+
+    /// Notes that the answer of a request has begun `wait_ms` after it was sent.
+    pub fn started(&mut self, now: MonoTime, id: &ServerId, demand: &Demand, wait_ms: u64) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.started(now, demand, wait_ms);
+        }
+    }
+
+    /// Notes that a request that had been sent is over.
+    pub fn ended(
+        &mut self,
+        now: MonoTime,
+        id: &ServerId,
+        demand: &Demand,
+        had_started: bool,
+        ending: Ending,
+    ) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.ended(now, demand, had_started, ending);
+        }
+    }
+
+    /// Notes that a backend server sent bytes of an answer.
+    pub fn heard(&mut self, now: MonoTime, id: &ServerId) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.heard_at = now;
+        }
+    }
+
+    /// Returns the backend servers in the order of their ids.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    /// Returns a backend server.
+    pub fn server(&self, id: &ServerId) -> Option<&Server> {
+        self.servers.get(id)
+    }
+
+    /// Returns the most entries that any agent has lately heard, if any agent has spoken.
+    pub fn entries(&self, now: MonoTime) -> Option<u32> {
+        self.servers()
+            .filter_map(|server| server.fresh_news(now))
+            .map(|news| news.entries)
+            .max()
+            .filter(|entries| *entries > 0)
+    }
+
+    fn put(&mut self, now: MonoTime, listed: Listed) {
+        self.doubted.remove(&listed.id);
+        match self.servers.get_mut(&listed.id) {
+            Some(server) => server.relist(now, listed),
+            None => {
+                self.servers.insert(listed.id.clone(), Server::new(now, listed));
+            }
+        }
+    }
+
+    fn remove(&mut self, now: MonoTime, id: &ServerId) {
+        if now < self.unsure_until && self.servers.contains_key(id) {
+            self.doubted.entry(id.clone()).or_insert(self.unsure_until);
+            return;
+        }
+        self.doubted.remove(id);
+        self.servers.remove(id);
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -0,0 +1,285 @@
+//! What an entry believes of one backend server.
+
+use std::collections::BTreeMap;
+
+use filbertcleat_base::ModelName;
+use filbertcleat_base::MonoTime;
+
+use crate::AdapterKey;
+use crate::AgentNews;
+use crate::Demand;
+use crate::Listed;
+
+/// What an entry believes of one backend server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// What the list says of it.
+    pub listed: Listed,
+    /// Requests of this entry that it has not finished.
+    pub open: u32,
+    /// Requests of this entry sent since its agent last spoke.
+    pub sent_since_news: u32,
+    /// Prompts of this entry's requests whose answers have not begun, in tokens.
+    pub unstarted_tokens: u64,
+    /// When it last sent a byte of an answer.
+    pub heard_at: MonoTime,
+    unstarted: u32,
+    memory_since_news_tokens: u64,
+    news: Option<(MonoTime, AgentNews)>,
+    uses: BTreeMap<AdapterKey, u32>,
+    doubt_until: MonoTime,
+    failures_in_row: u32,
+    failed_share: f64,
+    ms_per_token: f64,
+    oldest_waiting: Option<MonoTime>,
+}
+
+/// How a request at a backend server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// It was answered in full.
+    Answered,
+    /// It was answered with a failure of the backend server's own.
+    Failed,
+    /// The backend server had no room and did not run it.
+    Full,
+    /// The backend server lacks the adapter or its version and did not run it.
+    Lacking,
+    /// Another backend server has the address.
+    Misdirected,
+    /// No connection could be made.
+    Unreachable,
+    /// The connection broke, or the answer was not the protocol's.
+    Broken,
+    /// No answer came in time.
+    Silent,
+    /// The caller left, or the entry gave up for reasons of its own.
+    Left,
+}
+
+impl Server {
+    /// An agent repeats its news at least every 500 ms; three may be lost.
+    const NEWS_FRESH_MS: u64 = 1_600;
+    /// The first pause after a failure; it doubles with each further one.
+    const DOUBT_MS: u64 = 250;
+    /// The longest pause, so that a backend server that is back gets work within the recovery time.
+    const DOUBT_MAX_MS: u64 = 4_000;
+    /// A backend server with work that sends nothing for so long may be gone: many times the time
+    /// between two events of any answer.
+    const SILENCE_MS: u64 = 1_500;
+    /// The weight of one ending in the share of failures.
+    const FAILED_WEIGHT: f64 = 0.1;
+    /// The prefill time assumed until answers show it: a tenth of a millisecond a token.
+    const MS_PER_TOKEN: f64 = 0.1;
+    /// The weight of one answer in the prefill time.
+    const MS_PER_TOKEN_WEIGHT: f64 = 0.1;
+    /// The prompt length assumed of requests of other entries, in tokens.
+    const PROMPT_TOKENS: u64 = 1_000;
+
+    /// Creates the belief from the list's entry.
+    pub fn new(now: MonoTime, listed: Listed) -> Self {
+        Self {
+            listed,
+            open: 0,
+            sent_since_news: 0,
+            unstarted_tokens: 0,
+            heard_at: now,
+            unstarted: 0,
+            memory_since_news_tokens: 0,
+            news: None,
+            uses: BTreeMap::new(),
+            doubt_until: MonoTime::ZERO,
+            failures_in_row: 0,
+            failed_share: 0.0,
+            ms_per_token: Self::MS_PER_TOKEN,
+            oldest_waiting: None,
+        }
+    }
+
+    /// Takes over a new entry of the list; another start under the same id begins anew.
+    pub fn relist(&mut self, now: MonoTime, listed: Listed) {
+        let is_restarted = listed.born_ms != self.listed.born_ms;
+        let is_moved = listed.address != self.listed.address;
+        if is_restarted || is_moved {
+            *self = Self::new(now, listed);
+            return;
+        }
+        self.listed = listed;
+    }
+
+    /// Takes in what its agent says, unless it is older than what is known.
+    pub fn hear(&mut self, now: MonoTime, news: AgentNews) {
+        let is_old = self.news.as_ref().is_some_and(|(_, known)| {
+            known.agent == news.agent && known.sequence >= news.sequence
+        });
+        if is_old {
+            return;
+        }
+        self.news = Some((now, news));
+        self.sent_since_news = 0;
+        self.memory_since_news_tokens = 0;
+    }
+
+    /// Returns the agent's last word if it is fresh.
+    pub fn fresh_news(&self, now: MonoTime) -> Option<&AgentNews> {
+        self.news
+            .as_ref()
+            .filter(|(heard, _)| now.ms_since(*heard) <= Self::NEWS_FRESH_MS)
+            .map(|(_, news)| news)
+    }
+
+    /// Returns whether new requests may be sent.
+    pub fn is_usable(&self, now: MonoTime) -> bool {
+        !self.listed.is_leaving && now >= self.doubt_until && !self.is_silent(now)
+    }
+
+    /// Returns whether the base model is held, by the agent's word or else the list's.
+    pub fn holds_model(&self, model: &ModelName) -> bool {
+        match &self.news {
+            Some((_, news)) => news.models.contains(model),
+            None => self.listed.models.iter().any(|held| held.name == *model),
+        }
+    }
+
+    /// Returns whether an adapter is held at the version or a later one.
+    pub fn holds_adapter(&self, key: &AdapterKey, version: u64) -> bool {
+        self.held_version(key).is_some_and(|held| held >= version)
+    }
+
+    /// Returns the version at which an adapter is held, unless it is about to be dropped.
+    pub fn held_version(&self, key: &AdapterKey) -> Option<u64> {
+        let (_, news) = self.news.as_ref()?;
+        let held = news.held.iter().find(|held| held.key == *key && !held.is_going)?;
+        Some(held.version)
+    }
+
+    /// Returns the adapters that this entry's requests run on, with their number.
+    pub fn uses(&self) -> impl Iterator<Item = (&AdapterKey, u32)> {
+        self.uses.iter().map(|(key, count)| (key, *count))
+    }
+
+    /// Returns the requests in its batch and queue, counting this entry's latest.
+    pub fn load(&self, now: MonoTime) -> u32 {
+        match self.fresh_news(now) {
+            Some(news) => (news.running + news.waiting + self.sent_since_news).max(self.open),
+            None => self.open,
+        }
+    }
+
+    /// Returns whether a request would have to wait for a place or for memory.
+    pub fn is_full(&self, now: MonoTime, demand: &Demand, slots: u32) -> bool {
+        if self.load(now) >= slots {
+            return true;
+        }
+        self.fresh_news(now).is_some_and(|news| {
+            let used = news.memory_used_tokens + self.memory_since_news_tokens;
+            news.memory_tokens > 0 && used + demand.memory_tokens() > news.memory_tokens
+        })
+    }
+
+    /// Estimates the time until a request's first event if it were sent now.
+    pub fn first_event_ms(&self, now: MonoTime, demand: &Demand) -> f64 {
+        let others = self
+            .fresh_news(now)
+            .map_or(0, |news| u64::from(news.waiting.saturating_sub(self.unstarted)));
+        let ahead = self.unstarted_tokens + others * Self::PROMPT_TOKENS;
+        (ahead + demand.prompt_tokens) as f64 * self.ms_per_token
+    }
+
+    /// Returns the recent share of requests that failed here.
+    pub fn failed_share(&self) -> f64 {
+        self.failed_share
+    }
+
+    /// Notes that a request goes here.
+    pub fn sent(&mut self, now: MonoTime, demand: &Demand) {
+        if self.open == 0 {
+            self.oldest_waiting = Some(now);
+        }
+        self.open += 1;
+        self.unstarted += 1;
+        self.sent_since_news += 1;
+        self.unstarted_tokens += demand.prompt_tokens;
+        self.memory_since_news_tokens += demand.memory_tokens();
+        if let Some(key) = &demand.adapter {
+            *self.uses.entry(key.clone()).or_default() += 1;
+        }
+    }
+
+    /// Notes that an answer has begun.
+    pub fn started(&mut self, now: MonoTime, demand: &Demand, wait_ms: u64) {
+        self.heard_at = now;
+        self.unstart(demand);
+        if demand.prompt_tokens > 0 {
+            let ahead = (self.unstarted_tokens / 2 + demand.prompt_tokens) as f64;
+            let seen = (wait_ms as f64 / ahead).min(1.0);
+            self.ms_per_token += (seen - self.ms_per_token) * Self::MS_PER_TOKEN_WEIGHT;
+        }
+    }
+
+    /// Notes that a request is over.
+    pub fn ended(&mut self, now: MonoTime, demand: &Demand, had_started: bool, ending: Ending) {
+        if !had_started {
+            self.unstart(demand);
+        }
+        self.open = self.open.saturating_sub(1);
+        if self.open == 0 {
+            self.oldest_waiting = None;
+        }
+        if let Some(key) = &demand.adapter
+            && let Some(count) = self.uses.get_mut(key)
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.uses.remove(key);
+            }
+        }
+        self.judge(now, demand, ending);
+    }
+
+    fn judge(&mut self, now: MonoTime, demand: &Demand, ending: Ending) {
+        match ending {
+            Ending::Answered => {
+                self.failures_in_row = 0;
+                self.failed_share *= 1.0 - Self::FAILED_WEIGHT;
+            }
+            Ending::Left => {}
+            // A full server is sound; its next news tell when it has room.
+            Ending::Full => self.sent_since_news += 1,
+            Ending::Lacking => self.forget_adapter(demand),
+            Ending::Failed => self.fail(),
+            Ending::Misdirected => {
+                self.fail();
+                self.doubt_until = now.plus_ms(Self::DOUBT_MAX_MS);
+            }
+            Ending::Unreachable | Ending::Broken | Ending::Silent => {
+                self.fail();
+                self.failures_in_row += 1;
+                let pause_ms = Self::DOUBT_MS << (self.failures_in_row - 1).min(4);
+                self.doubt_until = now.plus_ms(pause_ms.min(Self::DOUBT_MAX_MS));
+            }
+        }
+    }
+
+    fn fail(&mut self) {
+        self.failed_share += (1.0 - self.failed_share) * Self::FAILED_WEIGHT;
+    }
+
+    /// Drops the belief that an adapter is held, until the agent speaks again.
+    fn forget_adapter(&mut self, demand: &Demand) {
+        if let (Some((_, news)), Some(key)) = (&mut self.news, &demand.adapter) {
+            news.held.retain(|held| held.key != *key);
+        }
+    }
+
+    fn unstart(&mut self, demand: &Demand) {
+        self.unstarted = self.unstarted.saturating_sub(1);
+        self.unstarted_tokens = self.unstarted_tokens.saturating_sub(demand.prompt_tokens);
+    }
+
+    fn is_silent(&self, now: MonoTime) -> bool {
+        self.oldest_waiting.is_some_and(|since| {
+            now.ms_since(since.max(self.heard_at)) > Self::SILENCE_MS
+        })
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -0,0 +1,53 @@
+//! Decisions of the direct path, in which an entry speaks with backend servers itself.
+//!
+//! - `deployment`: the operators' configuration in force
+//! - `fleet`: what an entry believes of the backend servers
+//! - `place`: which backend server a request is sent to
+//! - `queue`: which requests wait at an entry, and in which order they leave
+//! - `budget`: how many repeats an entry may send
+//! - `shelf`: which adapters the agent beside an engine orders
+//!
+//! Everything here is given the time and does no input or output.
+
+mod budget;
+mod deployment;
+mod fleet;
+mod key;
+mod listing;
+mod news;
+mod place;
+mod queue;
+mod request;
+mod shelf;
+
+pub use budget::RepeatBudget;
+pub use deployment::CallerLimits;
+pub use deployment::Deployment;
+pub use deployment::EngineShape;
+pub use deployment::ModelShape;
+pub use deployment::Route;
+pub use deployment::RouteKind;
+pub use deployment::ServiceShape;
+pub use deployment::Target;
+pub use fleet::Ending;
+pub use fleet::Fleet;
+pub use fleet::Server;
+pub use key::AdapterKey;
+pub use key::ServerId;
+pub use listing::Listed;
+pub use listing::ListedModel;
+pub use listing::ListingChange;
+pub use news::AgentNews;
+pub use news::EntryNews;
+pub use news::HeldAdapter;
+pub use news::Want;
+pub use place::Placement;
+pub use place::place_engine;
+pub use place::place_plain;
+pub use queue::Queue;
+pub use queue::Ticket;
+pub use request::Demand;
+pub use shelf::EngineReport;
+pub use shelf::Order;
+pub use shelf::OrderKind;
+pub use shelf::Shelf;
--- /dev/null
+++ b/crates/filbertcleat-serve/src/request.rs
@@ -0,0 +1,32 @@
+//! What a request asks of an engine.
+
+use filbertcleat_base::ModelName;
+use filbertcleat_base::ServiceName;
+
+use crate::AdapterKey;
+
+/// What a request asks of an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Demand {
+    /// The service that the request's route leads to.
+    pub service: ServiceName,
+    /// The base model, if the request names one.
+    pub model: Option<ModelName>,
+    /// The adapter, if the request names one.
+    pub adapter: Option<AdapterKey>,
+    /// The lowest version of the adapter that may serve.
+    pub version: u64,
+    /// The length of the prompt.
+    pub prompt_tokens: u64,
+    /// The most tokens of the answer.
+    pub answer_tokens: u64,
+    /// The urgency; 0 is the most urgent.
+    pub priority: u8,
+}
+
+impl Demand {
+    /// Returns the memory that the request may need, in tokens.
+    pub fn memory_tokens(&self) -> u64 {
+        self.prompt_tokens + self.answer_tokens
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-serve/src/shelf.rs
@@ -0,0 +1,324 @@
+//! Which adapters the agent beside an engine orders.
+
+mod order;
+mod report;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use filbertcleat_base::ModelName;
+use filbertcleat_base::MonoTime;
+
+pub use self::order::Order;
+pub use self::order::OrderKind;
+pub use self::report::EngineReport;
+use crate::AdapterKey;
+use crate::EngineShape;
+use crate::EntryNews;
+use crate::HeldAdapter;
+use crate::Want;
+
+/// The places for adapters on one engine, and who wants what there.
+///
+/// The agent is the only one that orders, so a belief about the engine can only be behind by the
+/// agent's own orders. An order without an answer may still be carried out, once, as long as the
+/// engine's count of orders is the one that it expects: it is repeated with the same count, so that
+/// at most one of the repeats is carried out.
+#[derive(Debug, Default)]
+pub struct Shelf {
+    entries: BTreeMap<u64, Heard>,
+    shape: Option<EngineShape>,
+    report: Option<EngineReport>,
+    used_at: BTreeMap<AdapterKey, MonoTime>,
+    going: BTreeMap<AdapterKey, MonoTime>,
+    sent: Option<(Order, MonoTime)>,
+    refused_until: MonoTime,
+}
+
+#[derive(Debug)]
+struct Heard {
+    at: MonoTime,
+    news: EntryNews,
+}
+
+impl Shelf {
+    /// An entry that is silent for longer has ended or is cut off: six of its messages.
+    const ENTRY_LIVE_MS: u64 = 3_000;
+    /// What an entry wants lapses sooner, as its requests wait a second or two at most.
+    const WANT_LIVE_MS: u64 = 1_200;
+    /// The time that entries get to hear that an adapter is going, before it is dropped: news
+    /// travel at once, and this is many times the way between two regions.
+    const GOING_MS: u64 = 120;
+    /// Adapters on their way to one engine at a time, as engines allow.
+    const COMING_MAX: usize = 4;
+    /// Places kept free, so that a load needs not wait for another adapter to go.
+    const SPARE_PLACES: usize = 2;
+    /// An order is repeated if its answer stays out: many times a call on the own machine.
+    const ORDER_PATIENCE_MS: u64 = 400;
+    /// The pause after the engine refused an order, so that its report can catch up.
+    const REFUSED_MS: u64 = 60;
+
+    /// Takes in what an entry says.
+    pub fn hear(&mut self, now: MonoTime, news: EntryNews) {
+        let known = self.entries.get(&news.entry).map_or(0, |heard| heard.news.sequence);
+        if news.sequence <= known {
+            return;
+        }
+        for (key, _) in &news.uses {
+            self.used_at.insert(key.clone(), now);
+            self.going.remove(key);
+        }
+        for want in &news.wants {
+            self.used_at.insert(want.key.clone(), now);
+        }
+        if let Some(shape) = &news.shape {
+            self.shape = Some(shape.clone());
+        }
+        self.entries.insert(news.entry, Heard { at: now, news });
+    }
+
+    /// Takes in the engine's report.
+    pub fn report(&mut self, report: EngineReport) {
+        let is_restarted = self.report.as_ref().is_some_and(|known| {
+            known.server != report.server
+                || known.born_ms != report.born_ms
+                || known.sequence > report.sequence
+        });
+        if is_restarted {
+            self.sent = None;
+            self.going.clear();
+            self.used_at.clear();
+        }
+        if let Some((order, _)) = &self.sent
+            && report.sequence > order.expected
+        {
+            self.sent = None;
+        }
+        self.going.retain(|key, _| report.held.iter().any(|(held, _)| held == key));
+        self.report = Some(report);
+    }
+
+    /// Forgets the engine's report, as the engine does not answer.
+    pub fn lose(&mut self) {
+        self.report = None;
+    }
+
+    /// Returns the entries heard lately.
+    pub fn entries(&self, now: MonoTime) -> usize {
+        self.entries.values().filter(|heard| heard.is_live(now, Self::ENTRY_LIVE_MS)).count()
+    }
+
+    /// Returns the engine's last report.
+    pub fn engine(&self) -> Option<&EngineReport> {
+        self.report.as_ref()
+    }
+
+    /// Returns the adapters held, and which of them are going.
+    pub fn held(&self) -> Vec<HeldAdapter> {
+        let held = self.report.iter().flat_map(|report| &report.held);
+        held.map(|(key, version)| HeldAdapter {
+            key: key.clone(),
+            version: *version,
+            is_going: self.going.contains_key(key) || self.is_being_replaced(key),
+        })
+        .collect()
+    }
+
+    /// Returns whether orders are under way or waited for, so that the report should be read often.
+    pub fn is_busy(&self, now: MonoTime) -> bool {
+        let is_coming = self.report.as_ref().is_some_and(|report| !report.coming.is_empty());
+        self.sent.is_some() || is_coming || !self.going.is_empty() || !self.wants(now).is_empty()
+    }
+
+    /// Returns the next order to give, if any.
+    pub fn next_order(&mut self, now: MonoTime) -> Option<Order> {
+        self.entries.retain(|_, heard| heard.is_live(now, Self::ENTRY_LIVE_MS));
+        if now < self.refused_until {
+            return None;
+        }
+        if let Some((order, at)) = &mut self.sent {
+            if now.ms_since(*at) < Self::ORDER_PATIENCE_MS {
+                return None;
+            }
+            *at = now;
+            return Some(order.clone());
+        }
+
+        let report = self.report.clone()?;
+        let kind = self.choose(now, &report)?;
+        let order = Order { kind, expected: report.sequence, server: report.server };
+        self.sent = Some((order.clone(), now));
+        Some(order)
+    }
+
+    /// Notes that the engine accepted an order.
+    pub fn accepted(&mut self, order: &Order) {
+        if self.sent.as_ref().is_some_and(|(sent, _)| sent == order) {
+            self.sent = None;
+        }
+        let Some(report) = &mut self.report else { return };
+        if report.sequence != order.expected {
+            return;
+        }
+        // The next order need not wait for the next report.
+        report.sequence += 1;
+        match &order.kind {
+            OrderKind::LoadModel(_) => report.is_busy = true,
+            OrderKind::Load(key, version) => report.coming.push((key.clone(), *version)),
+            OrderKind::Drop(key) => {
+                report.held.retain(|(held, _)| held != key);
+                self.going.remove(key);
+            }
+        }
+    }
+
+    /// Notes that the engine refused an order or that it held already.
+    pub fn refused(&mut self, now: MonoTime, order: &Order) {
+        if self.sent.as_ref().is_some_and(|(sent, _)| sent == order) {
+            self.sent = None;
+        }
+        if let OrderKind::Drop(key) = &order.kind {
+            self.going.remove(key);
+        }
+        self.refused_until = now.plus_ms(Self::REFUSED_MS);
+    }
+
+    fn choose(&mut self, now: MonoTime, report: &EngineReport) -> Option<OrderKind> {
+        if report.is_busy {
+            return None;
+        }
+        let shape = self.shape.clone()?;
+        if report.models.is_empty() {
+            return self.missing_model(now, &shape).map(OrderKind::LoadModel);
+        }
+
+        let wants = self.wants(now);
+        let taken = report.held.len() + report.coming.len();
+        let places = places(&shape, report);
+        if taken < places && report.coming.len() < Self::COMING_MAX {
+            let next = wants.iter().find(|want| self.is_loadable(now, report, want));
+            if let Some(want) = next {
+                return Some(OrderKind::Load(want.key.clone(), want.version));
+            }
+        }
+        self.choose_drop(now, report, &wants, taken, places)
+    }
+
+    /// Returns the base model to load onto an engine that holds none.
+    fn missing_model(&self, now: MonoTime, shape: &EngineShape) -> Option<ModelName> {
+        let mut work: BTreeMap<&ModelName, u32> = BTreeMap::new();
+        for heard in self.entries.values().filter(|heard| heard.is_live(now, Self::ENTRY_LIVE_MS)) {
+            for (model, count) in &heard.news.demand {
+                *work.entry(model).or_default() += count;
+            }
+        }
+        let fits = |model: &&crate::ModelShape| model.weights_mb <= shape.weights_max_mb;
+        shape
+            .models
+            .iter()
+            .filter(fits)
+            .max_by_key(|model| work.get(&model.name).copied().unwrap_or(0))
+            .map(|model| model.name.clone())
+    }
+
+    fn choose_drop(
+        &mut self,
+        now: MonoTime,
+        report: &EngineReport,
+        wants: &[Want],
+        taken: usize,
+        places: usize,
+    ) -> Option<OrderKind> {
+        let uses = self.uses(now);
+        let ripe = self
+            .going
+            .iter()
+            .find(|(key, since)| now.ms_since(**since) >= Self::GOING_MS && !uses.contains(key))
+            .map(|(key, _)| key.clone());
+        if let Some(key) = ripe {
+            return Some(OrderKind::Drop(key));
+        }
+
+        let missing = wants.iter().filter(|want| self.is_loadable(now, report, want)).count();
+        let needed = missing.max(1) + Self::SPARE_PLACES - 1;
+        let free = places.saturating_sub(taken) + self.going.len();
+        if free < needed {
+            let idle = report
+                .held
+                .iter()
+                .map(|(key, _)| key)
+                .filter(|key| !uses.contains(key) && !self.going.contains_key(*key))
+                .filter(|key| !wants.iter().any(|want| want.key == **key))
+                .min_by_key(|key| self.used_at.get(*key).copied().unwrap_or(MonoTime::ZERO))
+                .cloned();
+            if let Some(key) = idle {
+                self.going.insert(key, now);
+            }
+        }
+        None
+    }
+
+    fn is_loadable(&self, now: MonoTime, report: &EngineReport, want: &Want) -> bool {
+        let is_coming =
+            report.coming.iter().any(|(key, version)| *key == want.key && *version >= want.version);
+        let held = report.held.iter().find(|(key, _)| *key == want.key);
+        match held {
+            Some((_, version)) if *version >= want.version => false,
+            // A replacement waits for the runs of the version before, and holds up new requests.
+            Some((key, _)) => !is_coming && !self.uses(now).contains(key),
+            None => !is_coming,
+        }
+    }
+
+    fn is_being_replaced(&self, key: &AdapterKey) -> bool {
+        let is_coming = self
+            .report
+            .as_ref()
+            .is_some_and(|report| report.coming.iter().any(|(coming, _)| coming == key));
+        is_coming
+            || matches!(&self.sent, Some((Order { kind: OrderKind::Load(sent, _), .. }, _)) if sent == key)
+    }
+
+    fn uses(&self, now: MonoTime) -> BTreeSet<&AdapterKey> {
+        let live = self.entries.values().filter(|heard| heard.is_live(now, Self::ENTRY_LIVE_MS));
+        live.flat_map(|heard| heard.news.uses.iter().map(|(key, _)| key)).collect()
+    }
+
+    /// Returns what all entries want together, the most urgent and most awaited first.
+    fn wants(&self, now: MonoTime) -> Vec<Want> {
+        let mut wants: BTreeMap<&AdapterKey, Want> = BTreeMap::new();
+        let live = self.entries.values().filter(|heard| heard.is_live(now, Self::WANT_LIVE_MS));
+        for want in live.flat_map(|heard| &heard.news.wants) {
+            wants
+                .entry(&want.key)
+                .and_modify(|sum| {
+                    sum.waiting += want.waiting;
+                    sum.version = sum.version.max(want.version);
+                    sum.priority = sum.priority.min(want.priority);
+                })
+                .or_insert_with(|| want.clone());
+        }
+        let mut wants: Vec<_> = wants.into_values().collect();
+        wants.sort_by_key(|want| (want.waiting == 0, want.priority, u32::MAX - want.waiting));
+        wants
+    }
+}
+
+impl Heard {
+    fn is_live(&self, now: MonoTime, limit_ms: u64) -> bool {
+        now.ms_since(self.at) <= limit_ms
+    }
+}
+
+/// Returns the places for adapters that the memory for weights leaves, within the engine's number.
+fn places(shape: &EngineShape, report: &EngineReport) -> usize {
+    let held: Vec<_> =
+        shape.models.iter().filter(|model| report.models.contains(&model.name)).collect();
+    let weights_mb: f64 = held.iter().map(|model| model.weights_mb).sum();
+    let adapter_mb = held.iter().map(|model| model.adapter_mb).fold(0.0, f64::max);
+    if adapter_mb <= 0.0 {
+        return shape.adapter_places;
+    }
+    let room = ((shape.weights_max_mb - weights_mb) / adapter_mb).max(0.0);
+    shape.adapter_places.min(room as usize)
+}
