Refuse requests that come after the balancer's lag of a leaving entry

Idle connections were closed in time; new ones were still served. Ruled out: ending earlier (a stream that was taken in time then is cut).

--- a/crates/filbertcleat-daemon/src/prepared.rs
+++ b/crates/filbertcleat-daemon/src/prepared.rs
@@ -5,6 +5,7 @@
 use filbertcleat_base::Fault;
 use filbertcleat_base::Step;
 use filbertcleat_config::LogSettings;
+use filbertcleat_gateway::EntryListeners;
 use filbertcleat_gateway::GatewayRole;
 use filbertcleat_gateway::GatewaySettings;
 use filbertcleat_gateway::Stop;
@@ -53,7 +54,8 @@
         GatewayRole::Entry { callers, readiness } => {
             let client = HttpClient::new(STORE_TIMEOUT);
             let catalogue = PreparedCatalogue::new(settings.catalogue, client);
-            run_entry(settings, (callers, readiness), catalogue, PreparedDialect, stop).await
+            let listeners = EntryListeners::bind(callers, readiness).await?;
+            run_entry(settings, listeners, catalogue, PreparedDialect, stop).await
         }
         GatewayRole::Agent { engine } => {
             let client = HttpClient::new(ENGINE_TIMEOUT);
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -47,29 +47,46 @@
 /// How often a stopping process looks whether its requests have ended.
 const END_LOOK: Duration = Duration::from_millis(50);
 
+/// Where an entry listens.
+#[derive(Debug)]
+pub struct EntryListeners {
+    /// Callers connect here.
+    pub callers: TcpListener,
+    /// The balancer asks here whether the entry takes callers.
+    pub readiness: TcpListener,
+}
+
+impl EntryListeners {
+    /// Binds both addresses.
+    pub async fn bind(callers: SocketAddr, readiness: SocketAddr) -> Result<Self, Fault> {
+        Ok(Self { callers: bind(callers).await?, readiness: bind(readiness).await? })
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Fault> {
+    TcpListener::bind(address).await.map_err(|error| Fault::new(Step::Connect, address, error))
+}
+
 /// Runs an entry until it shall end; it has to run within a `LocalSet`.
 pub async fn run_entry<C: Catalogue, D: Dialect>(
     settings: &GatewaySettings,
-    addresses: (SocketAddr, SocketAddr),
+    listeners: EntryListeners,
     catalogue: C,
     dialect: D,
     stop: Stop,
 ) -> Result<(), Fault> {
-    let (callers, readiness) = addresses;
     let peers = SocketAddr::new(settings.ip, settings.peer_port);
     let exchange =
         Exchange::bind(peers).await.map_err(|error| Fault::new(Step::Connect, peers, error))?;
-    let callers_listener = bind(callers).await?;
-    let readiness_listener = bind(readiness).await?;
     let entry = Rc::new(Entry::new(settings.clone(), dialect, exchange, stop.clone()));
-    log::info!("event=start role=entry node={} callers={callers} peers={peers}", settings.name);
+    log::info!("event=start role=entry node={} peers={peers}", settings.name);
 
     spawn_local(follow(Rc::clone(&entry), catalogue.clone(), Topic::Operators));
     spawn_local(follow(Rc::clone(&entry), catalogue, Topic::Servers));
     spawn_local(hear_agents(Rc::clone(&entry)));
     spawn_local(pump(Rc::clone(&entry)));
-    spawn_local(serve_readiness(Rc::clone(&entry), readiness_listener));
-    spawn_local(serve_callers(Rc::clone(&entry), callers_listener));
+    spawn_local(serve_readiness(Rc::clone(&entry), listeners.readiness));
+    spawn_local(serve_callers(Rc::clone(&entry), listeners.callers));
 
     stop.stopped().await;
     let open = entry.requests();
@@ -93,6 +110,3 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, Fault> {
-    TcpListener::bind(address).await.map_err(|error| Fault::new(Step::Connect, address, error))
-}
--- a/crates/filbertcleat-gateway/src/entry/handle.rs
+++ b/crates/filbertcleat-gateway/src/entry/handle.rs
@@ -43,6 +43,8 @@
 const BACK_LATER: Duration = Duration::from_millis(700);
 /// When to come back after a backend server had no room: some answers end in that time.
 const BACK_SOON: Duration = Duration::from_millis(300);
+/// When to come back to another entry: at once, but for the way.
+const BACK_ELSEWHERE: Duration = Duration::from_millis(20);
 /// The largest plain answer that is read before it is passed on, so that a broken one can be had
 /// again.
 const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -113,6 +115,10 @@
     let arrived = entry.now();
     let (head, body) = request.into_parts();
     let facts = entry.dialect.request(&head.headers);
+    if entry.is_out() {
+        // A request that begins now might not end before the process has to.
+        return Err(Refusal::NotRun("the entry is leaving", BACK_ELSEWHERE));
+    }
     let deployment = entry.state.borrow().deployment.clone();
     let deployment = deployment.ok_or(Refusal::NotRun("no configuration yet", BACK_LATER))?;
 
--- a/crates/filbertcleat-gateway/src/entry/pool.rs
+++ b/crates/filbertcleat-gateway/src/entry/pool.rs
@@ -33,11 +33,13 @@
 const KEEP_UNTOLD_MS: u64 = 2_000;
 /// An idle connection is given up so long before the backend server would close it.
 const KEEP_MARGIN_MS: u64 = 700;
-/// A connection rests so long after an answer before its next request, if others are idle: a late
-/// second answer then arrives while it is idle and ends it, instead of meeting the next request.
+/// The most idle connections kept to one backend server: as many requests as it works on at once.
 const IDLE_MAX: usize = 64;
 
-/// Kept connections to backend servers, the longest idle first.
+/// Kept connections to backend servers.
+///
+/// The longest idle goes first, so that each rests as long as possible: a late second answer then
+/// arrives while its connection is idle and ends it, instead of meeting the next request.
 pub(super) struct Pool {
     clock: Clock,
     idle: RefCell<HashMap<SocketAddr, VecDeque<Idle>>>,
@@ -91,11 +93,6 @@
         }
     }
 
-    /// Drops the connections to addresses that no longer count.
-    pub fn retain(&self, is_kept: impl Fn(SocketAddr) -> bool) {
-        self.idle.borrow_mut().retain(|address, _| is_kept(*address));
-    }
-
     fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
--- a/crates/filbertcleat-gateway/src/lib.rs
+++ b/crates/filbertcleat-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub use dialect::Dialect;
 pub use dialect::RequestFacts;
 pub use dialect::SendFacts;
+pub use entry::EntryListeners;
 pub use entry::run_entry;
 pub use settings::GatewayRole;
 pub use settings::GatewaySettings;
--- /dev/null
+++ b/crates/filbertcleat-gateway/tests/support/caller.rs
@@ -0,0 +1,117 @@
+//! A caller with one connection.
+
+use std::io;
+use std::net::SocketAddr;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use super::backend::header;
+
+/// A request of a test.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: &'static str,
+    pub path: &'static str,
+    pub wait_ms: u64,
+    pub extra: &'static str,
+}
+
+impl Call {
+    /// Creates a request to a path.
+    pub fn new(id: &'static str, path: &'static str) -> Self {
+        Self { id, path, wait_ms: 5_000, extra: "" }
+    }
+
+    fn text(&self) -> String {
+        let Self { id, path, wait_ms, extra } = self;
+        format!(
+            "GET {path} HTTP/1.1\r\nhost: desk.example\r\nx-id: {id}\r\nx-wait-ms: {wait_ms}\r\n{extra}\r\n"
+        )
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reply {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    /// Whether the body came to its proper end.
+    pub is_whole: bool,
+}
+
+impl Reply {
+    /// Returns a header.
+    pub fn header(&self, name: &str) -> Option<String> {
+        header(&self.head, name)
+    }
+}
+
+/// A caller with one connection.
+#[derive(Debug)]
+pub struct Caller {
+    stream: TcpStream,
+}
+
+impl Caller {
+    /// Connects to an entry.
+    pub async fn connect(address: SocketAddr) -> io::Result<Self> {
+        Ok(Self { stream: TcpStream::connect(address).await? })
+    }
+
+    /// Sends a request.
+    pub async fn send(&mut self, call: &Call) -> io::Result<()> {
+        self.stream.write_all(call.text().as_bytes()).await
+    }
+
+    /// Sends a request and reads its answer; `None` if the connection ends before one begins.
+    pub async fn call(&mut self, call: &Call) -> Option<Reply> {
+        self.send(call).await.ok()?;
+        self.reply().await
+    }
+
+    /// Reads an answer; `None` if the connection ends before one begins.
+    pub async fn reply(&mut self) -> Option<Reply> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(self.stream.read_u8().await.ok()?);
+        }
+        let head = String::from_utf8(head).expect("a head is text");
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let (body, is_whole) = if header(&head, "transfer-encoding").is_some() {
+            self.chunks().await
+        } else {
+            let length = header(&head, "content-length")?.parse().ok()?;
+            let mut body = vec![0; length];
+            let is_whole = self.stream.read_exact(&mut body).await.is_ok();
+            (body, is_whole)
+        };
+        let body = String::from_utf8(body).expect("a body is text");
+        Some(Reply { status, head, body, is_whole })
+    }
+
+    async fn chunks(&mut self) -> (Vec<u8>, bool) {
+        let mut body = Vec::new();
+        loop {
+            let mut line = Vec::new();
+            while !line.ends_with(b"\r\n") {
+                match self.stream.read_u8().await {
+                    Ok(byte) => line.push(byte),
+                    Err(_) => return (body, false),
+                }
+            }
+            let line = String::from_utf8(line).expect("a chunk's length is text");
+            let length = usize::from_str_radix(line.trim(), 16).expect("a chunk has a length");
+            let mut chunk = vec![0; length + 2];
+            if self.stream.read_exact(&mut chunk).await.is_err() {
+                return (body, false);
+            }
+            if length == 0 {
+                return (body, true);
+            }
+            body.extend_from_slice(&chunk[..length]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/tests/support/catalogue.rs
@@ -0,0 +1,76 @@
+//! A catalogue that the test writes.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertcleat_base::Fault;
+use filbertcleat_base::Step;
+use filbertcleat_gateway::Catalogue;
+use filbertcleat_gateway::CatalogueFact;
+use filbertcleat_gateway::Changes;
+use filbertcleat_gateway::Topic;
+
+/// A catalogue that the test writes.
+#[derive(Clone, Debug, Default)]
+pub struct TestCatalogue {
+    rows: Rc<RefCell<Vec<(Topic, CatalogueFact)>>>,
+    is_down: Rc<Cell<bool>>,
+    has_lapsed: Rc<Cell<bool>>,
+}
+
+impl TestCatalogue {
+    /// Adds a fact.
+    pub fn write(&self, fact: CatalogueFact) {
+        let topic = match fact {
+            CatalogueFact::Listing(_) => Topic::Servers,
+            CatalogueFact::Deployment(_) | CatalogueFact::AdapterVersion { .. } => Topic::Operators,
+        };
+        self.rows.borrow_mut().push((topic, fact));
+    }
+
+    /// Makes all calls fail from now on, or answers again.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.set(is_down);
+    }
+
+    /// Forgets the history, so that every reader has to begin anew.
+    pub fn forget(&self) {
+        self.has_lapsed.set(true);
+    }
+
+    fn after(&self, topic: Topic, cursor: u64) -> Result<Changes, Fault> {
+        if self.is_down.get() {
+            return Err(Fault::new(Step::Store, "test", "down"));
+        }
+        let rows = self.rows.borrow();
+        let facts = rows.iter().skip(cursor as usize).filter(|(of, _)| *of == topic);
+        let facts = facts.map(|(_, fact)| fact.clone()).collect();
+        Ok(Changes::Some { facts, cursor: rows.len() as u64 })
+    }
+}
+
+impl Catalogue for TestCatalogue {
+    async fn read(&self, topic: Topic) -> Result<Changes, Fault> {
+        self.has_lapsed.set(false);
+        self.after(topic, 0)
+    }
+
+    async fn changes(&self, topic: Topic, after: u64, wait: Duration) -> Result<Changes, Fault> {
+        const LOOK: Duration = Duration::from_millis(20);
+        let mut waited = Duration::ZERO;
+        loop {
+            if self.has_lapsed.get() {
+                return Ok(Changes::Lapsed);
+            }
+            let changes = self.after(topic, after)?;
+            let is_empty = matches!(&changes, Changes::Some { facts, .. } if facts.is_empty());
+            if !is_empty || waited >= wait {
+                return Ok(changes);
+            }
+            tokio::time::sleep(LOOK).await;
+            waited += LOOK;
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/tests/support/dialect.rs
@@ -0,0 +1,52 @@
+//! Headers with plain names.
+
+use filbertcleat_base::ModelName;
+use filbertcleat_gateway::AnswerFacts;
+use filbertcleat_gateway::Dialect;
+use filbertcleat_gateway::RequestFacts;
+use filbertcleat_gateway::SendFacts;
+use filbertcleat_serve::ServerId;
+use http::HeaderMap;
+use http::HeaderValue;
+
+/// Headers with plain names.
+#[derive(Clone, Copy, Debug)]
+pub struct TestDialect;
+
+impl Dialect for TestDialect {
+    fn request(&self, headers: &HeaderMap) -> RequestFacts {
+        RequestFacts {
+            id: text(headers, "x-id"),
+            deadline_ms: text(headers, "x-wait-ms").and_then(|text| text.parse().ok()),
+            model: text(headers, "x-model").map(|text| ModelName::new(&text)),
+            prompt_tokens: text(headers, "x-prompt").and_then(|text| text.parse().ok()).unwrap_or(0),
+            ..RequestFacts::default()
+        }
+    }
+
+    fn send(&self, headers: &mut HeaderMap, facts: &SendFacts) {
+        headers.insert("x-wait-ms", HeaderValue::from(facts.deadline_ms));
+        headers.insert("x-server", HeaderValue::from_str(facts.server.as_str()).expect("plain id"));
+        if let Some(after) = facts.resume_after {
+            headers.insert("x-after", HeaderValue::from(after));
+        }
+    }
+
+    fn answer(&self, headers: &HeaderMap) -> AnswerFacts {
+        AnswerFacts {
+            id: text(headers, "x-id"),
+            is_sealed: headers.contains_key("x-seal"),
+            is_not_run: headers.contains_key("x-not-run"),
+            server: text(headers, "x-server").map(|text| ServerId::new(&text)),
+            is_encoded: false,
+        }
+    }
+
+    fn seal_name(&self) -> &'static str {
+        "x-seal"
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -0,0 +1,144 @@
+//! An entry with its stand-ins.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filbertcleat_base::ModelName;
+use filbertcleat_base::NodeName;
+use filbertcleat_base::PlaceName;
+use filbertcleat_base::ServiceName;
+use filbertcleat_gateway::CatalogueFact;
+use filbertcleat_gateway::EntryListeners;
+use filbertcleat_gateway::GatewayRole;
+use filbertcleat_gateway::GatewaySettings;
+use filbertcleat_gateway::RepeatGrant;
+use filbertcleat_gateway::Stop;
+use filbertcleat_gateway::run_entry;
+use filbertcleat_serve::Deployment;
+use filbertcleat_serve::EngineShape;
+use filbertcleat_serve::Listed;
+use filbertcleat_serve::ListedModel;
+use filbertcleat_serve::ListingChange;
+use filbertcleat_serve::Route;
+use filbertcleat_serve::RouteKind;
+use filbertcleat_serve::ServerId;
+use filbertcleat_serve::ServiceShape;
+use filbertcleat_serve::Target;
+use tokio::task::JoinHandle;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+
+use super::Backend;
+use super::Caller;
+use super::TestCatalogue;
+use super::TestDialect;
+
+/// An entry with its stand-ins.
+#[derive(Debug)]
+pub struct World {
+    pub catalogue: TestCatalogue,
+    pub stop: Stop,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub entry: JoinHandle<()>,
+}
+
+impl World {
+    /// Runs a test in paused time on one thread.
+    pub fn run(test: impl Future<Output = ()>) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .expect("a runtime starts");
+        LocalSet::new().block_on(&runtime, test);
+    }
+
+    /// Starts an entry that knows the routes and backend servers.
+    pub async fn start(routes: Vec<Route>, backends: &[&Backend]) -> Self {
+        let catalogue = TestCatalogue::default();
+        let world = Self::start_with(catalogue).await;
+        world.catalogue.write(CatalogueFact::Deployment(deployment(1, routes)));
+        for backend in backends {
+            world.catalogue.write(CatalogueFact::Listing(ListingChange::Put(listed(backend))));
+        }
+        // Both topics have to be read once more.
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        world
+    }
+
+    /// Starts an entry that reads a catalogue.
+    pub async fn start_with(catalogue: TestCatalogue) -> Self {
+        let loopback = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        let listeners = EntryListeners::bind(loopback, loopback).await.expect("ports are free");
+        let callers = listeners.callers.local_addr().expect("bound");
+        let readiness = listeners.readiness.local_addr().expect("bound");
+        let settings = GatewaySettings {
+            name: NodeName::new("entry-1"),
+            domain: PlaceName::new("here"),
+            role: GatewayRole::Entry { callers, readiness },
+            ip: loopback.ip(),
+            peer_port: 0,
+            catalogue: loopback,
+            grace_ms: 8_000,
+            repeats: RepeatGrant { ratio: 0.2, slack: 160.0, window_ms: 10_000 },
+        };
+        let stop = Stop::default();
+        let (reader, stopping) = (catalogue.clone(), stop.clone());
+        let entry = spawn_local(async move {
+            run_entry(&settings, listeners, reader, TestDialect, stopping)
+                .await
+                .expect("the entry runs");
+        });
+        Self { catalogue, stop, callers, readiness, entry }
+    }
+
+    /// Connects a caller.
+    pub async fn caller(&self) -> Caller {
+        Caller::connect(self.callers).await.expect("the entry listens")
+    }
+}
+
+/// Returns a route from `/NAME/` to the service `desk`, or to `writer` if it streams.
+pub fn route(name: &str, kind: RouteKind, sends_max: u32) -> Route {
+    let service = if matches!(kind, RouteKind::Stream { .. }) { "writer" } else { "desk" };
+    Route {
+        name: name.to_owned(),
+        host: "desk.example".to_owned(),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout_ms: 10_000,
+        objective_ms: 500,
+        priority: 1,
+        targets: vec![Target { service: ServiceName::new(service), weight: 1 }],
+        sends_max,
+    }
+}
+
+/// Returns a configuration with the services `desk` and `writer`.
+pub fn deployment(version: u64, routes: Vec<Route>) -> Deployment {
+    let plain = ServiceShape { connections_max: 100, engine: None };
+    let engine = EngineShape { slots: 8, adapter_places: 4, ..EngineShape::default() };
+    let writer = ServiceShape { connections_max: 100, engine: Some(engine) };
+    let services =
+        BTreeMap::from([(ServiceName::new("desk"), plain), (ServiceName::new("writer"), writer)]);
+    Deployment { version, routes, services, ..Deployment::default() }
+}
+
+/// Returns a backend server's entry; one whose id begins with `w` is a writer.
+pub fn listed(backend: &Backend) -> Listed {
+    let service = if backend.id.starts_with('w') { "writer" } else { "desk" };
+    Listed {
+        id: ServerId::new(&backend.id),
+        service: ServiceName::new(service),
+        address: backend.address,
+        domain: PlaceName::new("here"),
+        slots: 6,
+        is_leaving: false,
+        models: vec![ListedModel { name: ModelName::new("base"), adapters: Vec::new() }],
+        born_ms: 1,
+    }
+}
