Pace prompts per engine, and keep adapters at their rendezvous home

Entries tell agents what they send, agents tell entries what others sent, and a prompt goes only if the prompts of the last 300 ms leave the pause within the route's bound. An adapter is loaded by the first engine of its rendezvous order within a load bound; a copy only once a request has waited 400 ms for room at the holders.

--- a/crates/filbertcleat-daemon/src/main.rs
+++ b/crates/filbertcleat-daemon/src/main.rs
@@ -25,7 +25,9 @@
     options.optflag("c", "check", "check the settings and exit");
     options.optflag("h", "help", "show this text");
     let arguments: Vec<_> = std::env::args().skip(1).collect();
-    let usage = options.usage("Usage: filbertcleatd --settings FILE [--check]\n       filbertcleatd --prepared [--check]");
+    let usage = options.usage(
+        "Usage: filbertcleatd --settings FILE [--check]\n       filbertcleatd --prepared [--check]",
+    );
     if arguments.iter().any(|argument| argument == "-h" || argument == "--help") {
         println!("{usage}");
         return ExitCode::SUCCESS;
--- a/crates/filbertcleat-daemon/src/prepared.rs
+++ b/crates/filbertcleat-daemon/src/prepared.rs
@@ -67,9 +67,7 @@
 
 /// Turns the signal to end into a planned stop, and outlives the signal to reload.
 fn watch_signals(stop: &Stop) -> Result<(), Fault> {
-    let listen = |kind| {
-        signal(kind).map_err(|error| Fault::new(Step::Settings, "signals", error))
-    };
+    let listen = |kind| signal(kind).map_err(|error| Fault::new(Step::Settings, "signals", error));
     let mut terminations = listen(SignalKind::terminate())?;
     let mut reloads = listen(SignalKind::hangup())?;
     let stop = stop.clone();
--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -29,9 +29,8 @@
     stop: Stop,
 ) -> Result<(), Fault> {
     let address = SocketAddr::new(settings.ip, settings.peer_port);
-    let exchange = Exchange::bind(address)
-        .await
-        .map_err(|error| Fault::new(Step::Connect, address, error))?;
+    let exchange =
+        Exchange::bind(address).await.map_err(|error| Fault::new(Step::Connect, address, error))?;
     log::info!("event=start role=agent node={} peers={address}", settings.name);
     let mut agent = Agent {
         clock: Clock::start(),
@@ -53,13 +52,19 @@
     Ok(())
 }
 
+/// An entry that is told of the engine.
+struct Listener {
+    entry: u64,
+    heard: MonoTime,
+}
+
 struct Agent<E> {
     clock: Clock,
     engine: E,
     exchange: Exchange,
     shelf: Shelf,
-    /// Where entries are heard from, and when they last were.
-    listeners: HashMap<SocketAddr, MonoTime>,
+    /// Where entries are heard from.
+    listeners: HashMap<SocketAddr, Listener>,
     told: Option<AgentNews>,
     told_at: MonoTime,
     id: u64,
@@ -74,6 +79,8 @@
     const REPORT_BUSY: Duration = Duration::from_millis(25);
     /// Entries take news for stale after 1,600 ms, so three may be lost.
     const TELL_AT_LEAST_MS: u64 = 400;
+    /// News of prompts are told at this pace, so that entries don't send theirs at the same time.
+    const TELL_PROMPTS_MS: u64 = 5;
     /// News that only the load changed are told at this pace.
     const TELL_LOAD_MS: u64 = 100;
     /// An entry that is silent for longer is told nothing.
@@ -87,7 +94,7 @@
                 (news, from) = self.exchange.receive(&mut buffer) => {
                     let now = self.clock.now();
                     let News::Entry(news) = news else { continue };
-                    self.listeners.insert(from, now);
+                    self.listeners.insert(from, Listener { entry: news.entry, heard: now });
                     let was_busy = self.shelf.is_busy(now);
                     self.shelf.hear(now, news);
                     if self.shelf.is_busy(now) && !was_busy {
@@ -151,7 +158,9 @@
                 true
             }
             Ok(OrderAnswer::Refused { status }) => {
-                log::info!("event=order {what} expected={expected} outcome=refused status={status}");
+                log::info!(
+                    "event=order {what} expected={expected} outcome=refused status={status}"
+                );
                 self.shelf.refused(now, order);
                 false
             }
@@ -167,12 +176,15 @@
 
     fn tell(&mut self) {
         let now = self.clock.now();
-        self.listeners.retain(|_, heard| now.ms_since(*heard) <= Self::LISTENER_LIVE_MS);
+        self.listeners.retain(|_, listener| now.ms_since(listener.heard) <= Self::LISTENER_LIVE_MS);
         let Some(news) = self.news(now) else { return };
         let since_ms = now.ms_since(self.told_at);
         let is_due = match &self.told {
             None => true,
             Some(told) if told.held != news.held || told.models != news.models => true,
+            Some(told) if told.others_tokens < news.others_tokens => {
+                since_ms >= Self::TELL_PROMPTS_MS
+            }
             Some(told) if *told != news => since_ms >= Self::TELL_LOAD_MS,
             Some(_) => since_ms >= Self::TELL_AT_LEAST_MS,
         };
@@ -182,9 +194,10 @@
         self.told = Some(news.clone());
         self.told_at = now;
         self.sequence += 1;
-        let news = News::Agent(AgentNews { sequence: self.sequence, ..news });
-        for to in self.listeners.keys() {
-            self.exchange.send(*to, &news);
+        for (to, listener) in &self.listeners {
+            let others_tokens = self.shelf.others_tokens(now, listener.entry);
+            let news = AgentNews { sequence: self.sequence, others_tokens, ..news.clone() };
+            self.exchange.send(*to, &News::Agent(news));
         }
     }
 
@@ -200,6 +213,7 @@
             waiting: report.waiting,
             memory_used_tokens: report.memory_used_tokens,
             memory_tokens: report.memory_tokens,
+            others_tokens: self.shelf.others_tokens(now, self.id),
             entries: u32::try_from(self.shelf.entries(now)).unwrap_or(u32::MAX),
         })
     }
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -109,4 +109,3 @@
         tokio::time::sleep(END_LOOK).await;
     }
 }
-
--- a/crates/filbertcleat-gateway/src/entry/caller.rs
+++ b/crates/filbertcleat-gateway/src/entry/caller.rs
@@ -28,6 +28,12 @@
     pub arrived: MonoTime,
     /// When the caller or the route's timeout ends it.
     pub deadline: MonoTime,
+    /// The time that it waited for a backend server.
+    pub queued_ms: u64,
+    /// The time until the first byte of its answer's body.
+    pub first_ms: Option<u64>,
+    /// The longest pause within its answer.
+    pub gap_ms: u64,
     /// How often it was sent to a backend server.
     pub sends: u32,
     /// The backend servers that it was sent to in vain.
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -33,7 +33,7 @@
 /// The pause after a connection could not be accepted, as when descriptors have run out.
 pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often a connection is looked at for its time limits.
-const LOOK: Duration = Duration::from_millis(1_000);
+const LOOK: Duration = Duration::from_secs(1);
 /// The least buffer that the HTTP library allows.
 const BUFFER_MIN_BYTES: usize = 8_192;
 /// Idle connections are kept longer than callers reuse them, so that no request crosses a close.
@@ -121,12 +121,7 @@
 impl Activity {
     fn new(clock: Clock) -> Self {
         let now = clock.now();
-        Self {
-            clock,
-            open: Cell::new(0),
-            idle_since: Cell::new(now),
-            head_since: Cell::new(None),
-        }
+        Self { clock, open: Cell::new(0), idle_since: Cell::new(now), head_since: Cell::new(None) }
     }
 
     fn begins(&self) {
--- a/crates/filbertcleat-gateway/src/entry/handle.rs
+++ b/crates/filbertcleat-gateway/src/entry/handle.rs
@@ -8,6 +8,7 @@
 use filbertcleat_serve::Ending;
 use filbertcleat_serve::RouteKind;
 use filbertcleat_serve::ServerId;
+use filbertcleat_serve::WaitCause;
 use filbertcleat_serve::place_plain;
 use http::Request;
 use http::Response;
@@ -27,8 +28,8 @@
 use super::open::OpenSend;
 use super::open::Queued;
 use super::refusal::Refusal;
-use super::send::Answer;
 use super::send::ANSWER_LAG_MS;
+use super::send::Answer;
 use super::send::SendFailure;
 use super::send::send;
 use super::send::strip_connection_headers;
@@ -147,6 +148,7 @@
         version: 0,
         prompt_tokens: facts.prompt_tokens,
         answer_tokens: facts.answer_tokens,
+        gap_ms: route.gap_ms,
         priority: route.priority,
     };
     Ok(CallerRequest {
@@ -162,6 +164,9 @@
         demand,
         arrived,
         deadline,
+        queued_ms: 0,
+        first_ms: None,
+        gap_ms: 0,
         sends: 0,
         avoided: Vec::new(),
     })
@@ -186,7 +191,7 @@
                 last_failed = Some((response, server));
                 SendFailure { may_have_run: true, has_arrived: true, ending: Ending::Failed }
             }
-            Ok(served) => return Ok(served),
+            Ok(answer) => return Ok(answer),
             Err(failure) => failure,
         };
         request.avoided.push(server);
@@ -255,19 +260,22 @@
         if let Some(key) = &request.demand.adapter {
             request.demand.version = state.versions.get(key).copied().unwrap_or(0);
         }
-        let ticket = state.queue.push(request.demand.clone(), request.avoided.clone());
+        let ticket = state.queue.push(now, request.demand.clone(), request.avoided.clone());
         state.waiting.insert(ticket, sender);
         Queued { entry: Rc::clone(entry), ticket }
     };
     entry.changed.notify_one();
-    let patience_ms = (request.route.objective_ms * WAIT_OBJECTIVES)
-        .min(request.left_ms(now) / 2)
-        .max(1);
+    let patience_ms =
+        (request.route.objective_ms * WAIT_OBJECTIVES).min(request.left_ms(now) / 2).max(1);
     let placed = tokio::time::timeout(Duration::from_millis(patience_ms), receiver).await;
-    drop(queued);
+    let cause = queued.leave();
+    request.queued_ms += entry.now().ms_since(now);
     match placed {
         Ok(Ok(server)) => Ok(OpenSend::counted(entry, server, request.demand.clone())),
-        Ok(Err(_)) | Err(_) => Err(Refusal::NotRun("no engine had room in time", BACK_SOON)),
+        Ok(Err(_)) | Err(_) => {
+            let cause = cause.unwrap_or(WaitCause::Look);
+            Err(Refusal::NotRun(cause.as_str(), BACK_SOON))
+        }
     }
 }
 
--- a/crates/filbertcleat-gateway/src/entry/open.rs
+++ b/crates/filbertcleat-gateway/src/entry/open.rs
@@ -7,6 +7,7 @@
 use filbertcleat_serve::Ending;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::Ticket;
+use filbertcleat_serve::WaitCause;
 
 use super::state::Entry;
 use crate::Dialect;
@@ -56,7 +57,7 @@
     fn drop(&mut self) {
         let now = self.entry.now();
         let fleet = &mut self.entry.state.borrow_mut().fleet;
-        fleet.ended(now, &self.server, &self.demand, self.has_started, self.ending);
+        fleet.ended(now, &self.server, &self.demand, self.ending);
         self.entry.changed.notify_one();
     }
 }
@@ -67,10 +68,17 @@
     pub ticket: Ticket,
 }
 
-impl<D: Dialect> Drop for Queued<D> {
-    fn drop(&mut self) {
+impl<D: Dialect> Queued<D> {
+    /// Takes the request out and returns what it waited for.
+    pub fn leave(&self) -> Option<WaitCause> {
         let state = &mut *self.entry.state.borrow_mut();
-        state.queue.leave(self.ticket);
         state.waiting.remove(&self.ticket);
+        state.queue.leave(self.ticket)
+    }
+}
+
+impl<D: Dialect> Drop for Queued<D> {
+    fn drop(&mut self) {
+        self.leave();
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/pool.rs
+++ b/crates/filbertcleat-gateway/src/entry/pool.rs
@@ -25,7 +25,7 @@
 const CONNECT: Duration = Duration::from_millis(400);
 /// Written bytes that are not acknowledged for so long break the connection: a path that fell
 /// silent shows itself by nothing else.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(1_000);
+const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
 /// Probes of a silent connection come this often; two without an answer break it.
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 const PROBES: u32 = 2;
--- a/crates/filbertcleat-gateway/src/entry/pump.rs
+++ b/crates/filbertcleat-gateway/src/entry/pump.rs
@@ -10,15 +10,18 @@
 use super::tell::tell_agents;
 use crate::Dialect;
 
-/// How long the queue may go without a look at the time: pauses of backend servers end and news
-/// become stale without an event.
-const LOOK: Duration = Duration::from_millis(50);
+/// How long the queue may go without a look at the time: room for prompts comes with time alone.
+const LOOK: Duration = Duration::from_millis(15);
+/// The same while no request waits: agents have to hear of the entry now and then.
+const LOOK_IDLE: Duration = Duration::from_millis(100);
 
 /// Sends waiting requests on their way whenever something has changed.
 pub(super) async fn pump<D: Dialect>(entry: Rc<Entry<D>>) {
     loop {
+        let is_idle = entry.state.borrow().queue.is_empty();
+        let look = if is_idle { LOOK_IDLE } else { LOOK };
         // A look is due after the time, with or without a change.
-        let _ = tokio::time::timeout(LOOK, entry.changed.notified()).await;
+        let _ = tokio::time::timeout(look, entry.changed.notified()).await;
         let now = entry.now();
         send_waiting(&entry, now);
         tell_agents(&entry);
--- a/crates/filbertcleat-gateway/src/entry/refusal.rs
+++ b/crates/filbertcleat-gateway/src/entry/refusal.rs
@@ -44,8 +44,10 @@
         match self {
             Self::NoRoute => "no route",
             Self::TooLarge => "the body is too large",
-            Self::Bad(reason) | Self::Unknown(reason) | Self::Late(reason) => reason,
-            Self::NotRun(reason, _) => reason,
+            Self::Bad(reason)
+            | Self::Unknown(reason)
+            | Self::Late(reason)
+            | Self::NotRun(reason, _) => reason,
         }
     }
 
--- a/crates/filbertcleat-gateway/src/entry/stream.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream.rs
@@ -58,6 +58,7 @@
         request,
         sender,
         is_resumable,
+        heard_at: None,
     };
     spawn_local(async move {
         relay.run(answer, open).await;
@@ -73,6 +74,7 @@
     sender: mpsc::Sender<Result<Bytes, Cut>>,
     is_resumable: bool,
     last_event: Option<u64>,
+    heard_at: Option<MonoTime>,
 }
 
 /// How the answer of one backend server ended.
@@ -150,6 +152,7 @@
                 },
             };
             open.hears();
+            self.note_pause();
             for event in cutter.push(&bytes) {
                 if let Some(id) = event.id {
                     if self.last_event.is_some_and(|last| id <= last) {
@@ -164,6 +167,17 @@
         }
     }
 
+    /// Measures the time to the first piece and the pauses after it.
+    fn note_pause(&mut self) {
+        let now = self.entry.now();
+        match self.heard_at.replace(now) {
+            None => self.request.first_ms = Some(now.ms_since(self.request.arrived)),
+            Some(before) => {
+                self.request.gap_ms = self.request.gap_ms.max(now.ms_since(before));
+            }
+        }
+    }
+
     fn limit(&self, deadline: MonoTime) -> Instant {
         let deadline = self.entry.clock().instant(deadline);
         if self.is_resumable {
--- a/crates/filbertcleat-gateway/src/entry/tell.rs
+++ b/crates/filbertcleat-gateway/src/entry/tell.rs
@@ -17,14 +17,14 @@
 
 /// An entry speaks to each agent at least this often; agents take it for gone after 3,000 ms.
 const TELL_AT_LEAST_MS: u64 = 400;
-/// New wants are told at once, but not more often than this.
-const TELL_WANTS_MS: u64 = 15;
+/// New wants and sent prompts are told at once, but not more often than this.
+const TELL_NEWS_MS: u64 = 5;
 
 /// What has been told to agents.
 pub(super) struct Told {
     entry: u64,
     sequence: u64,
-    servers: HashMap<ServerId, (MonoTime, Vec<Want>)>,
+    servers: HashMap<ServerId, Said>,
 }
 
 impl Told {
@@ -33,6 +33,13 @@
     }
 }
 
+/// What an agent was told last.
+struct Said {
+    at: MonoTime,
+    wants: Vec<Want>,
+    sent_tokens: u64,
+}
+
 /// Hears agents for as long as the process runs.
 pub(super) async fn hear_agents<D: Dialect>(entry: Rc<Entry<D>>) {
     let mut buffer = Vec::new();
@@ -69,9 +76,11 @@
         let Some(shape) = shape.and_then(|service| service.engine.as_ref()) else { continue };
         let wants = state.queue.wants(&server.listed.id);
         let last = state.told.servers.get(&server.listed.id);
-        let is_due = last.is_none_or(|(at, told)| {
-            let since_ms = now.ms_since(*at);
-            since_ms >= TELL_AT_LEAST_MS || (*told != wants && since_ms >= TELL_WANTS_MS)
+        let sent_tokens = server.sent_tokens();
+        let is_due = last.is_none_or(|said| {
+            let since_ms = now.ms_since(said.at);
+            let is_new = said.wants != wants || said.sent_tokens != sent_tokens;
+            since_ms >= TELL_AT_LEAST_MS || (is_new && since_ms >= TELL_NEWS_MS)
         });
         if !is_due {
             continue;
@@ -84,9 +93,10 @@
             uses: server.uses().map(|(key, count)| (key.clone(), count)).collect(),
             shape: Some(shape.clone()),
             demand: Vec::new(),
+            sent_tokens,
         };
         due.push((SocketAddr::new(server.listed.address.ip(), port), news));
-        state.told.servers.insert(server.listed.id.clone(), (now, wants));
+        state.told.servers.insert(server.listed.id.clone(), Said { at: now, wants, sent_tokens });
     }
     state.told.servers.retain(|id, _| state.fleet.server(id).is_some());
     due
--- a/crates/filbertcleat-gateway/src/exchange/convert.rs
+++ b/crates/filbertcleat-gateway/src/exchange/convert.rs
@@ -71,6 +71,7 @@
         uses: uses.collect(),
         shape: news.shape.as_ref().map(shape_out),
         demand: demand.collect(),
+        sent_tokens: news.sent_tokens,
     }
 }
 
@@ -90,6 +91,7 @@
         uses: uses.collect(),
         shape: news.shape.map(shape_in),
         demand: demand.collect(),
+        sent_tokens: news.sent_tokens,
     }
 }
 
@@ -110,6 +112,7 @@
         waiting: news.waiting,
         memory_used_tokens: news.memory_used_tokens,
         memory_tokens: news.memory_tokens,
+        others_tokens: news.others_tokens,
         entries: news.entries,
     }
 }
@@ -130,6 +133,7 @@
         waiting: news.waiting,
         memory_used_tokens: news.memory_used_tokens,
         memory_tokens: news.memory_tokens,
+        others_tokens: news.others_tokens,
         entries: news.entries,
     }
 }
--- a/crates/filbertcleat-gateway/tests/support/dialect.rs
+++ b/crates/filbertcleat-gateway/tests/support/dialect.rs
@@ -19,7 +19,9 @@
             id: text(headers, "x-id"),
             deadline_ms: text(headers, "x-wait-ms").and_then(|text| text.parse().ok()),
             model: text(headers, "x-model").map(|text| ModelName::new(&text)),
-            prompt_tokens: text(headers, "x-prompt").and_then(|text| text.parse().ok()).unwrap_or(0),
+            prompt_tokens: text(headers, "x-prompt")
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0),
             ..RequestFacts::default()
         }
     }
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -112,6 +112,7 @@
         kind,
         timeout_ms: 10_000,
         objective_ms: 500,
+        gap_ms: 300,
         priority: 1,
         targets: vec![Target { service: ServiceName::new(service), weight: 1 }],
         sends_max,
--- a/crates/filbertcleat-serve/src/deployment.rs
+++ b/crates/filbertcleat-serve/src/deployment.rs
@@ -27,7 +27,9 @@
         let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
         self.routes
             .iter()
-            .filter(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix))
+            .filter(|route| {
+                route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
+            })
             .max_by_key(|route| route.prefix.len())
     }
 }
@@ -47,6 +49,8 @@
     pub timeout_ms: u64,
     /// The time within which an answer, or a stream's first event, earns full credit.
     pub objective_ms: u64,
+    /// The longest pause between two events of a stream for full credit; 0 if there is none.
+    pub gap_ms: u64,
     /// The urgency; 0 is the most urgent.
     pub priority: u8,
     /// The services that share the route's requests.
@@ -156,6 +160,11 @@
 impl Default for CallerLimits {
     /// The limits until a configuration is known: common sizes of HTTP servers.
     fn default() -> Self {
-        Self { header_max_bytes: 16_384, body_max_bytes: 4_194_304, header_ms: 3_000, idle_ms: 15_000 }
+        Self {
+            header_max_bytes: 16_384,
+            body_max_bytes: 4_194_304,
+            header_ms: 3_000,
+            idle_ms: 15_000,
+        }
     }
 }
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -1,11 +1,13 @@
 //! What an entry believes of the backend servers.
 
+mod prefill;
 mod server;
 
 use std::collections::BTreeMap;
 
 use filbertcleat_base::MonoTime;
 
+pub(crate) use self::prefill::Prefill;
 pub use self::server::Ending;
 pub use self::server::Server;
 use crate::AgentNews;
@@ -90,16 +92,9 @@
     }
 
     /// Notes that a request that had been sent is over.
-    pub fn ended(
-        &mut self,
-        now: MonoTime,
-        id: &ServerId,
-        demand: &Demand,
-        had_started: bool,
-        ending: Ending,
-    ) {
+    pub fn ended(&mut self, now: MonoTime, id: &ServerId, demand: &Demand, ending: Ending) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.ended(now, demand, had_started, ending);
+            server.ended(now, demand, ending);
         }
     }
 
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -4,7 +4,9 @@
 
 use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
+use filbertcleat_base::hash;
 
+use super::prefill::Prefill;
 use crate::AdapterKey;
 use crate::AgentNews;
 use crate::Demand;
@@ -19,18 +21,16 @@
     pub open: u32,
     /// Requests of this entry sent since its agent last spoke.
     pub sent_since_news: u32,
-    /// Prompts of this entry's requests whose answers have not begun, in tokens.
-    pub unstarted_tokens: u64,
     /// When it last sent a byte of an answer.
     pub heard_at: MonoTime,
-    unstarted: u32,
+    hash: u64,
+    prefill: Prefill,
     memory_since_news_tokens: u64,
     news: Option<(MonoTime, AgentNews)>,
     uses: BTreeMap<AdapterKey, u32>,
     doubt_until: MonoTime,
     failures_in_row: u32,
     failed_share: f64,
-    ms_per_token: f64,
     oldest_waiting: Option<MonoTime>,
 }
 
@@ -69,29 +69,22 @@
     const SILENCE_MS: u64 = 1_500;
     /// The weight of one ending in the share of failures.
     const FAILED_WEIGHT: f64 = 0.1;
-    /// The prefill time assumed until answers show it: a tenth of a millisecond a token.
-    const MS_PER_TOKEN: f64 = 0.1;
-    /// The weight of one answer in the prefill time.
-    const MS_PER_TOKEN_WEIGHT: f64 = 0.1;
-    /// The prompt length assumed of requests of other entries, in tokens.
-    const PROMPT_TOKENS: u64 = 1_000;
 
     /// Creates the belief from the list's entry.
     pub fn new(now: MonoTime, listed: Listed) -> Self {
         Self {
+            hash: hash(&listed.address.to_string()),
             listed,
             open: 0,
             sent_since_news: 0,
-            unstarted_tokens: 0,
             heard_at: now,
-            unstarted: 0,
+            prefill: Prefill::new(),
             memory_since_news_tokens: 0,
             news: None,
             uses: BTreeMap::new(),
             doubt_until: MonoTime::ZERO,
             failures_in_row: 0,
             failed_share: 0.0,
-            ms_per_token: Self::MS_PER_TOKEN,
             oldest_waiting: None,
         }
     }
@@ -109,12 +102,14 @@
 
     /// Takes in what its agent says, unless it is older than what is known.
     pub fn hear(&mut self, now: MonoTime, news: AgentNews) {
-        let is_old = self.news.as_ref().is_some_and(|(_, known)| {
-            known.agent == news.agent && known.sequence >= news.sequence
-        });
+        let is_old = self
+            .news
+            .as_ref()
+            .is_some_and(|(_, known)| known.agent == news.agent && known.sequence >= news.sequence);
         if is_old {
             return;
         }
+        self.prefill.hear_others(now, news.others_tokens);
         self.news = Some((now, news));
         self.sent_since_news = 0;
         self.memory_since_news_tokens = 0;
@@ -158,6 +153,11 @@
         self.uses.iter().map(|(key, count)| (key, *count))
     }
 
+    /// Returns the hash of its place, which outlives a restart as its copies of adapters do.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
     /// Returns the requests in its batch and queue, counting this entry's latest.
     pub fn load(&self, now: MonoTime) -> u32 {
         match self.fresh_news(now) {
@@ -179,11 +179,17 @@
 
     /// Estimates the time until a request's first event if it were sent now.
     pub fn first_event_ms(&self, now: MonoTime, demand: &Demand) -> f64 {
-        let others = self
-            .fresh_news(now)
-            .map_or(0, |news| u64::from(news.waiting.saturating_sub(self.unstarted)));
-        let ahead = self.unstarted_tokens + others * Self::PROMPT_TOKENS;
-        (ahead + demand.prompt_tokens) as f64 * self.ms_per_token
+        self.prefill.read_ms(now, demand)
+    }
+
+    /// Returns whether a prompt can be sent without too long a pause in the running streams.
+    pub fn has_prefill_room(&self, now: MonoTime, demand: &Demand) -> bool {
+        self.prefill.has_room(now, demand)
+    }
+
+    /// Returns the prompts that this entry has ever sent here, in tokens.
+    pub fn sent_tokens(&self) -> u64 {
+        self.prefill.sent_tokens()
     }
 
     /// Returns the recent share of requests that failed here.
@@ -197,9 +203,8 @@
             self.oldest_waiting = Some(now);
         }
         self.open += 1;
-        self.unstarted += 1;
         self.sent_since_news += 1;
-        self.unstarted_tokens += demand.prompt_tokens;
+        self.prefill.send(now, demand);
         self.memory_since_news_tokens += demand.memory_tokens();
         if let Some(key) = &demand.adapter {
             *self.uses.entry(key.clone()).or_default() += 1;
@@ -209,19 +214,11 @@
     /// Notes that an answer has begun.
     pub fn started(&mut self, now: MonoTime, demand: &Demand, wait_ms: u64) {
         self.heard_at = now;
-        self.unstart(demand);
-        if demand.prompt_tokens > 0 {
-            let ahead = (self.unstarted_tokens / 2 + demand.prompt_tokens) as f64;
-            let seen = (wait_ms as f64 / ahead).min(1.0);
-            self.ms_per_token += (seen - self.ms_per_token) * Self::MS_PER_TOKEN_WEIGHT;
-        }
+        self.prefill.start(demand, wait_ms);
     }
 
     /// Notes that a request is over.
-    pub fn ended(&mut self, now: MonoTime, demand: &Demand, had_started: bool, ending: Ending) {
-        if !had_started {
-            self.unstart(demand);
-        }
+    pub fn ended(&mut self, now: MonoTime, demand: &Demand, ending: Ending) {
         self.open = self.open.saturating_sub(1);
         if self.open == 0 {
             self.oldest_waiting = None;
@@ -272,14 +269,8 @@
         }
     }
 
-    fn unstart(&mut self, demand: &Demand) {
-        self.unstarted = self.unstarted.saturating_sub(1);
-        self.unstarted_tokens = self.unstarted_tokens.saturating_sub(demand.prompt_tokens);
-    }
-
     fn is_silent(&self, now: MonoTime) -> bool {
-        self.oldest_waiting.is_some_and(|since| {
-            now.ms_since(since.max(self.heard_at)) > Self::SILENCE_MS
-        })
+        self.oldest_waiting
+            .is_some_and(|since| now.ms_since(since.max(self.heard_at)) > Self::SILENCE_MS)
     }
 }
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -46,6 +46,7 @@
 pub use place::place_plain;
 pub use queue::Queue;
 pub use queue::Ticket;
+pub use queue::WaitCause;
 pub use request::Demand;
 pub use shelf::EngineReport;
 pub use shelf::Order;
--- a/crates/filbertcleat-serve/src/news.rs
+++ b/crates/filbertcleat-serve/src/news.rs
@@ -17,6 +17,8 @@
     pub wants: Vec<Want>,
     /// Adapters that this entry's requests run on at the engine, with their number.
     pub uses: Vec<(AdapterKey, u32)>,
+    /// The prompts that this entry has ever sent to the engine, in tokens.
+    pub sent_tokens: u64,
     /// The shape of the engine's service, once the entry knows it.
     pub shape: Option<EngineShape>,
     /// Base models by the work that this entry sees for them, most first.
@@ -57,6 +59,8 @@
     pub memory_used_tokens: u64,
     /// All memory, in tokens.
     pub memory_tokens: u64,
+    /// The prompts that other entries than the one told have lately sent, in tokens.
+    pub others_tokens: u64,
     /// The entries that this agent has heard lately.
     pub entries: u32,
 }
--- a/crates/filbertcleat-serve/src/place.rs
+++ b/crates/filbertcleat-serve/src/place.rs
@@ -14,13 +14,8 @@
 /// What to do with a request now.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Placement {
-    /// Send it; a further copy of its adapter would help those that follow.
-    Send {
-        /// The backend server.
-        server: ServerId,
-        /// The backend server that should load a copy.
-        copy_at: Option<ServerId>,
-    },
+    /// Send it.
+    Send(ServerId),
     /// Wait until the backend server has loaded the adapter.
     Load(ServerId),
     /// Wait until some backend server has room.
@@ -29,22 +24,22 @@
     Nowhere,
 }
 
-/// What a load of an adapter costs a request that waits for it: a quarter of a second at the
-/// store's usual pace, and the way to the agent and back.
-const LOAD_MS: f64 = 300.0;
 /// A crossing between failure domains, weighed as delay; the bytes have a price too.
 const CROSSING_MS: f64 = 15.0;
-/// One place in an adapter's rendezvous order: enough to let entries agree on a home, too little
-/// to keep a request at a busy one.
-const RANK_MS: f64 = 10.0;
+/// An adapter is loaded by the first engine of its rendezvous order whose batch is no larger than
+/// the mean by this factor and number. The weight store serves few loads at once over all engines,
+/// and an engine that held an adapter before needs none, so an adapter comes back to its home.
+const LOAD_BOUND: f64 = 1.3;
+const LOAD_BOUND_MORE: f64 = 4.0;
 /// What one request in the batch costs the others, through longer steps.
 const RUNNING_MS: f64 = 1.0;
 /// The delay that a server which fails every request is charged.
 const FAILURE_MS: f64 = 3_000.0;
-/// A second copy of an adapter is worth a load once its holders are slower than others by this.
-const COPY_MS: f64 = 150.0;
+/// A second copy of an adapter is worth a load once a request has waited so long for room at its
+/// holders: longer than prompts are paced over, as the weight store's loads are few.
+const COPY_MS: u64 = 400;
 
-/// Chooses the engine for a request that is at `home` and must avoid some backend servers.
+/// Chooses the engine for a request that has waited, is at `home` and must avoid some servers.
 pub fn place_engine(
     now: MonoTime,
     fleet: &Fleet,
@@ -52,11 +47,13 @@
     demand: &Demand,
     home: &PlaceName,
     avoided: &[ServerId],
+    waited_ms: u64,
 ) -> Placement {
     let seed = demand.adapter.as_ref().map_or(0, |key| hash(key.adapter.as_str()));
     let mut holder: Option<(f64, &Server)> = None;
-    let mut other: Option<(f64, &Server)> = None;
+    let mut loaders = Vec::new();
     let mut is_any_sound = false;
+    let mut is_any_holder = false;
 
     for server in fleet.servers() {
         let is_candidate = server.listed.service == demand.service
@@ -67,40 +64,40 @@
             continue;
         }
         is_any_sound = true;
-        if server.is_full(now, demand, shape.slots) {
-            continue;
-        }
-
-        let cost_ms = cost_ms(now, server, demand, home);
-        let is_holder = demand
-            .adapter
-            .as_ref()
-            .is_none_or(|key| server.holds_adapter(key, demand.version));
+        let is_holder =
+            demand.adapter.as_ref().is_none_or(|key| server.holds_adapter(key, demand.version));
         if is_holder {
-            keep_least(&mut holder, cost_ms, server);
-        } else if server.fresh_news(now).is_some() {
-            let rank = mix(seed, hash(server.listed.id.as_str())) >> 60;
-            keep_least(&mut other, cost_ms + rank as f64 * RANK_MS, server);
+            is_any_holder = true;
+            if server.has_prefill_room(now, demand) && !server.is_full(now, demand, shape.slots) {
+                keep_least(&mut holder, cost_ms(now, server, demand, home), server);
+            }
+        } else if server.fresh_news(now).is_some() && !server.is_full(now, demand, shape.slots) {
+            loaders.push((mix(seed, server.hash()), server));
         }
     }
 
-    match (holder, other) {
-        (Some((holder_ms, server)), Some((other_ms, loader))) if holder_ms > other_ms + LOAD_MS => {
-            // Waiting for the load is expected to be the shorter way only if it really is quick,
-            // so the request goes where it can begin at once.
-            let copy_at = Some(loader.listed.id.clone());
-            Placement::Send { server: server.listed.id.clone(), copy_at }
-        }
-        (Some((holder_ms, server)), other) => {
-            let copy_at = other
-                .filter(|(other_ms, _)| holder_ms > other_ms + COPY_MS)
-                .map(|(_, loader)| loader.listed.id.clone());
-            Placement::Send { server: server.listed.id.clone(), copy_at }
-        }
-        (None, Some((_, loader))) => Placement::Load(loader.listed.id.clone()),
-        (None, None) if is_any_sound => Placement::Full,
-        (None, None) => Placement::Nowhere,
+    if let Some((_, server)) = holder {
+        return Placement::Send(server.listed.id.clone());
     }
+    // The holders are busy for the moment; a copy costs a load and another adapter's place.
+    if is_any_holder && waited_ms < COPY_MS {
+        return Placement::Full;
+    }
+    match choose_loader(now, loaders) {
+        Some(loader) => Placement::Load(loader.listed.id.clone()),
+        None if is_any_sound => Placement::Full,
+        None => Placement::Nowhere,
+    }
+}
+
+/// Chooses the engine that loads an adapter among those scored by its rendezvous hashing.
+fn choose_loader(now: MonoTime, mut loaders: Vec<(u64, &Server)>) -> Option<&Server> {
+    let sum: u32 = loaders.iter().map(|(_, server)| server.load(now)).sum();
+    let mean = f64::from(sum) / loaders.len().max(1) as f64;
+    let bound = mean * LOAD_BOUND + LOAD_BOUND_MORE;
+    loaders.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
+    let within = loaders.iter().find(|(_, server)| f64::from(server.load(now)) <= bound);
+    within.or(loaders.first()).map(|(_, server)| *server)
 }
 
 /// Chooses the backend server of a plain service.
@@ -119,12 +116,12 @@
         })
     };
     let least = |is_strict: bool| {
-        candidates(is_strict)
-            .filter(|server| !avoided.contains(&server.listed.id))
-            .min_by(|left, right| {
+        candidates(is_strict).filter(|server| !avoided.contains(&server.listed.id)).min_by(
+            |left, right| {
                 let cost = |server| plain_cost_ms(server, home);
                 cost(left).total_cmp(&cost(right))
-            })
+            },
+        )
     };
     // A doubtful server is better than none.
     least(true).or_else(|| least(false)).map(|server| server.listed.id.clone())
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -5,7 +5,6 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::PlaceName;
 
-use crate::AdapterKey;
 use crate::Demand;
 use crate::EngineShape;
 use crate::Fleet;
@@ -26,41 +25,62 @@
 pub struct Queue {
     next: u64,
     waiting: BTreeMap<Ticket, Waiter>,
-    copies: BTreeMap<(ServerId, AdapterKey), Copy>,
 }
 
 #[derive(Debug)]
 struct Waiter {
     demand: Demand,
+    since: MonoTime,
     avoided: Vec<ServerId>,
     load: Option<(ServerId, MonoTime)>,
+    cause: WaitCause,
 }
 
-/// A further copy of an adapter that is asked for without anyone waiting.
-#[derive(Debug)]
-struct Copy {
-    until: MonoTime,
-    version: u64,
-    priority: u8,
+/// What a request waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WaitCause {
+    /// The next look at the queue.
+    Look,
+    /// Its adapter's way to an engine.
+    Load,
+    /// Room at an engine.
+    Room,
+    /// An engine that holds its model and can be used.
+    Engine,
+}
+
+impl WaitCause {
+    /// Returns the words used in logs and answers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Look => "the queue was not looked at in time",
+            Self::Load => "the adapter was not loaded in time",
+            Self::Room => "no engine had room in time",
+            Self::Engine => "no engine holds the model",
+        }
+    }
 }
 
 impl Queue {
     /// A load that takes longer is tried elsewhere: four times what one takes unhurried.
     const LOAD_PATIENCE_MS: u64 = 1_000;
-    /// How long a wish for a further copy stands after the last request that asked for it.
-    const COPY_MS: u64 = 400;
 
     /// Adds a request that must avoid some backend servers.
-    pub fn push(&mut self, demand: Demand, avoided: Vec<ServerId>) -> Ticket {
+    pub fn push(&mut self, now: MonoTime, demand: Demand, avoided: Vec<ServerId>) -> Ticket {
         let ticket = Ticket { priority: demand.priority, number: self.next };
         self.next += 1;
-        self.waiting.insert(ticket, Waiter { demand, avoided, load: None });
+        self.waiting.insert(
+            ticket,
+            Waiter { demand, since: now, avoided, load: None, cause: WaitCause::Look },
+        );
         ticket
     }
 
     /// Takes a request out, whose caller left or which is given up.
-    pub fn leave(&mut self, ticket: Ticket) {
-        self.waiting.remove(&ticket);
+    ///
+    /// Returns what it waited for, if it still did.
+    pub fn leave(&mut self, ticket: Ticket) -> Option<WaitCause> {
+        self.waiting.remove(&ticket).map(|waiter| waiter.cause)
     }
 
     /// Returns the number of waiting requests.
@@ -88,29 +108,23 @@
                 waiter.give_up_load();
             }
             let demand = &waiter.demand;
-            match place_engine(now, fleet, shape, demand, home, &waiter.avoided) {
-                Placement::Send { server, copy_at } => {
+            let waited_ms = now.ms_since(waiter.since);
+            match place_engine(now, fleet, shape, demand, home, &waiter.avoided, waited_ms) {
+                Placement::Send(server) => {
                     fleet.sent(now, &server, demand);
-                    if let (Some(at), Some(key)) = (copy_at, &demand.adapter) {
-                        let copy = Copy {
-                            until: now.plus_ms(Self::COPY_MS),
-                            version: demand.version,
-                            priority: demand.priority,
-                        };
-                        self.copies.insert((at, key.clone()), copy);
-                    }
                     ready.push((*ticket, server));
                 }
-                Placement::Load(server) if waiter.load.is_none() => {
-                    waiter.load = Some((server, now));
+                Placement::Load(server) => {
+                    waiter.cause = WaitCause::Load;
+                    waiter.load.get_or_insert((server, now));
                 }
-                Placement::Load(_) | Placement::Full | Placement::Nowhere => {}
+                Placement::Full => waiter.cause = WaitCause::Room,
+                Placement::Nowhere => waiter.cause = WaitCause::Engine,
             }
         }
         for (ticket, _) in &ready {
             self.waiting.remove(ticket);
         }
-        self.copies.retain(|_, copy| copy.until > now);
         ready
     }
 
@@ -135,16 +149,6 @@
                 }),
             }
         }
-        for ((at, key), copy) in &self.copies {
-            if at == server && !wants.iter().any(|want| want.key == *key) {
-                wants.push(Want {
-                    key: key.clone(),
-                    version: copy.version,
-                    priority: copy.priority,
-                    waiting: 0,
-                });
-            }
-        }
         wants
     }
 }
@@ -152,10 +156,9 @@
 impl Waiter {
     fn is_load_stuck(&self, now: MonoTime, fleet: &Fleet) -> bool {
         self.load.as_ref().is_some_and(|(at, since)| {
-            let is_lost =
-                fleet.server(at).is_none_or(|server| {
-                    !server.is_usable(now) || server.fresh_news(now).is_none()
-                });
+            let is_lost = fleet
+                .server(at)
+                .is_none_or(|server| !server.is_usable(now) || server.fresh_news(now).is_none());
             is_lost || now.ms_since(*since) > Queue::LOAD_PATIENCE_MS
         })
     }
--- a/crates/filbertcleat-serve/src/request.rs
+++ b/crates/filbertcleat-serve/src/request.rs
@@ -20,6 +20,8 @@
     pub prompt_tokens: u64,
     /// The most tokens of the answer.
     pub answer_tokens: u64,
+    /// The longest pause between two events for full credit; 0 if it does not stream.
+    pub gap_ms: u64,
     /// The urgency; 0 is the most urgent.
     pub priority: u8,
 }
--- a/crates/filbertcleat-serve/src/shelf.rs
+++ b/crates/filbertcleat-serve/src/shelf.rs
@@ -1,6 +1,7 @@
 //! Which adapters the agent beside an engine orders.
 
 mod order;
+mod prompts;
 mod report;
 
 use std::collections::BTreeMap;
@@ -11,6 +12,7 @@
 
 pub use self::order::Order;
 pub use self::order::OrderKind;
+use self::prompts::Prompts;
 pub use self::report::EngineReport;
 use crate::AdapterKey;
 use crate::EngineShape;
@@ -33,6 +35,7 @@
     going: BTreeMap<AdapterKey, MonoTime>,
     sent: Option<(Order, MonoTime)>,
     refused_until: MonoTime,
+    prompts: Prompts,
 }
 
 #[derive(Debug)]
@@ -64,6 +67,7 @@
         if news.sequence <= known {
             return;
         }
+        self.prompts.hear(now, news.entry, news.sent_tokens);
         for (key, _) in &news.uses {
             self.used_at.insert(key.clone(), now);
             self.going.remove(key);
@@ -108,6 +112,11 @@
         self.entries.values().filter(|heard| heard.is_live(now, Self::ENTRY_LIVE_MS)).count()
     }
 
+    /// Returns the prompts that other entries have sent within the window, in tokens.
+    pub fn others_tokens(&self, now: MonoTime, entry: u64) -> u64 {
+        self.prompts.others(now, entry)
+    }
+
     /// Returns the engine's last report.
     pub fn engine(&self) -> Option<&EngineReport> {
         self.report.as_ref()
@@ -133,6 +142,7 @@
     /// Returns the next order to give, if any.
     pub fn next_order(&mut self, now: MonoTime) -> Option<Order> {
         self.entries.retain(|_, heard| heard.is_live(now, Self::ENTRY_LIVE_MS));
+        self.prompts.retain(|entry| self.entries.contains_key(&entry));
         if now < self.refused_until {
             return None;
         }
