Send long prompts to quick engines, and repeat unanswered orders at once

Cause: pauses of 300 to 320 ms stood at the engines that work 1.3 times as long, by single prompts of 3,500 tokens and more. Ruled out: other entries' prompts (the agents' counts showed none in the window).

The time per token is learned from prompts that meet no other, quicker ones weighing more; a prompt that would fill three quarters of the allowed pause alone goes elsewhere. An order without an answer is repeated with the same count, so that at most one is done.

--- a/crates/filbertcleat-daemon/src/prepared.rs
+++ b/crates/filbertcleat-daemon/src/prepared.rs
@@ -24,8 +24,9 @@
 /// The time for a call to the store, which is many times its usual answer: a slow store still
 /// answers, and one that is away is found out.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// The time for a call to the engine on the own machine.
-const ENGINE_TIMEOUT: Duration = Duration::from_millis(500);
+/// The time for a call to the engine on the own machine, which answers within a few milliseconds
+/// unless the answer is lost.
+const ENGINE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Runs the daemon with the settings file that the machine names.
 pub(crate) fn run(is_check: bool) -> Result<(), Fault> {
--- a/crates/filbertcleat-gateway/src/entry/handle.rs
+++ b/crates/filbertcleat-gateway/src/entry/handle.rs
@@ -270,13 +270,11 @@
     let placed = tokio::time::timeout(Duration::from_millis(patience_ms), receiver).await;
     let cause = queued.leave();
     request.queued_ms += entry.now().ms_since(now);
-    match placed {
-        Ok(Ok(server)) => Ok(OpenSend::counted(entry, server, request.demand.clone())),
-        Ok(Err(_)) | Err(_) => {
-            let cause = cause.unwrap_or(WaitCause::Look);
-            Err(Refusal::NotRun(cause.as_str(), BACK_SOON))
-        }
+    if let Ok(Ok(server)) = placed {
+        return Ok(OpenSend::counted(entry, server, request.demand.clone()));
     }
+    let cause = cause.unwrap_or(WaitCause::Look);
+    Err(Refusal::NotRun(cause.as_str(), BACK_SOON))
 }
 
 /// Sends a request to one backend server.
--- a/crates/filbertcleat-serve/src/fleet/prefill.rs
+++ b/crates/filbertcleat-serve/src/fleet/prefill.rs
@@ -31,8 +31,12 @@
     /// What is learned stays within these bounds, as caches and queues blur it.
     const MS_PER_TOKEN_MIN: f64 = 0.03;
     const MS_PER_TOKEN_MAX: f64 = 0.3;
-    /// The weight of one answer in what is learned.
-    const WEIGHT: f64 = 0.1;
+    /// The weights of a quicker and of a slower answer in what is learned: a slower one has mostly
+    /// met prompts of other entries, so the quick ones show the engine's own pace.
+    const WEIGHT_QUICKER: f64 = 0.3;
+    const WEIGHT_SLOWER: f64 = 0.03;
+    /// The part of a pause that a prompt may fill which meets no other.
+    const FILL_ALONE: f64 = 0.75;
     /// The part of the time to the first event that is not spent on the prompt: a step or two.
     const STEPS_MS: u64 = 25;
     /// A shorter prompt tells little about the time for a token.
@@ -75,7 +79,9 @@
         let read_ms = wait_ms.saturating_sub(Self::STEPS_MS) as f64;
         let seen = read_ms / demand.prompt_tokens.max(1) as f64;
         let seen = seen.clamp(Self::MS_PER_TOKEN_MIN, Self::MS_PER_TOKEN_MAX);
-        self.ms_per_token += (seen - self.ms_per_token) * Self::WEIGHT;
+        let is_quicker = seen < self.ms_per_token;
+        let weight = if is_quicker { Self::WEIGHT_QUICKER } else { Self::WEIGHT_SLOWER };
+        self.ms_per_token += (seen - self.ms_per_token) * weight;
     }
 
     /// Takes in what the agent counted of other entries' prompts within the window.
@@ -100,6 +106,12 @@
         (self.recent_tokens(now) + demand.prompt_tokens) as f64 * self.ms_per_token
     }
 
+    /// Returns whether a prompt alone makes too long a pause in the running streams.
+    pub fn is_strained_by(&self, demand: &Demand) -> bool {
+        let read_ms = demand.prompt_tokens as f64 * self.ms_per_token;
+        demand.gap_ms > 0 && read_ms > demand.gap_ms as f64 * Self::FILL_ALONE
+    }
+
     /// Returns whether a prompt can be sent without too long a pause in the running streams.
     pub fn has_room(&self, now: MonoTime, demand: &Demand) -> bool {
         let recent = self.recent_tokens(now);
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -187,6 +187,11 @@
         self.prefill.has_room(now, demand)
     }
 
+    /// Returns whether a prompt alone makes too long a pause in streams that run here.
+    pub fn is_strained_by(&self, now: MonoTime, demand: &Demand) -> bool {
+        self.load(now) > 0 && self.prefill.is_strained_by(demand)
+    }
+
     /// Returns the prompts that this entry has ever sent here, in tokens.
     pub fn sent_tokens(&self) -> u64 {
         self.prefill.sent_tokens()
--- a/crates/filbertcleat-serve/src/place.rs
+++ b/crates/filbertcleat-serve/src/place.rs
@@ -49,55 +49,65 @@
     avoided: &[ServerId],
     waited_ms: u64,
 ) -> Placement {
-    let seed = demand.adapter.as_ref().map_or(0, |key| hash(key.adapter.as_str()));
-    let mut holder: Option<(f64, &Server)> = None;
-    let mut loaders = Vec::new();
-    let mut is_any_sound = false;
-    let mut is_any_holder = false;
-
-    for server in fleet.servers() {
-        let is_candidate = server.listed.service == demand.service
-            && server.is_usable(now)
-            && !avoided.contains(&server.listed.id)
-            && demand.model.as_ref().is_none_or(|model| server.holds_model(model));
-        if !is_candidate {
-            continue;
-        }
-        is_any_sound = true;
-        let is_holder =
-            demand.adapter.as_ref().is_none_or(|key| server.holds_adapter(key, demand.version));
-        if is_holder {
-            is_any_holder = true;
-            if server.has_prefill_room(now, demand) && !server.is_full(now, demand, shape.slots) {
-                keep_least(&mut holder, cost_ms(now, server, demand, home), server);
-            }
-        } else if server.fresh_news(now).is_some() && !server.is_full(now, demand, shape.slots) {
-            loaders.push((mix(seed, server.hash()), server));
-        }
+    let sound: Vec<&Server> = fleet
+        .servers()
+        .filter(|server| {
+            server.listed.service == demand.service
+                && server.is_usable(now)
+                && !avoided.contains(&server.listed.id)
+                && demand.model.as_ref().is_none_or(|model| server.holds_model(model))
+        })
+        .collect();
+    if sound.is_empty() {
+        return Placement::Nowhere;
     }
+    // A long prompt goes to the quick engines, where the other streams bear it.
+    let easy: Vec<&Server> =
+        sound.iter().copied().filter(|server| !server.is_strained_by(now, demand)).collect();
+    let candidates = if easy.is_empty() { sound } else { easy };
 
-    if let Some((_, server)) = holder {
+    let is_holder = |server: &Server| {
+        demand.adapter.as_ref().is_none_or(|key| server.holds_adapter(key, demand.version))
+    };
+    let (holders, others): (Vec<&Server>, Vec<&Server>) =
+        candidates.into_iter().partition(|server| is_holder(server));
+    let free_holder = holders
+        .iter()
+        .filter(|server| {
+            server.has_prefill_room(now, demand) && !server.is_full(now, demand, shape.slots)
+        })
+        .min_by(|left, right| {
+            cost_ms(now, left, demand, home).total_cmp(&cost_ms(now, right, demand, home))
+        });
+    if let Some(server) = free_holder {
         return Placement::Send(server.listed.id.clone());
     }
     // The holders are busy for the moment; a copy costs a load and another adapter's place.
-    if is_any_holder && waited_ms < COPY_MS {
+    if !holders.is_empty() && waited_ms < COPY_MS {
         return Placement::Full;
     }
-    match choose_loader(now, loaders) {
+    let loaders = others.into_iter().filter(|server| {
+        server.fresh_news(now).is_some() && !server.is_full(now, demand, shape.slots)
+    });
+    match choose_loader(now, demand, loaders.collect()) {
         Some(loader) => Placement::Load(loader.listed.id.clone()),
-        None if is_any_sound => Placement::Full,
-        None => Placement::Nowhere,
+        None => Placement::Full,
     }
 }
 
-/// Chooses the engine that loads an adapter among those scored by its rendezvous hashing.
-fn choose_loader(now: MonoTime, mut loaders: Vec<(u64, &Server)>) -> Option<&Server> {
-    let sum: u32 = loaders.iter().map(|(_, server)| server.load(now)).sum();
+/// Chooses the engine that loads an adapter: the first of its rendezvous order within the bound.
+fn choose_loader<'a>(
+    now: MonoTime,
+    demand: &Demand,
+    mut loaders: Vec<&'a Server>,
+) -> Option<&'a Server> {
+    let seed = demand.adapter.as_ref().map_or(0, |key| hash(key.adapter.as_str()));
+    let sum: u32 = loaders.iter().map(|server| server.load(now)).sum();
     let mean = f64::from(sum) / loaders.len().max(1) as f64;
     let bound = mean * LOAD_BOUND + LOAD_BOUND_MORE;
-    loaders.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
-    let within = loaders.iter().find(|(_, server)| f64::from(server.load(now)) <= bound);
-    within.or(loaders.first()).map(|(_, server)| *server)
+    loaders.sort_unstable_by_key(|server| std::cmp::Reverse(mix(seed, server.hash())));
+    let within = loaders.iter().find(|server| f64::from(server.load(now)) <= bound);
+    within.or(loaders.first()).copied()
 }
 
 /// Chooses the backend server of a plain service.
@@ -143,9 +153,3 @@
 fn crossing_ms(server: &Server, home: &PlaceName) -> f64 {
     if server.listed.domain == *home { 0.0 } else { CROSSING_MS }
 }
-
-fn keep_least<'a>(best: &mut Option<(f64, &'a Server)>, cost_ms: f64, server: &'a Server) {
-    if best.is_none_or(|(least_ms, _)| cost_ms < least_ms) {
-        *best = Some((cost_ms, server));
-    }
-}
--- a/crates/filbertcleat-serve/src/shelf.rs
+++ b/crates/filbertcleat-serve/src/shelf.rs
@@ -33,7 +33,7 @@
     report: Option<EngineReport>,
     used_at: BTreeMap<AdapterKey, MonoTime>,
     going: BTreeMap<AdapterKey, MonoTime>,
-    sent: Option<(Order, MonoTime)>,
+    sent: Option<Order>,
     refused_until: MonoTime,
     prompts: Prompts,
 }
@@ -56,8 +56,6 @@
     const COMING_MAX: usize = 4;
     /// Places kept free, so that a load needs not wait for another adapter to go.
     const SPARE_PLACES: usize = 2;
-    /// An order is repeated if its answer stays out: many times a call on the own machine.
-    const ORDER_PATIENCE_MS: u64 = 400;
     /// The pause after the engine refused an order, so that its report can catch up.
     const REFUSED_MS: u64 = 60;
 
@@ -93,7 +91,7 @@
             self.going.clear();
             self.used_at.clear();
         }
-        if let Some((order, _)) = &self.sent
+        if let Some(order) = &self.sent
             && report.sequence > order.expected
         {
             self.sent = None;
@@ -146,24 +144,21 @@
         if now < self.refused_until {
             return None;
         }
-        if let Some((order, at)) = &mut self.sent {
-            if now.ms_since(*at) < Self::ORDER_PATIENCE_MS {
-                return None;
-            }
-            *at = now;
+        // An order without an answer is given again: at most one of the two is carried out.
+        if let Some(order) = &self.sent {
             return Some(order.clone());
         }
 
         let report = self.report.clone()?;
         let kind = self.choose(now, &report)?;
         let order = Order { kind, expected: report.sequence, server: report.server };
-        self.sent = Some((order.clone(), now));
+        self.sent = Some(order.clone());
         Some(order)
     }
 
     /// Notes that the engine accepted an order.
     pub fn accepted(&mut self, order: &Order) {
-        if self.sent.as_ref().is_some_and(|(sent, _)| sent == order) {
+        if self.sent.as_ref() == Some(order) {
             self.sent = None;
         }
         let Some(report) = &mut self.report else { return };
@@ -184,7 +179,7 @@
 
     /// Notes that the engine refused an order or that it held already.
     pub fn refused(&mut self, now: MonoTime, order: &Order) {
-        if self.sent.as_ref().is_some_and(|(sent, _)| sent == order) {
+        if self.sent.as_ref() == Some(order) {
             self.sent = None;
         }
         if let OrderKind::Drop(key) = &order.kind {
@@ -286,7 +281,7 @@
             .as_ref()
             .is_some_and(|report| report.coming.iter().any(|(coming, _)| coming == key));
         is_coming
-            || matches!(&self.sent, Some((Order { kind: OrderKind::Load(sent, _), .. }, _)) if sent == key)
+            || matches!(&self.sent, Some(Order { kind: OrderKind::Load(sent, _), .. }) if sent == key)
     }
 
     fn uses(&self, now: MonoTime) -> BTreeSet<&AdapterKey> {
