--- a/crates/filbertcleat-daemon/src/prepared.rs
+++ b/crates/filbertcleat-daemon/src/prepared.rs
@@ -23,7 +23,7 @@
 
 /// The time for a call to the store, which is many times its usual answer: a slow store still
 /// answers, and one that is away is found out.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The time for a call to the engine on the own machine, which answers within a few milliseconds
 /// unless the answer is lost.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(150);
--- a/crates/filbertcleat-gateway/src/entry/handle.rs
+++ b/crates/filbertcleat-gateway/src/entry/handle.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use filbertcleat_serve::Demand;
 use filbertcleat_serve::Ending;
-use filbertcleat_serve::RouteKind;
+use filbertcleat_serve::RunRule;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::WaitCause;
 use filbertcleat_serve::place_plain;
@@ -295,7 +295,7 @@
         }
     };
     request.sends += 1;
-    let is_stream = matches!(request.route.kind, RouteKind::Stream { .. });
+    let is_stream = matches!(request.route.kind, RunRule::Stream { .. });
     if is_stream && answer.head.status.is_success() {
         return Ok(Served::Stream { answer: Box::new(answer), open });
     }
--- a/crates/filbertcleat-gateway/src/entry/stream.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::Ending;
-use filbertcleat_serve::RouteKind;
+use filbertcleat_serve::RunRule;
 use http::Response;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
@@ -51,7 +51,7 @@
     response.headers_mut().clone_from(&answer.head.headers);
     strip_connection_headers(response.headers_mut());
 
-    let is_resumable = request.route.kind == RouteKind::Stream { resumable: true };
+    let is_resumable = request.route.kind == RunRule::Stream { resumable: true };
     let relay = Relay {
         entry: Rc::clone(entry),
         last_event: request.facts.last_event,
--- a/crates/filbertcleat-gateway/src/settings.rs
+++ b/crates/filbertcleat-gateway/src/settings.rs
@@ -1,11 +1,17 @@
 //! The settings of one process of the direct path.
 
+mod grant;
+mod role;
+
 use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use filbertcleat_base::NodeName;
 use filbertcleat_base::PlaceName;
 
+pub use self::grant::RepeatGrant;
+pub use self::role::GatewayRole;
+
 /// The settings of one process of the direct path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -26,31 +32,3 @@
     /// The repeats that all entries together may send to a service.
     pub repeats: RepeatGrant,
 }
-
-/// What a process does.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum GatewayRole {
-    /// It answers callers.
-    Entry {
-        /// Where callers connect.
-        callers: SocketAddr,
-        /// Where the balancer asks whether it takes callers.
-        readiness: SocketAddr,
-    },
-    /// It gives orders to the engine beside it.
-    Agent {
-        /// The engine.
-        engine: SocketAddr,
-    },
-}
-
-/// The repeats that all entries together may send to a service within a window.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RepeatGrant {
-    /// The repeats granted per request.
-    pub ratio: f64,
-    /// The repeats granted besides.
-    pub slack: f64,
-    /// The length of the window.
-    pub window_ms: u64,
-}
--- /dev/null
+++ b/crates/filbertcleat-gateway/tests/repeats.rs
@@ -0,0 +1,76 @@
+//! A request that may be repeated.
+
+mod support;
+
+use std::time::Duration;
+
+use filbertcleat_serve::RunRule;
+use rstest::rstest;
+
+use self::support::Backend;
+use self::support::Call;
+use self::support::Script;
+use self::support::World;
+use self::support::route;
+
+const USUAL: Script =
+    Script::Answer { status: 200, body: "freed", after: Duration::from_millis(60) };
+
+#[rstest]
+#[case::closed(Script::Close)]
+#[case::foreign(Script::Foreign)]
+#[case::unsealed(Script::Unsealed)]
+#[case::not_run(Script::NotRun)]
+#[case::failed(Script::Answer { status: 500, body: "no", after: Duration::ZERO })]
+fn repeated_elsewhere(#[case] script: Script) {
+    World::run(async {
+        let (one, two) = (Backend::start("d1", USUAL).await, Backend::start("d2", USUAL).await);
+        let routes = vec![route("cancel", RunRule::Idempotent, 2)];
+        let world = World::start(routes, &[&one, &two]).await;
+        one.next(script);
+
+        let mut caller = world.caller().await;
+        for id in ["a", "b", "c"] {
+            let reply = caller.call(&Call::new(id, "/cancel/1")).await.expect("an answer");
+            assert_eq!((reply.status, reply.body.as_str()), (200, "freed"));
+        }
+        assert_eq!(one.arrivals() + two.arrivals(), 4);
+    });
+}
+
+#[test]
+fn last_failure_is_told() {
+    World::run(async {
+        let failing = Script::Answer { status: 500, body: "no", after: Duration::ZERO };
+        let (one, two) =
+            (Backend::start("d1", failing.clone()).await, Backend::start("d2", failing).await);
+        let routes = vec![route("cancel", RunRule::Idempotent, 2)];
+        let world = World::start(routes, &[&one, &two]).await;
+
+        let reply = world.caller().await.call(&Call::new("a", "/cancel/1")).await;
+
+        let reply = reply.expect("an answer");
+        assert_eq!((reply.status, reply.body.as_str()), (500, "no"));
+        assert!(reply.header("x-seal").is_some());
+        assert_eq!(one.arrivals() + two.arrivals(), 2);
+    });
+}
+
+#[test]
+fn repeats_have_a_budget() {
+    World::run(async {
+        let (one, two) =
+            (Backend::start("d1", Script::Close).await, Backend::start("d2", Script::Close).await);
+        let routes = vec![route("cancel", RunRule::Idempotent, 2)];
+        let world = World::start(routes, &[&one, &two]).await;
+
+        let mut caller = world.caller().await;
+        for _ in 0..100 {
+            caller.call(&Call::new("same", "/cancel/1")).await.expect("an answer");
+        }
+
+        // The grant is 0.2 x 100 + 160 for sixteen entries of which this is one.
+        let repeats = one.arrivals() + two.arrivals() - 100;
+        assert!((1..=30).contains(&repeats), "{repeats} repeats");
+    });
+}
--- a/crates/filbertcleat-gateway/tests/support/mod.rs
+++ b/crates/filbertcleat-gateway/tests/support/mod.rs
@@ -2,11 +2,11 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
-mod backend;
+pub mod backend;
 mod caller;
 mod catalogue;
 mod dialect;
-mod world;
+pub mod world;
 
 pub use backend::Backend;
 pub use backend::Script;
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -23,7 +23,7 @@
 use filbertcleat_serve::ListedModel;
 use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::Route;
-use filbertcleat_serve::RouteKind;
+use filbertcleat_serve::RunRule;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::ServiceShape;
 use filbertcleat_serve::Target;
@@ -103,8 +103,8 @@
 }
 
 /// Returns a route from `/NAME/` to the service `desk`, or to `writer` if it streams.
-pub fn route(name: &str, kind: RouteKind, sends_max: u32) -> Route {
-    let service = if matches!(kind, RouteKind::Stream { .. }) { "writer" } else { "desk" };
+pub fn route(name: &str, kind: RunRule, sends_max: u32) -> Route {
+    let service = if matches!(kind, RunRule::Stream { .. }) { "writer" } else { "desk" };
     Route {
         name: name.to_owned(),
         host: "desk.example".to_owned(),
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -26,7 +26,7 @@
 pub use deployment::EngineShape;
 pub use deployment::ModelShape;
 pub use deployment::Route;
-pub use deployment::RouteKind;
+pub use deployment::RunRule;
 pub use deployment::ServiceShape;
 pub use deployment::Target;
 pub use fleet::Ending;
--- /dev/null
+++ b/crates/filbertcleat-serve/src/news/agent.rs
@@ -0,0 +1,44 @@
+//! What an agent tells entries of its engine.
+
+use filbertcleat_base::ModelName;
+
+use crate::AdapterKey;
+use crate::ServerId;
+
+/// What an agent tells entries of its engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AgentNews {
+    /// Differs between starts of one agent.
+    pub agent: u64,
+    /// The engine's incarnation.
+    pub server: ServerId,
+    /// Grows with each message of one start of the agent.
+    pub sequence: u64,
+    /// The base models that the engine holds.
+    pub models: Vec<ModelName>,
+    /// The adapters that the engine holds.
+    pub held: Vec<HeldAdapter>,
+    /// Requests in the engine's batch.
+    pub running: u32,
+    /// Requests in the engine's own queue.
+    pub waiting: u32,
+    /// Memory in use that can't be given back, in tokens.
+    pub memory_used_tokens: u64,
+    /// All memory, in tokens.
+    pub memory_tokens: u64,
+    /// The prompts that other entries than the one told have lately sent, in tokens.
+    pub others_tokens: u64,
+    /// The entries that this agent has heard lately.
+    pub entries: u32,
+}
+
+/// An adapter on an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HeldAdapter {
+    /// The adapter.
+    pub key: AdapterKey,
+    /// Its version.
+    pub version: u64,
+    /// Whether it is about to be dropped, so that nothing new may be sent for it.
+    pub is_going: bool,
+}
--- /dev/null
+++ b/crates/filbertcleat-serve/src/news/entry.rs
@@ -0,0 +1,38 @@
+//! What an entry tells the agent of one engine.
+
+use filbertcleat_base::ModelName;
+
+use crate::AdapterKey;
+use crate::EngineShape;
+
+/// What an entry tells the agent of one engine.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EntryNews {
+    /// Differs between processes and between starts of one process.
+    pub entry: u64,
+    /// Grows with each message of this entry.
+    pub sequence: u64,
+    /// Adapters that requests wait for at this entry.
+    pub wants: Vec<Want>,
+    /// Adapters that this entry's requests run on at the engine, with their number.
+    pub uses: Vec<(AdapterKey, u32)>,
+    /// The prompts that this entry has ever sent to the engine, in tokens.
+    pub sent_tokens: u64,
+    /// The shape of the engine's service, once the entry knows it.
+    pub shape: Option<EngineShape>,
+    /// Base models by the work that this entry sees for them, most first.
+    pub demand: Vec<(ModelName, u32)>,
+}
+
+/// An adapter that requests wait for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Want {
+    /// The adapter.
+    pub key: AdapterKey,
+    /// The lowest version that may serve.
+    pub version: u64,
+    /// The most urgent waiting request's priority; 0 is the most urgent.
+    pub priority: u8,
+    /// The requests that wait.
+    pub waiting: u32,
+}
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -1,10 +1,15 @@
 //! Which requests wait at an entry, and in which order they leave.
 
+mod cause;
+mod ticket;
+
 use std::collections::BTreeMap;
 
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::PlaceName;
 
+pub use self::cause::WaitCause;
+pub use self::ticket::Ticket;
 use crate::Demand;
 use crate::EngineShape;
 use crate::Fleet;
@@ -13,13 +18,6 @@
 use crate::Want;
 use crate::place_engine;
 
-/// A request's place in the queue: by urgency, then by arrival.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct Ticket {
-    priority: u8,
-    number: u64,
-}
-
 /// The requests that wait for an engine.
 #[derive(Debug, Default)]
 pub struct Queue {
@@ -36,31 +34,6 @@
     cause: WaitCause,
 }
 
-/// What a request waits for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum WaitCause {
-    /// The next look at the queue.
-    Look,
-    /// Its adapter's way to an engine.
-    Load,
-    /// Room at an engine.
-    Room,
-    /// An engine that holds its model and can be used.
-    Engine,
-}
-
-impl WaitCause {
-    /// Returns the words used in logs and answers.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Look => "the queue was not looked at in time",
-            Self::Load => "the adapter was not loaded in time",
-            Self::Room => "no engine had room in time",
-            Self::Engine => "no engine holds the model",
-        }
-    }
-}
-
 impl Queue {
     /// A load that takes longer is tried elsewhere: four times what one takes unhurried.
     const LOAD_PATIENCE_MS: u64 = 1_000;
--- /dev/null
+++ b/crates/filbertcleat-serve/tests/budget.rs
@@ -0,0 +1,47 @@
+//! The budget of repeats.
+
+mod support;
+
+use filbertcleat_serve::RepeatBudget;
+
+use self::support::at;
+
+/// Takes repeats until none is left and returns their number.
+fn drain(budget: &mut RepeatBudget, now: u64, entries: Option<u32>) -> u32 {
+    let mut taken = 0;
+    while budget.take(at(now), entries) {
+        taken += 1;
+    }
+    taken
+}
+
+#[test]
+fn entries_share_the_grant() {
+    // Four entries with 100 requests each: together no more than 0.2 x 400 + 54.
+    let mut sum = 0;
+    for _ in 0..4 {
+        let mut budget = RepeatBudget::new(0.2, 54.0, 10_000);
+        (0..100).for_each(|_| budget.request(at(1_000)));
+        sum += drain(&mut budget, 1_000, Some(4));
+    }
+
+    assert!(sum <= 134, "{sum} repeats");
+    assert!(sum >= 67, "{sum} repeats leave half of the grant unused");
+}
+
+#[test]
+fn unknown_number_spends_little() {
+    let mut budget = RepeatBudget::new(0.2, 54.0, 10_000);
+
+    assert!(drain(&mut budget, 0, None) <= 3);
+}
+
+#[test]
+fn repeats_age_out() {
+    let mut budget = RepeatBudget::new(0.0, 10.0, 10_000);
+    let first = drain(&mut budget, 0, Some(1));
+    assert!(first > 0);
+
+    assert_eq!(drain(&mut budget, 10_000, Some(1)), 0);
+    assert_eq!(drain(&mut budget, 10_001, Some(1)), first);
+}
--- /dev/null
+++ b/crates/filbertcleat-serve/tests/listing.rs
@@ -0,0 +1,133 @@
+//! What the list of backend servers does to the fleet.
+
+mod support;
+
+use filbertcleat_serve::Ending;
+use filbertcleat_serve::Fleet;
+use filbertcleat_serve::Listed;
+use filbertcleat_serve::ListingChange;
+
+use self::support::at;
+use self::support::demand;
+use self::support::fleet;
+use self::support::id;
+use self::support::listed;
+use self::support::news;
+
+fn known(fleet: &Fleet) -> Vec<&str> {
+    fleet.servers().map(|server| server.listed.id.as_str()).collect()
+}
+
+#[test]
+fn whole_list_replaces() {
+    let mut fleet = fleet(at(0), &[("a", &[]), ("b", &[])]);
+
+    fleet.apply(at(10), ListingChange::Whole(vec![listed("b"), listed("c")]));
+
+    assert_eq!(known(&fleet), ["b", "c"]);
+}
+
+#[test]
+fn spoilt_entry_goes() {
+    let mut fleet = fleet(at(0), &[("a", &[]), ("b", &[])]);
+
+    fleet.apply(at(10), ListingChange::Spoilt(id("a")));
+
+    assert_eq!(known(&fleet), ["b"]);
+}
+
+#[test]
+fn leaving_gets_nothing() {
+    let mut fleet = fleet(at(0), &[("a", &[])]);
+
+    fleet.apply(at(10), ListingChange::Put(Listed { is_leaving: true, ..listed("a") }));
+
+    assert!(!fleet.server(&id("a")).expect("listed").is_usable(at(10)));
+}
+
+#[test]
+fn lapsed_after_outage() {
+    let mut fleet = fleet(at(0), &[("alive", &[]), ("dead", &[])]);
+
+    fleet.regained(at(10_000));
+    fleet.apply(at(10_001), ListingChange::Whole(Vec::new()));
+    fleet.tick(at(11_000));
+    assert_eq!(known(&fleet), ["alive", "dead"], "an outage is no proof that they are gone");
+
+    fleet.apply(at(11_500), ListingChange::Put(listed("alive")));
+    fleet.tick(at(12_500));
+    assert_eq!(known(&fleet), ["alive"], "what did not come back is gone");
+}
+
+#[test]
+fn restart_forgets_all() {
+    let mut fleet = fleet(at(0), &[("a", &["x"])]);
+    fleet.sent(at(1), &id("a"), &demand("x", 100));
+
+    fleet.apply(at(2), ListingChange::Put(Listed { born_ms: 2, ..listed("a") }));
+
+    let server = fleet.server(&id("a")).expect("listed");
+    assert_eq!(server.open, 0);
+    assert_eq!(server.held_version(&support::key("x")), None);
+    // The end of a request from before the restart takes nothing away.
+    fleet.ended(at(3), &id("a"), &demand("x", 100), Ending::Broken);
+    assert_eq!(fleet.server(&id("a")).expect("listed").open, 0);
+}
+
+#[test]
+fn old_news_ignored() {
+    let mut fleet = fleet(at(0), &[("a", &[])]);
+    fleet.news(at(1), news("a", 5, &["new"]));
+
+    fleet.news(at(2), news("a", 4, &["old"]));
+
+    let server = fleet.server(&id("a")).expect("listed");
+    assert!(server.holds_adapter(&support::key("new"), 1));
+    assert!(!server.holds_adapter(&support::key("old"), 1));
+}
+
+#[test]
+fn restarted_agent_heard() {
+    let mut fleet = fleet(at(0), &[("a", &[])]);
+    fleet.news(at(1), news("a", 500, &["before"]));
+
+    let mut first = news("a", 1, &["after"]);
+    first.agent = 2;
+    fleet.news(at(2), first);
+
+    assert!(fleet.server(&id("a")).expect("listed").holds_adapter(&support::key("after"), 1));
+}
+
+#[test]
+fn failures_pause_longer() {
+    let mut fleet = fleet(at(0), &[("a", &[])]);
+    let fail = |fleet: &mut Fleet, now| {
+        fleet.sent(at(now), &id("a"), &demand("x", 10));
+        fleet.ended(at(now), &id("a"), &demand("x", 10), Ending::Unreachable);
+    };
+    let is_usable = |fleet: &Fleet, now| fleet.server(&id("a")).expect("listed").is_usable(at(now));
+
+    fail(&mut fleet, 0);
+    assert!(!is_usable(&fleet, 249));
+    assert!(is_usable(&fleet, 250));
+    fail(&mut fleet, 250);
+    assert!(!is_usable(&fleet, 749));
+    assert!(is_usable(&fleet, 750));
+
+    fleet.sent(at(800), &id("a"), &demand("x", 10));
+    fleet.ended(at(800), &id("a"), &demand("x", 10), Ending::Answered);
+    fail(&mut fleet, 1_000);
+    assert!(is_usable(&fleet, 1_250), "an answer begins the series anew");
+}
+
+#[test]
+fn silent_server_avoided() {
+    let mut fleet = fleet(at(0), &[("a", &[])]);
+    fleet.sent(at(0), &id("a"), &demand("x", 10));
+    let is_usable = |fleet: &Fleet, now| fleet.server(&id("a")).expect("listed").is_usable(at(now));
+
+    assert!(is_usable(&fleet, 1_500));
+    assert!(!is_usable(&fleet, 1_501));
+    fleet.heard(at(1_600), &id("a"));
+    assert!(is_usable(&fleet, 1_601));
+}
--- /dev/null
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -0,0 +1,110 @@
+//! Builders for what the decisions are given.
+
+#![allow(dead_code, reason = "each test file uses a part of this")]
+
+use filbertcleat_base::AdapterName;
+use filbertcleat_base::ModelName;
+use filbertcleat_base::MonoTime;
+use filbertcleat_base::PlaceName;
+use filbertcleat_base::ServiceName;
+use filbertcleat_serve::AdapterKey;
+use filbertcleat_serve::AgentNews;
+use filbertcleat_serve::Demand;
+use filbertcleat_serve::EngineShape;
+use filbertcleat_serve::Fleet;
+use filbertcleat_serve::HeldAdapter;
+use filbertcleat_serve::Listed;
+use filbertcleat_serve::ListedModel;
+use filbertcleat_serve::ListingChange;
+use filbertcleat_serve::ModelShape;
+use filbertcleat_serve::ServerId;
+
+/// Returns a time in milliseconds.
+pub fn at(ms: u64) -> MonoTime {
+    MonoTime::from_ms(ms)
+}
+
+/// Returns an adapter of the only model.
+pub fn key(adapter: &str) -> AdapterKey {
+    AdapterKey { model: ModelName::new("base"), adapter: AdapterName::new(adapter) }
+}
+
+/// Returns the id of a server.
+pub fn id(name: &str) -> ServerId {
+    ServerId::new(name)
+}
+
+/// Returns the place where the entry is.
+pub fn home() -> PlaceName {
+    PlaceName::new("here")
+}
+
+/// Returns the entry of a server at an address of its own.
+pub fn listed(name: &str) -> Listed {
+    let port = 1_000 + name.bytes().fold(0_u16, |sum, byte| sum * 7 % 5_000 + u16::from(byte));
+    Listed {
+        id: id(name),
+        service: ServiceName::new("writer"),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], port)),
+        domain: home(),
+        slots: 8,
+        is_leaving: false,
+        models: vec![ListedModel { name: ModelName::new("base"), adapters: Vec::new() }],
+        born_ms: 1,
+    }
+}
+
+/// Returns the news of an agent whose engine holds adapters at version 1.
+pub fn news(name: &str, sequence: u64, held: &[&str]) -> AgentNews {
+    let held =
+        held.iter().map(|adapter| HeldAdapter { key: key(adapter), version: 1, is_going: false });
+    AgentNews {
+        agent: 1,
+        server: id(name),
+        sequence,
+        models: vec![ModelName::new("base")],
+        held: held.collect(),
+        running: 0,
+        waiting: 0,
+        memory_used_tokens: 0,
+        memory_tokens: 100_000,
+        others_tokens: 0,
+        entries: 2,
+    }
+}
+
+/// Returns a fleet of servers that hold adapters, with fresh news at a time.
+pub fn fleet(now: MonoTime, servers: &[(&str, &[&str])]) -> Fleet {
+    let mut fleet = Fleet::default();
+    for (name, held) in servers {
+        fleet.apply(now, ListingChange::Put(listed(name)));
+        fleet.news(now, news(name, 1, held));
+    }
+    fleet
+}
+
+/// Returns a request for an adapter with a prompt.
+pub fn demand(adapter: &str, prompt_tokens: u64) -> Demand {
+    Demand {
+        service: ServiceName::new("writer"),
+        model: Some(ModelName::new("base")),
+        adapter: Some(key(adapter)),
+        version: 0,
+        prompt_tokens,
+        answer_tokens: 100,
+        gap_ms: 300,
+        priority: 1,
+    }
+}
+
+/// Returns the shape of an engine with four places for adapters.
+pub fn shape() -> EngineShape {
+    let model = ModelShape { name: ModelName::new("base"), weights_mb: 1_000.0, adapter_mb: 10.0 };
+    EngineShape {
+        slots: 8,
+        memory_tokens: 100_000,
+        weights_max_mb: 1_100.0,
+        adapter_places: 4,
+        models: vec![model],
+    }
+}
