Wait where an adapter is on its way, copy hot ones only, and take turns

The weight store serves 32 loads a second; entries asked for 31 a second that were no reloads, half of them copies: one adapter was loaded at several engines because entries did not know of its way, because a load that took a second was tried elsewhere too, and for single requests. Cause 2: a tenth of the streams paused 700 ms, which is three full chunks of prompts: entries that wait for room at one engine all see it at the same moment. Ruled out: places (first loads were 15 a second, within the store's means).

Agents tell what is coming; a copy needs two requests that wait alike, or one that waits a second; a load has 2.5 s; one place is kept free in place of two. A request that waited takes its turn after a random time, in which the first one's prompt becomes known. A blocked request reserves its engine, so that long prompts do not starve.

--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -80,7 +80,7 @@
     /// Entries take news for stale after 1,600 ms, so three may be lost.
     const TELL_AT_LEAST_MS: u64 = 400;
     /// News of prompts are told at this pace, so that entries don't send theirs at the same time.
-    const TELL_PROMPTS_MS: u64 = 5;
+    const TELL_PROMPTS_MS: u64 = 1;
     /// News that only the load changed are told at this pace.
     const TELL_LOAD_MS: u64 = 100;
     /// An entry that is silent for longer is told nothing.
--- a/crates/filbertcleat-gateway/src/entry/pump.rs
+++ b/crates/filbertcleat-gateway/src/entry/pump.rs
@@ -5,6 +5,7 @@
 
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::Demand;
+use filbertcleat_serve::Queue;
 
 use super::state::Entry;
 use super::tell::tell_agents;
@@ -12,14 +13,15 @@
 
 /// How long the queue may go without a look at the time: room for prompts comes with time alone.
 const LOOK: Duration = Duration::from_millis(15);
+/// The same while a request waits for its turn, which comes within tens of milliseconds.
+const LOOK_TURNS: Duration = Duration::from_millis(3);
 /// The same while no request waits: agents have to hear of the entry now and then.
 const LOOK_IDLE: Duration = Duration::from_millis(100);
 
 /// Sends waiting requests on their way whenever something has changed.
 pub(super) async fn pump<D: Dialect>(entry: Rc<Entry<D>>) {
     loop {
-        let is_idle = entry.state.borrow().queue.is_empty();
-        let look = if is_idle { LOOK_IDLE } else { LOOK };
+        let look = look(&entry.state.borrow().queue);
         // A look is due after the time, with or without a change.
         let _ = tokio::time::timeout(look, entry.changed.notified()).await;
         let now = entry.now();
@@ -28,6 +30,16 @@
     }
 }
 
+fn look(queue: &Queue) -> Duration {
+    if queue.has_turns() {
+        LOOK_TURNS
+    } else if queue.is_empty() {
+        LOOK_IDLE
+    } else {
+        LOOK
+    }
+}
+
 fn send_waiting<D: Dialect>(entry: &Entry<D>, now: MonoTime) {
     let state = &mut *entry.state.borrow_mut();
     state.fleet.tick(now);
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -26,6 +26,7 @@
 use crate::Stop;
 use crate::clock::Clock;
 use crate::exchange::Exchange;
+use crate::exchange::sender_id;
 
 /// An entry: its state, and what its tasks share.
 pub(super) struct Entry<D> {
@@ -67,7 +68,7 @@
                 deployment: None,
                 versions: HashMap::new(),
                 fleet: Fleet::default(),
-                queue: Queue::default(),
+                queue: Queue::new(sender_id()),
                 waiting: HashMap::new(),
                 told: Told::new(),
                 budgets: HashMap::new(),
--- a/crates/filbertcleat-gateway/src/entry/tell.rs
+++ b/crates/filbertcleat-gateway/src/entry/tell.rs
@@ -18,7 +18,7 @@
 /// An entry speaks to each agent at least this often; agents take it for gone after 3,000 ms.
 const TELL_AT_LEAST_MS: u64 = 400;
 /// New wants and sent prompts are told at once, but not more often than this.
-const TELL_NEWS_MS: u64 = 5;
+const TELL_NEWS_MS: u64 = 1;
 
 /// What has been told to agents.
 pub(super) struct Told {
--- a/crates/filbertcleat-gateway/src/exchange/convert.rs
+++ b/crates/filbertcleat-gateway/src/exchange/convert.rs
@@ -3,6 +3,7 @@
 use filbertcleat_base::AdapterName;
 use filbertcleat_base::ModelName;
 use filbertcleat_serve::AdapterKey;
+use filbertcleat_serve::AdapterStage;
 use filbertcleat_serve::AgentNews;
 use filbertcleat_serve::EngineShape;
 use filbertcleat_serve::EntryNews;
@@ -100,7 +101,7 @@
         model: held.key.model.to_string(),
         adapter: held.key.adapter.to_string(),
         version: held.version,
-        is_going: held.is_going,
+        stage: i32::from(stage_out(held.stage)),
     });
     v1::AgentNews {
         agent: news.agent,
@@ -121,7 +122,7 @@
     let held = news.held.into_iter().map(|held| HeldAdapter {
         key: key(&held.model, &held.adapter),
         version: held.version,
-        is_going: held.is_going,
+        stage: stage_in(held.stage()),
     });
     AgentNews {
         agent: news.agent,
@@ -138,6 +139,22 @@
     }
 }
 
+fn stage_out(stage: AdapterStage) -> v1::AdapterStage {
+    match stage {
+        AdapterStage::Held => v1::AdapterStage::Held,
+        AdapterStage::Coming => v1::AdapterStage::Coming,
+        AdapterStage::Going => v1::AdapterStage::Going,
+    }
+}
+
+fn stage_in(stage: v1::AdapterStage) -> AdapterStage {
+    match stage {
+        v1::AdapterStage::Held => AdapterStage::Held,
+        v1::AdapterStage::Coming => AdapterStage::Coming,
+        v1::AdapterStage::Going => AdapterStage::Going,
+    }
+}
+
 fn shape_out(shape: &EngineShape) -> v1::EngineShape {
     let models = shape.models.iter().map(|model| v1::ModelShape {
         name: model.name.to_string(),
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -8,6 +8,7 @@
 
 use super::prefill::Prefill;
 use crate::AdapterKey;
+use crate::AdapterStage;
 use crate::AgentNews;
 use crate::Demand;
 use crate::Listed;
@@ -141,11 +142,20 @@
         self.held_version(key).is_some_and(|held| held >= version)
     }
 
-    /// Returns the version at which an adapter is held, unless it is about to be dropped.
+    /// Returns the version at which an adapter can be used here.
     pub fn held_version(&self, key: &AdapterKey) -> Option<u64> {
         let (_, news) = self.news.as_ref()?;
-        let held = news.held.iter().find(|held| held.key == *key && !held.is_going)?;
-        Some(held.version)
+        let mut held = news.held.iter().filter(|held| held.key == *key);
+        held.find(|held| held.stage == AdapterStage::Held).map(|held| held.version)
+    }
+
+    /// Returns whether an adapter is on its way here at the version or a later one.
+    pub fn awaits_adapter(&self, now: MonoTime, key: &AdapterKey, version: u64) -> bool {
+        self.fresh_news(now).is_some_and(|news| {
+            news.held.iter().any(|held| {
+                held.key == *key && held.stage == AdapterStage::Coming && held.version >= version
+            })
+        })
     }
 
     /// Returns the adapters that this entry's requests run on, with their number.
--- a/crates/filbertcleat-serve/src/news.rs
+++ b/crates/filbertcleat-serve/src/news.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod entry;
 
+pub use self::agent::AdapterStage;
 pub use self::agent::AgentNews;
 pub use self::agent::HeldAdapter;
 pub use self::entry::EntryNews;
--- a/crates/filbertcleat-serve/src/news/agent.rs
+++ b/crates/filbertcleat-serve/src/news/agent.rs
@@ -16,7 +16,7 @@
     pub sequence: u64,
     /// The base models that the engine holds.
     pub models: Vec<ModelName>,
-    /// The adapters that the engine holds.
+    /// The adapters that the engine holds or is getting.
     pub held: Vec<HeldAdapter>,
     /// Requests in the engine's batch.
     pub running: u32,
@@ -39,6 +39,17 @@
     pub key: AdapterKey,
     /// Its version.
     pub version: u64,
-    /// Whether it is about to be dropped, so that nothing new may be sent for it.
-    pub is_going: bool,
+    /// Where it stands.
+    pub stage: AdapterStage,
+}
+
+/// Where an adapter stands on its way to, on and off an engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdapterStage {
+    /// Requests may be sent for it.
+    Held,
+    /// It is on its way, and requests had better wait for it than load it elsewhere.
+    Coming,
+    /// It is about to be dropped, so that nothing new may be sent for it.
+    Going,
 }
--- a/crates/filbertcleat-serve/src/place.rs
+++ b/crates/filbertcleat-serve/src/place.rs
@@ -18,8 +18,8 @@
     Send(ServerId),
     /// Wait until the backend server has loaded the adapter.
     Load(ServerId),
-    /// Wait until some backend server has room.
-    Full,
+    /// Wait until a backend server has room, the named one if it is known.
+    Room(Option<ServerId>),
     /// No backend server can run it.
     Nowhere,
 }
@@ -35,9 +35,33 @@
 const RUNNING_MS: f64 = 1.0;
 /// The delay that a server which fails every request is charged.
 const FAILURE_MS: f64 = 3_000.0;
-/// A second copy of an adapter is worth a load once a request has waited so long for room at its
-/// holders: longer than prompts are paced over, as the weight store's loads are few.
-const COPY_MS: u64 = 400;
+
+/// How a request has waited.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Wait<'a> {
+    /// The time that it has waited.
+    pub waited_ms: u64,
+    /// The requests that wait for the same adapter, with this one.
+    pub alike: usize,
+    /// Servers at which requests ahead of it wait for room.
+    pub reserved: &'a [ServerId],
+}
+
+impl Wait<'_> {
+    /// Several requests that wait so long for room at an adapter's holders make a further copy
+    /// worth a load: as long as prompts are paced over.
+    const COPY_MS: u64 = 300;
+    /// The requests that show an adapter to be wanted more than its holders can serve.
+    const COPY_ALIKE: usize = 2;
+    /// A single request gets a copy only before it would be given up: the weight store serves few
+    /// loads at once over all engines, and other requests wait for theirs.
+    const COPY_LATE_MS: u64 = 1_000;
+
+    fn is_worth_a_copy(self) -> bool {
+        let is_hot = self.alike >= Self::COPY_ALIKE && self.waited_ms >= Self::COPY_MS;
+        is_hot || self.waited_ms >= Self::COPY_LATE_MS
+    }
+}
 
 /// Chooses the engine for a request that has waited, is at `home` and must avoid some servers.
 pub fn place_engine(
@@ -47,7 +71,7 @@
     demand: &Demand,
     home: &PlaceName,
     avoided: &[ServerId],
-    waited_ms: u64,
+    wait: Wait<'_>,
 ) -> Placement {
     let sound: Vec<&Server> = fleet
         .servers()
@@ -74,7 +98,9 @@
     let free_holder = holders
         .iter()
         .filter(|server| {
-            server.has_prefill_room(now, demand) && !server.is_full(now, demand, shape.slots)
+            server.has_prefill_room(now, demand)
+                && !server.is_full(now, demand, shape.slots)
+                && !wait.reserved.contains(&server.listed.id)
         })
         .min_by(|left, right| {
             cost_ms(now, left, demand, home).total_cmp(&cost_ms(now, right, demand, home))
@@ -82,16 +108,28 @@
     if let Some(server) = free_holder {
         return Placement::Send(server.listed.id.clone());
     }
+    // An adapter that is on its way somewhere is waited for there, whoever asked for it.
+    let awaiting = demand.adapter.as_ref().and_then(|key| {
+        others.iter().find(|server| server.awaits_adapter(now, key, demand.version))
+    });
+    if let Some(server) = awaiting {
+        return Placement::Load(server.listed.id.clone());
+    }
     // The holders are busy for the moment; a copy costs a load and another adapter's place.
-    if !holders.is_empty() && waited_ms < COPY_MS {
-        return Placement::Full;
+    let nearest = holders.iter().min_by(|left, right| {
+        left.first_event_ms(now, demand).total_cmp(&right.first_event_ms(now, demand))
+    });
+    if let Some(server) = nearest
+        && !wait.is_worth_a_copy()
+    {
+        return Placement::Room(Some(server.listed.id.clone()));
     }
     let loaders = others.into_iter().filter(|server| {
         server.fresh_news(now).is_some() && !server.is_full(now, demand, shape.slots)
     });
     match choose_loader(now, demand, loaders.collect()) {
         Some(loader) => Placement::Load(loader.listed.id.clone()),
-        None => Placement::Full,
+        None => Placement::Room(None),
     }
 }
 
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -7,20 +7,25 @@
 
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::PlaceName;
+use filbertcleat_base::mix;
 
 pub use self::cause::WaitCause;
 pub use self::ticket::Ticket;
+use crate::AdapterKey;
 use crate::Demand;
 use crate::EngineShape;
 use crate::Fleet;
 use crate::Placement;
 use crate::ServerId;
+use crate::Wait;
 use crate::Want;
 use crate::place_engine;
 
 /// The requests that wait for an engine.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Queue {
+    seed: u64,
+    draws: u64,
     next: u64,
     waiting: BTreeMap<Ticket, Waiter>,
 }
@@ -32,11 +37,24 @@
     avoided: Vec<ServerId>,
     load: Option<(ServerId, MonoTime)>,
     cause: WaitCause,
+    turn: Option<(ServerId, MonoTime)>,
 }
 
 impl Queue {
-    /// A load that takes longer is tried elsewhere: four times what one takes unhurried.
-    const LOAD_PATIENCE_MS: u64 = 1_000;
+    /// A load that takes longer is tried elsewhere: ten times what one takes unhurried, as they all
+    /// take longer while many are on their way.
+    const LOAD_PATIENCE_MS: u64 = 2_500;
+    /// Entries that wait for room at one engine all see it at the same moment. Each waits a random
+    /// time within a span of so long an entry, in which the first one's prompt becomes known to the
+    /// others by way of the agent.
+    const TURN_MS: u64 = 8;
+    /// The longest span, which is little beside the objective of any stream.
+    const TURNS_MAX_MS: u64 = 60;
+
+    /// Creates a queue whose random times come from a seed that differs between entries.
+    pub fn new(seed: u64) -> Self {
+        Self { seed, draws: 0, next: 0, waiting: BTreeMap::new() }
+    }
 
     /// Adds a request that must avoid some backend servers.
     pub fn push(&mut self, now: MonoTime, demand: Demand, avoided: Vec<ServerId>) -> Ticket {
@@ -44,7 +62,7 @@
         self.next += 1;
         self.waiting.insert(
             ticket,
-            Waiter { demand, since: now, avoided, load: None, cause: WaitCause::Look },
+            Waiter { demand, since: now, avoided, load: None, cause: WaitCause::Look, turn: None },
         );
         ticket
     }
@@ -61,6 +79,11 @@
         self.waiting.len()
     }
 
+    /// Returns whether a request waits for its turn only.
+    pub fn has_turns(&self) -> bool {
+        self.waiting.values().any(|waiter| waiter.turn.is_some())
+    }
+
     /// Returns whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
@@ -75,23 +98,40 @@
         shape: impl Fn(&Demand) -> Option<&'a EngineShape>,
     ) -> Vec<(Ticket, ServerId)> {
         let mut ready = Vec::new();
+        let mut reserved = Vec::new();
+        let alike = self.alike();
+        let span_ms = u64::from(fleet.entries(now).unwrap_or(1)) * Self::TURN_MS;
+        let span_ms = span_ms.min(Self::TURNS_MAX_MS);
         for (ticket, waiter) in &mut self.waiting {
             let Some(shape) = shape(&waiter.demand) else { continue };
             if waiter.is_load_stuck(now, fleet) {
                 waiter.give_up_load();
             }
             let demand = &waiter.demand;
-            let waited_ms = now.ms_since(waiter.since);
-            match place_engine(now, fleet, shape, demand, home, &waiter.avoided, waited_ms) {
+            let alike =
+                demand.adapter.as_ref().map_or(1, |key| alike.get(key).copied().unwrap_or(1));
+            let wait = Wait { waited_ms: now.ms_since(waiter.since), alike, reserved: &reserved };
+            match place_engine(now, fleet, shape, demand, home, &waiter.avoided, wait) {
                 Placement::Send(server) => {
-                    fleet.sent(now, &server, demand);
-                    ready.push((*ticket, server));
+                    self.draws += 1;
+                    let draw_ms = mix(self.seed, self.draws) % span_ms.max(1);
+                    if waiter.has_turn(now, &server, draw_ms) {
+                        fleet.sent(now, &server, &waiter.demand);
+                        ready.push((*ticket, server));
+                    } else {
+                        reserved.push(server);
+                    }
                 }
                 Placement::Load(server) => {
                     waiter.cause = WaitCause::Load;
+                    waiter.turn = None;
                     waiter.load.get_or_insert((server, now));
                 }
-                Placement::Full => waiter.cause = WaitCause::Room,
+                Placement::Room(server) => {
+                    waiter.cause = WaitCause::Room;
+                    waiter.turn = None;
+                    reserved.extend(server);
+                }
                 Placement::Nowhere => waiter.cause = WaitCause::Engine,
             }
         }
@@ -101,6 +141,15 @@
         ready
     }
 
+    /// Counts the requests that wait for each adapter.
+    fn alike(&self) -> BTreeMap<AdapterKey, usize> {
+        let mut alike = BTreeMap::new();
+        for key in self.waiting.values().filter_map(|waiter| waiter.demand.adapter.as_ref()) {
+            *alike.entry(key.clone()).or_default() += 1;
+        }
+        alike
+    }
+
     /// Returns the adapters that a backend server should load, the most urgent first.
     pub fn wants(&self, server: &ServerId) -> Vec<Want> {
         let mut wants: Vec<Want> = Vec::new();
@@ -127,6 +176,20 @@
 }
 
 impl Waiter {
+    /// Returns whether a request that found room may take it, after a random time if it waited.
+    fn has_turn(&mut self, now: MonoTime, server: &ServerId, draw_ms: u64) -> bool {
+        if self.cause == WaitCause::Look {
+            return true;
+        }
+        match &self.turn {
+            Some((at, from)) if at == server => now >= *from,
+            _ => {
+                self.turn = Some((server.clone(), now.plus_ms(draw_ms)));
+                draw_ms == 0
+            }
+        }
+    }
+
     fn is_load_stuck(&self, now: MonoTime, fleet: &Fleet) -> bool {
         self.load.as_ref().is_some_and(|(at, since)| {
             let is_lost = fleet
--- a/crates/filbertcleat-serve/src/shelf.rs
+++ b/crates/filbertcleat-serve/src/shelf.rs
@@ -15,6 +15,7 @@
 use self::prompts::Prompts;
 pub use self::report::EngineReport;
 use crate::AdapterKey;
+use crate::AdapterStage;
 use crate::EngineShape;
 use crate::EntryNews;
 use crate::HeldAdapter;
@@ -54,8 +55,9 @@
     const GOING_MS: u64 = 120;
     /// Adapters on their way to one engine at a time, as engines allow.
     const COMING_MAX: usize = 4;
-    /// Places kept free, so that a load needs not wait for another adapter to go.
-    const SPARE_PLACES: usize = 2;
+    /// Places kept free, so that a load needs not wait for another adapter to go. More would cost
+    /// the adapters that they could hold.
+    const SPARE_PLACES: usize = 1;
     /// The pause after the engine refused an order, so that its report can catch up.
     const REFUSED_MS: u64 = 60;
 
@@ -120,15 +122,21 @@
         self.report.as_ref()
     }
 
-    /// Returns the adapters held, and which of them are going.
+    /// Returns the adapters held and coming, and which of them are going.
     pub fn held(&self) -> Vec<HeldAdapter> {
-        let held = self.report.iter().flat_map(|report| &report.held);
-        held.map(|(key, version)| HeldAdapter {
+        let Some(report) = &self.report else { return Vec::new() };
+        let held = report.held.iter().filter(|(key, _)| !self.is_being_replaced(key));
+        let held = held.map(|(key, version)| {
+            let is_going = self.going.contains_key(key);
+            let stage = if is_going { AdapterStage::Going } else { AdapterStage::Held };
+            HeldAdapter { key: key.clone(), version: *version, stage }
+        });
+        let coming = report.coming.iter().map(|(key, version)| HeldAdapter {
             key: key.clone(),
             version: *version,
-            is_going: self.going.contains_key(key) || self.is_being_replaced(key),
-        })
-        .collect()
+            stage: AdapterStage::Coming,
+        });
+        held.chain(coming).collect()
     }
 
     /// Returns whether orders are under way or waited for, so that the report should be read often.
