Keep the place of an adapter whose drop waits; write bounded logs and serve metrics

A run that begins in the moment of the drop is known to no agent. Ruled out: late orders (at one count only one of the repeats can be carried out, which the property holds).

--- a/crates/filbertcleat-daemon/src/logs.rs
+++ b/crates/filbertcleat-daemon/src/logs.rs
@@ -13,8 +13,6 @@
     let dispatch = fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("filbertcleat_daemon", level)
-        .level_for("filbertcleat_gateway", level)
-        .level_for("filbertcleat_prepared", level)
         .format(|out, message, record| {
             let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
             let level = record.level().as_str().to_lowercase();
--- a/crates/filbertcleat-daemon/src/main.rs
+++ b/crates/filbertcleat-daemon/src/main.rs
@@ -8,6 +8,7 @@
 use filbertcleat_config::Settings;
 use filbertcleat_daemon::Daemon;
 use getopts::Options;
+use log::LevelFilter;
 use mimalloc::MiMalloc;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -22,11 +23,13 @@
     let mut options = Options::new();
     options.optopt("s", "settings", "the settings file", "FILE");
     options.optflag("p", "prepared", "run on a prepared machine, whose settings file it names");
+    options.optopt("m", "metrics", "with --prepared: serve metrics at this port", "PORT");
+    options.optopt("l", "log", "with --prepared: log this much (info)", "LEVEL");
     options.optflag("c", "check", "check the settings and exit");
     options.optflag("h", "help", "show this text");
     let arguments: Vec<_> = std::env::args().skip(1).collect();
     let usage = options.usage(
-        "Usage: filbertcleatd --settings FILE [--check]\n       filbertcleatd --prepared [--check]",
+        "Usage: filbertcleatd --settings FILE [--check]\n       filbertcleatd --prepared [--metrics PORT] [--log LEVEL] [--check]",
     );
     if arguments.iter().any(|argument| argument == "-h" || argument == "--help") {
         println!("{usage}");
@@ -41,7 +44,21 @@
     };
 
     if matches.opt_present("prepared") {
-        return match prepared::run(matches.opt_present("check")) {
+        let port = match matches.opt_get("metrics") {
+            Ok(port) => port,
+            Err(error) => {
+                eprintln!("--metrics takes a port from 1 to 65535: {error}\n{usage}");
+                return ExitCode::from(EXIT_USAGE);
+            }
+        };
+        let level = match matches.opt_get_default("log", LevelFilter::Info) {
+            Ok(level) => level,
+            Err(error) => {
+                eprintln!("--log takes off, error, warn, info or debug: {error}\n{usage}");
+                return ExitCode::from(EXIT_USAGE);
+            }
+        };
+        return match prepared::run(matches.opt_present("check"), port, level) {
             Ok(()) => ExitCode::SUCCESS,
             Err(fault) => {
                 eprintln!("{fault}");
--- a/crates/filbertcleat-daemon/src/prepared.rs
+++ b/crates/filbertcleat-daemon/src/prepared.rs
@@ -1,22 +1,24 @@
 //! The daemon on a prepared machine.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use filbertcleat_base::Fault;
 use filbertcleat_base::Step;
-use filbertcleat_config::LogSettings;
 use filbertcleat_gateway::EntryListeners;
 use filbertcleat_gateway::GatewayRole;
 use filbertcleat_gateway::GatewaySettings;
 use filbertcleat_gateway::Stop;
 use filbertcleat_gateway::run_agent;
 use filbertcleat_gateway::run_entry;
+use filbertcleat_gateway::start_logs;
 use filbertcleat_platform::HttpClient;
 use filbertcleat_prepared::PreparedCatalogue;
 use filbertcleat_prepared::PreparedDialect;
 use filbertcleat_prepared::PreparedEngine;
 use filbertcleat_prepared::parse_settings;
 use filbertcleat_prepared::settings_file;
+use log::LevelFilter;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::task::LocalSet;
@@ -28,8 +30,12 @@
 /// unless the answer is lost.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Runs the daemon with the settings file that the machine names.
-pub(crate) fn run(is_check: bool) -> Result<(), Fault> {
+/// Runs the daemon with the settings file that the machine names, and serves metrics at a port.
+pub(crate) fn run(
+    is_check: bool,
+    metrics_port: Option<u16>,
+    level: LevelFilter,
+) -> Result<(), Fault> {
     let file = settings_file()?;
     let text = std::fs::read_to_string(&file)
         .map_err(|error| Fault::new(Step::Settings, file.display(), error))?;
@@ -39,29 +45,29 @@
         return Ok(());
     }
 
-    filbertcleat_daemon::start_logs(&LogSettings::default())
-        .map_err(|error| Fault::new(Step::Settings, "logs", error))?;
+    start_logs(level)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| Fault::new(Step::Settings, "runtime", error))?;
-    LocalSet::new().block_on(&runtime, serve(&settings))
+    LocalSet::new().block_on(&runtime, serve(&settings, metrics_port))
 }
 
-async fn serve(settings: &GatewaySettings) -> Result<(), Fault> {
+async fn serve(settings: &GatewaySettings, metrics_port: Option<u16>) -> Result<(), Fault> {
+    let metrics = metrics_port.map(|port| SocketAddr::new(settings.ip, port));
     let stop = Stop::default();
     watch_signals(&stop)?;
     match settings.role {
         GatewayRole::Entry { callers, readiness } => {
             let client = HttpClient::new(STORE_TIMEOUT);
             let catalogue = PreparedCatalogue::new(settings.catalogue, client);
-            let listeners = EntryListeners::bind(callers, readiness).await?;
+            let listeners = EntryListeners::bind(callers, readiness, metrics).await?;
             run_entry(settings, listeners, catalogue, PreparedDialect, stop).await
         }
         GatewayRole::Agent { engine } => {
             let client = HttpClient::new(ENGINE_TIMEOUT);
             let engine = PreparedEngine::new(engine, settings.name.clone(), client);
-            run_agent(settings, engine, stop).await
+            run_agent(settings, engine, metrics, stop).await
         }
     }
 }
--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -1,16 +1,20 @@
 //! The agent beside an engine.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use filbertcleat_base::Fault;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::Step;
+use filbertcleat_serve::AdapterStage;
 use filbertcleat_serve::AgentNews;
 use filbertcleat_serve::Order;
 use filbertcleat_serve::OrderKind;
 use filbertcleat_serve::Shelf;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 use crate::EngineControl;
@@ -18,22 +22,42 @@
 use crate::OrderAnswer;
 use crate::Stop;
 use crate::clock::Clock;
+use crate::entry::bind;
 use crate::exchange::Exchange;
 use crate::exchange::News;
 use crate::exchange::sender_id;
+use crate::logs::lines_left_out;
+use crate::metrics::Metric;
+use crate::metrics::Metrics;
+use crate::metrics::serve_metrics;
 
 /// Runs the agent until it shall end.
 pub async fn run_agent<E: EngineControl>(
     settings: &GatewaySettings,
     engine: E,
+    metrics: Option<SocketAddr>,
     stop: Stop,
 ) -> Result<(), Fault> {
     let address = SocketAddr::new(settings.ip, settings.peer_port);
     let exchange =
         Exchange::bind(address).await.map_err(|error| Fault::new(Step::Connect, address, error))?;
     log::info!("event=start role=agent node={} peers={address}", settings.name);
+    let measured = Metrics::new();
+    let clock = Clock::start();
+    let engine_heard = Rc::new(Cell::new(MonoTime::ZERO));
+    if let Some(address) = metrics {
+        let listener = bind(address).await?;
+        let heard = Rc::clone(&engine_heard);
+        let refresh = move |metrics: &Metrics| {
+            metrics.gauge(Metric::EngineAge, &[], clock.now().ms_since(heard.get()));
+            metrics.gauge(Metric::LogLeftOut, &[], lines_left_out());
+        };
+        spawn_local(serve_metrics(listener, measured.clone(), refresh));
+    }
     let mut agent = Agent {
-        clock: Clock::start(),
+        clock,
+        metrics: measured,
+        engine_heard,
         engine,
         exchange,
         shelf: Shelf::default(),
@@ -60,6 +84,8 @@
 
 struct Agent<E> {
     clock: Clock,
+    metrics: Metrics,
+    engine_heard: Rc<Cell<MonoTime>>,
     engine: E,
     exchange: Exchange,
     shelf: Shelf,
@@ -121,6 +147,7 @@
                     self.is_engine_lost = false;
                     log::info!("event=engine-regained server={}", report.server);
                 }
+                self.engine_heard.set(self.clock.now());
                 self.shelf.report(report);
             }
             Err(fault) => {
@@ -151,10 +178,22 @@
         let now = self.clock.now();
         let what = describe(&order.kind);
         let expected = order.expected;
-        match answer {
+        let kind = match order.kind {
+            OrderKind::LoadModel(_) => "load-model",
+            OrderKind::Load(..) => "load",
+            OrderKind::Drop(_) => "drop",
+        };
+        let ending = match &answer {
+            Ok(OrderAnswer::Accepted | OrderAnswer::Holds) => "accepted",
+            Ok(OrderAnswer::Refused { .. }) => "refused",
+            Err(_) => "unknown",
+        };
+        self.metrics.count(Metric::Orders, &[("kind", kind), ("ending", ending)]);
+        match &answer {
             Ok(OrderAnswer::Accepted | OrderAnswer::Holds) => {
                 log::info!("event=order {what} expected={expected} outcome=accepted");
-                self.shelf.accepted(order);
+                let is_done = matches!(answer, Ok(OrderAnswer::Holds));
+                self.shelf.accepted(order, is_done);
                 true
             }
             Ok(OrderAnswer::Refused { status }) => {
@@ -191,6 +230,7 @@
         if !is_due {
             return;
         }
+        self.measure(&news);
         self.told = Some(news.clone());
         self.told_at = now;
         self.sequence += 1;
@@ -201,6 +241,20 @@
         }
     }
 
+    fn measure(&self, news: &AgentNews) {
+        for (word, stage) in [
+            ("held", AdapterStage::Held),
+            ("coming", AdapterStage::Coming),
+            ("going", AdapterStage::Going),
+        ] {
+            let number = news.held.iter().filter(|held| held.stage == stage).count() as u64;
+            self.metrics.gauge(Metric::Adapters, &[("stage", word)], number);
+        }
+        self.metrics.gauge(Metric::EngineRunning, &[], u64::from(news.running));
+        self.metrics.gauge(Metric::EngineWaiting, &[], u64::from(news.waiting));
+        self.metrics.gauge(Metric::Entries, &[], u64::from(news.entries));
+    }
+
     fn news(&self, now: MonoTime) -> Option<AgentNews> {
         let report = self.shelf.engine()?;
         Some(AgentNews {
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -38,6 +38,8 @@
 use crate::Stop;
 use crate::Topic;
 use crate::exchange::Exchange;
+use crate::metrics::Metrics;
+use crate::metrics::serve_metrics;
 
 /// A balancer that asks each second takes a process out after two misses; until then, and a little
 /// longer, it still sends callers.
@@ -54,16 +56,26 @@
     pub callers: TcpListener,
     /// The balancer asks here whether the entry takes callers.
     pub readiness: TcpListener,
+    /// Metrics are served here, if anywhere.
+    pub metrics: Option<TcpListener>,
 }
 
 impl EntryListeners {
-    /// Binds both addresses.
-    pub async fn bind(callers: SocketAddr, readiness: SocketAddr) -> Result<Self, Fault> {
-        Ok(Self { callers: bind(callers).await?, readiness: bind(readiness).await? })
+    /// Binds the addresses.
+    pub async fn bind(
+        callers: SocketAddr,
+        readiness: SocketAddr,
+        metrics: Option<SocketAddr>,
+    ) -> Result<Self, Fault> {
+        let metrics = match metrics {
+            Some(address) => Some(bind(address).await?),
+            None => None,
+        };
+        Ok(Self { callers: bind(callers).await?, readiness: bind(readiness).await?, metrics })
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, Fault> {
+pub(crate) async fn bind(address: SocketAddr) -> Result<TcpListener, Fault> {
     TcpListener::bind(address).await.map_err(|error| Fault::new(Step::Connect, address, error))
 }
 
@@ -88,6 +100,12 @@
     spawn_local(serve_readiness(Rc::clone(&entry), listeners.readiness));
     spawn_local(serve_callers(Rc::clone(&entry), listeners.callers));
 
+    if let Some(listener) = listeners.metrics {
+        let measured = Rc::clone(&entry);
+        let refresh = move |metrics: &Metrics| measured.measure(metrics);
+        spawn_local(serve_metrics(listener, entry.metrics.clone(), refresh));
+    }
+
     stop.stopped().await;
     let open = entry.requests();
     log::info!("event=stopping role=entry node={} requests={open}", settings.name);
--- a/crates/filbertcleat-gateway/src/entry/follow.rs
+++ b/crates/filbertcleat-gateway/src/entry/follow.rs
@@ -80,6 +80,7 @@
     }
 
     fn regain(&mut self) {
+        self.entry.hears(self.topic);
         if self.failures == 0 {
             return;
         }
--- a/crates/filbertcleat-gateway/src/entry/handle.rs
+++ b/crates/filbertcleat-gateway/src/entry/handle.rs
@@ -24,7 +24,10 @@
 use super::body::CallerBody;
 use super::caller::CallerRequest;
 use super::connection::Busy;
-use super::line::log_end;
+use super::line::Outcome;
+use super::line::note_end;
+use super::line::note_place;
+use super::line::note_refusal;
 use super::open::OpenSend;
 use super::open::Queued;
 use super::refusal::Refusal;
@@ -36,6 +39,7 @@
 use super::state::Entry;
 use super::stream::relay;
 use crate::Dialect;
+use crate::RequestFacts;
 
 /// The time of a caller that names none.
 const DEADLINE_UNTOLD_MS: u64 = 30_000;
@@ -60,10 +64,12 @@
     busy: Busy,
 ) -> Response<CallerBody> {
     let counted = Counted::new(entry);
-    let mut request = match read(entry, request).await {
+    let facts = entry.dialect.request(request.headers());
+    let id = facts.id.clone();
+    let mut request = match read(entry, request, facts).await {
         Ok(request) => request,
         Err(refusal) => {
-            log::debug!("event=request-refused reason=\"{}\"", refusal.reason());
+            note_refusal(&entry.metrics, id.as_deref(), refusal);
             return refusal.response();
         }
     };
@@ -71,12 +77,14 @@
 
     match serve(entry, &mut request).await {
         Ok(Served::Whole { response, server }) => {
-            log_end(&request, Some(&server), entry.now(), "answered");
+            let now = entry.now();
+            note_end(&entry.metrics, &request, Some(&server), now, Outcome::Answered);
             response
         }
         Ok(Served::Stream { answer, open }) => relay(entry, request, answer, open, counted, busy),
         Err(refusal) => {
-            log_end(&request, request.avoided.last(), entry.now(), refusal.reason());
+            let (now, server) = (entry.now(), request.avoided.last());
+            note_end(&entry.metrics, &request, server, now, Outcome::Refused(refusal));
             refusal.response()
         }
     }
@@ -112,10 +120,10 @@
 async fn read<D: Dialect>(
     entry: &Rc<Entry<D>>,
     request: Request<Incoming>,
+    facts: RequestFacts,
 ) -> Result<CallerRequest, Refusal> {
     let arrived = entry.now();
     let (head, body) = request.into_parts();
-    let facts = entry.dialect.request(&head.headers);
     if entry.is_out() {
         // A request that begins now might not end before the process has to.
         return Err(Refusal::NotRun("the entry is leaving", BACK_ELSEWHERE));
@@ -250,6 +258,9 @@
         let home = &entry.settings.domain;
         let server = place_plain(now, &state.fleet, &request.demand, home, &request.avoided)
             .ok_or(Refusal::NotRun("no backend server of the service", BACK_LATER))?;
+        if let Some(server) = state.fleet.server(&server) {
+            note_place(&entry.metrics, request, server, now);
+        }
         state.fleet.sent(now, &server, &request.demand);
         return Ok(OpenSend::counted(entry, server, request.demand.clone()));
     }
@@ -271,6 +282,10 @@
     let cause = queued.leave();
     request.queued_ms += entry.now().ms_since(now);
     if let Ok(Ok(server)) = placed {
+        let now = entry.now();
+        if let Some(server) = entry.state.borrow().fleet.server(&server) {
+            note_place(&entry.metrics, request, server, now);
+        }
         return Ok(OpenSend::counted(entry, server, request.demand.clone()));
     }
     let cause = cause.unwrap_or(WaitCause::Look);
--- a/crates/filbertcleat-gateway/src/entry/open.rs
+++ b/crates/filbertcleat-gateway/src/entry/open.rs
@@ -11,6 +11,7 @@
 
 use super::state::Entry;
 use crate::Dialect;
+use crate::metrics::Metric;
 
 /// A request that is counted at a backend server, until it is dropped.
 pub(super) struct OpenSend<D: Dialect> {
@@ -43,7 +44,11 @@
             fleet.heard(now, &self.server);
         } else {
             self.has_started = true;
-            fleet.started(now, &self.server, &self.demand, now.ms_since(self.sent));
+            let wait_ms = now.ms_since(self.sent);
+            fleet.started(now, &self.server, &self.demand, wait_ms);
+            if self.demand.prompt_tokens > 0 {
+                self.entry.metrics.sample(Metric::FirstEventSent, wait_ms);
+            }
         }
     }
 
@@ -58,6 +63,18 @@
         let now = self.entry.now();
         let fleet = &mut self.entry.state.borrow_mut().fleet;
         fleet.ended(now, &self.server, &self.demand, self.ending);
+        let ending = match self.ending {
+            Ending::Answered => "answered",
+            Ending::Failed => "failed",
+            Ending::Full => "full",
+            Ending::Lacking => "lacking",
+            Ending::Misdirected => "misdirected",
+            Ending::Unreachable => "unreachable",
+            Ending::Broken => "broken",
+            Ending::Silent => "silent",
+            Ending::Left => "left",
+        };
+        self.entry.metrics.count(Metric::Sends, &[("ending", ending)]);
         self.entry.changed.notify_one();
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -12,6 +12,7 @@
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::Queue;
 use filbertcleat_serve::RepeatBudget;
+use filbertcleat_serve::Server;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::Ticket;
 use tokio::sync::Notify;
@@ -24,9 +25,13 @@
 use crate::Dialect;
 use crate::GatewaySettings;
 use crate::Stop;
+use crate::Topic;
 use crate::clock::Clock;
 use crate::exchange::Exchange;
 use crate::exchange::sender_id;
+use crate::logs::lines_left_out;
+use crate::metrics::Metric;
+use crate::metrics::Metrics;
 
 /// An entry: its state, and what its tasks share.
 pub(super) struct Entry<D> {
@@ -35,12 +40,15 @@
     pub exchange: Exchange,
     pub stop: Stop,
     pub pool: Pool,
+    pub metrics: Metrics,
     /// Woken when a waiting request might go.
     pub changed: Notify,
     pub state: RefCell<State>,
     clock: Clock,
     requests: Cell<usize>,
     stopping_since: Cell<Option<MonoTime>>,
+    configured_at: Cell<MonoTime>,
+    heard_at: [Cell<MonoTime>; 2],
 }
 
 /// What an entry knows and decides upon.
@@ -63,6 +71,7 @@
             exchange,
             stop,
             pool: Pool::new(clock),
+            metrics: Metrics::new(),
             changed: Notify::new(),
             state: RefCell::new(State {
                 deployment: None,
@@ -76,6 +85,8 @@
             clock,
             requests: Cell::new(0),
             stopping_since: Cell::new(None),
+            configured_at: Cell::new(MonoTime::ZERO),
+            heard_at: [const { Cell::new(MonoTime::ZERO) }; 2],
         }
     }
 
@@ -133,6 +144,7 @@
                     deployment.routes.len()
                 );
                 state.deployment = Some(Rc::new(deployment));
+                self.configured_at.set(now);
             }
             CatalogueFact::AdapterVersion { key, version } => {
                 let known = state.versions.entry(key).or_default();
@@ -154,7 +166,46 @@
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
         let entries = state.fleet.entries(now);
-        state.budget(&self.settings, service).take(now, entries)
+        let is_allowed = state.budget(&self.settings, service).take(now, entries);
+        let outcome = if is_allowed { "allowed" } else { "refused" };
+        self.metrics.count(Metric::Repeats, &[("outcome", outcome)]);
+        is_allowed
+    }
+
+    /// Notes that the catalogue has answered on a topic.
+    pub fn hears(&self, topic: Topic) {
+        self.heard_at[topic_index(topic)].set(self.now());
+    }
+
+    /// Sets the metrics that are read off the state.
+    pub fn measure(&self, metrics: &Metrics) {
+        let now = self.now();
+        let state = self.state.borrow();
+        let version = state.deployment.as_ref().map_or(0, |deployment| deployment.version);
+        metrics.gauge(Metric::ConfigurationVersion, &[], version);
+        metrics.gauge(Metric::ConfigurationAge, &[], now.ms_since(self.configured_at.get()));
+        for topic in [Topic::Operators, Topic::Servers] {
+            let age_ms = now.ms_since(self.heard_at[topic_index(topic)].get());
+            metrics.gauge(Metric::CatalogueAge, &[("topic", topic.as_str())], age_ms);
+        }
+        let count = |is_one: &dyn Fn(&Server) -> bool| {
+            state.fleet.servers().filter(|server| is_one(server)).count() as u64
+        };
+        let usable = count(&|server| server.is_usable(now));
+        let heard = count(&|server| server.fresh_news(now).is_some());
+        let leaving = count(&|server| server.listed.is_leaving);
+        for (what, number) in [("usable", usable), ("heard", heard), ("leaving", leaving)] {
+            metrics.gauge(Metric::Servers, &[("are", what)], number);
+        }
+        metrics.gauge(Metric::Waiting, &[], state.queue.len() as u64);
+        metrics.gauge(Metric::LogLeftOut, &[], lines_left_out());
+    }
+}
+
+fn topic_index(topic: Topic) -> usize {
+    match topic {
+        Topic::Operators => 0,
+        Topic::Servers => 1,
     }
 }
 
--- a/crates/filbertcleat-gateway/src/entry/stream.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream.rs
@@ -7,6 +7,7 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::Ending;
 use filbertcleat_serve::RunRule;
+use filbertcleat_serve::ServerId;
 use http::Response;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
@@ -20,7 +21,8 @@
 use super::events::EventCutter;
 use super::handle::Counted;
 use super::handle::place;
-use super::line::log_end;
+use super::line::Outcome;
+use super::line::note_end;
 use super::open::OpenSend;
 use super::send::Answer;
 use super::send::send;
@@ -108,7 +110,7 @@
                 End::Whole => {
                     let Answer { head, address, sender, .. } = *answer;
                     self.entry.pool.keep(address, sender, &head.headers);
-                    log_end(&self.request, Some(&server), self.entry.now(), "streamed");
+                    self.note_end(&server, Outcome::Streamed);
                     return;
                 }
                 End::Left | End::Late => true,
@@ -117,8 +119,14 @@
             drop(answer);
             let next = if is_over { None } else { self.resume().await };
             let Some((next_answer, next_open)) = next else {
-                let outcome = format!("stream-{end:?}").to_lowercase();
-                log_end(&self.request, Some(&server), self.entry.now(), &outcome);
+                let outcome = match end {
+                    End::Whole => Outcome::Streamed,
+                    End::Broken => Outcome::Broken,
+                    End::Silent => Outcome::Silent,
+                    End::Left => Outcome::Left,
+                    End::Late => Outcome::Late,
+                };
+                self.note_end(&server, outcome);
                 // A caller that has left needs no sign that its stream is cut.
                 let _ = self.sender.send(Err(Cut)).await;
                 return;
@@ -127,6 +135,11 @@
         }
     }
 
+    fn note_end(&self, server: &ServerId, outcome: Outcome) {
+        let now = self.entry.now();
+        note_end(&self.entry.metrics, &self.request, Some(server), now, outcome);
+    }
+
     /// Passes on what one backend server sends.
     async fn pass_on(&mut self, answer: &mut Answer, open: &mut OpenSend<D>) -> End {
         let mut cutter = EventCutter::default();
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/logs.rs
@@ -0,0 +1,57 @@
+//! Logs to standard output, bounded in volume and never in the way.
+
+mod limiter;
+mod writer;
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use filbertcleat_base::Fault;
+use filbertcleat_base::Step;
+use log::LevelFilter;
+
+pub use self::limiter::LineLimiter;
+pub use self::limiter::Verdict;
+use self::writer::Writer;
+use self::writer::leave_out;
+pub use self::writer::lines_left_out;
+
+/// The crates whose lines are written at the chosen level; others only warn.
+const CRATES: [&str; 3] = ["filbertcleat_daemon", "filbertcleat_gateway", "filbertcleat_prepared"];
+
+/// Starts writing logs to standard output, one line an event.
+pub fn start_logs(level: LevelFilter) -> Result<(), Fault> {
+    let start = Instant::now();
+    let limiter = Mutex::new(LineLimiter::default());
+    let writer = Writer::start();
+    let output = fern::Output::call(move |record| {
+        let message = record.args().to_string();
+        let now_ms = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let verdict =
+            limiter.lock().unwrap_or_else(PoisonError::into_inner).judge(now_ms, &message);
+        let level = record.level().as_str().to_lowercase();
+        match verdict {
+            Verdict::Write => writer.write(line(&level, &message)),
+            Verdict::WriteAfter { left_out } => {
+                let event = LineLimiter::event(&message);
+                let note = format!("event=lines-left-out of={event} lines={left_out}");
+                writer.write(line("info", &note));
+                writer.write(line(&level, &message));
+            }
+            Verdict::LeaveOut => leave_out(),
+        }
+    });
+    let dispatch =
+        CRATES.iter().fold(fern::Dispatch::new().level(LevelFilter::Warn), |dispatch, name| {
+            dispatch.level_for(*name, level)
+        });
+    dispatch.chain(output).apply().map_err(|error| Fault::new(Step::Settings, "logs", error))
+}
+
+fn line(level: &str, message: &str) -> String {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    format!("time_ms={} level={level} {message}\n", time.as_millis())
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/metrics.rs
@@ -0,0 +1,77 @@
+//! Counters and histograms, served as text.
+
+mod name;
+mod registry;
+mod serve;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use cadence::Counted;
+use cadence::Gauged;
+use cadence::Histogrammed;
+use cadence::MetricSink;
+use cadence::StatsdClient;
+
+pub use self::name::METRICS;
+pub use self::name::Metric;
+pub use self::registry::Registry;
+pub(crate) use self::serve::serve_metrics;
+
+/// The metrics of a process.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    client: Arc<StatsdClient>,
+    registry: Arc<Mutex<Registry>>,
+}
+
+impl Metrics {
+    /// Creates metrics that are all zero.
+    pub fn new() -> Self {
+        let registry = Arc::new(Mutex::new(Registry::default()));
+        let sink = RegistrySink { registry: Arc::clone(&registry) };
+        Self { client: Arc::new(StatsdClient::from_sink("filbertcleat", sink)), registry }
+    }
+
+    /// Adds one to a counter.
+    pub fn count(&self, metric: Metric, tags: &[(&str, &str)]) {
+        let mut builder = self.client.count_with_tags(metric.name(), 1);
+        for (name, value) in tags {
+            builder = builder.with_tag(name, value);
+        }
+        builder.send();
+    }
+
+    /// Adds a sample to a histogram.
+    pub fn sample(&self, metric: Metric, value: u64) {
+        self.client.histogram_with_tags(metric.name(), value).send();
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, metric: Metric, tags: &[(&str, &str)], value: u64) {
+        let mut builder = self.client.gauge_with_tags(metric.name(), value);
+        for (name, value) in tags {
+            builder = builder.with_tag(name, value);
+        }
+        builder.send();
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self) -> String {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner).text()
+    }
+}
+
+/// Takes in metrics on the spot in place of sending them anywhere.
+#[derive(Debug)]
+struct RegistrySink {
+    registry: Arc<Mutex<Registry>>,
+}
+
+impl MetricSink for RegistrySink {
+    fn emit(&self, metric: &str) -> std::io::Result<usize> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner).take(metric);
+        Ok(metric.len())
+    }
+}
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -43,6 +43,7 @@
     pub stop: Stop,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
     pub entry: JoinHandle<()>,
 }
 
@@ -73,9 +74,11 @@
     /// Starts an entry that reads a catalogue.
     pub async fn start_with(catalogue: TestCatalogue) -> Self {
         let loopback = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-        let listeners = EntryListeners::bind(loopback, loopback).await.expect("ports are free");
+        let listeners =
+            EntryListeners::bind(loopback, loopback, Some(loopback)).await.expect("ports are free");
         let callers = listeners.callers.local_addr().expect("bound");
         let readiness = listeners.readiness.local_addr().expect("bound");
+        let metrics = listeners.metrics.as_ref().expect("asked for").local_addr().expect("bound");
         let settings = GatewaySettings {
             name: NodeName::new("entry-1"),
             domain: PlaceName::new("here"),
@@ -93,7 +96,7 @@
                 .await
                 .expect("the entry runs");
         });
-        Self { catalogue, stop, callers, readiness, entry }
+        Self { catalogue, stop, callers, readiness, metrics, entry }
     }
 
     /// Connects a caller.
--- /dev/null
+++ b/crates/filbertcleat-gateway/tests/telemetry.rs
@@ -0,0 +1,130 @@
+//! Logs and metrics.
+
+mod support;
+
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+
+use filbertcleat_gateway::LineLimiter;
+use filbertcleat_gateway::METRICS;
+use filbertcleat_gateway::Registry;
+use filbertcleat_gateway::Verdict;
+use filbertcleat_serve::RunRule;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use self::support::Backend;
+use self::support::Call;
+use self::support::Script;
+use self::support::World;
+use self::support::route;
+
+#[test]
+fn surge_is_thinned() {
+    let mut limiter = LineLimiter::default();
+    let limit = LineLimiter::LINES_PER_S;
+
+    for _ in 0..limit {
+        assert_eq!(limiter.judge(5, "event=a n=1"), Verdict::Write);
+    }
+    for _ in 0..10 {
+        assert_eq!(limiter.judge(999, "event=a n=1"), Verdict::LeaveOut);
+    }
+    assert_eq!(limiter.judge(999, "event=b n=1"), Verdict::Write, "others are not held up");
+    assert_eq!(limiter.judge(1_000, "event=a n=2"), Verdict::WriteAfter { left_out: 10 });
+    assert_eq!(limiter.judge(1_001, "event=a n=3"), Verdict::Write);
+}
+
+#[test]
+fn kinds_are_bounded() {
+    let mut limiter = LineLimiter::default();
+
+    let written =
+        (0..1_000).filter(|n| limiter.judge(0, &format!("event=kind-{n} x=1")) == Verdict::Write);
+
+    assert_eq!(written.count(), 100);
+}
+
+#[test]
+fn values_are_kept() {
+    let mut registry = Registry::default();
+    for line in [
+        "f.requests:1|c|#route:r1,outcome:answered",
+        "f.requests:2|c|#route:r1,outcome:answered",
+        "f.waiting:7|g",
+        "f.waiting:3|g",
+        "f.gap_ms:10|h",
+        "f.gap_ms:500|h",
+        "nonsense",
+        "f.odd:x|c",
+        "f.odd:1|?",
+    ] {
+        registry.take(line);
+    }
+
+    let text = registry.text();
+
+    for line in [
+        "f_requests{route=\"r1\",outcome=\"answered\"} 3",
+        "f_waiting 3",
+        "f_gap_ms_count 2",
+        "filbertcleat_metrics_left_out 3",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line} is not in\n{text}");
+    }
+}
+
+#[test]
+fn series_are_bounded() {
+    let mut registry = Registry::default();
+    (0..10_000).for_each(|n| registry.take(&format!("f.requests:1|c|#route:r{n}")));
+
+    let text = registry.text();
+
+    assert_eq!(text.lines().count(), 401);
+    assert!(text.contains("filbertcleat_metrics_left_out 9600"));
+}
+
+#[test]
+fn page_names_each_metric() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
+    let page = fs::read_to_string(page).expect("the page is there");
+    let table = page.lines().filter_map(|line| line.strip_prefix("| `")?.split_once('`'));
+    let described: Vec<_> = table.map(|(name, _)| name.to_owned()).collect();
+
+    for metric in METRICS {
+        let rows = described.iter().filter(|name| *name == metric.name()).count();
+        assert_eq!(rows, 1, "{} has {rows} rows in docs/OPERATIONS.md", metric.name());
+    }
+}
+
+#[test]
+fn requests_are_counted() {
+    World::run(async {
+        let usual = Script::Answer { status: 200, body: "yes", after: Duration::ZERO };
+        let desk = Backend::start("d1", usual).await;
+        let world = World::start(vec![route("book", RunRule::Once, 1)], &[&desk]).await;
+        let mut caller = world.caller().await;
+        for (id, path) in [("a", "/book/1"), ("b", "/book/1"), ("c", "/lost/1")] {
+            caller.call(&Call::new(id, path)).await.expect("an answer");
+        }
+
+        let mut stream = TcpStream::connect(world.metrics).await.expect("metrics are served");
+        let question = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        stream.write_all(question.as_bytes()).await.expect("written");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.expect("read");
+
+        for line in [
+            "filbertcleat_requests{route=\"book\",kind=\"once\",outcome=\"answered\"} 2",
+            "filbertcleat_refusals{reason=\"no route\"} 1",
+            "filbertcleat_sends{ending=\"answered\"} 2",
+            "filbertcleat_configuration_version 1",
+            "filbertcleat_servers{are=\"usable\"} 1",
+        ] {
+            assert!(text.lines().any(|found| found == line), "{line} is not in\n{text}");
+        }
+    });
+}
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -124,6 +124,11 @@
             .map(|(_, news)| news)
     }
 
+    /// Returns how old the agent's last word is.
+    pub fn news_age_ms(&self, now: MonoTime) -> Option<u64> {
+        self.news.as_ref().map(|(heard, _)| now.ms_since(*heard))
+    }
+
     /// Returns whether new requests may be sent.
     pub fn is_usable(&self, now: MonoTime) -> bool {
         !self.listed.is_leaving && now >= self.doubt_until && !self.is_silent(now)
--- a/crates/filbertcleat-serve/src/shelf.rs
+++ b/crates/filbertcleat-serve/src/shelf.rs
@@ -34,6 +34,7 @@
     report: Option<EngineReport>,
     used_at: BTreeMap<AdapterKey, MonoTime>,
     going: BTreeMap<AdapterKey, MonoTime>,
+    dropping: BTreeSet<AdapterKey>,
     sent: Option<Order>,
     refused_until: MonoTime,
     prompts: Prompts,
@@ -70,7 +71,9 @@
         self.prompts.hear(now, news.entry, news.sent_tokens);
         for (key, _) in &news.uses {
             self.used_at.insert(key.clone(), now);
-            self.going.remove(key);
+            if !self.dropping.contains(key) {
+                self.going.remove(key);
+            }
         }
         for want in &news.wants {
             self.used_at.insert(want.key.clone(), now);
@@ -91,6 +94,7 @@
         if is_restarted {
             self.sent = None;
             self.going.clear();
+            self.dropping.clear();
             self.used_at.clear();
         }
         if let Some(order) = &self.sent
@@ -98,7 +102,9 @@
         {
             self.sent = None;
         }
-        self.going.retain(|key, _| report.held.iter().any(|(held, _)| held == key));
+        let is_held = |key: &AdapterKey| report.held.iter().any(|(held, _)| held == key);
+        self.going.retain(|key, _| is_held(key));
+        self.dropping.retain(is_held);
         self.report = Some(report);
     }
 
@@ -165,7 +171,10 @@
     }
 
     /// Notes that the engine accepted an order.
-    pub fn accepted(&mut self, order: &Order) {
+    ///
+    /// A drop that is accepted but not done waits for runs, and keeps its place until a report no
+    /// longer names the adapter.
+    pub fn accepted(&mut self, order: &Order, is_done: bool) {
         if self.sent.as_ref() == Some(order) {
             self.sent = None;
         }
@@ -178,10 +187,13 @@
         match &order.kind {
             OrderKind::LoadModel(_) => report.is_busy = true,
             OrderKind::Load(key, version) => report.coming.push((key.clone(), *version)),
-            OrderKind::Drop(key) => {
+            OrderKind::Drop(key) if is_done => {
                 report.held.retain(|(held, _)| held != key);
                 self.going.remove(key);
             }
+            OrderKind::Drop(key) => {
+                self.dropping.insert(key.clone());
+            }
         }
     }
 
@@ -246,7 +258,11 @@
         let ripe = self
             .going
             .iter()
-            .find(|(key, since)| now.ms_since(**since) >= Self::GOING_MS && !uses.contains(key))
+            .find(|(key, since)| {
+                now.ms_since(**since) >= Self::GOING_MS
+                    && !uses.contains(key)
+                    && !self.dropping.contains(*key)
+            })
             .map(|(key, _)| key.clone());
         if let Some(key) = ripe {
             return Some(OrderKind::Drop(key));
--- a/crates/filbertcleat-serve/tests/orders.rs
+++ b/crates/filbertcleat-serve/tests/orders.rs
@@ -29,6 +29,8 @@
     report: EngineReport,
     coming_until: Vec<(AdapterKey, u64, u64)>,
     late: Vec<(u64, Order)>,
+    running: Vec<(AdapterKey, u64)>,
+    dropping: Vec<AdapterKey>,
     most_held: usize,
     doubled: usize,
 }
@@ -51,11 +53,37 @@
             memory_used_tokens: 0,
             memory_tokens: 100,
         };
-        Self { report, coming_until: Vec::new(), late: Vec::new(), most_held: 0, doubled: 0 }
+        Self {
+            report,
+            coming_until: Vec::new(),
+            late: Vec::new(),
+            running: Vec::new(),
+            dropping: Vec::new(),
+            most_held: 0,
+            doubled: 0,
+        }
+    }
+
+    /// Begins a run that no entry has told the agent of.
+    fn run(&mut self, key: AdapterKey, until: u64) {
+        self.running.push((key, until));
+    }
+
+    fn drop_adapter(&mut self, key: &AdapterKey) {
+        self.report.held.retain(|(held, _)| held != key);
     }
 
     /// Lets time pass.
     fn pass(&mut self, now: u64) {
+        self.running.retain(|(_, until)| *until > now);
+        let running: Vec<_> = self.running.iter().map(|(key, _)| key.clone()).collect();
+        let (wait, done) =
+            std::mem::take(&mut self.dropping).into_iter().partition(|key| running.contains(key));
+        self.dropping = wait;
+        let done: Vec<AdapterKey> = done;
+        for key in &done {
+            self.drop_adapter(key);
+        }
         let (due, late) =
             std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
         self.late = late;
@@ -74,12 +102,13 @@
         self.report.coming = coming.collect();
     }
 
-    /// Carries out an order if its count holds, and returns whether it did.
-    fn carry_out(&mut self, now: u64, order: &Order) -> bool {
+    /// Carries out an order if its count holds, and returns whether it did and is done with it.
+    fn carry_out(&mut self, now: u64, order: &Order) -> Option<bool> {
         if order.expected != self.report.sequence || order.server != self.report.server {
-            return false;
+            return None;
         }
         self.report.sequence += 1;
+        let mut is_done = false;
         match &order.kind {
             OrderKind::LoadModel(model) => self.report.models.push(model.clone()),
             OrderKind::Load(key, version) => {
@@ -88,14 +117,21 @@
                 }
                 self.coming_until.push((key.clone(), *version, now + Self::LOAD_MS));
             }
-            OrderKind::Drop(key) => self.report.held.retain(|(held, _)| held != key),
+            // A drop waits for the runs of its adapter.
+            OrderKind::Drop(key) if self.running.iter().any(|(running, _)| running == key) => {
+                self.dropping.push(key.clone());
+            }
+            OrderKind::Drop(key) => {
+                self.drop_adapter(key);
+                is_done = true;
+            }
         }
         let new = self
             .coming_until
             .iter()
             .filter(|(coming, _, _)| !self.report.held.iter().any(|(held, _)| held == coming));
         self.most_held = self.most_held.max(self.report.held.len() + new.count());
-        true
+        Some(is_done)
     }
 }
 
@@ -128,12 +164,11 @@
             engine.late.push((now + 2_000, order));
             return;
         }
-        if engine.carry_out(now, &order) {
-            shelf.accepted(&order);
-        } else {
+        let Some(is_done) = engine.carry_out(now, &order) else {
             shelf.refused(at(now), &order);
             return;
-        }
+        };
+        shelf.accepted(&order, is_done);
     }
 }
 
@@ -159,7 +194,7 @@
     let order = shelf.next_order(at(0)).expect("the engine is empty");
 
     assert_eq!(order.kind, OrderKind::LoadModel(ModelName::new("base")));
-    assert!(engine.carry_out(0, &order));
+    assert!(engine.carry_out(0, &order).is_some());
 }
 
 #[test]
@@ -194,6 +229,22 @@
     assert!(engine.report.held.contains(&(key("x"), 0)));
 }
 
+#[test]
+fn waiting_drop_keeps_place() {
+    let (mut shelf, mut engine) = (Shelf::default(), Engine::new(&["base"]));
+    engine.report.held = ["a", "b", "c", "d"].map(|name| (key(name), 1)).to_vec();
+    // A run has begun that the agent could not know of, and holds the drop up.
+    engine.run(key("d"), 2_000);
+    shelf.hear(at(0), entry_news(1, &[("x", 0)], &["a", "b", "c"]));
+
+    for (sequence, now) in (2..).zip((0..1_000).step_by(20)) {
+        shelf.hear(at(now), entry_news(sequence, &[("x", 0)], &["a", "b", "c"]));
+        step(&mut shelf, &mut engine, now, || false);
+        assert!(engine.most_held <= Engine::PLACES, "{} held", engine.most_held);
+    }
+    assert_eq!(engine.report.sequence, 1, "one drop is enough");
+}
+
 #[test]
 fn used_again_stays() {
     let (mut shelf, mut engine) = (Shelf::default(), Engine::new(&["base"]));
@@ -253,6 +304,10 @@
                 let wants: Vec<_> = wants.into_iter().map(|name| (name, 0)).collect();
                 shelf.hear(at(now), entry_news(sequence, &wants, &uses));
             }
+            if rng.random_bool(0.2) && !engine.report.held.is_empty() {
+                let number = rng.random_range(0..engine.report.held.len());
+                engine.run(engine.report.held[number].0.clone(), now + 500);
+            }
             step(&mut shelf, &mut engine, now, || rng.random_bool(0.3));
             prop_assert!(engine.most_held <= Engine::PLACES, "{} held", engine.most_held);
             prop_assert!(engine.doubled == 0);
