Load a newer version where no older one runs

Found by the line request-given-up, which names the cause, the server and the age of its agent's word.

--- a/crates/filbertcleat-gateway/src/entry/handle.rs
+++ b/crates/filbertcleat-gateway/src/entry/handle.rs
@@ -26,6 +26,7 @@
 use super::connection::Busy;
 use super::line::Outcome;
 use super::line::note_end;
+use super::line::note_given_up;
 use super::line::note_place;
 use super::line::note_refusal;
 use super::open::OpenSend;
@@ -288,7 +289,8 @@
         }
         return Ok(OpenSend::counted(entry, server, request.demand.clone()));
     }
-    let cause = cause.unwrap_or(WaitCause::Look);
+    let (cause, at) = cause.unwrap_or((WaitCause::Look, None));
+    note_given_up(request, &entry.state.borrow().fleet, entry.now(), cause, at.as_ref());
     Err(Refusal::NotRun(cause.as_str(), BACK_SOON))
 }
 
--- a/crates/filbertcleat-gateway/src/entry/line.rs
+++ b/crates/filbertcleat-gateway/src/entry/line.rs
@@ -3,9 +3,11 @@
 use std::fmt;
 
 use filbertcleat_base::MonoTime;
+use filbertcleat_serve::Fleet;
 use filbertcleat_serve::RunRule;
 use filbertcleat_serve::Server;
 use filbertcleat_serve::ServerId;
+use filbertcleat_serve::WaitCause;
 
 use super::caller::CallerRequest;
 use super::refusal::Refusal;
@@ -50,6 +52,35 @@
     }
 }
 
+/// Notes a request that waited in vain, with what was believed of the backend servers.
+pub(super) fn note_given_up(
+    request: &CallerRequest,
+    fleet: &Fleet,
+    now: MonoTime,
+    cause: WaitCause,
+    at: Option<&ServerId>,
+) {
+    let service = || fleet.servers().filter(|server| server.listed.service == request.service);
+    let key = request.demand.adapter.as_ref();
+    let holders = service()
+        .filter(|server| key.is_none_or(|key| server.holds_adapter(key, request.demand.version)));
+    log::info!(
+        "event=request-given-up id={} adapter={} version={} queued_ms={} cause=\"{}\" at={} \
+         at_news_age_ms={} servers={} usable={} heard={} holders={}",
+        request.id,
+        key.map_or("-", |key| key.adapter.as_str()),
+        request.demand.version,
+        request.queued_ms,
+        cause.as_str(),
+        at.map_or("-", ServerId::as_str),
+        Shown(at.and_then(|at| fleet.server(at)).and_then(|server| server.news_age_ms(now))),
+        service().count(),
+        service().filter(|server| server.is_usable(now)).count(),
+        service().filter(|server| server.fresh_news(now).is_some()).count(),
+        holders.count(),
+    );
+}
+
 /// Notes how a request ended.
 pub(super) fn note_end(
     metrics: &Metrics,
--- a/crates/filbertcleat-gateway/src/entry/open.rs
+++ b/crates/filbertcleat-gateway/src/entry/open.rs
@@ -87,7 +87,7 @@
 
 impl<D: Dialect> Queued<D> {
     /// Takes the request out and returns what it waited for.
-    pub fn leave(&self) -> Option<WaitCause> {
+    pub fn leave(&self) -> Option<(WaitCause, Option<ServerId>)> {
         let state = &mut *self.entry.state.borrow_mut();
         state.waiting.remove(&self.ticket);
         state.queue.leave(self.ticket)
--- a/crates/filbertcleat-serve/src/place.rs
+++ b/crates/filbertcleat-serve/src/place.rs
@@ -143,7 +143,13 @@
     let sum: u32 = loaders.iter().map(|server| server.load(now)).sum();
     let mean = f64::from(sum) / loaders.len().max(1) as f64;
     let bound = mean * LOAD_BOUND + LOAD_BOUND_MORE;
-    loaders.sort_unstable_by_key(|server| std::cmp::Reverse(mix(seed, server.hash())));
+    // An older version in use would hold the newer one up, so its engine comes last.
+    let holds_older = |server: &Server| {
+        demand.adapter.as_ref().is_some_and(|key| server.held_version(key).is_some())
+    };
+    loaders.sort_unstable_by_key(|server| {
+        (holds_older(server), std::cmp::Reverse(mix(seed, server.hash())))
+    });
     let within = loaders.iter().find(|server| f64::from(server.load(now)) <= bound);
     within.or(loaders.first()).copied()
 }
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -69,9 +69,10 @@
 
     /// Takes a request out, whose caller left or which is given up.
     ///
-    /// Returns what it waited for, if it still did.
-    pub fn leave(&mut self, ticket: Ticket) -> Option<WaitCause> {
-        self.waiting.remove(&ticket).map(|waiter| waiter.cause)
+    /// Returns what it waited for and at which backend server, if it still did.
+    pub fn leave(&mut self, ticket: Ticket) -> Option<(WaitCause, Option<ServerId>)> {
+        let waiter = self.waiting.remove(&ticket)?;
+        Some((waiter.cause, waiter.load.map(|(server, _)| server)))
     }
 
     /// Returns the number of waiting requests.
--- a/crates/filbertcleat-serve/tests/placement.rs
+++ b/crates/filbertcleat-serve/tests/placement.rs
@@ -62,6 +62,24 @@
     assert_eq!(placement, Placement::Load(id("a")));
 }
 
+#[test]
+fn newer_version_elsewhere() {
+    // Whichever is the adapter's home, one that holds an older version is passed over: its runs
+    // would hold the newer one up.
+    for older in ["a", "b"] {
+        let held: [(&str, &[&str]); 2] = [("a", &[]), ("b", &[])];
+        let mut fleet = fleet(at(0), &held);
+        fleet.news(at(0), news(older, 2, &["x"]));
+        let newer = filbertcleat_serve::Demand { version: 2, ..demand("x", 500) };
+
+        let placement =
+            place_engine(at(0), &fleet, &shape(), &newer, &home(), &[], Wait::default());
+
+        let other = if older == "a" { "b" } else { "a" };
+        assert_eq!(placement, Placement::Load(id(other)));
+    }
+}
+
 #[test]
 fn homes_are_shared() {
     // Two entries that see the same servers choose the same home for each adapter.
--- a/crates/filbertcleat-serve/tests/waiting.rs
+++ b/crates/filbertcleat-serve/tests/waiting.rs
@@ -98,8 +98,8 @@
 
     pump(&mut queue, &mut fleet, 1);
 
-    assert_eq!(queue.leave(paced), Some(WaitCause::Room));
-    assert_eq!(queue.leave(unloaded), Some(WaitCause::Load));
+    assert_eq!(queue.leave(paced), Some((WaitCause::Room, None)));
+    assert_eq!(queue.leave(unloaded), Some((WaitCause::Load, Some(id("a")))));
 }
 
 #[test]
