--- a/crates/filbertcleat-gateway/src/entry/handle.rs
+++ b/crates/filbertcleat-gateway/src/entry/handle.rs
@@ -51,6 +51,11 @@
 const BACK_SOON: Duration = Duration::from_millis(300);
 /// When to come back to another entry: at once, but for the way.
 const BACK_ELSEWHERE: Duration = Duration::from_millis(20);
+/// When to come back while no engine holds the model: about the time to load one from a disk.
+const BACK_LOADED: Duration = Duration::from_millis(2_500);
+/// A request whose model no engine holds can't be served for seconds, and is told so at once, but
+/// for the time in which news of an engine may be on their way.
+const ENGINE_PATIENCE: Duration = Duration::from_millis(250);
 /// The largest plain answer that is read before it is passed on, so that a broken one can be had
 /// again.
 const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -198,7 +203,7 @@
         let failure = match outcome {
             Ok(Served::Whole { response, server }) if response.status().is_server_error() => {
                 last_failed = Some((response, server));
-                SendFailure { may_have_run: true, has_arrived: true, ending: Ending::Failed }
+                SendFailure::unknown(Ending::Failed, "it answered with a failure")
             }
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
@@ -279,10 +284,10 @@
     entry.changed.notify_one();
     let patience_ms =
         (request.route.objective_ms * WAIT_OBJECTIVES).min(request.left_ms(now) / 2).max(1);
-    let placed = tokio::time::timeout(Duration::from_millis(patience_ms), receiver).await;
+    let placed = wait_for_engine(&queued, receiver, Duration::from_millis(patience_ms)).await;
     let cause = queued.leave();
     request.queued_ms += entry.now().ms_since(now);
-    if let Ok(Ok(server)) = placed {
+    if let Some(server) = placed {
         let now = entry.now();
         if let Some(server) = entry.state.borrow().fleet.server(&server) {
             note_place(&entry.metrics, request, server, now);
@@ -291,7 +296,25 @@
     }
     let (cause, at) = cause.unwrap_or((WaitCause::Look, None));
     note_given_up(request, &entry.state.borrow().fleet, entry.now(), cause, at.as_ref());
-    Err(Refusal::NotRun(cause.as_str(), BACK_SOON))
+    let back = if cause == WaitCause::Engine { BACK_LOADED } else { BACK_SOON };
+    Err(Refusal::NotRun(cause.as_str(), back))
+}
+
+/// Waits for an engine, but not long for one that holds the model at all.
+async fn wait_for_engine<D: Dialect>(
+    queued: &Queued<D>,
+    mut receiver: oneshot::Receiver<ServerId>,
+    patience: Duration,
+) -> Option<ServerId> {
+    let first = patience.min(ENGINE_PATIENCE);
+    if let Ok(placed) = tokio::time::timeout(first, &mut receiver).await {
+        return placed.ok();
+    }
+    if queued.cause() == Some(WaitCause::Engine) {
+        return None;
+    }
+    let placed = tokio::time::timeout(patience.saturating_sub(first), receiver).await;
+    placed.ok()?.ok()
 }
 
 /// Sends a request to one backend server.
@@ -324,9 +347,13 @@
     let body = match tokio::time::timeout(limit, read).await {
         Ok(Ok(body)) => body.to_bytes(),
         failed => {
-            let ending = if failed.is_err() { Ending::Silent } else { Ending::Broken };
-            open.end(ending);
-            return Err(SendFailure { may_have_run: true, has_arrived: true, ending });
+            let failure = if failed.is_err() {
+                SendFailure::unknown(Ending::Silent, "the answer did not end in time")
+            } else {
+                SendFailure::unknown(Ending::Broken, "the answer broke off")
+            };
+            open.end(failure.ending);
+            return Err(failure);
         }
     };
     let server = open.server().clone();
@@ -346,12 +373,14 @@
 
 fn log_try<D: Dialect>(entry: &Rc<Entry<D>>, request: &CallerRequest, failure: SendFailure) {
     log::info!(
-        "event=send-failed id={} server={} sends={} ending={:?} may_have_run={} left_ms={}",
+        "event=send-failed id={} server={} sends={} ending={:?} may_have_run={} \
+         left_ms={} reason=\"{}\"",
         request.id,
         request.avoided.last().map_or("-", ServerId::as_str),
         request.sends,
         failure.ending,
         failure.may_have_run,
         request.left_ms(entry.now()),
+        failure.reason,
     );
 }
--- a/crates/filbertcleat-gateway/src/entry/open.rs
+++ b/crates/filbertcleat-gateway/src/entry/open.rs
@@ -94,6 +94,13 @@
     }
 }
 
+impl<D: Dialect> Queued<D> {
+    /// Returns what the request waits for.
+    pub fn cause(&self) -> Option<WaitCause> {
+        self.entry.state.borrow().queue.cause(self.ticket)
+    }
+}
+
 impl<D: Dialect> Drop for Queued<D> {
     fn drop(&mut self) {
         self.leave();
--- a/crates/filbertcleat-gateway/tests/streams.rs
+++ b/crates/filbertcleat-gateway/tests/streams.rs
@@ -147,3 +147,20 @@
         assert_eq!(writer.cancelled.get(), 1);
     });
 }
+
+#[test]
+fn unknown_model_is_told_at_once() {
+    World::run(async {
+        let writer = Backend::start("w1", FIVE).await;
+        let world = World::start(vec![route("write", PLAIN, 1)], &[&writer]).await;
+        let started = tokio::time::Instant::now();
+
+        let call = Call { extra: "x-model: unheard-of\r\n", ..Call::new("a", "/write/1") };
+        let reply = world.caller().await.call(&call).await.expect("an answer");
+
+        assert_eq!(reply.status, 503);
+        assert!(reply.header("retry-after").is_some());
+        assert!(started.elapsed() <= Duration::from_millis(400), "{:?}", started.elapsed());
+        assert_eq!(writer.arrivals(), 0);
+    });
+}
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -75,6 +75,11 @@
         Some((waiter.cause, waiter.load.map(|(server, _)| server)))
     }
 
+    /// Returns what a request waits for.
+    pub fn cause(&self, ticket: Ticket) -> Option<WaitCause> {
+        self.waiting.get(&ticket).map(|waiter| waiter.cause)
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/crates/filbertcleat-serve/tests/placement.rs
+++ b/crates/filbertcleat-serve/tests/placement.rs
@@ -223,6 +223,15 @@
     assert_eq!(place(&fleet, 0, "x", 500, 0), Placement::Nowhere);
 }
 
+#[test]
+fn doubtful_holder_is_waited_for() {
+    let mut fleet = fleet(at(0), &[("a", &["x"])]);
+    fleet.sent(at(0), &id("a"), &demand("x", 500));
+    fleet.ended(at(0), &id("a"), &demand("x", 500), Ending::Broken);
+
+    assert_eq!(place(&fleet, 1, "x", 500, 0), Placement::Room(None));
+}
+
 #[test]
 fn plain_prefers_home() {
     let mut fleet = fleet(at(0), &THREE);
