Tell an agent's news to all of few entries, and of many to those concerned

Cause: with entries and agents in the hundreds each entry would hear thousands of news a second. Entries speak to agents that they don't use every 900 ms. Agents load the most wanted base model onto an empty engine, which entries now count.

--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -1,7 +1,6 @@
 //! The agent beside an engine.
 
 use std::cell::Cell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +10,7 @@
 use filbertcleat_base::Step;
 use filbertcleat_serve::AdapterStage;
 use filbertcleat_serve::AgentNews;
+use filbertcleat_serve::Audience;
 use filbertcleat_serve::Order;
 use filbertcleat_serve::OrderKind;
 use filbertcleat_serve::Shelf;
@@ -61,7 +61,7 @@
         engine,
         exchange,
         shelf: Shelf::default(),
-        listeners: HashMap::new(),
+        audience: Audience::default(),
         told: None,
         told_at: MonoTime::ZERO,
         id: sender_id(),
@@ -76,12 +76,6 @@
     Ok(())
 }
 
-/// An entry that is told of the engine.
-struct Listener {
-    entry: u64,
-    heard: MonoTime,
-}
-
 struct Agent<E> {
     clock: Clock,
     metrics: Metrics,
@@ -89,8 +83,7 @@
     engine: E,
     exchange: Exchange,
     shelf: Shelf,
-    /// Where entries are heard from.
-    listeners: HashMap<SocketAddr, Listener>,
+    audience: Audience,
     told: Option<AgentNews>,
     told_at: MonoTime,
     id: u64,
@@ -109,8 +102,6 @@
     const TELL_PROMPTS_MS: u64 = 1;
     /// News that only the load changed are told at this pace.
     const TELL_LOAD_MS: u64 = 100;
-    /// An entry that is silent for longer is told nothing.
-    const LISTENER_LIVE_MS: u64 = 3_000;
 
     async fn run(&mut self) {
         let mut buffer = Vec::new();
@@ -120,7 +111,7 @@
                 (news, from) = self.exchange.receive(&mut buffer) => {
                     let now = self.clock.now();
                     let News::Entry(news) = news else { continue };
-                    self.listeners.insert(from, Listener { entry: news.entry, heard: now });
+                    self.audience.hear(now, from, &news);
                     let was_busy = self.shelf.is_busy(now);
                     self.shelf.hear(now, news);
                     if self.shelf.is_busy(now) && !was_busy {
@@ -164,7 +155,10 @@
     async fn give_orders(&mut self) {
         const SERIES_MAX: usize = 8;
         for _ in 0..SERIES_MAX {
-            let Some(order) = self.shelf.next_order(self.clock.now()) else { return };
+            let Some(order) = self.shelf.next_order(self.clock.now(), self.audience.announced_ms())
+            else {
+                return;
+            };
             let is_done = self.give(&order).await;
             if !is_done {
                 return;
@@ -215,7 +209,6 @@
 
     fn tell(&mut self) {
         let now = self.clock.now();
-        self.listeners.retain(|_, listener| now.ms_since(listener.heard) <= Self::LISTENER_LIVE_MS);
         let Some(news) = self.news(now) else { return };
         let since_ms = now.ms_since(self.told_at);
         let is_due = match &self.told {
@@ -227,17 +220,16 @@
             Some(told) if *told != news => since_ms >= Self::TELL_LOAD_MS,
             Some(_) => since_ms >= Self::TELL_AT_LEAST_MS,
         };
-        if !is_due {
-            return;
+        if is_due {
+            self.measure(&news);
+            self.told = Some(news.clone());
+            self.told_at = now;
         }
-        self.measure(&news);
-        self.told = Some(news.clone());
-        self.told_at = now;
         self.sequence += 1;
-        for (to, listener) in &self.listeners {
-            let others_tokens = self.shelf.others_tokens(now, listener.entry);
+        for (to, entry) in self.audience.due(now, is_due) {
+            let others_tokens = self.shelf.others_tokens(now, entry);
             let news = AgentNews { sequence: self.sequence, others_tokens, ..news.clone() };
-            self.exchange.send(*to, &News::Agent(news));
+            self.exchange.send(to, &News::Agent(news));
         }
     }
 
--- a/crates/filbertcleat-gateway/src/entry/handle.rs
+++ b/crates/filbertcleat-gateway/src/entry/handle.rs
@@ -277,6 +277,9 @@
         if let Some(key) = &request.demand.adapter {
             request.demand.version = state.versions.get(key).copied().unwrap_or(0);
         }
+        if let Some(model) = &request.demand.model {
+            state.count_demand(now, model);
+        }
         let ticket = state.queue.push(now, request.demand.clone(), request.avoided.clone());
         state.waiting.insert(ticket, sender);
         Queued { entry: Rc::clone(entry), ticket }
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -2,9 +2,11 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
 use filbertcleat_serve::AdapterKey;
@@ -59,6 +61,9 @@
     pub queue: Queue,
     pub waiting: HashMap<Ticket, oneshot::Sender<ServerId>>,
     pub told: Told,
+    /// Requests by base model, halved now and then.
+    pub demand: BTreeMap<ModelName, u32>,
+    demand_halved: MonoTime,
     budgets: HashMap<ServiceName, RepeatBudget>,
 }
 
@@ -80,6 +85,8 @@
                 queue: Queue::new(sender_id()),
                 waiting: HashMap::new(),
                 told: Told::new(),
+                demand: BTreeMap::new(),
+                demand_halved: MonoTime::ZERO,
                 budgets: HashMap::new(),
             }),
             clock,
@@ -210,6 +217,19 @@
 }
 
 impl State {
+    /// The requests for a model count half after this time: about as long as loading one takes.
+    const DEMAND_HALF_MS: u64 = 5_000;
+
+    /// Counts a request for a base model.
+    pub fn count_demand(&mut self, now: MonoTime, model: &ModelName) {
+        if now.ms_since(self.demand_halved) >= Self::DEMAND_HALF_MS {
+            self.demand_halved = now;
+            self.demand.values_mut().for_each(|count| *count /= 2);
+            self.demand.retain(|_, count| *count > 0);
+        }
+        *self.demand.entry(model.clone()).or_default() += 1;
+    }
+
     fn budget(&mut self, settings: &GatewaySettings, service: &ServiceName) -> &mut RepeatBudget {
         let grant = settings.repeats;
         self.budgets
--- a/crates/filbertcleat-gateway/src/entry/tell.rs
+++ b/crates/filbertcleat-gateway/src/entry/tell.rs
@@ -16,7 +16,9 @@
 use crate::exchange::sender_id;
 
 /// An entry speaks to each agent at least this often; agents take it for gone after 3,000 ms.
-const TELL_AT_LEAST_MS: u64 = 400;
+const TELL_AT_LEAST_MS: u64 = 900;
+/// The same while it uses or wants something there: what it uses is dropped by nobody.
+const TELL_USES_MS: u64 = 400;
 /// New wants and sent prompts are told at once, but not more often than this.
 const TELL_NEWS_MS: u64 = 1;
 
@@ -38,6 +40,7 @@
     at: MonoTime,
     wants: Vec<Want>,
     sent_tokens: u64,
+    has_uses: bool,
 }
 
 /// Hears agents for as long as the process runs.
@@ -80,7 +83,9 @@
         let is_due = last.is_none_or(|said| {
             let since_ms = now.ms_since(said.at);
             let is_new = said.wants != wants || said.sent_tokens != sent_tokens;
-            since_ms >= TELL_AT_LEAST_MS || (is_new && since_ms >= TELL_NEWS_MS)
+            let has_uses = said.has_uses || server.uses().next().is_some() || !wants.is_empty();
+            let at_least_ms = if has_uses { TELL_USES_MS } else { TELL_AT_LEAST_MS };
+            since_ms >= at_least_ms || (is_new && since_ms >= TELL_NEWS_MS)
         });
         if !is_due {
             continue;
@@ -92,11 +97,15 @@
             wants: wants.clone(),
             uses: server.uses().map(|(key, count)| (key.clone(), count)).collect(),
             shape: Some(shape.clone()),
-            demand: Vec::new(),
+            demand: state.demand.iter().map(|(model, count)| (model.clone(), *count)).collect(),
             sent_tokens,
         };
+        let has_uses = !news.uses.is_empty();
         due.push((SocketAddr::new(server.listed.address.ip(), port), news));
-        state.told.servers.insert(server.listed.id.clone(), Said { at: now, wants, sent_tokens });
+        state
+            .told
+            .servers
+            .insert(server.listed.id.clone(), Said { at: now, wants, sent_tokens, has_uses });
     }
     state.told.servers.retain(|id, _| state.fleet.server(id).is_some());
     due
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -5,10 +5,12 @@
 //! - `place`: which backend server a request is sent to
 //! - `queue`: which requests wait at an entry, and in which order they leave
 //! - `budget`: how many repeats an entry may send
+//! - `audience`: which entries an agent speaks to, and when
 //! - `shelf`: which adapters the agent beside an engine orders
 //!
 //! Everything here is given the time and does no input or output.
 
+mod audience;
 mod budget;
 mod deployment;
 mod fleet;
@@ -20,6 +22,7 @@
 mod request;
 mod shelf;
 
+pub use audience::Audience;
 pub use budget::RepeatBudget;
 pub use deployment::CallerLimits;
 pub use deployment::Deployment;
--- a/crates/filbertcleat-serve/src/shelf.rs
+++ b/crates/filbertcleat-serve/src/shelf.rs
@@ -51,9 +51,6 @@
     const ENTRY_LIVE_MS: u64 = 3_000;
     /// What an entry wants lapses sooner, as its requests wait a second or two at most.
     const WANT_LIVE_MS: u64 = 1_200;
-    /// The time that entries get to hear that an adapter is going, before it is dropped: news
-    /// travel at once, and this is many times the way between two regions.
-    const GOING_MS: u64 = 120;
     /// Adapters on their way to one engine at a time, as engines allow.
     const COMING_MAX: usize = 4;
     /// Places kept free, so that a load needs not wait for another adapter to go. More would cost
@@ -152,7 +149,9 @@
     }
 
     /// Returns the next order to give, if any.
-    pub fn next_order(&mut self, now: MonoTime) -> Option<Order> {
+    ///
+    /// An adapter is dropped only after entries had `announced_ms` to hear that it is going.
+    pub fn next_order(&mut self, now: MonoTime, announced_ms: u64) -> Option<Order> {
         self.entries.retain(|_, heard| heard.is_live(now, Self::ENTRY_LIVE_MS));
         self.prompts.retain(|entry| self.entries.contains_key(&entry));
         if now < self.refused_until {
@@ -164,7 +163,7 @@
         }
 
         let report = self.report.clone()?;
-        let kind = self.choose(now, &report)?;
+        let kind = self.choose(now, &report, announced_ms)?;
         let order = Order { kind, expected: report.sequence, server: report.server };
         self.sent = Some(order.clone());
         Some(order)
@@ -208,7 +207,12 @@
         self.refused_until = now.plus_ms(Self::REFUSED_MS);
     }
 
-    fn choose(&mut self, now: MonoTime, report: &EngineReport) -> Option<OrderKind> {
+    fn choose(
+        &mut self,
+        now: MonoTime,
+        report: &EngineReport,
+        announced_ms: u64,
+    ) -> Option<OrderKind> {
         if report.is_busy {
             return None;
         }
@@ -226,7 +230,22 @@
                 return Some(OrderKind::Load(want.key.clone(), want.version));
             }
         }
-        self.choose_drop(now, report, &wants, taken, places)
+        let ripe = self.ripe_drop(now, announced_ms);
+        if ripe.is_none() {
+            self.mark_drop(now, report, &wants, taken, places);
+        }
+        ripe
+    }
+
+    /// Returns the drop of an adapter that entries know to be going.
+    fn ripe_drop(&self, now: MonoTime, announced_ms: u64) -> Option<OrderKind> {
+        let uses = self.uses(now);
+        let mut ripe = self.going.iter().filter(|(key, since)| {
+            now.ms_since(**since) >= announced_ms
+                && !uses.contains(key)
+                && !self.dropping.contains(*key)
+        });
+        ripe.next().map(|(key, _)| OrderKind::Drop(key.clone()))
     }
 
     /// Returns the base model to load onto an engine that holds none.
@@ -241,33 +260,23 @@
         shape
             .models
             .iter()
+            // Of several that are wanted alike, the one that the operators name first.
+            .rev()
             .filter(fits)
             .max_by_key(|model| work.get(&model.name).copied().unwrap_or(0))
             .map(|model| model.name.clone())
     }
 
-    fn choose_drop(
+    /// Announces that the adapter that was idle longest is going, if places run short.
+    fn mark_drop(
         &mut self,
         now: MonoTime,
         report: &EngineReport,
         wants: &[Want],
         taken: usize,
         places: usize,
-    ) -> Option<OrderKind> {
+    ) {
         let uses = self.uses(now);
-        let ripe = self
-            .going
-            .iter()
-            .find(|(key, since)| {
-                now.ms_since(**since) >= Self::GOING_MS
-                    && !uses.contains(key)
-                    && !self.dropping.contains(*key)
-            })
-            .map(|(key, _)| key.clone());
-        if let Some(key) = ripe {
-            return Some(OrderKind::Drop(key));
-        }
-
         let missing = wants.iter().filter(|want| self.is_loadable(now, report, want)).count();
         let needed = missing.max(1) + Self::SPARE_PLACES - 1;
         let free = places.saturating_sub(taken) + self.going.len();
@@ -284,7 +293,6 @@
                 self.going.insert(key, now);
             }
         }
-        None
     }
 
     fn is_loadable(&self, now: MonoTime, report: &EngineReport, want: &Want) -> bool {
--- a/crates/filbertcleat-serve/tests/orders.rs
+++ b/crates/filbertcleat-serve/tests/orders.rs
@@ -23,6 +23,9 @@
 use self::support::key;
 use self::support::shape;
 
+/// The time that entries have to hear that an adapter is going.
+const ANNOUNCED_MS: u64 = 120;
+
 /// An engine of four places that may lose answers and carry out orders late.
 #[derive(Debug)]
 struct Engine {
@@ -158,7 +161,7 @@
     engine.pass(now);
     shelf.report(engine.report.clone());
     for _ in 0..8 {
-        let Some(order) = shelf.next_order(at(now)) else { return };
+        let Some(order) = shelf.next_order(at(now), ANNOUNCED_MS) else { return };
         if is_lost() {
             // The answer is lost, and the order may be carried out seconds later.
             engine.late.push((now + 2_000, order));
@@ -191,12 +194,38 @@
     shelf.hear(at(0), entry_news(1, &[("x", 0)], &[]));
     shelf.report(engine.report.clone());
 
-    let order = shelf.next_order(at(0)).expect("the engine is empty");
+    let order = shelf.next_order(at(0), ANNOUNCED_MS).expect("the engine is empty");
 
     assert_eq!(order.kind, OrderKind::LoadModel(ModelName::new("base")));
     assert!(engine.carry_out(0, &order).is_some());
 }
 
+#[test]
+fn most_wanted_model_first() {
+    let model = |name: &str| filbertcleat_serve::ModelShape {
+        name: ModelName::new(name),
+        weights_mb: 500.0,
+        adapter_mb: 10.0,
+    };
+    let shape = filbertcleat_serve::EngineShape {
+        models: vec![model("first"), model("second"), model("third")],
+        ..shape()
+    };
+    for (demand, expected) in [(vec![], "first"), (vec![("second", 3), ("third", 2)], "second")] {
+        let mut shelf = Shelf::default();
+        let demand = demand.iter().map(|(name, count)| (ModelName::new(name), *count)).collect();
+        shelf.hear(
+            at(0),
+            EntryNews { shape: Some(shape.clone()), demand, ..entry_news(1, &[], &[]) },
+        );
+        shelf.report(Engine::new(&[]).report);
+
+        let order = shelf.next_order(at(0), ANNOUNCED_MS).expect("the engine is empty");
+
+        assert_eq!(order.kind, OrderKind::LoadModel(ModelName::new(expected)));
+    }
+}
+
 #[test]
 fn newer_version_replaces() {
     let (mut shelf, mut engine) = (Shelf::default(), Engine::new(&["base"]));
@@ -267,11 +296,11 @@
     let engine = Engine::new(&["base"]);
     shelf.hear(at(0), entry_news(1, &[("x", 0)], &[]));
     shelf.report(EngineReport { sequence: 7, ..engine.report.clone() });
-    assert_eq!(shelf.next_order(at(0)).expect("wanted").expected, 7);
+    assert_eq!(shelf.next_order(at(0), ANNOUNCED_MS).expect("wanted").expected, 7);
 
     shelf.report(EngineReport { born_ms: 2, ..engine.report });
 
-    assert_eq!(shelf.next_order(at(0)).expect("still wanted").expected, 0);
+    assert_eq!(shelf.next_order(at(0), ANNOUNCED_MS).expect("still wanted").expected, 0);
 }
 
 #[test]
@@ -282,7 +311,7 @@
 
     assert_eq!(shelf.entries(at(3_000)), 1);
     assert_eq!(shelf.entries(at(3_001)), 0);
-    assert_eq!(shelf.next_order(at(1_201)), None, "nobody waits for it any more");
+    assert_eq!(shelf.next_order(at(1_201), ANNOUNCED_MS), None, "nobody waits for it any more");
 }
 
 proptest! {
