--- a/crates/filbertcleat-daemon/src/prepared.rs
+++ b/crates/filbertcleat-daemon/src/prepared.rs
@@ -8,6 +8,8 @@
 use filbertcleat_gateway::EntryListeners;
 use filbertcleat_gateway::GatewayRole;
 use filbertcleat_gateway::GatewaySettings;
+use filbertcleat_gateway::RepeatGrant;
+use filbertcleat_gateway::SettingsFile;
 use filbertcleat_gateway::Stop;
 use filbertcleat_gateway::run_agent;
 use filbertcleat_gateway::run_entry;
@@ -21,6 +23,7 @@
 use log::LevelFilter;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 /// The time for a call to the store, which is many times its usual answer: a slow store still
@@ -30,18 +33,19 @@
 /// unless the answer is lost.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// The settings file is looked at this often, as it may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+
 /// Runs the daemon with the settings file that the machine names, and serves metrics at a port.
 pub(crate) fn run(
     is_check: bool,
     metrics_port: Option<u16>,
     level: LevelFilter,
 ) -> Result<(), Fault> {
-    let file = settings_file()?;
-    let text = std::fs::read_to_string(&file)
-        .map_err(|error| Fault::new(Step::Settings, file.display(), error))?;
-    let settings = parse_settings(&text)?;
+    let path = settings_file()?;
+    let (file, settings) = SettingsFile::open(path.clone(), parse_settings)?;
     if is_check {
-        println!("{}: settings are good", file.display());
+        println!("{}: settings are good", path.display());
         return Ok(());
     }
 
@@ -50,19 +54,25 @@
         .enable_all()
         .build()
         .map_err(|error| Fault::new(Step::Settings, "runtime", error))?;
-    LocalSet::new().block_on(&runtime, serve(&settings, metrics_port))
+    LocalSet::new().block_on(&runtime, serve(&settings, file, metrics_port))
 }
 
-async fn serve(settings: &GatewaySettings, metrics_port: Option<u16>) -> Result<(), Fault> {
+async fn serve(
+    settings: &GatewaySettings,
+    file: SettingsFile,
+    metrics_port: Option<u16>,
+) -> Result<(), Fault> {
     let metrics = metrics_port.map(|port| SocketAddr::new(settings.ip, port));
     let stop = Stop::default();
-    watch_signals(&stop)?;
+    let grants = watch::Sender::new(settings.repeats);
+    let granted = grants.subscribe();
+    watch_signals(&stop, file, settings.clone(), grants)?;
     match settings.role {
         GatewayRole::Entry { callers, readiness } => {
             let client = HttpClient::new(STORE_TIMEOUT);
             let catalogue = PreparedCatalogue::new(settings.catalogue, client);
             let listeners = EntryListeners::bind(callers, readiness, metrics).await?;
-            run_entry(settings, listeners, catalogue, PreparedDialect, stop).await
+            run_entry(settings, listeners, catalogue, PreparedDialect, granted, stop).await
         }
         GatewayRole::Agent { engine } => {
             let client = HttpClient::new(ENGINE_TIMEOUT);
@@ -72,8 +82,13 @@
     }
 }
 
-/// Turns the signal to end into a planned stop, and outlives the signal to reload.
-fn watch_signals(stop: &Stop) -> Result<(), Fault> {
+/// Turns the signal to end into a planned stop, and follows the settings file.
+fn watch_signals(
+    stop: &Stop,
+    mut file: SettingsFile,
+    mut settings: GatewaySettings,
+    grants: watch::Sender<RepeatGrant>,
+) -> Result<(), Fault> {
     let listen = |kind| signal(kind).map_err(|error| Fault::new(Step::Settings, "signals", error));
     let mut terminations = listen(SignalKind::terminate())?;
     let mut reloads = listen(SignalKind::hangup())?;
@@ -82,10 +97,32 @@
         loop {
             tokio::select! {
                 Some(()) = terminations.recv() => stop.stop(),
-                Some(()) = reloads.recv() => log::info!("event=reload-asked"),
-                else => return,
+                Some(()) = reloads.recv() => {
+                    log::info!("event=settings-asked by=signal");
+                    reload(&mut file, &mut settings, &grants);
+                }
+                () = tokio::time::sleep(SETTINGS_LOOK) => reload(&mut file, &mut settings, &grants),
             }
         }
     });
     Ok(())
 }
+
+/// Takes over what has changed in the settings file and can change while the process runs.
+fn reload(
+    file: &mut SettingsFile,
+    settings: &mut GatewaySettings,
+    grants: &watch::Sender<RepeatGrant>,
+) {
+    match file.changed() {
+        None => {}
+        Some(Err(fault)) => log::warn!("event=settings-kept reason=\"{fault}\""),
+        Some(Ok(new)) => {
+            grants.send_replace(new.repeats);
+            let rest = GatewaySettings { repeats: settings.repeats, ..new.clone() };
+            let is_restart_due = rest != *settings;
+            log::info!("event=settings-reloaded restart_due={is_restart_due}");
+            settings.repeats = new.repeats;
+        }
+    }
+}
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -24,6 +24,7 @@
 use filbertcleat_base::Fault;
 use filbertcleat_base::Step;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 use self::connection::serve_callers;
@@ -35,6 +36,7 @@
 use crate::Catalogue;
 use crate::Dialect;
 use crate::GatewaySettings;
+use crate::RepeatGrant;
 use crate::Stop;
 use crate::Topic;
 use crate::exchange::Exchange;
@@ -80,17 +82,20 @@
 }
 
 /// Runs an entry until it shall end; it has to run within a `LocalSet`.
+///
+/// The grant of repeats may change while it runs.
 pub async fn run_entry<C: Catalogue, D: Dialect>(
     settings: &GatewaySettings,
     listeners: EntryListeners,
     catalogue: C,
     dialect: D,
+    grants: watch::Receiver<RepeatGrant>,
     stop: Stop,
 ) -> Result<(), Fault> {
     let peers = SocketAddr::new(settings.ip, settings.peer_port);
     let exchange =
         Exchange::bind(peers).await.map_err(|error| Fault::new(Step::Connect, peers, error))?;
-    let entry = Rc::new(Entry::new(settings.clone(), dialect, exchange, stop.clone()));
+    let entry = Rc::new(Entry::new(settings.clone(), dialect, exchange, grants, stop.clone()));
     log::info!("event=start role=entry node={} peers={peers}", settings.name);
 
     spawn_local(follow(Rc::clone(&entry), catalogue.clone(), Topic::Operators));
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -19,6 +19,7 @@
 use filbertcleat_serve::Ticket;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use super::BALANCER_LAG_MS;
 use super::pool::Pool;
@@ -26,6 +27,7 @@
 use crate::CatalogueFact;
 use crate::Dialect;
 use crate::GatewaySettings;
+use crate::RepeatGrant;
 use crate::Stop;
 use crate::Topic;
 use crate::clock::Clock;
@@ -40,6 +42,7 @@
     pub settings: GatewaySettings,
     pub dialect: D,
     pub exchange: Exchange,
+    grants: watch::Receiver<RepeatGrant>,
     pub stop: Stop,
     pub pool: Pool,
     pub metrics: Metrics,
@@ -68,12 +71,19 @@
 }
 
 impl<D: Dialect> Entry<D> {
-    pub fn new(settings: GatewaySettings, dialect: D, exchange: Exchange, stop: Stop) -> Self {
+    pub fn new(
+        settings: GatewaySettings,
+        dialect: D,
+        exchange: Exchange,
+        grants: watch::Receiver<RepeatGrant>,
+        stop: Stop,
+    ) -> Self {
         let clock = Clock::start();
         Self {
             settings,
             dialect,
             exchange,
+            grants,
             stop,
             pool: Pool::new(clock),
             metrics: Metrics::new(),
@@ -165,7 +175,8 @@
     /// Counts a request for the budget of repeats.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
-        self.state.borrow_mut().budget(&self.settings, service).request(now);
+        let grant = *self.grants.borrow();
+        self.state.borrow_mut().budget(grant, service).request(now);
     }
 
     /// Takes one repeat from the budget if there is one.
@@ -173,7 +184,8 @@
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
         let entries = state.fleet.entries(now);
-        let is_allowed = state.budget(&self.settings, service).take(now, entries);
+        let grant = *self.grants.borrow();
+        let is_allowed = state.budget(grant, service).take(now, entries);
         let outcome = if is_allowed { "allowed" } else { "refused" };
         self.metrics.count(Metric::Repeats, &[("outcome", outcome)]);
         is_allowed
@@ -230,10 +242,13 @@
         *self.demand.entry(model.clone()).or_default() += 1;
     }
 
-    fn budget(&mut self, settings: &GatewaySettings, service: &ServiceName) -> &mut RepeatBudget {
-        let grant = settings.repeats;
-        self.budgets
+    fn budget(&mut self, grant: RepeatGrant, service: &ServiceName) -> &mut RepeatBudget {
+        let RepeatGrant { ratio, slack, window_ms } = grant;
+        let budget = self
+            .budgets
             .entry(service.clone())
-            .or_insert_with(|| RepeatBudget::new(grant.ratio, grant.slack, grant.window_ms))
+            .or_insert_with(|| RepeatBudget::new(ratio, slack, window_ms));
+        budget.set_grant(ratio, slack, window_ms);
+        budget
     }
 }
--- a/crates/filbertcleat-gateway/src/lib.rs
+++ b/crates/filbertcleat-gateway/src/lib.rs
@@ -38,5 +38,7 @@
 pub use metrics::Registry;
 pub use settings::GatewayRole;
 pub use settings::GatewaySettings;
+pub use settings::ParseSettings;
 pub use settings::RepeatGrant;
+pub use settings::SettingsFile;
 pub use stop::Stop;
--- a/crates/filbertcleat-gateway/src/settings.rs
+++ b/crates/filbertcleat-gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of one process of the direct path.
 
+mod file;
 mod grant;
 mod role;
 
@@ -9,6 +10,8 @@
 use filbertcleat_base::NodeName;
 use filbertcleat_base::PlaceName;
 
+pub use self::file::ParseSettings;
+pub use self::file::SettingsFile;
 pub use self::grant::RepeatGrant;
 pub use self::role::GatewayRole;
 
--- a/crates/filbertcleat-gateway/tests/repeats.rs
+++ b/crates/filbertcleat-gateway/tests/repeats.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use filbertcleat_gateway::RepeatGrant;
 use filbertcleat_serve::RunRule;
 use rstest::rstest;
 
@@ -74,3 +75,21 @@
         assert!((1..=30).contains(&repeats), "{repeats} repeats");
     });
 }
+
+#[test]
+fn grant_may_change() {
+    World::run(async {
+        let (one, two) =
+            (Backend::start("d1", Script::Close).await, Backend::start("d2", Script::Close).await);
+        let routes = vec![route("cancel", RunRule::Idempotent, 2)];
+        let world = World::start(routes, &[&one, &two]).await;
+        world.grants.send_replace(RepeatGrant { ratio: 0.0, slack: 0.0, window_ms: 10_000 });
+
+        let mut caller = world.caller().await;
+        for _ in 0..20 {
+            caller.call(&Call::new("same", "/cancel/1")).await.expect("an answer");
+        }
+
+        assert_eq!(one.arrivals() + two.arrivals(), 20);
+    });
+}
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -27,6 +27,7 @@
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::ServiceShape;
 use filbertcleat_serve::Target;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
@@ -44,6 +45,7 @@
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub metrics: SocketAddr,
+    pub grants: watch::Sender<RepeatGrant>,
     pub entry: JoinHandle<()>,
 }
 
@@ -90,13 +92,15 @@
             repeats: RepeatGrant { ratio: 0.2, slack: 160.0, window_ms: 10_000 },
         };
         let stop = Stop::default();
+        let grants = watch::Sender::new(settings.repeats);
+        let granted = grants.subscribe();
         let (reader, stopping) = (catalogue.clone(), stop.clone());
         let entry = spawn_local(async move {
-            run_entry(&settings, listeners, reader, TestDialect, stopping)
+            run_entry(&settings, listeners, reader, TestDialect, granted, stopping)
                 .await
                 .expect("the entry runs");
         });
-        Self { catalogue, stop, callers, readiness, metrics, entry }
+        Self { catalogue, stop, callers, readiness, metrics, grants, entry }
     }
 
     /// Connects a caller.
--- a/crates/filbertcleat-serve/src/budget.rs
+++ b/crates/filbertcleat-serve/src/budget.rs
@@ -28,6 +28,11 @@
         Self { ratio, slack, window_ms, requests: VecDeque::new(), repeats: VecDeque::new() }
     }
 
+    /// Changes the deployment's grant; what was spent stays spent.
+    pub fn set_grant(&mut self, ratio: f64, slack: f64, window_ms: u64) {
+        (self.ratio, self.slack, self.window_ms) = (ratio, slack, window_ms);
+    }
+
     /// Counts a request.
     pub fn request(&mut self, now: MonoTime) {
         self.forget(now);
