--- a/crates/filbertcleat-gateway/src/logs.rs
+++ b/crates/filbertcleat-gateway/src/logs.rs
@@ -20,7 +20,7 @@
 pub use self::writer::lines_left_out;
 
 /// The crates whose lines are written at the chosen level; others only warn.
-const CRATES: [&str; 3] = ["filbertcleat_daemon", "filbertcleat_gateway", "filbertcleat_prepared"];
+const CRATES: [&str; 3] = ["filbertcleat_gateway", "filbertcleat_prepared", "filbertcleatd"];
 
 /// Starts writing logs to standard output, one line an event.
 pub fn start_logs(level: LevelFilter) -> Result<(), Fault> {
