Hand requests over with what counts them, and split the life of a request

Cause: a request that was chosen for an engine in the moment in which its caller left stayed counted there; an engine with a request that never ends looks silent and is avoided for good. The count now travels with the choice and goes with it.

--- a/crates/filbertcleat-gateway/src/entry/follow.rs
+++ b/crates/filbertcleat-gateway/src/entry/follow.rs
@@ -43,7 +43,7 @@
     }
 }
 
-struct Follower<D> {
+struct Follower<D: Dialect> {
     entry: Rc<Entry<D>>,
     topic: Topic,
     cursor: Option<u64>,
--- a/crates/filbertcleat-gateway/src/entry/pump.rs
+++ b/crates/filbertcleat-gateway/src/entry/pump.rs
@@ -7,6 +7,7 @@
 use filbertcleat_serve::Demand;
 use filbertcleat_serve::Queue;
 
+use super::open::OpenSend;
 use super::state::Entry;
 use super::tell::tell_agents;
 use crate::Dialect;
@@ -40,16 +41,22 @@
     }
 }
 
-fn send_waiting<D: Dialect>(entry: &Entry<D>, now: MonoTime) {
-    let state = &mut *entry.state.borrow_mut();
-    state.fleet.tick(now);
-    let Some(deployment) = state.deployment.clone() else { return };
-    let shape = |demand: &Demand| deployment.services.get(&demand.service)?.engine.as_ref();
-    let home = &entry.settings.domain;
-    for (ticket, server) in state.queue.pump(now, &mut state.fleet, home, shape) {
-        if let Some(waiting) = state.waiting.remove(&ticket) {
-            // A waiter leaves the queue before it drops its receiver.
-            let _ = waiting.send(server);
+fn send_waiting<D: Dialect>(entry: &Rc<Entry<D>>, now: MonoTime) {
+    let mut unsent = Vec::new();
+    {
+        let state = &mut *entry.state.borrow_mut();
+        state.fleet.tick(now);
+        let Some(deployment) = state.deployment.clone() else { return };
+        let shape = |demand: &Demand| deployment.services.get(&demand.service)?.engine.as_ref();
+        let home = &entry.settings.domain;
+        for (ticket, server, demand) in state.queue.pump(now, &mut state.fleet, home, shape) {
+            let open = OpenSend::counted(entry, server, demand);
+            unsent.push(match state.waiting.remove(&ticket) {
+                Some(waiting) => waiting.send(open).err(),
+                None => Some(open),
+            });
         }
     }
+    // What nobody waits for any more is counted off, which needs the state.
+    drop(unsent);
 }
--- a/crates/filbertcleat-gateway/src/entry/refusal.rs
+++ b/crates/filbertcleat-gateway/src/entry/refusal.rs
@@ -9,6 +9,12 @@
 
 use super::body::CallerBody;
 
+/// When to come back while no configuration is known or no backend server is in sight: about the
+/// time that a new one needs to be noticed.
+pub(super) const BACK_LATER: Duration = Duration::from_millis(700);
+/// When to come back after a backend server had no room: some answers end in that time.
+pub(super) const BACK_SOON: Duration = Duration::from_millis(300);
+
 /// Why a request gets an answer of the entry's own.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Refusal {
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -15,13 +15,13 @@
 use filbertcleat_serve::Queue;
 use filbertcleat_serve::RepeatBudget;
 use filbertcleat_serve::Server;
-use filbertcleat_serve::ServerId;
 use filbertcleat_serve::Ticket;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 use super::BALANCER_LAG_MS;
+use super::open::OpenSend;
 use super::pool::Pool;
 use super::tell::Told;
 use crate::CatalogueFact;
@@ -38,7 +38,7 @@
 use crate::metrics::Metrics;
 
 /// An entry: its state, and what its tasks share.
-pub(super) struct Entry<D> {
+pub(super) struct Entry<D: Dialect> {
     pub settings: GatewaySettings,
     pub dialect: D,
     pub exchange: Exchange,
@@ -48,7 +48,7 @@
     pub metrics: Metrics,
     /// Woken when a waiting request might go.
     pub changed: Notify,
-    pub state: RefCell<State>,
+    pub state: RefCell<State<D>>,
     clock: Clock,
     requests: Cell<usize>,
     stopping_since: Cell<Option<MonoTime>>,
@@ -57,12 +57,12 @@
 }
 
 /// What an entry knows and decides upon.
-pub(super) struct State {
+pub(super) struct State<D: Dialect> {
     pub deployment: Option<Rc<Deployment>>,
     pub versions: HashMap<AdapterKey, u64>,
     pub fleet: Fleet,
     pub queue: Queue,
-    pub waiting: HashMap<Ticket, oneshot::Sender<ServerId>>,
+    pub waiting: HashMap<Ticket, oneshot::Sender<OpenSend<D>>>,
     pub told: Told,
     /// Requests by base model, halved now and then.
     pub demand: BTreeMap<ModelName, u32>,
@@ -216,6 +216,8 @@
         for (what, number) in [("usable", usable), ("heard", heard), ("leaving", leaving)] {
             metrics.gauge(Metric::Servers, &[("are", what)], number);
         }
+        let open = state.fleet.servers().map(|server| u64::from(server.open)).sum();
+        metrics.gauge(Metric::Open, &[], open);
         metrics.gauge(Metric::Waiting, &[], state.queue.len() as u64);
         metrics.gauge(Metric::LogLeftOut, &[], lines_left_out());
     }
@@ -228,7 +230,7 @@
     }
 }
 
-impl State {
+impl<D: Dialect> State<D> {
     /// The requests for a model count half after this time: about as long as loading one takes.
     const DEMAND_HALF_MS: u64 = 5_000;
 
--- a/crates/filbertcleat-gateway/src/entry/stream.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream.rs
@@ -20,10 +20,10 @@
 use super::connection::Busy;
 use super::events::EventCutter;
 use super::handle::Counted;
-use super::handle::place;
 use super::line::Outcome;
 use super::line::note_end;
 use super::open::OpenSend;
+use super::place::place;
 use super::send::Answer;
 use super::send::send;
 use super::send::strip_connection_headers;
@@ -70,7 +70,7 @@
     response
 }
 
-struct Relay<D> {
+struct Relay<D: Dialect> {
     entry: Rc<Entry<D>>,
     request: CallerRequest,
     sender: mpsc::Sender<Result<Bytes, Cut>>,
--- a/crates/filbertcleat-gateway/src/entry/tell.rs
+++ b/crates/filbertcleat-gateway/src/entry/tell.rs
@@ -71,7 +71,11 @@
     }
 }
 
-fn due_news(now: MonoTime, state: &mut State, port: u16) -> Vec<(SocketAddr, EntryNews)> {
+fn due_news<D: Dialect>(
+    now: MonoTime,
+    state: &mut State<D>,
+    port: u16,
+) -> Vec<(SocketAddr, EntryNews)> {
     let Some(deployment) = state.deployment.clone() else { return Vec::new() };
     let mut due = Vec::new();
     for server in state.fleet.servers() {
--- a/crates/filbertcleat-gateway/src/metrics/name.rs
+++ b/crates/filbertcleat-gateway/src/metrics/name.rs
@@ -29,6 +29,8 @@
     CatalogueAge,
     /// Backend servers, by what they can be used for.
     Servers,
+    /// Requests at backend servers.
+    Open,
     /// Requests in the queue.
     Waiting,
     /// Orders to the engine, by kind and ending.
@@ -48,7 +50,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 21] = [
+pub const METRICS: [Metric; 22] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Sends,
@@ -62,6 +64,7 @@
     Metric::ConfigurationAge,
     Metric::CatalogueAge,
     Metric::Servers,
+    Metric::Open,
     Metric::Waiting,
     Metric::Orders,
     Metric::Adapters,
@@ -89,6 +92,7 @@
             Self::ConfigurationAge => "configuration_age_ms",
             Self::CatalogueAge => "catalogue_age_ms",
             Self::Servers => "servers",
+            Self::Open => "open",
             Self::Waiting => "waiting",
             Self::Orders => "orders",
             Self::Adapters => "adapters",
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -27,6 +27,9 @@
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::ServiceShape;
 use filbertcleat_serve::Target;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
@@ -103,6 +106,24 @@
         Self { catalogue, stop, callers, readiness, metrics, grants, entry }
     }
 
+    /// Returns the text of all metrics.
+    pub async fn metrics(&self) -> String {
+        let mut stream = TcpStream::connect(self.metrics).await.expect("metrics are served");
+        let question = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        stream.write_all(question.as_bytes()).await.expect("written");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.expect("read");
+        text
+    }
+
+    /// Returns the value of one metric.
+    pub async fn metric(&self, series: &str) -> Option<u64> {
+        let text = self.metrics().await;
+        let mut values =
+            text.lines().filter_map(|line| line.strip_prefix(series)?.strip_prefix(' '));
+        values.next()?.parse().ok()
+    }
+
     /// Connects a caller.
     pub async fn caller(&self) -> Caller {
         Caller::connect(self.callers).await.expect("the entry listens")
--- a/crates/filbertcleat-gateway/tests/telemetry.rs
+++ b/crates/filbertcleat-gateway/tests/telemetry.rs
@@ -6,20 +6,16 @@
 use std::path::Path;
 use std::time::Duration;
 
-use filbertcleat_gateway::LineLimiter;
-use filbertcleat_gateway::METRICS;
-use filbertcleat_gateway::Registry;
-use filbertcleat_gateway::Verdict;
-use filbertcleat_serve::RunRule;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
-
 use self::support::Backend;
 use self::support::Call;
 use self::support::Script;
 use self::support::World;
 use self::support::route;
+use filbertcleat_gateway::LineLimiter;
+use filbertcleat_gateway::METRICS;
+use filbertcleat_gateway::Registry;
+use filbertcleat_gateway::Verdict;
+use filbertcleat_serve::RunRule;
 
 #[test]
 fn surge_is_thinned() {
@@ -111,11 +107,7 @@
             caller.call(&Call::new(id, path)).await.expect("an answer");
         }
 
-        let mut stream = TcpStream::connect(world.metrics).await.expect("metrics are served");
-        let question = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
-        stream.write_all(question.as_bytes()).await.expect("written");
-        let mut text = String::new();
-        stream.read_to_string(&mut text).await.expect("read");
+        let text = world.metrics().await;
 
         for line in [
             "filbertcleat_requests{route=\"book\",kind=\"once\",outcome=\"answered\"} 2",
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -4,6 +4,7 @@
 //! - `fleet`: what an entry believes of the backend servers
 //! - `place`: which backend server a request is sent to
 //! - `queue`: which requests wait at an entry, and in which order they leave
+//! - `tries`: whether a request may be sent once more
 //! - `budget`: how many repeats an entry may send
 //! - `audience`: which entries an agent speaks to, and when
 //! - `shelf`: which adapters the agent beside an engine orders
@@ -21,6 +22,7 @@
 mod queue;
 mod request;
 mod shelf;
+mod tries;
 
 pub use audience::Audience;
 pub use budget::RepeatBudget;
@@ -57,3 +59,6 @@
 pub use shelf::Order;
 pub use shelf::OrderKind;
 pub use shelf::Shelf;
+pub use tries::Failed;
+pub use tries::NextTry;
+pub use tries::Tries;
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -102,7 +102,7 @@
         fleet: &mut Fleet,
         home: &PlaceName,
         shape: impl Fn(&Demand) -> Option<&'a EngineShape>,
-    ) -> Vec<(Ticket, ServerId)> {
+    ) -> Vec<(Ticket, ServerId, Demand)> {
         let mut ready = Vec::new();
         let mut reserved = Vec::new();
         let alike = self.alike();
@@ -123,7 +123,7 @@
                     let draw_ms = mix(self.seed, self.draws) % span_ms.max(1);
                     if waiter.has_turn(now, &server, draw_ms) {
                         fleet.sent(now, &server, &waiter.demand);
-                        ready.push((*ticket, server));
+                        ready.push((*ticket, server, waiter.demand.clone()));
                     } else {
                         reserved.push(server);
                     }
@@ -141,7 +141,7 @@
                 Placement::Nowhere => waiter.cause = WaitCause::Engine,
             }
         }
-        for (ticket, _) in &ready {
+        for (ticket, _, _) in &ready {
             self.waiting.remove(ticket);
         }
         ready
--- a/crates/filbertcleat-serve/tests/waiting.rs
+++ b/crates/filbertcleat-serve/tests/waiting.rs
@@ -20,7 +20,8 @@
 
 fn pump(queue: &mut Queue, fleet: &mut Fleet, now: u64) -> Vec<(Ticket, ServerId)> {
     let shape: EngineShape = shape();
-    queue.pump(at(now), fleet, &home(), |_| Some(&shape))
+    let sent = queue.pump(at(now), fleet, &home(), |_| Some(&shape));
+    sent.into_iter().map(|(ticket, server, _)| (ticket, server)).collect()
 }
 
 /// Pumps each millisecond and returns what was sent.
