--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -187,7 +187,7 @@
             Ok(OrderAnswer::Accepted | OrderAnswer::Holds) => {
                 log::info!("event=order {what} expected={expected} outcome=accepted");
                 let is_done = matches!(answer, Ok(OrderAnswer::Holds));
-                self.shelf.accepted(order, is_done);
+                self.shelf.accepted(now, order, is_done);
                 true
             }
             Ok(OrderAnswer::Refused { status }) => {
--- a/crates/filbertcleat-serve/src/shelf.rs
+++ b/crates/filbertcleat-serve/src/shelf.rs
@@ -34,12 +34,21 @@
     report: Option<EngineReport>,
     used_at: BTreeMap<AdapterKey, MonoTime>,
     going: BTreeMap<AdapterKey, MonoTime>,
-    dropping: BTreeSet<AdapterKey>,
+    /// Adapters whose drop waits for runs.
+    dropping: BTreeMap<AdapterKey, WaitingDrop>,
     sent: Option<Order>,
     refused_until: MonoTime,
     prompts: Prompts,
 }
 
+/// A drop that waits for runs.
+#[derive(Clone, Copy, Debug)]
+struct WaitingDrop {
+    since: MonoTime,
+    /// Whether a report has named the adapter since, so that one that does not shows the end.
+    was_named: bool,
+}
+
 #[derive(Debug)]
 struct Heard {
     at: MonoTime,
@@ -51,6 +60,9 @@
     const ENTRY_LIVE_MS: u64 = 3_000;
     /// What an entry wants lapses sooner, as its requests wait a second or two at most.
     const WANT_LIVE_MS: u64 = 1_200;
+    /// The time for which a drop that waits keeps its place: the longest time budget of a stream on
+    /// the first deployments.
+    const DROPPING_MS: u64 = 30_000;
     /// Adapters on their way to one engine at a time, as engines allow.
     const COMING_MAX: usize = 4;
     /// Places kept free, so that a load needs not wait for another adapter to go. More would cost
@@ -68,7 +80,7 @@
         self.prompts.hear(now, news.entry, news.sent_tokens);
         for (key, _) in &news.uses {
             self.used_at.insert(key.clone(), now);
-            if !self.dropping.contains(key) {
+            if !self.dropping.contains_key(key) {
                 self.going.remove(key);
             }
         }
@@ -101,7 +113,11 @@
         }
         let is_held = |key: &AdapterKey| report.held.iter().any(|(held, _)| held == key);
         self.going.retain(|key, _| is_held(key));
-        self.dropping.retain(is_held);
+        self.dropping.retain(|key, drop| {
+            let is_over = drop.was_named && !is_held(key);
+            drop.was_named |= is_held(key);
+            !is_over
+        });
         self.report = Some(report);
     }
 
@@ -171,9 +187,9 @@
 
     /// Notes that the engine accepted an order.
     ///
-    /// A drop that is accepted but not done waits for runs, and keeps its place until a report no
-    /// longer names the adapter.
-    pub fn accepted(&mut self, order: &Order, is_done: bool) {
+    /// A drop that is accepted but not done waits for runs. It keeps its place until reports cease to
+    /// name the adapter, or for as long as runs may last if none has named it since.
+    pub fn accepted(&mut self, now: MonoTime, order: &Order, is_done: bool) {
         if self.sent.as_ref() == Some(order) {
             self.sent = None;
         }
@@ -191,7 +207,7 @@
                 self.going.remove(key);
             }
             OrderKind::Drop(key) => {
-                self.dropping.insert(key.clone());
+                self.dropping.insert(key.clone(), WaitingDrop { since: now, was_named: false });
             }
         }
     }
@@ -222,7 +238,10 @@
         }
 
         let wants = self.wants(now);
-        let taken = report.held.len() + report.coming.len();
+        self.dropping.retain(|_, drop| now.ms_since(drop.since) <= Self::DROPPING_MS);
+        let is_held = |key: &AdapterKey| report.held.iter().any(|(held, _)| held == key);
+        let hidden = self.dropping.keys().filter(|key| !is_held(key)).count();
+        let taken = report.held.len() + report.coming.len() + hidden;
         let places = places(&shape, report);
         if taken < places && report.coming.len() < Self::COMING_MAX {
             let next = wants.iter().find(|want| self.is_loadable(now, report, want));
@@ -243,7 +262,7 @@
         let mut ripe = self.going.iter().filter(|(key, since)| {
             now.ms_since(**since) >= announced_ms
                 && !uses.contains(key)
-                && !self.dropping.contains(*key)
+                && !self.dropping.contains_key(*key)
         });
         ripe.next().map(|(key, _)| OrderKind::Drop(key.clone()))
     }
