Learn what an engine can do instead of assuming it

Change: one line of the time to the first event over the prompt length for the engines of a service (least squares with forgetting, clipped, slope taken by its standard error above the fit) and a pace for each engine; the prefill that waits in an engine, from the agents' running totals; a prefill share from the gaps that streams show, whose ceiling rises where full shares cause no long gaps; copies only of adapters whose own requests fill their engines, or while loads are fast; loads in flight an engine by how long loads take; long prompts never pass over the engines that have their adapter. Calls to the catalogue follow the bounds of the deployment. Requests carry their latency objective.

Tests: engine_model, copies, load_contention. copy_after_wait is replaced by copies.rs, as the rule it described is gone. Loops of demanded_adapters_load and new_agent_fills_engine last as long as loads one after the other, since an agent starts with one load at a time; what they assert is unchanged. wait_is_estimated follows the new assumption about unknown engines. Prompts of two lengths teach long_prompt_to_fast_engine its line.

--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -301,8 +301,12 @@
         self.sequence += 1;
         for (to, entry) in self.recipients.due_recipients(now, is_due) {
             let others_prompt_tokens = self.scheduler.others_prompt_tokens(now, entry);
-            let update =
-                AgentUpdate { sequence: self.sequence, others_prompt_tokens, ..update.clone() };
+            let update = AgentUpdate {
+                sequence: self.sequence,
+                others_prompt_tokens,
+                others_total_tokens: self.scheduler.others_total_tokens(entry),
+                ..update.clone()
+            };
             self.socket.send(to, &PeerUpdate::Agent(update));
         }
     }
@@ -337,6 +341,7 @@
             memory_used_tokens: report.memory_used_tokens,
             memory_tokens: report.memory_tokens,
             others_prompt_tokens: self.scheduler.others_prompt_tokens(now, self.id),
+            others_total_tokens: 0,
             live_entries: u32::try_from(self.scheduler.live_entries(now)).unwrap_or(u32::MAX),
         })
     }
--- a/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
+++ b/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
@@ -7,25 +7,14 @@
 
 use super::state::Entry;
 use crate::Catalogue;
+use crate::CatalogueDelays;
 use crate::CatalogueResponse;
 use crate::Dialect;
 use crate::Topic;
 
-/// How long a call of the operators' topic waits for changes.
-///
-/// The call returns at the first change, so a long wait costs time only if the connection goes
-/// silent. Then this wait and the time limit of the call both pass before the next call. They must
-/// fit within the time after which a deployment counts a process as out of touch plus the time for
-/// a configuration to come into force: five seconds in total.
-const OPERATORS_WAIT: Duration = Duration::from_millis(2_500);
-/// How long a call of the servers' topic waits for changes.
-///
-/// The list of backend servers changes with every heartbeat, so calls wait briefly and are spaced
-/// by `SERVERS_PAUSE`. A draining server has to be known within two seconds.
+/// How long a call of the servers' topic waits for changes. The list of backend servers changes with
+/// every heartbeat, so that calls wait briefly and are spaced by a pause.
 const SERVERS_WAIT: Duration = Duration::from_millis(500);
-/// The pause between two calls of the servers' topic: half of the two seconds in which a draining
-/// server has to be known.
-const SERVERS_PAUSE: Duration = Duration::from_secs(1);
 /// The pause after a failed call. It grows by this much with each further failure; it is short at
 /// first because most failures are transient.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -38,11 +27,12 @@
     catalogue: C,
     topic: Topic,
 ) {
+    let delays = entry.settings.catalogue_delays;
     let mut watcher = CatalogueWatcher { entry, topic, cursor: None, failures: 0 };
     loop {
         let outcome = match watcher.cursor {
             None => catalogue.list(topic).await,
-            Some(after) => catalogue.watch(topic, after, wait_for(topic)).await,
+            Some(after) => catalogue.watch(topic, after, wait_for(topic, delays)).await,
         };
         let pause = watcher.apply(outcome);
         tokio::time::sleep(pause).await;
@@ -68,7 +58,7 @@
                 self.cursor = Some(cursor);
                 match self.topic {
                     Topic::Operators => Duration::ZERO,
-                    Topic::Servers => SERVERS_PAUSE,
+                    Topic::Servers => servers_pause(self.entry.settings.catalogue_delays),
                 }
             }
             Ok(CatalogueResponse::CursorExpired) => {
@@ -104,9 +94,23 @@
     }
 }
 
-fn wait_for(topic: Topic) -> Duration {
+/// Returns how long a call of a topic waits for changes.
+///
+/// A call of the operators' topic returns at the first change, so that a long wait costs time only
+/// if the connection goes silent. Then this wait and the time limit of the call, which is as long,
+/// both pass before the next call. They must fit within the time after which a process is out of
+/// touch and the time for a configuration to come into force.
+fn wait_for(topic: Topic, delays: CatalogueDelays) -> Duration {
     match topic {
-        Topic::Operators => OPERATORS_WAIT,
+        Topic::Operators => {
+            Duration::from_millis(delays.contact_ms.midpoint(delays.configuration_ms))
+        }
         Topic::Servers => SERVERS_WAIT,
     }
 }
+
+/// Returns the pause between two calls of the servers' topic: half of the time in which a draining
+/// server has to be known. The rest is for a call that is slow or has to be repeated.
+fn servers_pause(delays: CatalogueDelays) -> Duration {
+    Duration::from_millis(delays.draining_ms / 2)
+}
--- a/crates/filbertcleat-gateway/src/entry/dispatch.rs
+++ b/crates/filbertcleat-gateway/src/entry/dispatch.rs
@@ -6,6 +6,7 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::RequestQueue;
+use filbertcleat_serve::SentRequest;
 
 use super::agent_updates::update_agents;
 use super::in_flight::InFlightAttempt;
@@ -52,10 +53,9 @@
         let engine_spec =
             |demand: &RequestDemand| deployment.services.get(&demand.service)?.engine.as_ref();
         let failure_domain = &entry.settings.failure_domain;
-        for (ticket, server, demand) in
-            state.queue.dispatch(now, &mut state.fleet, failure_domain, engine_spec)
-        {
-            let attempt = InFlightAttempt::new(entry, server, demand);
+        for sent in state.queue.dispatch(now, &mut state.fleet, failure_domain, engine_spec) {
+            let SentRequest { ticket, server, demand, backlog_ms } = sent;
+            let attempt = InFlightAttempt::new(entry, server, demand, backlog_ms);
             abandoned.push(match state.placements.remove(&ticket) {
                 Some(sender) => sender.send(attempt).err(),
                 None => Some(attempt),
--- a/crates/filbertcleat-gateway/src/entry/in_flight.rs
+++ b/crates/filbertcleat-gateway/src/entry/in_flight.rs
@@ -19,13 +19,20 @@
     server: ServerId,
     demand: RequestDemand,
     sent_at: MonoTime,
-    has_response_bytes: bool,
+    /// The time that the server needs for the prompts ahead of this one.
+    backlog_ms: f64,
+    last_bytes_at: Option<MonoTime>,
     outcome: AttemptOutcome,
 }
 
 impl<D: Dialect> InFlightAttempt<D> {
     /// Creates the guard for an attempt that the fleet already counts.
-    pub fn new(entry: &Rc<Entry<D>>, server: ServerId, demand: RequestDemand) -> Self {
+    pub fn new(
+        entry: &Rc<Entry<D>>,
+        server: ServerId,
+        demand: RequestDemand,
+        backlog_ms: f64,
+    ) -> Self {
         let sent_at = entry.now();
         let entry = Rc::clone(entry);
         Self {
@@ -33,7 +40,8 @@
             server,
             demand,
             sent_at,
-            has_response_bytes: false,
+            backlog_ms,
+            last_bytes_at: None,
             outcome: AttemptOutcome::Left,
         }
     }
@@ -43,16 +51,21 @@
         &self.server
     }
 
+    /// Returns the time that the server was expected to need for the prompts ahead of this one.
+    pub fn backlog_ms(&self) -> f64 {
+        self.backlog_ms
+    }
+
     /// Records that bytes of the response have arrived.
     pub fn on_response_bytes(&mut self) {
         let now = self.entry.now();
         let fleet = &mut self.entry.state.borrow_mut().fleet;
-        if self.has_response_bytes {
-            fleet.on_bytes_received(now, &self.server);
+        if let Some(last) = self.last_bytes_at.replace(now) {
+            fleet.on_bytes_received(now, &self.server, &self.demand, now.ms_since(last));
         } else {
-            self.has_response_bytes = true;
             let wait_ms = now.ms_since(self.sent_at);
-            fleet.on_response_started(now, &self.server, &self.demand, wait_ms);
+            let backlog_ms = self.backlog_ms;
+            fleet.on_response_started(now, &self.server, &self.demand, wait_ms, backlog_ms);
             if self.demand.prompt_tokens > 0 {
                 self.entry.metrics.sample(Metric::TimeFromAttemptToFirstEvent, wait_ms);
             }
@@ -97,7 +110,7 @@
     pub fn remove(&self) -> Option<(WaitCause, Option<ServerId>)> {
         let state = &mut *self.entry.state.borrow_mut();
         state.placements.remove(&self.ticket);
-        state.queue.remove(self.ticket)
+        state.queue.remove(self.entry.now(), self.ticket)
     }
 
     /// Returns what the request is waiting for.
--- a/crates/filbertcleat-gateway/src/entry/placement.rs
+++ b/crates/filbertcleat-gateway/src/entry/placement.rs
@@ -48,11 +48,11 @@
                     "no backend server of the service",
                     RETRY_AFTER_UNAVAILABLE,
                 ))?;
+        let backlog_ms = state.fleet.on_sent(now, &server, &request.demand);
         if let Some(server) = state.fleet.server(&server) {
-            log_placement(&entry.metrics, request, server, now);
+            log_placement(&entry.metrics, request, server, backlog_ms, now);
         }
-        state.fleet.on_sent(now, &server, &request.demand);
-        return Ok(InFlightAttempt::new(entry, server, request.demand.clone()));
+        return Ok(InFlightAttempt::new(entry, server, request.demand.clone(), backlog_ms));
     }
 
     let (sender, receiver) = oneshot::channel();
@@ -78,7 +78,7 @@
     if let Some(attempt) = placed {
         let now = entry.now();
         if let Some(server) = entry.state.borrow().fleet.server(attempt.server()) {
-            log_placement(&entry.metrics, request, server, now);
+            log_placement(&entry.metrics, request, server, attempt.backlog_ms(), now);
         }
         return Ok(attempt);
     }
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -67,6 +67,7 @@
         min_version: 0,
         prompt_tokens: metadata.prompt_tokens,
         output_tokens_max: metadata.max_tokens,
+        latency_objective_ms: route.latency_objective_ms,
         gap_objective_ms: route.gap_objective_ms,
         priority: route.priority,
     };
--- a/crates/filbertcleat-gateway/src/entry/request_log.rs
+++ b/crates/filbertcleat-gateway/src/entry/request_log.rs
@@ -27,14 +27,16 @@
     metrics: &Metrics,
     request: &CallerRequest,
     server: &Server,
+    backlog_ms: f64,
     now: MonoTime,
 ) {
     let demand = &request.demand;
-    let expected_ms = server.estimated_first_event_ms(now, demand) as u64;
+    let expected_ms = (backlog_ms + server.idle_first_event_ms(demand)) as u64;
     let loaded_version = demand.adapter.as_ref().and_then(|key| server.loaded_version(key));
     log::info!(
         "event=request-placed id={} server={} adapter={} version={} held={} prompt_tokens={} \
-         queued_ms={} load={} expected_ms={expected_ms} news_age_ms={} left_ms={}",
+         queued_ms={} load={} expected_ms={expected_ms} token_us={:.1} gap_share={:.2} \
+         chunked={} news_age_ms={} left_ms={}",
         request.id,
         server.listed.id,
         demand.adapter.as_ref().map_or("-", |key| key.adapter.as_str()),
@@ -43,6 +45,9 @@
         demand.prompt_tokens,
         request.queued_ms,
         server.request_load(now),
+        server.ms_per_token() * 1_000.0,
+        server.gap_share(),
+        server.prefills_in_chunks(),
         OrDash(server.update_age_ms(now)),
         request.remaining_ms(now),
     );
@@ -66,11 +71,12 @@
     let holders = servers()
         .filter(|server| key.is_none_or(|key| server.has_adapter(key, request.demand.min_version)));
     log::info!(
-        "event=request-given-up id={} adapter={} version={} queued_ms={} cause=\"{}\" at={} \
+        "event=request-given-up id={} adapter={} version={} prompt_tokens={} queued_ms={} cause=\"{}\" at={} \
          at_news_age_ms={} servers={} usable={} heard={} holders={}",
         request.id,
         key.map_or("-", |key| key.adapter.as_str()),
         request.demand.min_version,
+        request.demand.prompt_tokens,
         request.queued_ms,
         cause.as_str(),
         at.map_or("-", ServerId::as_str),
--- a/crates/filbertcleat-gateway/src/lib.rs
+++ b/crates/filbertcleat-gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub use metrics::METRICS;
 pub use metrics::Metric;
 pub use metrics::MetricsRegistry;
+pub use settings::CatalogueDelays;
 pub use settings::GatewayRole;
 pub use settings::GatewaySettings;
 pub use settings::ParseSettings;
--- a/crates/filbertcleat-gateway/src/peer_socket/convert.rs
+++ b/crates/filbertcleat-gateway/src/peer_socket/convert.rs
@@ -124,6 +124,7 @@
         memory_used_tokens: update.memory_used_tokens,
         memory_tokens: update.memory_tokens,
         others_tokens: update.others_prompt_tokens,
+        others_total_tokens: update.others_total_tokens,
         entries: update.live_entries,
     }
 }
@@ -146,6 +147,7 @@
         memory_used_tokens: message.memory_used_tokens,
         memory_tokens: message.memory_tokens,
         others_prompt_tokens: message.others_tokens,
+        others_total_tokens: message.others_total_tokens,
         live_entries: message.entries,
     }
 }
--- a/crates/filbertcleat-gateway/src/settings.rs
+++ b/crates/filbertcleat-gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a process of the direct path.
 
+mod catalogue_delays;
 mod retry_budget;
 mod role;
 mod settings_file;
@@ -10,6 +11,7 @@
 use filbertcleat_base::FailureDomain;
 use filbertcleat_base::NodeName;
 
+pub use self::catalogue_delays::CatalogueDelays;
 pub use self::retry_budget::RetryBudgetSettings;
 pub use self::role::GatewayRole;
 pub use self::settings_file::ParseSettings;
@@ -32,6 +34,9 @@
     pub catalogue_address: SocketAddr,
     /// The grace period from the termination signal until the process is killed.
     pub grace_ms: u64,
+    /// The time within which a change of the configuration, or the leaving of a backend server, must
+    /// have taken effect at every entry.
+    pub catalogue_delays: CatalogueDelays,
     /// The retry budget that all entries share.
     pub retry_budget: RetryBudgetSettings,
 }
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -10,6 +10,7 @@
 use filbertcleat_base::ModelName;
 use filbertcleat_base::NodeName;
 use filbertcleat_base::ServiceName;
+use filbertcleat_gateway::CatalogueDelays;
 use filbertcleat_gateway::CatalogueEvent;
 use filbertcleat_gateway::EntryListeners;
 use filbertcleat_gateway::GatewayRole;
@@ -98,6 +99,11 @@
             ip: loopback.ip(),
             peer_port: 0,
             catalogue_address: loopback,
+            catalogue_delays: CatalogueDelays {
+                configuration_ms: 2_000,
+                draining_ms: 2_000,
+                contact_ms: 3_000,
+            },
             grace_ms: 8_000,
             retry_budget: RetryBudgetSettings { ratio: 0.2, slack: 160.0, window_ms: 10_000 },
         };
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -1,13 +1,20 @@
 //! The state of all backend servers as an entry knows it.
 
+mod engine_model;
+mod engine_pace;
+mod gap_control;
+mod prefill_fit;
 mod prefill_pacer;
 mod server;
+mod share_ceiling;
 
 use std::collections::BTreeMap;
 
 use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
+use filbertcleat_base::ServiceName;
 
+use self::engine_model::EngineModel;
 pub(crate) use self::prefill_pacer::PrefillPacer;
 pub use self::server::AttemptOutcome;
 pub use self::server::Server;
@@ -23,6 +30,8 @@
     servers: BTreeMap<ServerId, Server>,
     /// Servers that are missing in the catalogue after an outage, with the time of their removal.
     unconfirmed: BTreeMap<ServerId, MonoTime>,
+    /// What the engines of each service have shown.
+    models: BTreeMap<ServiceName, EngineModel>,
     total_attempts: u64,
     relist_grace_until: MonoTime,
 }
@@ -82,25 +91,31 @@
         }
     }
 
-    /// Records that a request is sent to a backend server.
-    pub fn on_sent(&mut self, now: MonoTime, id: &ServerId, demand: &RequestDemand) {
+    /// Records that a request is sent to a backend server. Returns the time that the server needs
+    /// for the prompts ahead of it, in milliseconds.
+    pub fn on_sent(&mut self, now: MonoTime, id: &ServerId, demand: &RequestDemand) -> f64 {
         self.total_attempts += 1;
-        if let Some(server) = self.servers.get_mut(id) {
-            server.on_sent(now, demand);
-        }
+        self.servers.get_mut(id).map_or(0.0, |server| server.on_sent(now, demand))
     }
 
-    /// Records that the response to a request began `wait_ms` after the request was sent.
+    /// Records that the response to a request began `wait_ms` after the request was sent, with
+    /// `backlog_ms` of prompts ahead of it.
     pub fn on_response_started(
         &mut self,
         now: MonoTime,
         id: &ServerId,
         demand: &RequestDemand,
         wait_ms: u64,
+        backlog_ms: f64,
     ) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.on_response_started(now, demand, wait_ms);
+        let Some(server) = self.servers.get_mut(id) else { return };
+        let idle_wait_ms = server.on_response_started(now, demand, wait_ms, backlog_ms);
+        if demand.prompt_tokens == 0 {
+            return;
         }
+        self.learn(&demand.service, |model| {
+            model.line.observe(demand.prompt_tokens, idle_wait_ms);
+        });
     }
 
     /// Records the outcome of a request that was sent to a backend server.
@@ -116,10 +131,18 @@
         }
     }
 
-    /// Records that bytes of a response arrived from a backend server.
-    pub fn on_bytes_received(&mut self, now: MonoTime, id: &ServerId) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.last_byte_at = now;
+    /// Records that bytes of a response arrived from a backend server, `gap_ms` after the previous
+    /// ones.
+    pub fn on_bytes_received(
+        &mut self,
+        now: MonoTime,
+        id: &ServerId,
+        demand: &RequestDemand,
+        gap_ms: u64,
+    ) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        if let Some(has_long_gap) = server.on_bytes_received(now, demand, gap_ms) {
+            self.learn(&demand.service, |model| model.observe_full_share(has_long_gap));
         }
     }
 
@@ -167,14 +190,25 @@
             .filter(|entries| *entries > 0)
     }
 
+    /// Changes the model of a service's engines and hands the new one to the servers.
+    fn learn(&mut self, service: &ServiceName, change: impl FnOnce(&mut EngineModel)) {
+        let model = self.models.entry(service.clone()).or_insert_with(EngineModel::new);
+        change(model);
+        for server in self.servers.values_mut() {
+            if server.listed.service == *service {
+                server.set_model(*model);
+            }
+        }
+    }
+
     fn upsert(&mut self, now: MonoTime, listed: ListedServer) {
         self.unconfirmed.remove(&listed.id);
-        match self.servers.get_mut(&listed.id) {
-            Some(server) => server.apply_listing(now, listed),
-            None => {
-                self.servers.insert(listed.id.clone(), Server::new(now, listed));
-            }
+        if let Some(server) = self.servers.get_mut(&listed.id) {
+            server.apply_listing(now, listed);
+            return;
         }
+        let model = self.models.get(&listed.service).copied().unwrap_or_else(EngineModel::new);
+        self.servers.insert(listed.id.clone(), Server::new(now, listed, model));
     }
 
     fn remove(&mut self, now: MonoTime, id: &ServerId) {
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -6,6 +6,7 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::stable_hash;
 
+use super::engine_model::EngineModel;
 use super::prefill_pacer::PrefillPacer;
 use crate::AdapterKey;
 use crate::AdapterStage;
@@ -26,6 +27,7 @@
     pub last_byte_at: MonoTime,
     address_hash: u64,
     prefill: PrefillPacer,
+    model: EngineModel,
     memory_since_update_tokens: u64,
     /// The latest update of the server's agent and when it arrived.
     update: Option<(MonoTime, AgentUpdate)>,
@@ -77,15 +79,17 @@
     /// The weight of the latest outcome in the moving average of the failure rate.
     const FAILURE_RATE_WEIGHT: f64 = 0.1;
 
-    /// Creates the state of a newly listed backend server.
-    pub fn new(now: MonoTime, listed: ListedServer) -> Self {
+    /// Creates the state of a newly listed backend server, with what other servers of its service
+    /// have shown.
+    pub(super) fn new(now: MonoTime, listed: ListedServer, model: EngineModel) -> Self {
         Self {
             address_hash: stable_hash(&listed.address.to_string()),
             listed,
             open_requests: 0,
             sent_since_update: 0,
             last_byte_at: now,
-            prefill: PrefillPacer::new(),
+            prefill: PrefillPacer::new(now, model),
+            model,
             memory_since_update_tokens: 0,
             update: None,
             adapters_in_use: BTreeMap::new(),
@@ -102,7 +106,7 @@
         let is_restarted = listed.started_unix_ms != self.listed.started_unix_ms;
         let is_moved = listed.address != self.listed.address;
         if is_restarted || is_moved {
-            *self = Self::new(now, listed);
+            *self = Self::new(now, listed, self.model);
             return;
         }
         self.listed = listed;
@@ -116,6 +120,12 @@
         if is_outdated {
             return;
         }
+        let known = self.update.as_ref().filter(|(_, known)| known.agent == update.agent);
+        // The first total of an agent does not show when the prompts were sent.
+        let known_total =
+            known.map_or(update.others_total_tokens, |(_, known)| known.others_total_tokens);
+        let others_more = update.others_total_tokens.saturating_sub(known_total);
+        self.prefill.on_others_sent(now, others_more);
         self.prefill.set_others_tokens(now, update.others_prompt_tokens);
         self.update = Some((now, update));
         self.sent_since_update = 0;
@@ -215,7 +225,12 @@
 
     /// Estimates the time to the first event of a request that is sent now.
     pub fn estimated_first_event_ms(&self, now: MonoTime, demand: &RequestDemand) -> f64 {
-        self.prefill.prefill_ms(now, demand)
+        self.prefill.first_event_ms(now, demand)
+    }
+
+    /// Estimates the time to the first event of a request if no other prompt is being prefilled.
+    pub fn idle_first_event_ms(&self, demand: &RequestDemand) -> f64 {
+        self.prefill.idle_first_event_ms(demand)
     }
 
     /// Returns whether a prompt can be sent now without stalling the running streams for longer
@@ -236,6 +251,21 @@
         self.prefill.tokens_per_ms(demand)
     }
 
+    /// Returns the learned prefill time per token, in milliseconds.
+    pub fn ms_per_token(&self) -> f64 {
+        self.prefill.ms_per_token()
+    }
+
+    /// Returns the learned part of a gap objective that prefill may fill within a pacing window.
+    pub fn gap_share(&self) -> f64 {
+        self.prefill.gap_share()
+    }
+
+    /// Returns whether the servers of the service have been shown to prefill in chunks.
+    pub fn prefills_in_chunks(&self) -> bool {
+        self.model.ceiling.is_chunked()
+    }
+
     /// Returns the total of prompt tokens that this entry has ever sent to the server.
     pub fn sent_prompt_tokens(&self) -> u64 {
         self.prefill.sent_tokens()
@@ -246,28 +276,62 @@
         self.failure_rate
     }
 
-    /// Records that a request is sent to the server.
-    pub fn on_sent(&mut self, now: MonoTime, demand: &RequestDemand) {
+    /// Sets what the servers of the service have shown.
+    pub(super) fn set_model(&mut self, model: EngineModel) {
+        self.model = model;
+        self.prefill.set_model(model);
+    }
+
+    /// Records that a request is sent to the server. Returns the time that the server needs for the
+    /// prompts ahead of it, in milliseconds.
+    pub(super) fn on_sent(&mut self, now: MonoTime, demand: &RequestDemand) -> f64 {
         if self.open_requests == 0 {
             self.busy_since = Some(now);
         }
         self.open_requests += 1;
         self.sent_since_update += 1;
-        self.prefill.on_sent(now, demand);
         self.memory_since_update_tokens += demand.memory_tokens();
         if let Some(key) = &demand.adapter {
             *self.adapters_in_use.entry(key.clone()).or_default() += 1;
         }
+        self.prefill.on_sent(now, demand)
+    }
+
+    /// Records that a response began `wait_ms` after its request was sent, with `backlog_ms` of
+    /// prompts ahead of it. Returns the wait without these prompts, in milliseconds.
+    pub(super) fn on_response_started(
+        &mut self,
+        now: MonoTime,
+        demand: &RequestDemand,
+        wait_ms: u64,
+        backlog_ms: f64,
+    ) -> f64 {
+        self.last_byte_at = now;
+        if demand.prompt_tokens == 0 {
+            return wait_ms as f64;
+        }
+        self.prefill.on_response_started(demand, wait_ms, backlog_ms)
     }
 
-    /// Records that a response began `wait_ms` after its request was sent.
-    pub fn on_response_started(&mut self, now: MonoTime, demand: &RequestDemand, wait_ms: u64) {
+    /// Records that bytes of a response arrived `gap_ms` after the previous ones. Returns whether
+    /// there was a long gap, after an interval in which the server used its full prefill share.
+    pub(super) fn on_bytes_received(
+        &mut self,
+        now: MonoTime,
+        demand: &RequestDemand,
+        gap_ms: u64,
+    ) -> Option<bool> {
         self.last_byte_at = now;
-        self.prefill.on_response_started(demand, wait_ms);
+        self.prefill.on_gap(now, gap_ms, demand.gap_objective_ms)
     }
 
     /// Records the outcome of a request that was sent to the server.
-    pub fn on_ended(&mut self, now: MonoTime, demand: &RequestDemand, outcome: AttemptOutcome) {
+    pub(super) fn on_ended(
+        &mut self,
+        now: MonoTime,
+        demand: &RequestDemand,
+        outcome: AttemptOutcome,
+    ) {
         self.open_requests = self.open_requests.saturating_sub(1);
         if self.open_requests == 0 {
             self.busy_since = None;
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -51,6 +51,7 @@
 pub use placement::place_engine;
 pub use placement::place_plain;
 pub use queue::RequestQueue;
+pub use queue::SentRequest;
 pub use queue::Ticket;
 pub use queue::WaitCause;
 pub use recipients::UpdateRecipients;
--- a/crates/filbertcleat-serve/src/placement.rs
+++ b/crates/filbertcleat-serve/src/placement.rs
@@ -46,28 +46,40 @@
 pub struct QueueWait<'a> {
     /// The time since the request was queued.
     pub waited_ms: u64,
-    /// The number of requests that wait for the same adapter, including this one.
-    pub adapter_waiters: usize,
+    /// The prompt tokens of the requests that wait for the same adapter at all entries, including
+    /// this one.
+    pub adapter_tokens: u64,
+    /// The rate at which prompt tokens of requests for the same adapter arrive at all entries.
+    pub adapter_tokens_per_ms: f64,
+    /// The time that a request currently waits for the load of an adapter.
+    pub load_ms: u64,
     /// The servers at which requests ahead of this one wait for capacity.
     pub reserved: &'a [ServerId],
 }
 
 impl QueueWait<'_> {
-    /// The wait after which several requests for the same adapter justify loading another copy: the
-    /// length of the prefill pacing window.
-    const COPY_AFTER_MS: u64 = 300;
-    /// The number of waiting requests that shows that the engines with an adapter cannot serve its
-    /// demand.
-    const COPY_WAITERS_MIN: usize = 2;
-    /// The wait after which a single request justifies another copy, shortly before the request
-    /// would be given up. The weight store serves only a few loads at once over all engines, and an
-    /// earlier copy would delay the loads that other requests wait for.
-    const COPY_FOR_ONE_AFTER_MS: u64 = 1_000;
+    /// The part of the capacity of the engines with an adapter from which its requests alone are
+    /// the reason that the engines are busy.
+    const HOT_SHARE: f64 = 0.5;
 
-    fn justifies_copy(self) -> bool {
-        let has_high_demand =
-            self.adapter_waiters >= Self::COPY_WAITERS_MIN && self.waited_ms >= Self::COPY_AFTER_MS;
-        has_high_demand || self.waited_ms >= Self::COPY_FOR_ONE_AFTER_MS
+    /// Returns whether another copy of an adapter is worth a load.
+    ///
+    /// A copy of a hot adapter is, if its waiting requests would take the engines with it longer
+    /// than the load takes. A copy of any other adapter relieves its engines of little. It is worth
+    /// a load only for a request that has waited for half of its objective, and only while loads
+    /// are so fast that the request can still meet it.
+    ///
+    /// Load pattern: a front of requests for many adapters, of which a few are popular. The weight
+    /// store serves only a few loads at once over all engines, so each copy that is not needed
+    /// delays the loads that other requests wait for. When these delays grow, copies become rarer.
+    fn justifies_copy(self, demand: &RequestDemand, holders: &[&Server]) -> bool {
+        let capacity: f64 = holders.iter().map(|server| server.prefill_tokens_per_ms(demand)).sum();
+        if self.adapter_tokens_per_ms > capacity * Self::HOT_SHARE {
+            let drain_ms = self.adapter_tokens as f64 / capacity;
+            return drain_ms.max(self.waited_ms as f64) > self.load_ms as f64;
+        }
+        let half_objective_ms = demand.latency_objective_ms / 2;
+        self.waited_ms >= half_objective_ms && self.load_ms <= half_objective_ms
     }
 }
 
@@ -91,16 +103,13 @@
         let has_engine = fleet.servers_for(demand).next().is_some();
         return if has_engine { Placement::AwaitCapacity(None) } else { Placement::NoEngine };
     }
-    // A long prompt goes to an engine that prefills it fast enough for the streams running there.
-    let fast_enough: Vec<&Server> =
-        eligible.iter().copied().filter(|server| !server.prompt_exceeds_gap(now, demand)).collect();
-    let candidates = if fast_enough.is_empty() { eligible } else { fast_enough };
-
     let has_adapter = |server: &Server| {
         demand.adapter.as_ref().is_none_or(|key| server.has_adapter(key, demand.min_version))
     };
     let (with_adapter, without_adapter): (Vec<&Server>, Vec<&Server>) =
-        candidates.into_iter().partition(|server| has_adapter(server));
+        eligible.into_iter().partition(|server| has_adapter(server));
+    let with_adapter = prefer_fast(now, demand, with_adapter);
+    let without_adapter = prefer_fast(now, demand, without_adapter);
     let available_engine = with_adapter
         .iter()
         .filter(|server| {
@@ -134,19 +143,37 @@
             .total_cmp(&right.estimated_first_event_ms(now, demand))
     });
     if let Some(server) = soonest
-        && !wait.justifies_copy()
+        && !wait.justifies_copy(demand, &with_adapter)
     {
         return Placement::AwaitCapacity(Some(server.listed.id.clone()));
     }
+    // A copy on an engine that is busy itself would not be used before the others have room.
+    let is_copy = soonest.is_some();
     let loaders = without_adapter.into_iter().filter(|server| {
-        server.fresh_update(now).is_some() && !server.is_full(now, demand, engine_spec.batch_limit)
+        server.fresh_update(now).is_some()
+            && !server.is_full(now, demand, engine_spec.batch_limit)
+            && (!is_copy || server.has_prefill_capacity(now, demand))
     });
     match choose_loader(now, demand, loaders.collect()) {
         Some(loader) => Placement::AwaitLoad(loader.listed.id.clone()),
-        None => Placement::AwaitCapacity(None),
+        None => Placement::AwaitCapacity(soonest.map(|server| server.listed.id.clone())),
     }
 }
 
+/// Returns the engines that prefill a long prompt fast enough for the streams running there, or all
+/// of them if there is none.
+///
+/// Engines with the adapter are never passed over for faster ones that have to load it.
+fn prefer_fast<'a>(
+    now: MonoTime,
+    demand: &RequestDemand,
+    servers: Vec<&'a Server>,
+) -> Vec<&'a Server> {
+    let fast_enough: Vec<&Server> =
+        servers.iter().copied().filter(|server| !server.prompt_exceeds_gap(now, demand)).collect();
+    if fast_enough.is_empty() { servers } else { fast_enough }
+}
+
 /// Selects the engine that loads an adapter: the first in the adapter's rendezvous order whose
 /// request load is within the bound, or the first of all if no engine is within it.
 fn choose_loader<'a>(
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -1,6 +1,9 @@
 //! Orders the requests that wait at an entry and dispatches them to engines.
 
+mod arrival_rates;
 mod cause;
+mod load_wait;
+mod sent_request;
 mod ticket;
 
 use std::collections::BTreeMap;
@@ -9,7 +12,10 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::mix_hashes;
 
+use self::arrival_rates::ArrivalRates;
 pub use self::cause::WaitCause;
+use self::load_wait::LoadWait;
+pub use self::sent_request::SentRequest;
 pub use self::ticket::Ticket;
 use crate::AdapterDemand;
 use crate::AdapterKey;
@@ -28,6 +34,8 @@
     draws: u64,
     next: u64,
     requests: BTreeMap<Ticket, QueuedRequest>,
+    load_wait: LoadWait,
+    arrivals: ArrivalRates,
 }
 
 #[derive(Debug)]
@@ -55,13 +63,21 @@
 
     /// Creates an empty queue. The seed of its random jitter must differ between entries.
     pub fn new(seed: u64) -> Self {
-        Self { seed, draws: 0, next: 0, requests: BTreeMap::new() }
+        Self {
+            seed,
+            draws: 0,
+            next: 0,
+            requests: BTreeMap::new(),
+            load_wait: LoadWait::new(),
+            arrivals: ArrivalRates::default(),
+        }
     }
 
     /// Adds a request that must not be sent to the servers in `avoided`.
     pub fn push(&mut self, now: MonoTime, demand: RequestDemand, avoided: Vec<ServerId>) -> Ticket {
         let ticket = Ticket { priority: demand.priority, number: self.next };
         self.next += 1;
+        self.arrivals.record(now, &demand);
         self.requests.insert(
             ticket,
             QueuedRequest {
@@ -80,8 +96,15 @@
     ///
     /// Returns why the request waited and the server whose load it awaited, or `None` if it is not
     /// queued.
-    pub fn remove(&mut self, ticket: Ticket) -> Option<(WaitCause, Option<ServerId>)> {
+    pub fn remove(
+        &mut self,
+        now: MonoTime,
+        ticket: Ticket,
+    ) -> Option<(WaitCause, Option<ServerId>)> {
         let request = self.requests.remove(&ticket)?;
+        if let Some((_, since)) = request.awaited_load {
+            self.load_wait.on_unfinished(now.ms_since(since));
+        }
         Some((request.cause, request.awaited_load.map(|(server, _)| server)))
     }
 
@@ -113,11 +136,13 @@
         fleet: &mut Fleet,
         local_domain: &FailureDomain,
         engine_spec: impl Fn(&RequestDemand) -> Option<&'a EngineSpec>,
-    ) -> Vec<(Ticket, ServerId, RequestDemand)> {
+    ) -> Vec<SentRequest> {
         let mut ready = Vec::new();
         let mut reserved = Vec::new();
-        let adapter_waiters = self.adapter_waiters();
-        let span_ms = u64::from(fleet.live_entries(now).unwrap_or(1)) * Self::JITTER_PER_ENTRY_MS;
+        let live_entries = u64::from(fleet.live_entries(now).unwrap_or(1));
+        let adapter_tokens = self.adapter_tokens();
+        let load_ms = self.load_wait.expected_ms();
+        let span_ms = live_entries * Self::JITTER_PER_ENTRY_MS;
         let span_ms = span_ms.min(Self::JITTER_MAX_MS);
         for (ticket, request) in &mut self.requests {
             let Some(engine_spec) = engine_spec(&request.demand) else { continue };
@@ -125,11 +150,13 @@
                 request.give_up_load();
             }
             let demand = &request.demand;
-            let waiters = demand.adapter.as_ref();
-            let waiters = waiters.map_or(1, |key| adapter_waiters.get(key).copied().unwrap_or(1));
+            let tokens = demand.adapter.as_ref().and_then(|key| adapter_tokens.get(key)).copied();
             let wait = QueueWait {
                 waited_ms: now.ms_since(request.queued_at),
-                adapter_waiters: waiters,
+                adapter_tokens: tokens.unwrap_or(demand.prompt_tokens) * live_entries,
+                adapter_tokens_per_ms: self.arrivals.tokens_per_ms(now, demand)
+                    * live_entries as f64,
+                load_ms,
                 reserved: &reserved,
             };
             let avoided = &request.avoided;
@@ -138,8 +165,9 @@
                     self.draws += 1;
                     let jitter_ms = mix_hashes(self.seed, self.draws) % span_ms.max(1);
                     if request.may_send(now, &server, jitter_ms) {
-                        fleet.on_sent(now, &server, &request.demand);
-                        ready.push((*ticket, server, request.demand.clone()));
+                        let backlog_ms = fleet.on_sent(now, &server, &request.demand);
+                        let demand = request.demand.clone();
+                        ready.push(SentRequest { ticket: *ticket, server, demand, backlog_ms });
                     } else {
                         reserved.push(server);
                     }
@@ -157,8 +185,13 @@
                 Placement::NoEngine => request.cause = WaitCause::Engine,
             }
         }
-        for (ticket, _, _) in &ready {
-            self.requests.remove(ticket);
+        for sent in &ready {
+            let Some(request) = self.requests.remove(&sent.ticket) else { continue };
+            if let Some((loader, since)) = request.awaited_load
+                && loader == sent.server
+            {
+                self.load_wait.on_finished(now.ms_since(since));
+            }
         }
         ready
     }
@@ -186,13 +219,14 @@
         (tokens_per_ms > 0.0).then(|| (tokens as f64 / tokens_per_ms).ceil() as u64)
     }
 
-    /// Counts the queued requests of each adapter.
-    fn adapter_waiters(&self) -> BTreeMap<AdapterKey, usize> {
-        let mut waiters = BTreeMap::new();
-        for key in self.requests.values().filter_map(|request| request.demand.adapter.as_ref()) {
-            *waiters.entry(key.clone()).or_default() += 1;
+    /// Returns the prompt tokens of the queued requests of each adapter.
+    fn adapter_tokens(&self) -> BTreeMap<AdapterKey, u64> {
+        let mut tokens = BTreeMap::new();
+        for demand in self.requests.values().map(|request| &request.demand) {
+            let Some(key) = &demand.adapter else { continue };
+            *tokens.entry(key.clone()).or_default() += demand.prompt_tokens;
         }
-        waiters
+        tokens
     }
 
     /// Returns the adapters that queued requests wait for a backend server to load, in queue order.
--- a/crates/filbertcleat-serve/src/request.rs
+++ b/crates/filbertcleat-serve/src/request.rs
@@ -20,6 +20,8 @@
     pub prompt_tokens: u64,
     /// The largest number of tokens in the response.
     pub output_tokens_max: u64,
+    /// The latency objective for the first event or for the response.
+    pub latency_objective_ms: u64,
     /// The objective for the longest gap between two events; 0 if the response is not streamed.
     pub gap_objective_ms: u64,
     /// The priority; 0 is the most urgent.
--- a/crates/filbertcleat-serve/src/scheduler.rs
+++ b/crates/filbertcleat-serve/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! Decides which load and unload orders an agent sends to its engine.
 
 mod entry_updates;
+mod load_concurrency;
 mod model_selector;
 mod order;
 mod pending_unloads;
@@ -14,6 +15,7 @@
 use filbertcleat_base::MonoTime;
 
 use self::entry_updates::EntryUpdates;
+use self::load_concurrency::LoadConcurrency;
 use self::model_selector::ModelChange;
 use self::model_selector::ModelSelector;
 use self::model_selector::SelectionInput;
@@ -57,6 +59,7 @@
     rejected_server: Option<ServerId>,
     pending_unloads: PendingUnloads,
     unanswered_loads: UnansweredLoads,
+    load_concurrency: LoadConcurrency,
     model_selector: ModelSelector,
     /// The order that was sent last, until the engine answers it.
     unanswered_order: Option<Order>,
@@ -65,8 +68,6 @@
 }
 
 impl AdapterScheduler {
-    /// The limit of engines on concurrent adapter loads.
-    const LOADING_ADAPTERS_MAX: usize = 4;
     /// Adapter slots kept free, so that a load need not wait for an unload. Each additional spare
     /// slot would cost a loaded adapter.
     const SPARE_SLOTS: usize = 1;
@@ -115,6 +116,7 @@
             None => self.reset(now, &report),
         }
         self.reported_order_count = report.order_count;
+        self.load_concurrency.apply_report(now, &report);
         self.report = Some(report);
         previous.is_none()
     }
@@ -125,6 +127,7 @@
             self.unanswered_loads.record(now, &order);
         }
         self.unanswered_loads.on_engine_restart();
+        self.load_concurrency.on_engine_restart();
         self.model_selector.reset();
         // The catalogue may still list the previous incarnation.
         self.listed_server = None;
@@ -174,6 +177,11 @@
         self.prompts.others_tokens(now, entry)
     }
 
+    /// Returns the prompt tokens that all entries except `entry` have sent since the agent's start.
+    pub fn others_total_tokens(&self, entry: u64) -> u64 {
+        self.prompts.others_total_tokens(entry)
+    }
+
     /// Returns the engine's last report, or `None` if the engine has stopped answering.
     pub fn engine_report(&self) -> Option<&EngineReport> {
         self.report.as_ref().filter(|_| !self.is_engine_lost)
@@ -264,6 +272,7 @@
             }
             OrderKind::LoadAdapter(key, version) => {
                 report.loading_adapters.push((key.clone(), *version));
+                self.load_concurrency.on_started(now, key);
             }
             OrderKind::UnloadAdapter(key) if is_done => {
                 report.loaded_adapters.retain(|(loaded, _)| loaded != key);
@@ -321,7 +330,7 @@
         {
             return Some(change);
         }
-        if occupied < slots && report.loading_adapters.len() < Self::LOADING_ADAPTERS_MAX {
+        if occupied < slots && report.loading_adapters.len() < self.load_concurrency.limit() {
             let next = demand.iter().find(|demand| self.is_loadable(now, report, demand));
             if let Some(demand) = next {
                 return Some(OrderKind::LoadAdapter(demand.key.clone(), demand.min_version));
--- a/crates/filbertcleat-serve/src/scheduler/recent_prompts.rs
+++ b/crates/filbertcleat-serve/src/scheduler/recent_prompts.rs
@@ -13,6 +13,9 @@
 pub(crate) struct RecentPrompts {
     /// The running totals in tokens, by entry.
     totals: BTreeMap<u64, u64>,
+    /// The sum of all increases, and of those by entry.
+    increases: u64,
+    increases_by_entry: BTreeMap<u64, u64>,
     /// Increases of a total: when it was reported, by which entry, and the number of tokens.
     recent: VecDeque<(MonoTime, u64, u64)>,
 }
@@ -26,6 +29,8 @@
             known.and_then(|known| total_tokens.checked_sub(known)).filter(|more| *more > 0)
         {
             self.recent.push_back((now, entry, tokens));
+            self.increases += tokens;
+            *self.increases_by_entry.entry(entry).or_default() += tokens;
         }
         while self
             .recent
@@ -39,6 +44,12 @@
     /// Discards the totals of entries for which `is_kept` returns false.
     pub fn retain(&mut self, is_kept: impl Fn(u64) -> bool) {
         self.totals.retain(|entry, _| is_kept(*entry));
+        self.increases_by_entry.retain(|entry, _| is_kept(*entry));
+    }
+
+    /// Returns the tokens that all entries except `entry` have sent since the first update.
+    pub fn others_total_tokens(&self, entry: u64) -> u64 {
+        self.increases - self.increases_by_entry.get(&entry).copied().unwrap_or(0)
     }
 
     /// Returns the tokens that all entries except `entry` have sent within the window.
--- a/crates/filbertcleat-serve/src/update/agent.rs
+++ b/crates/filbertcleat-serve/src/update/agent.rs
@@ -30,6 +30,8 @@
     pub memory_tokens: u64,
     /// The prompt tokens that entries other than the recipient have recently sent.
     pub others_prompt_tokens: u64,
+    /// The prompt tokens that entries other than the recipient have sent since the agent's start.
+    pub others_total_tokens: u64,
     /// The number of entries from which the agent has recently received updates.
     pub live_entries: u32,
 }
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod agent;
 pub mod engine;
+pub mod prefill_engine;
 
 use filbertcleat_base::AdapterName;
 use filbertcleat_base::FailureDomain;
@@ -77,6 +78,7 @@
         memory_used_tokens: 0,
         memory_tokens: 100_000,
         others_prompt_tokens: 0,
+        others_total_tokens: 0,
         live_entries: 2,
     }
 }
@@ -100,6 +102,7 @@
         min_version: 0,
         prompt_tokens,
         output_tokens_max: 100,
+        latency_objective_ms: 1_000,
         gap_objective_ms: 300,
         priority: 1,
     }
