Keep what is learned of a service's engines once a server

Found on reading the whole change: the server and its pacer each kept a copy of the model, set together. The server reads the pacer's now.

--- a/crates/filbertcleat-gateway/src/entry/request_log.rs
+++ b/crates/filbertcleat-gateway/src/entry/request_log.rs
@@ -71,8 +71,8 @@
     let holders = servers()
         .filter(|server| key.is_none_or(|key| server.has_adapter(key, request.demand.min_version)));
     log::info!(
-        "event=request-given-up id={} adapter={} version={} prompt_tokens={} queued_ms={} cause=\"{}\" at={} \
-         at_news_age_ms={} servers={} usable={} heard={} holders={}",
+        "event=request-given-up id={} adapter={} version={} prompt_tokens={} queued_ms={} \
+         cause=\"{}\" at={} at_news_age_ms={} servers={} usable={} heard={} holders={}",
         request.id,
         key.map_or("-", |key| key.adapter.as_str()),
         request.demand.min_version,
--- a/crates/filbertcleat-serve/src/fleet/prefill_pacer.rs
+++ b/crates/filbertcleat-serve/src/fleet/prefill_pacer.rs
@@ -64,6 +64,11 @@
         self.sent_tokens
     }
 
+    /// Returns what the engines of the service have shown.
+    pub fn model(&self) -> EngineModel {
+        self.model
+    }
+
     /// Sets what the engines of the service have shown.
     pub fn set_model(&mut self, model: EngineModel) {
         self.model = model;
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -27,7 +27,6 @@
     pub last_byte_at: MonoTime,
     address_hash: u64,
     prefill: PrefillPacer,
-    model: EngineModel,
     memory_since_update_tokens: u64,
     /// The latest update of the server's agent and when it arrived.
     update: Option<(MonoTime, AgentUpdate)>,
@@ -89,7 +88,6 @@
             sent_since_update: 0,
             last_byte_at: now,
             prefill: PrefillPacer::new(now, model),
-            model,
             memory_since_update_tokens: 0,
             update: None,
             adapters_in_use: BTreeMap::new(),
@@ -106,7 +104,7 @@
         let is_restarted = listed.started_unix_ms != self.listed.started_unix_ms;
         let is_moved = listed.address != self.listed.address;
         if is_restarted || is_moved {
-            *self = Self::new(now, listed, self.model);
+            *self = Self::new(now, listed, self.prefill.model());
             return;
         }
         self.listed = listed;
@@ -263,7 +261,7 @@
 
     /// Returns whether the servers of the service have been shown to prefill in chunks.
     pub fn prefills_in_chunks(&self) -> bool {
-        self.model.ceiling.is_chunked()
+        self.prefill.model().ceiling.is_chunked()
     }
 
     /// Returns the total of prompt tokens that this entry has ever sent to the server.
@@ -278,7 +276,6 @@
 
     /// Sets what the servers of the service have shown.
     pub(super) fn set_model(&mut self, model: EngineModel) {
-        self.model = model;
         self.prefill.set_model(model);
     }
 
