--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -1,5 +1,6 @@
 //! Relays event streams to callers and resumes broken ones with a new attempt.
 
+use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -140,6 +141,25 @@
         log_end(&self.entry.metrics, &self.request, Some(server), now, outcome);
     }
 
+    /// Logs why the stream of one backend server ended early.
+    fn log_break(&self, server: &ServerId, reason: &dyn Display) {
+        log::info!(
+            "event=stream-broken id={} server={server} after={} reason=\"{reason}\"",
+            self.request.id,
+            self.last_event_id.unwrap_or(0)
+        );
+    }
+
+    /// Logs why the stream was not resumed at another backend server.
+    fn log_not_resumed(&self, reason: &str) {
+        log::info!(
+            "event=stream-not-resumed id={} after={} sends={} reason=\"{reason}\"",
+            self.request.id,
+            self.last_event_id.unwrap_or(0),
+            self.request.attempts
+        );
+    }
+
     /// Forwards the events of one backend server, without those that the caller has already seen.
     async fn forward(
         &mut self,
@@ -156,13 +176,24 @@
                 () = self.sender.closed() => return StreamEnd::CallerGone,
                 () = tokio::time::sleep_until(limit) => {
                     let is_late = self.entry.now() >= deadline;
-                    return if is_late { StreamEnd::DeadlineExceeded } else { StreamEnd::Stalled };
+                    if is_late {
+                        return StreamEnd::DeadlineExceeded;
+                    }
+                    self.log_break(attempt.server(), &"no event within the stall timeout");
+                    return StreamEnd::Stalled;
                 }
                 frame = response.body.frame() => frame,
             };
             let bytes = match frame {
                 None if has_framing || splitter.is_between_events() => return StreamEnd::Complete,
-                None | Some(Err(_)) => return StreamEnd::Broken,
+                None => {
+                    self.log_break(attempt.server(), &"the body ends within an event");
+                    return StreamEnd::Broken;
+                }
+                Some(Err(error)) => {
+                    self.log_break(attempt.server(), &error);
+                    return StreamEnd::Broken;
+                }
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(bytes) => bytes,
                     Err(_trailers) => continue,
@@ -211,12 +242,21 @@
     /// Returns `None` if the attempts or the retry budget are used up, if no backend server is
     /// available, or if the attempt fails.
     async fn resume(&mut self) -> Option<(Box<BackendResponse>, InFlightAttempt<D>)> {
-        let is_allowed = self.request.attempts < self.request.route.attempts_max
-            && self.entry.take_retry(&self.request.service);
-        if !is_allowed {
+        if self.request.attempts >= self.request.route.attempts_max {
+            self.log_not_resumed("the route allows no further attempt");
             return None;
         }
-        let attempt = place_request(&self.entry, &mut self.request).await.ok()?;
+        if !self.entry.take_retry(&self.request.service) {
+            self.log_not_resumed("the retry budget is used up");
+            return None;
+        }
+        let attempt = match place_request(&self.entry, &mut self.request).await {
+            Ok(attempt) => attempt,
+            Err(refusal) => {
+                self.log_not_resumed(refusal.reason());
+                return None;
+            }
+        };
         self.request.attempts += 1;
         let server = attempt.server().clone();
         match send_attempt(&self.entry, &self.request, &attempt, self.last_event_id).await {
@@ -228,11 +268,13 @@
                 );
                 Some((Box::new(response), attempt))
             }
-            Ok(_failed) => {
+            Ok(failed) => {
+                self.log_not_resumed(failed.head.status.as_str());
                 attempt.end(AttemptOutcome::Failed);
                 None
             }
             Err(failure) => {
+                self.log_not_resumed(failure.reason);
                 attempt.end(failure.outcome);
                 None
             }
