Add a failing test for streams of servers that are silent for a while

Where the stream can't move to another server (one attempt, no retry budget, the other server is full), the entry cuts it after event 3. The case without another server passes: the stream is resumed at the same server, which runs it twice.

--- /dev/null
+++ b/crates/filbertcleat-gateway/tests/silent_servers.rs
@@ -0,0 +1,78 @@
+//! Backend servers that fall silent for a while and then go on.
+
+mod support;
+
+use std::time::Duration;
+
+use filbertcleat_gateway::RetryBudgetSettings;
+use filbertcleat_serve::RetryPolicy;
+use rstest::rstest;
+
+use self::support::Backend;
+use self::support::Call;
+use self::support::Script;
+use self::support::World;
+use self::support::backend::event;
+use self::support::route;
+
+const RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: true };
+/// Longer than the stall timeout and shorter than any deadline.
+const SILENCE: Duration = Duration::from_secs(2);
+const SILENT_ONCE: Script = Script::EventsWithSilence { count: 5, after: 3, silence: SILENCE };
+
+fn five_events() -> String {
+    (1..=5).map(event).collect()
+}
+
+/// Why a silent stream can't move to another backend server.
+#[derive(Clone, Copy, Debug)]
+enum Obstacle {
+    /// There is no other backend server.
+    NoOtherServer,
+    /// The route allows one attempt.
+    NoAttempt,
+    /// The retry budget is used up.
+    NoBudget,
+    /// The other backend server turns requests away.
+    OtherIsFull,
+}
+
+/// A backend server that is silent for a while still completes its stream, so the caller must not
+/// lose the response when the stream can't move to another server.
+#[rstest]
+#[case::no_other_server(Obstacle::NoOtherServer)]
+#[ignore = "KNOWN-RED 7: a stream is cut when its server is silent for a while"]
+#[case::no_attempt(Obstacle::NoAttempt)]
+#[ignore = "KNOWN-RED 7: a stream is cut when its server is silent for a while"]
+#[case::no_budget(Obstacle::NoBudget)]
+#[ignore = "KNOWN-RED 7: a stream is cut when its server is silent for a while"]
+#[case::other_is_full(Obstacle::OtherIsFull)]
+fn silence_is_outlasted(#[case] obstacle: Obstacle) {
+    World::run(async move {
+        let silent = Backend::start("w1", SILENT_ONCE).await;
+        let full = Backend::start("w2", Script::NotRun).await;
+        let attempts_max = if matches!(obstacle, Obstacle::NoAttempt) { 1 } else { 2 };
+        let routes = vec![route("write", RESUMABLE, attempts_max)];
+        let backends: &[&Backend] = match obstacle {
+            Obstacle::OtherIsFull => &[&silent, &full],
+            Obstacle::NoOtherServer | Obstacle::NoAttempt | Obstacle::NoBudget => &[&silent],
+        };
+        let world = World::start(routes, backends).await;
+        if matches!(obstacle, Obstacle::NoBudget) {
+            let none = RetryBudgetSettings { ratio: 0.0, slack: 0.0, window_ms: 10_000 };
+            world.retry_budget.send_replace(none);
+        }
+
+        let mut caller = world.caller().await;
+        let reply = loop {
+            let reply = caller.call(&Call::new("a", "/write/1")).await.expect("a response head");
+            // The full server may be the first that is asked; then the caller asks again.
+            if reply.status == 200 {
+                break reply;
+            }
+        };
+
+        assert!(reply.is_complete, "the stream was cut after {:?}", reply.body);
+        assert_eq!(reply.body, five_events());
+    });
+}
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -24,6 +24,8 @@
     Events { count: u64, pause: Duration },
     /// Sends `count` events and then closes the connection without ending the stream.
     EventsThenCut { count: u64 },
+    /// Sends `count` events, falls silent once after event `after`, and ends the stream properly.
+    EventsWithSilence { count: u64, after: u64, silence: Duration },
     /// Sends one event and half of the next without HTTP framing, and closes the connection.
     UnframedPartialEvent,
     /// Runs the request and closes the connection without a response.
@@ -146,6 +148,16 @@
                 }
                 false
             }
+            Script::EventsWithSilence { count, after, silence } => {
+                write(stream, &events_head).await;
+                for number in last_event_id + 1..=count {
+                    write(stream, &chunk(&event(number))).await;
+                    if number == after {
+                        tokio::time::sleep(silence).await;
+                    }
+                }
+                write(stream, "0\r\n\r\n").await
+            }
             Script::UnframedPartialEvent => {
                 write(stream, &format!("{}\r\n{}id: 2\nda", response_head(200), event(1))).await;
                 false
