Keep a stream at a silent backend server until another one has it

Cause: silence was taken for an end. After 1.5 s without an event the relay dropped a resumable stream and only then asked whether it may go on elsewhere. With one attempt, an empty retry budget, no capacity elsewhere or a refusal there, the response was cut, although its server would have gone on.

Fix: the silent server is read on while another one is sought. It is given up when the other one has accepted the stream, or has been at work on it for 200 ms without refusing it. Whatever the silent server sends before that wins. Without an attempt left, silence has no timer: only the deadline ends the stream.

Ruled out for this fault: the fleet's own silence limit (it keeps new requests away and ends nothing), plain requests (they wait until their deadline and then get a 504).

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -19,6 +19,7 @@
 mod socket;
 mod state;
 mod stream_relay;
+mod stream_source;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -1,6 +1,6 @@
 //! Relays event streams to callers and resumes broken ones with a new attempt.
 
-use std::fmt::Display;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,18 +10,18 @@
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::ServerId;
 use http::Response;
-use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+use super::attempt::AttemptFailure;
 use super::attempt::BackendResponse;
 use super::attempt::send_attempt;
 use super::attempt::strip_connection_headers;
 use super::body::CallerBody;
 use super::body::StreamCut;
 use super::connection::ActiveRequest;
-use super::events::EventSplitter;
+use super::events::Event;
 use super::handler::OpenRequest;
 use super::in_flight::InFlightAttempt;
 use super::placement::place_request;
@@ -29,13 +29,18 @@
 use super::request_log::Outcome;
 use super::request_log::log_end;
 use super::state::Entry;
+use super::stream_source::SourceItem;
+use super::stream_source::StreamSource;
 use crate::Dialect;
 
 /// Chunks that are buffered for a slow caller before backpressure reaches the backend server.
 const CHUNKS_MAX: usize = 32;
-/// A resumable stream moves to another backend server after this time without an event. It is many
-/// times the gap between two events, and shorter than the time that callers wait.
-const STALL_TIMEOUT_MS: u64 = 1_500;
+/// After this time without an event another backend server is sought for a resumable stream. It is
+/// many times the gap between two events, and shorter than the time that callers wait.
+const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a silent backend server is kept beside the one that its stream moves to. A refusal
+/// arrives within this time; running the stream twice for longer would waste capacity.
+const MOVE_OVERLAP: Duration = Duration::from_millis(200);
 /// A stream is cut at the latest this long after the deadline of its request.
 const DEADLINE_GRACE_MS: u64 = 200;
 
@@ -64,7 +69,7 @@
         last_bytes_at: None,
     };
     spawn_local(async move {
-        relay.run(backend_response, attempt).await;
+        relay.run(StreamSource::new(backend_response, attempt)).await;
         drop(open);
         drop(active);
     });
@@ -87,7 +92,7 @@
     Complete,
     /// The stream broke off.
     Broken,
-    /// The backend server sent nothing for the stall timeout.
+    /// The backend server has sent nothing for the stall timeout, and may go on.
     Stalled,
     /// The caller disconnected.
     CallerGone,
@@ -96,30 +101,27 @@
 }
 
 impl<D: Dialect> StreamRelay<D> {
-    async fn run(mut self, mut response: Box<BackendResponse>, mut attempt: InFlightAttempt<D>) {
+    async fn run(mut self, mut source: StreamSource<D>) {
         loop {
-            let server = attempt.server().clone();
-            let end = self.forward(&mut response, &mut attempt).await;
-            let outcome = match end {
-                StreamEnd::Complete => AttemptOutcome::Answered,
-                StreamEnd::Broken => AttemptOutcome::Broken,
-                StreamEnd::Stalled => AttemptOutcome::Silent,
-                StreamEnd::CallerGone | StreamEnd::DeadlineExceeded => AttemptOutcome::Left,
-            };
-            attempt.end(outcome);
-            let is_final = match end {
+            let server = source.server().clone();
+            let end = self.forward(&mut source).await;
+            let next = match end {
                 StreamEnd::Complete => {
-                    let BackendResponse { head, address, sender, .. } = *response;
-                    self.entry.pool.keep(address, sender, &head.headers);
+                    source.complete(&self.entry.pool);
                     self.log_end(&server, Outcome::Streamed);
                     return;
                 }
-                StreamEnd::CallerGone | StreamEnd::DeadlineExceeded => true,
-                StreamEnd::Broken | StreamEnd::Stalled => !self.is_resumable,
+                StreamEnd::Stalled => self.move_stalled(source).await,
+                StreamEnd::Broken => {
+                    source.abandon(AttemptOutcome::Broken);
+                    if self.is_resumable { self.resume().await } else { None }
+                }
+                StreamEnd::CallerGone | StreamEnd::DeadlineExceeded => {
+                    source.abandon(AttemptOutcome::Left);
+                    None
+                }
             };
-            drop(response);
-            let next = if is_final { None } else { self.resume().await };
-            let Some((next_response, next_attempt)) = next else {
+            let Some(next) = next else {
                 let outcome = match end {
                     StreamEnd::Complete => Outcome::Streamed,
                     StreamEnd::Broken => Outcome::Broken,
@@ -132,7 +134,7 @@
                 let _ = self.sender.send(Err(StreamCut)).await;
                 return;
             };
-            (response, attempt) = (next_response, next_attempt);
+            source = next;
         }
     }
 
@@ -141,12 +143,13 @@
         log_end(&self.entry.metrics, &self.request, Some(server), now, outcome);
     }
 
-    /// Logs why the stream of one backend server ended early.
-    fn log_break(&self, server: &ServerId, reason: &dyn Display) {
+    /// Logs an event of the stream at a backend server.
+    fn log_event(&self, event: &str, server: &ServerId, reason: &str) {
         log::info!(
-            "event=stream-broken id={} server={server} after={} reason=\"{reason}\"",
+            "event={event} id={} server={server} after={} sends={} reason=\"{reason}\"",
             self.request.id,
-            self.last_event_id.unwrap_or(0)
+            self.last_event_id.unwrap_or(0),
+            self.request.attempts
         );
     }
 
@@ -161,60 +164,47 @@
     }
 
     /// Forwards the events of one backend server, without those that the caller has already seen.
-    async fn forward(
-        &mut self,
-        response: &mut BackendResponse,
-        attempt: &mut InFlightAttempt<D>,
-    ) -> StreamEnd {
-        let mut splitter = EventSplitter::default();
+    async fn forward(&mut self, source: &mut StreamSource<D>) -> StreamEnd {
         let deadline = self.request.deadline.plus_ms(DEADLINE_GRACE_MS);
-        let has_framing = response.head.headers.contains_key(http::header::TRANSFER_ENCODING)
-            || response.head.headers.contains_key(http::header::CONTENT_LENGTH);
         loop {
             let limit = self.next_event_limit(deadline);
-            let frame = tokio::select! {
+            let item = tokio::select! {
                 () = self.sender.closed() => return StreamEnd::CallerGone,
                 () = tokio::time::sleep_until(limit) => {
                     let is_late = self.entry.now() >= deadline;
-                    if is_late {
-                        return StreamEnd::DeadlineExceeded;
-                    }
-                    self.log_break(attempt.server(), &"no event within the stall timeout");
-                    return StreamEnd::Stalled;
+                    return if is_late { StreamEnd::DeadlineExceeded } else { StreamEnd::Stalled };
                 }
-                frame = response.body.frame() => frame,
+                item = source.next() => item,
             };
-            let bytes = match frame {
-                None if has_framing || splitter.is_between_events() => return StreamEnd::Complete,
-                None => {
-                    self.log_break(attempt.server(), &"the body ends within an event");
-                    return StreamEnd::Broken;
-                }
-                Some(Err(error)) => {
-                    self.log_break(attempt.server(), &error);
+            let events = match item {
+                SourceItem::Events(events) => events,
+                SourceItem::End => return StreamEnd::Complete,
+                SourceItem::Broken(reason) => {
+                    self.log_event("stream-broken", source.server(), &reason);
                     return StreamEnd::Broken;
                 }
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) => bytes,
-                    Err(_trailers) => continue,
-                },
             };
-            attempt.on_response_bytes();
             self.record_gap();
-            for event in splitter.push(&bytes) {
-                if let Some(id) = event.id {
-                    if self.last_event_id.is_some_and(|last| id <= last) {
-                        continue;
-                    }
-                    self.last_event_id = Some(id);
-                }
-                if self.sender.send(Ok(event.bytes)).await.is_err() {
+            for event in events {
+                if !self.pass_on(event).await {
                     return StreamEnd::CallerGone;
                 }
             }
         }
     }
 
+    /// Sends an event to the caller, unless the caller has already seen it. Returns whether the
+    /// caller is still connected.
+    async fn pass_on(&mut self, event: Event) -> bool {
+        if let Some(id) = event.id {
+            if self.last_event_id.is_some_and(|last| id <= last) {
+                return true;
+            }
+            self.last_event_id = Some(id);
+        }
+        self.sender.send(Ok(event.bytes)).await.is_ok()
+    }
+
     /// Records the time to the first bytes and the longest gap after them.
     fn record_gap(&mut self) {
         let now = self.entry.now();
@@ -230,19 +220,89 @@
     /// Returns the instant by which the next bytes have to arrive.
     fn next_event_limit(&self, deadline: MonoTime) -> Instant {
         let deadline = self.entry.clock().instant(deadline);
-        if self.is_resumable {
-            deadline.min(Instant::now() + Duration::from_millis(STALL_TIMEOUT_MS))
+        if self.is_resumable && self.has_attempts_left() {
+            deadline.min(Instant::now() + STALL_TIMEOUT)
         } else {
             deadline
         }
     }
 
-    /// Resumes the stream with a new attempt, after the last event that was forwarded.
+    fn has_attempts_left(&self) -> bool {
+        self.request.attempts < self.request.route.attempts_max
+    }
+
+    /// Moves the stream away from a silent backend server.
+    ///
+    /// Silence alone does not end a stream, because a sound backend server may pause and go on. The
+    /// silent one is given up only after another one has begun to work on the stream. Returns the
+    /// source that continues the stream, or `None` if the other one then failed.
+    async fn move_stalled(&mut self, mut source: StreamSource<D>) -> Option<StreamSource<D>> {
+        self.log_event("stream-stalled", source.server(), "no event within the stall timeout");
+        let Some(attempt) = self.place_elsewhere(&mut source).await else { return Some(source) };
+        if !self.entry.take_retry(&self.request.service) {
+            self.log_not_resumed("the retry budget is used up");
+            return Some(source);
+        }
+        self.request.attempts += 1;
+        let (sent, silent) = {
+            let sending = send_attempt(&self.entry, &self.request, &attempt, self.last_event_id);
+            let mut sending = pin!(sending);
+            let early = tokio::select! {
+                biased;
+                () = source.ready() => {
+                    self.log_not_resumed("the silent backend server goes on");
+                    return Some(source);
+                }
+                early = tokio::time::timeout(MOVE_OVERLAP, &mut sending) => early,
+            };
+            match early {
+                Ok(sent) => (sent, Some(source)),
+                Err(_elapsed) => {
+                    source.abandon(AttemptOutcome::Silent);
+                    (sending.await, None)
+                }
+            }
+        };
+        let moved = self.accept(sent, attempt);
+        if moved.is_none() {
+            return silent;
+        }
+        if let Some(silent) = silent {
+            silent.abandon(AttemptOutcome::Silent);
+        }
+        moved
+    }
+
+    /// Places the stream at a backend server other than that of `source`. Returns `None` if none
+    /// has capacity in time, or if the source goes on first.
+    async fn place_elsewhere(
+        &mut self,
+        source: &mut StreamSource<D>,
+    ) -> Option<InFlightAttempt<D>> {
+        let avoided_before = self.request.avoided.len();
+        self.request.avoided.push(source.server().clone());
+        let placed = tokio::select! {
+            biased;
+            () = self.sender.closed() => None,
+            () = source.ready() => None,
+            placed = place_request(&self.entry, &mut self.request) => Some(placed),
+        };
+        self.request.avoided.truncate(avoided_before);
+        match placed? {
+            Ok(attempt) => Some(attempt),
+            Err(refusal) => {
+                self.log_not_resumed(refusal.reason());
+                None
+            }
+        }
+    }
+
+    /// Resumes a broken stream with a new attempt, after the last event that was forwarded.
     ///
     /// Returns `None` if the attempts or the retry budget are used up, if no backend server is
     /// available, or if the attempt fails.
-    async fn resume(&mut self) -> Option<(Box<BackendResponse>, InFlightAttempt<D>)> {
-        if self.request.attempts >= self.request.route.attempts_max {
+    async fn resume(&mut self) -> Option<StreamSource<D>> {
+        if !self.has_attempts_left() {
             self.log_not_resumed("the route allows no further attempt");
             return None;
         }
@@ -258,15 +318,25 @@
             }
         };
         self.request.attempts += 1;
-        let server = attempt.server().clone();
-        match send_attempt(&self.entry, &self.request, &attempt, self.last_event_id).await {
+        let sent = send_attempt(&self.entry, &self.request, &attempt, self.last_event_id).await;
+        self.accept(sent, attempt)
+    }
+
+    /// Returns the source of a resumed stream, or `None` if the attempt failed.
+    fn accept(
+        &self,
+        sent: Result<BackendResponse, AttemptFailure>,
+        attempt: InFlightAttempt<D>,
+    ) -> Option<StreamSource<D>> {
+        match sent {
             Ok(response) if response.head.status.is_success() => {
                 log::info!(
-                    "event=stream-resumed id={} server={server} after={}",
+                    "event=stream-resumed id={} server={} after={}",
                     self.request.id,
+                    attempt.server(),
                     self.last_event_id.unwrap_or(0)
                 );
-                Some((Box::new(response), attempt))
+                Some(StreamSource::new(Box::new(response), attempt))
             }
             Ok(failed) => {
                 self.log_not_resumed(failed.head.status.as_str());
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -0,0 +1,97 @@
+//! The part of a stream that one backend server sends.
+
+use filbertcleat_serve::AttemptOutcome;
+use filbertcleat_serve::ServerId;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
+use http_body_util::BodyExt;
+
+use super::attempt::BackendResponse;
+use super::connection_pool::ConnectionPool;
+use super::events::Event;
+use super::events::EventSplitter;
+use super::in_flight::InFlightAttempt;
+use crate::Dialect;
+
+/// The part of a stream that one backend server sends.
+pub(super) struct StreamSource<D: Dialect> {
+    response: Box<BackendResponse>,
+    attempt: InFlightAttempt<D>,
+    splitter: EventSplitter,
+    /// Whether the framing of the body shows a stream that ends early.
+    has_framing: bool,
+    /// An item that has been received and not been taken yet.
+    received: Option<SourceItem>,
+}
+
+/// What a backend server sent next.
+pub(super) enum SourceItem {
+    /// Bytes arrived, which completed these events.
+    Events(Vec<Event>),
+    /// The stream ended properly.
+    End,
+    /// The stream broke off, for the given reason.
+    Broken(String),
+}
+
+impl<D: Dialect> StreamSource<D> {
+    /// Creates the source of a response whose head has been received.
+    pub fn new(response: Box<BackendResponse>, attempt: InFlightAttempt<D>) -> Self {
+        let headers = &response.head.headers;
+        let has_framing =
+            headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
+        Self { response, attempt, splitter: EventSplitter::default(), has_framing, received: None }
+    }
+
+    /// Returns the backend server.
+    pub fn server(&self) -> &ServerId {
+        self.attempt.server()
+    }
+
+    /// Waits for the next item and takes it.
+    pub async fn next(&mut self) -> SourceItem {
+        match self.received.take() {
+            Some(item) => item,
+            None => self.receive().await,
+        }
+    }
+
+    /// Waits for the next item and leaves it for `next`.
+    pub async fn ready(&mut self) {
+        if self.received.is_none() {
+            self.received = Some(self.receive().await);
+        }
+    }
+
+    /// Ends the attempt after a complete stream and keeps the connection for reuse.
+    pub fn complete(self, pool: &ConnectionPool) {
+        self.attempt.end(AttemptOutcome::Answered);
+        let BackendResponse { head, address, sender, .. } = *self.response;
+        pool.keep(address, sender, &head.headers);
+    }
+
+    /// Ends the attempt before the end of the stream, which resets the connection.
+    pub fn abandon(self, outcome: AttemptOutcome) {
+        self.attempt.end(outcome);
+    }
+
+    /// Receives the next item. Nothing is lost if the returned future is dropped.
+    async fn receive(&mut self) -> SourceItem {
+        loop {
+            let frame = match self.response.body.frame().await {
+                None if self.has_framing || self.splitter.is_between_events() => {
+                    return SourceItem::End;
+                }
+                None => return SourceItem::Broken("the body ends within an event".to_owned()),
+                Some(Err(error)) => return SourceItem::Broken(error.to_string()),
+                Some(Ok(frame)) => frame,
+            };
+            let Ok(bytes) = frame.into_data() else {
+                // Trailers carry no events.
+                continue;
+            };
+            self.attempt.on_response_bytes();
+            return SourceItem::Events(self.splitter.push(&bytes));
+        }
+    }
+}
--- a/crates/filbertcleat-gateway/tests/silent_servers.rs
+++ b/crates/filbertcleat-gateway/tests/silent_servers.rs
@@ -4,7 +4,11 @@
 
 use std::time::Duration;
 
+use filbertcleat_base::FailureDomain;
+use filbertcleat_gateway::CatalogueEvent;
 use filbertcleat_gateway::RetryBudgetSettings;
+use filbertcleat_serve::ListedServer;
+use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::RetryPolicy;
 use rstest::rstest;
 
@@ -14,6 +18,7 @@
 use self::support::World;
 use self::support::backend::event;
 use self::support::route;
+use self::support::world::listed;
 
 const RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: true };
 /// Longer than the stall timeout and shorter than any deadline.
@@ -41,11 +46,8 @@
 /// lose the response when the stream can't move to another server.
 #[rstest]
 #[case::no_other_server(Obstacle::NoOtherServer)]
-#[ignore = "KNOWN-RED 7: a stream is cut when its server is silent for a while"]
 #[case::no_attempt(Obstacle::NoAttempt)]
-#[ignore = "KNOWN-RED 7: a stream is cut when its server is silent for a while"]
 #[case::no_budget(Obstacle::NoBudget)]
-#[ignore = "KNOWN-RED 7: a stream is cut when its server is silent for a while"]
 #[case::other_is_full(Obstacle::OtherIsFull)]
 fn silence_is_outlasted(#[case] obstacle: Obstacle) {
     World::run(async move {
@@ -76,3 +78,48 @@
         assert_eq!(reply.body, five_events());
     });
 }
+
+#[test]
+fn stream_leaves_hung_server() {
+    World::run(async {
+        let hung_after_three =
+            Script::EventsWithSilence { count: 5, after: 3, silence: Duration::from_secs(60) };
+        let (hung, other) = (
+            Backend::start("w1", hung_after_three.clone()).await,
+            Backend::start("w2", hung_after_three).await,
+        );
+        let world = World::start(vec![route("write", RESUMABLE, 2)], &[&hung, &other]).await;
+
+        // The second server starts after event 3 and does not fall silent any more.
+        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+
+        let reply = reply.expect("a response head");
+        assert!(reply.is_complete, "the stream was cut after {:?}", reply.body);
+        assert_eq!(reply.body, five_events());
+        assert_eq!((hung.arrivals(), other.arrivals()), (1, 1));
+    });
+}
+
+#[test]
+fn recovered_server_keeps_stream() {
+    World::run(async {
+        let silence = Duration::from_millis(1_600);
+        let silent =
+            Backend::start("w1", Script::EventsWithSilence { count: 5, after: 3, silence }).await;
+        let slow = Backend::start("w2", Script::Silent).await;
+        let world = World::start(vec![route("write", RESUMABLE, 2)], &[&silent]).await;
+        // A server in another failure domain is the second choice.
+        let distant = ListedServer { domain: FailureDomain::new("there"), ..listed(&slow) };
+        world.catalogue.write(CatalogueEvent::Listing(ListingChange::Upserted(distant)));
+        tokio::time::sleep(Duration::from_secs(2)).await;
+
+        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+
+        let reply = reply.expect("a response head");
+        assert!(reply.is_complete, "the stream was cut after {:?}", reply.body);
+        assert_eq!(reply.body, five_events());
+        assert_eq!((silent.arrivals(), slow.arrivals()), (1, 1));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(slow.cancelled.get(), 1, "the second server was not released");
+    });
+}
