Keep a connection whose backend server pauses for a second or two

What callers would see: a request with a large body ends in 502, and on a VM that pauses all streams break at once, although the server goes on.

The TCP user timeout of 1 s closes a connection whose peer acknowledges nothing, or whose receive window stays full, and with keepalive also an idle one.

Evidence: full_window_outlasted (a server that reads nothing for 2 s, in real time, as the kernel's timers are) failed with a reset connection; it passes with 3 s.

Dark servers are kept out of placement by the fleet's silence limit, not by this timer.

--- a/crates/filbertcleat-gateway/src/entry/connection_pool.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_pool.rs
@@ -24,9 +24,11 @@
 
 /// Timeout for connecting: many times the round-trip time between two regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// The TCP user timeout: a connection is closed if written bytes stay unacknowledged for this time.
-/// Nothing else reveals a network path that silently drops packets.
-const USER_TIMEOUT: Duration = Duration::from_secs(1);
+/// The TCP user timeout: a connection is closed if written bytes stay unacknowledged, or the peer's
+/// receive window stays full, for this time. Nothing else reveals a network path that silently
+/// drops packets. A sound backend server may pause for a second or two, which must not end what it
+/// is working on.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// The idle time before the first TCP keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keepalive probes after which a connection is closed.
--- a/crates/filbertcleat-gateway/tests/silent_servers.rs
+++ b/crates/filbertcleat-gateway/tests/silent_servers.rs
@@ -11,6 +11,12 @@
 use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::RetryPolicy;
 use rstest::rstest;
+use socket2::SockRef;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 
 use self::support::Backend;
 use self::support::Call;
@@ -23,6 +29,10 @@
 const RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: true };
 /// Longer than the stall timeout and shorter than any deadline.
 const SILENCE: Duration = Duration::from_secs(2);
+/// A receive window that a request fills.
+const WINDOW_BYTES: usize = 4_096;
+/// More than the window and the buffers of loopback hold.
+const BODY_BYTES: usize = 3_000_000;
 const SILENT_ONCE: Script = Script::EventsWithSilence { count: 5, after: 3, silence: SILENCE };
 
 fn five_events() -> String {
@@ -123,3 +133,38 @@
         assert_eq!(slow.cancelled.get(), 1, "the second server was not released");
     });
 }
+
+/// A backend server that reads nothing for a while closes its receive window. The kernel's timers
+/// run in real time, so this test does too.
+#[test]
+fn full_window_outlasted() {
+    World::run_in_real_time(async {
+        let mut silent = Backend::start("d1", Script::Silent).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a port");
+        SockRef::from(&listener).set_recv_buffer_size(WINDOW_BYTES).expect("the size is valid");
+        silent.address = listener.local_addr().expect("bound");
+        let routes = vec![route("book", RetryPolicy::AtMostOnce, 1)];
+        let world = World::start(routes, &[&silent]).await;
+        let server = spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("the entry connects");
+            tokio::time::sleep(SILENCE).await;
+            let mut request = vec![0; BODY_BYTES];
+            stream.read_exact(&mut request).await?;
+            let response = "HTTP/1.1 200 X\r\nx-id: a\r\nx-seal: s\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(response.as_bytes()).await
+        });
+
+        let mut caller = TcpStream::connect(world.callers).await.expect("the entry listens");
+        let head = format!(
+            "POST /book/1 HTTP/1.1\r\nhost: desk.example\r\nx-id: a\r\nx-wait-ms: 9000\r\n\
+             content-length: {BODY_BYTES}\r\nconnection: close\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await.expect("the entry reads the head");
+        caller.write_all(&vec![b'x'; BODY_BYTES]).await.expect("the entry reads the body");
+        let mut response = String::new();
+        caller.read_to_string(&mut response).await.expect("the entry responds");
+
+        server.await.expect("the server runs").expect("the connection outlasts the silence");
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    });
+}
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -64,6 +64,12 @@
         LocalSet::new().block_on(&runtime, test);
     }
 
+    /// Runs a test in real time on one thread.
+    pub fn run_in_real_time(test: impl Future<Output = ()>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        LocalSet::new().block_on(&runtime.expect("a runtime starts"), test);
+    }
+
     /// Starts an entry and waits until it knows the routes and backend servers.
     pub async fn start(routes: Vec<Route>, backends: &[&Backend]) -> Self {
         let catalogue = TestCatalogue::default();
