--- a/crates/filbertcleat-gateway/src/dialect/request.rs
+++ b/crates/filbertcleat-gateway/src/dialect/request.rs
@@ -20,4 +20,6 @@
     pub max_tokens: u64,
     /// The id of the event after which the caller resumes a stream.
     pub last_event_id: Option<u64>,
+    /// The id of the caller's request that brought the first event of the resumed stream.
+    pub resumed_request: Option<String>,
 }
--- a/crates/filbertcleat-gateway/src/entry/request_log.rs
+++ b/crates/filbertcleat-gateway/src/entry/request_log.rs
@@ -34,11 +34,14 @@
     let expected_ms = (backlog_ms + server.idle_first_event_ms(demand)) as u64;
     let loaded_version = demand.adapter.as_ref().and_then(|key| server.loaded_version(key));
     log::info!(
-        "event=request-placed id={} server={} adapter={} version={} held={} prompt_tokens={} \
+        "event=request-placed id={} server={} software={} resumes={} after={} adapter={} version={} held={} prompt_tokens={} \
          queued_ms={} load={} expected_ms={expected_ms} token_us={:.1} gap_share={:.2} \
          chunked={} news_age_ms={} left_ms={}",
         request.id,
         server.listed.id,
+        server.listed.software_version,
+        request.metadata.resumed_request.as_deref().unwrap_or("-"),
+        OrDash(request.metadata.last_event_id),
         demand.adapter.as_ref().map_or("-", |key| key.adapter.as_str()),
         demand.min_version,
         OrDash(loaded_version),
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -27,6 +27,7 @@
 use filbertcleat_serve::Route;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::ServiceSpec;
+use filbertcleat_serve::SoftwareVersion;
 use filbertcleat_serve::Target;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -199,6 +200,7 @@
         address: backend.address,
         domain: FailureDomain::new("here"),
         concurrency_limit: 6,
+        software_version: SoftwareVersion::new("v1"),
         is_draining: false,
         models: vec![ListedModel { name: ModelName::new("base"), adapters: Vec::new() }],
         started_unix_ms: 1,
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -43,6 +43,7 @@
 pub use fleet::Server;
 pub use key::AdapterKey;
 pub use key::ServerId;
+pub use key::SoftwareVersion;
 pub use listing::ListedModel;
 pub use listing::ListedServer;
 pub use listing::ListingChange;
--- a/crates/filbertcleat-serve/src/listing.rs
+++ b/crates/filbertcleat-serve/src/listing.rs
@@ -11,6 +11,7 @@
 pub use self::change::ListingChange;
 pub use self::model::ListedModel;
 use crate::ServerId;
+use crate::SoftwareVersion;
 
 /// The record that a backend server writes about itself into the catalogue.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,6 +26,8 @@
     pub domain: FailureDomain,
     /// The number of requests that the server processes concurrently.
     pub concurrency_limit: u32,
+    /// The version of the software that the server runs.
+    pub software_version: SoftwareVersion,
     /// Whether the server accepts no new requests.
     pub is_draining: bool,
     /// The base models that were loaded when the server wrote the record.
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -23,6 +23,7 @@
 use filbertcleat_serve::ModelSpec;
 use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::ServerId;
+use filbertcleat_serve::SoftwareVersion;
 
 /// Returns the time `ms` milliseconds after the start of a test.
 pub fn at(ms: u64) -> MonoTime {
@@ -53,6 +54,7 @@
         address: std::net::SocketAddr::from(([127, 0, 0, 1], port)),
         domain: local_domain(),
         concurrency_limit: 8,
+        software_version: SoftwareVersion::new("v1"),
         is_draining: false,
         models: vec![ListedModel { name: ModelName::new("base"), adapters: Vec::new() }],
         started_unix_ms: 1,
