Keep a silent server until the next one has sent an event

What callers would see: a stream whose server is silent for 2 s is cut, if the server that it moves to refuses, fails, closes or hangs more than 200 ms after it was asked. And a stream is cut if its silent server breaks off while the next one is at work.

Cause: the silent server was given up after an overlap of 200 ms, on the assumption that a refusal arrives within it; and a break was treated as "goes on".

Fix: the silent server is kept until the next one has sent an event. A break ends only the silent server. With less than the stall timeout left a stream stays, since the next server would have to read the prompt again.

--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -38,10 +38,7 @@
 const CHUNKS_MAX: usize = 32;
 /// After this time without an event another backend server is sought for a resumable stream. It is
 /// many times the gap between two events, and shorter than the time that callers wait.
-const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How long a silent backend server is kept beside the one that its stream moves to. A refusal
-/// arrives within this time; running the stream twice for longer would waste capacity.
-const MOVE_OVERLAP: Duration = Duration::from_millis(200);
+const STALL_TIMEOUT_MS: u64 = 1_500;
 /// A stream is cut at the latest this long after the deadline of its request.
 const DEADLINE_GRACE_MS: u64 = 200;
 
@@ -234,7 +231,7 @@
     fn next_event_limit(&self, deadline: MonoTime) -> Instant {
         let deadline = self.entry.clock().instant(deadline);
         if self.is_resumable && self.has_attempts_left() {
-            deadline.min(Instant::now() + STALL_TIMEOUT)
+            deadline.min(Instant::now() + Duration::from_millis(STALL_TIMEOUT_MS))
         } else {
             deadline
         }
@@ -247,43 +244,54 @@
     /// Moves the stream away from a silent backend server.
     ///
     /// Silence alone does not end a stream, because a sound backend server may pause and go on. The
-    /// silent one is given up only after another one has begun to work on the stream. Returns the
-    /// source that continues the stream, or `None` if the other one then failed.
+    /// silent one is given up only when another one has sent an event. Returns the source that
+    /// continues the stream, or `None` if neither does.
     async fn move_stalled(&mut self, mut source: StreamSource<D>) -> Option<StreamSource<D>> {
         self.log_event("stream-stalled", source.server(), "no event within the stall timeout");
+        if self.request.remaining_ms(self.entry.now()) < STALL_TIMEOUT_MS {
+            // Another backend server would have to read the prompt again, and could not finish.
+            return Some(source);
+        }
         let Some(attempt) = self.place_elsewhere(&mut source).await else { return Some(source) };
         if !self.entry.take_retry(&self.request.service) {
             self.log_not_resumed("the retry budget is used up");
             return Some(source);
         }
         self.request.attempts += 1;
-        let (sent, silent) = {
-            let sending = send_attempt(&self.entry, &self.request, &attempt, self.last_event_id);
-            let mut sending = pin!(sending);
-            let early = tokio::select! {
-                biased;
-                () = source.ready() => {
-                    self.log_not_resumed("the silent backend server goes on");
-                    return Some(source);
-                }
-                early = tokio::time::timeout(MOVE_OVERLAP, &mut sending) => early,
-            };
-            match early {
-                Ok(sent) => (sent, Some(source)),
-                Err(_elapsed) => {
-                    source.abandon(AttemptOutcome::Silent);
-                    (sending.await, None)
+        let mut silent = Some(source);
+        let opened = {
+            let mut opening = pin!(self.open_with_event(attempt));
+            let deadline = self.entry.clock().instant(self.request.deadline);
+            loop {
+                tokio::select! {
+                    biased;
+                    () = self.sender.closed() => return silent,
+                    () = tokio::time::sleep_until(deadline) => return silent,
+                    source = wait_ready(&mut silent) => {
+                        if !source.is_broken() {
+                            self.log_not_resumed("the silent backend server goes on");
+                            return Some(source);
+                        }
+                        self.log_event("stream-broken", source.server(), "while the stream moves");
+                        source.abandon(AttemptOutcome::Broken);
+                    }
+                    opened = &mut opening => break opened,
                 }
             }
         };
-        let moved = self.accept(sent, attempt);
-        if moved.is_none() {
-            return silent;
-        }
-        if let Some(silent) = silent {
-            silent.abandon(AttemptOutcome::Silent);
+        match opened {
+            Ok(moved) => {
+                if let Some(silent) = silent {
+                    silent.abandon(AttemptOutcome::Silent);
+                }
+                self.log_resumed(&moved);
+                Some(moved)
+            }
+            Err(failure) => {
+                self.log_not_resumed(failure.reason);
+                silent
+            }
         }
-        moved
     }
 
     /// Places the stream at a backend server other than that of `source`. Returns `None` if none
@@ -331,36 +339,69 @@
             }
         };
         self.request.attempts += 1;
-        let sent = send_attempt(&self.entry, &self.request, &attempt, self.last_event_id).await;
-        self.accept(sent, attempt)
-    }
-
-    /// Returns the source of a resumed stream, or `None` if the attempt failed.
-    fn accept(
-        &self,
-        sent: Result<BackendResponse, AttemptFailure>,
-        attempt: InFlightAttempt<D>,
-    ) -> Option<StreamSource<D>> {
-        match sent {
-            Ok(response) if response.head.status.is_success() => {
-                log::info!(
-                    "event=stream-resumed id={} server={} after={}",
-                    self.request.id,
-                    attempt.server(),
-                    self.last_event_id.unwrap_or(0)
-                );
-                Some(StreamSource::new(Box::new(response), attempt))
-            }
-            Ok(failed) => {
-                self.log_not_resumed(failed.head.status.as_str());
-                attempt.end(AttemptOutcome::Failed);
-                None
+        match self.open(attempt).await {
+            Ok(source) => {
+                self.log_resumed(&source);
+                Some(source)
             }
             Err(failure) => {
                 self.log_not_resumed(failure.reason);
-                attempt.end(failure.outcome);
                 None
             }
         }
     }
+
+    /// Sends the rest of the stream's request to a backend server and waits for the head.
+    async fn open(&self, attempt: InFlightAttempt<D>) -> Result<StreamSource<D>, AttemptFailure> {
+        let sent = send_attempt(&self.entry, &self.request, &attempt, self.last_event_id).await;
+        let failure = match sent {
+            Ok(response) if response.head.status.is_success() => {
+                return Ok(StreamSource::new(Box::new(response), attempt));
+            }
+            Ok(_failed) => AttemptFailure::unknown(
+                AttemptOutcome::Failed,
+                "the backend server returned a failure status",
+            ),
+            Err(failure) => failure,
+        };
+        attempt.end(failure.outcome);
+        Err(failure)
+    }
+
+    /// Opens the stream at a backend server and waits until the first item has arrived.
+    async fn open_with_event(
+        &self,
+        attempt: InFlightAttempt<D>,
+    ) -> Result<StreamSource<D>, AttemptFailure> {
+        let mut source = self.open(attempt).await?;
+        source.ready().await;
+        if source.is_broken() {
+            source.abandon(AttemptOutcome::Broken);
+            return Err(AttemptFailure::unknown(
+                AttemptOutcome::Broken,
+                "the stream broke off before its first event",
+            ));
+        }
+        Ok(source)
+    }
+
+    fn log_resumed(&self, source: &StreamSource<D>) {
+        log::info!(
+            "event=stream-resumed id={} server={} after={}",
+            self.request.id,
+            source.server(),
+            self.last_event_id.unwrap_or(0)
+        );
+    }
+}
+
+/// Waits until an item of a source has arrived and takes the source; waits for ever without one.
+async fn wait_ready<D: Dialect>(source: &mut Option<StreamSource<D>>) -> StreamSource<D> {
+    if let Some(waiting) = source {
+        waiting.ready().await;
+    }
+    match source.take() {
+        Some(ready) => ready,
+        None => std::future::pending().await,
+    }
 }
--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Returns whether the received item shows that the stream broke off.
+    pub fn is_broken(&self) -> bool {
+        matches!(self.received, Some(SourceItem::Broken(_)))
+    }
+
     /// Ends the attempt after a complete stream and keeps the connection for reuse.
     pub fn complete(self, pool: &ConnectionPool) {
         self.attempt.end(AttemptOutcome::Answered);
