Log the connections that an entry closes on its own account

An entry that closed an idle connection, one whose request head did not arrive, or all connections on leaving wrote nothing, so a caller that lost a connection could not be traced. Each such close now writes one line, event=connection-closed, with the peer, the reason (idle, head-overdue, leaving), the requests that the connection carried, and how long it was open and idle.

The activity of a connection moves to a file of its own; no decision changes.

--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/close_reason.rs
@@ -0,0 +1,23 @@
+//! Why the entry closes a caller's connection.
+
+/// Why the entry closes a caller's connection on its own account.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum CloseReason {
+    /// The connection was idle for longer than the idle timeout.
+    Idle,
+    /// The head of a request did not arrive in time.
+    HeadOverdue,
+    /// The entry is shutting down.
+    Leaving,
+}
+
+impl CloseReason {
+    /// Returns the reason for log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::HeadOverdue => "head-overdue",
+            Self::Leaving => "leaving",
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/connection_activity.rs
@@ -0,0 +1,110 @@
+//! The activity of a caller's connection.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use filbertcleat_base::MonoTime;
+use filbertcleat_serve::CallerLimits;
+
+use crate::clock::Clock;
+
+/// Idle connections stay open for this multiple of the configured idle time. Callers stop reusing
+/// them earlier, so that no request is sent while the entry closes its connection.
+const IDLE_TIMEOUT_FACTOR: f64 = 1.1;
+
+/// The activity of a connection, which its time limits are checked against.
+#[derive(Debug)]
+pub(super) struct ConnectionActivity {
+    clock: Clock,
+    opened_at: MonoTime,
+    requests: Cell<u32>,
+    open_requests: Cell<u32>,
+    idle_since: Cell<MonoTime>,
+    /// When the first bytes of the next request arrived, while its head is incomplete.
+    head_since: Cell<Option<MonoTime>>,
+}
+
+impl ConnectionActivity {
+    /// Creates the activity of a connection that has just been accepted.
+    pub fn new(clock: Clock) -> Self {
+        let now = clock.now();
+        Self {
+            clock,
+            opened_at: now,
+            requests: Cell::new(0),
+            open_requests: Cell::new(0),
+            idle_since: Cell::new(now),
+            head_since: Cell::new(None),
+        }
+    }
+
+    fn begin_request(&self) {
+        self.requests.set(self.requests.get() + 1);
+        self.open_requests.set(self.open_requests.get() + 1);
+        self.head_since.set(None);
+    }
+
+    fn end_request(&self) {
+        self.open_requests.set(self.open_requests.get().saturating_sub(1));
+        self.idle_since.set(self.clock.now());
+    }
+
+    /// Records that bytes have arrived.
+    pub fn on_read(&self) {
+        if self.open_requests.get() == 0 && self.head_since.get().is_none() {
+            self.head_since.set(Some(self.clock.now()));
+        }
+    }
+
+    /// Returns whether the connection has been idle for longer than the idle timeout.
+    pub fn is_idle(&self, now: MonoTime, limits: CallerLimits) -> bool {
+        let idle_ms = (limits.idle_timeout_ms as f64 * IDLE_TIMEOUT_FACTOR) as u64;
+        self.open_requests.get() == 0
+            && self.head_since.get().is_none()
+            && self.idle_ms(now) > idle_ms
+    }
+
+    /// Returns whether the head of the next request did not arrive in time.
+    pub fn is_head_overdue(&self, now: MonoTime, limits: CallerLimits) -> bool {
+        self.open_requests.get() == 0
+            && self
+                .head_since
+                .get()
+                .is_some_and(|since| now.ms_since(since) > limits.header_timeout_ms)
+    }
+
+    /// Returns how many requests arrived.
+    pub fn requests(&self) -> u32 {
+        self.requests.get()
+    }
+
+    /// Returns the time since the connection was accepted.
+    pub fn open_ms(&self, now: MonoTime) -> u64 {
+        now.ms_since(self.opened_at)
+    }
+
+    /// Returns the time since the last request ended.
+    pub fn idle_ms(&self, now: MonoTime) -> u64 {
+        now.ms_since(self.idle_since.get())
+    }
+}
+
+/// Marks its connection as active until the request has been handled.
+#[derive(Debug)]
+pub(super) struct ActiveRequest {
+    activity: Rc<ConnectionActivity>,
+}
+
+impl ActiveRequest {
+    /// Records that the head of a request has been read.
+    pub fn begin(activity: &Rc<ConnectionActivity>) -> Self {
+        activity.begin_request();
+        Self { activity: Rc::clone(activity) }
+    }
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.activity.end_request();
+    }
+}
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -22,6 +22,8 @@
     Respond { status: u16, body: &'static str, after: Duration },
     /// Sends `count` events with a pause before each, and ends the stream properly.
     Events { count: u64, pause: Duration },
+    /// Sends `count` events of `bytes` data bytes each, and ends the stream properly.
+    LargeEvents { count: u64, bytes: usize },
     /// Sends `count` events and then closes the connection without ending the stream.
     EventsThenCut { count: u64 },
     /// Sends one event and half of the next without HTTP framing, and closes the connection.
@@ -139,6 +141,14 @@
                 }
                 write(stream, "0\r\n\r\n").await
             }
+            Script::LargeEvents { count, bytes } => {
+                write(stream, &events_head).await;
+                let data = "x".repeat(bytes);
+                for number in 1..=count {
+                    write(stream, &chunk(&format!("id: {number}\ndata: {data}\n\n"))).await;
+                }
+                write(stream, "0\r\n\r\n").await
+            }
             Script::EventsThenCut { count } => {
                 write(stream, &events_head).await;
                 for number in last_event_id + 1..=count {
--- a/crates/filbertcleat-gateway/tests/support/caller.rs
+++ b/crates/filbertcleat-gateway/tests/support/caller.rs
@@ -2,13 +2,19 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 use super::backend::header;
 
+/// The receive buffer of a slow caller.
+const SLOW_WINDOW_BYTES: u32 = 16 * 1024;
+
 /// A request to an entry.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -24,7 +30,8 @@
         Self { id, path, wait_ms: 5_000, extra: "" }
     }
 
-    fn text(&self) -> String {
+    /// Returns the bytes of the request as text.
+    pub fn text(&self) -> String {
         let Self { id, path, wait_ms, extra } = self;
         format!(
             "GET {path} HTTP/1.1\r\nhost: desk.example\r\nx-id: {id}\r\nx-wait-ms: {wait_ms}\r\n{extra}\r\n"
@@ -61,9 +68,34 @@
         Ok(Self { stream: TcpStream::connect(address).await? })
     }
 
+    /// Connects to an entry with a receive window that is far smaller than a large response.
+    pub async fn connect_slow(address: SocketAddr) -> io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(SLOW_WINDOW_BYTES)?;
+        Ok(Self { stream: socket.connect(address).await? })
+    }
+
     /// Sends a request.
     pub async fn send(&mut self, call: &Call) -> io::Result<()> {
-        self.stream.write_all(call.text().as_bytes()).await
+        self.send_bytes(call.text().as_bytes()).await
+    }
+
+    /// Sends bytes as they are.
+    pub async fn send_bytes(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Sends bytes without giving the entry a turn in between.
+    pub fn send_at_once(&self, bytes: &[u8]) {
+        let sent = SockRef::from(&self.stream).send(bytes).expect("the connection is open");
+        assert_eq!(sent, bytes.len(), "the socket has room");
+    }
+
+    /// Returns whether the entry closes the connection in order within a time.
+    pub async fn ends_within(&mut self, limit: Duration) -> bool {
+        let mut byte = [0];
+        let read = tokio::time::timeout(limit, self.stream.read(&mut byte)).await;
+        matches!(read, Ok(Ok(0)))
     }
 
     /// Sends a request and reads the response. Returns `None` if the connection ends before its
