Keep a connection busy until its response is written

A caller that read a large response slowly and had begun to send its next request lost the rest of the response: the request counted as ended when its handler had returned, so the bytes of the next head started the header timeout while hyper was still writing, and the connection was dropped when it passed.

A request now counts until hyper has dropped the body of its response, which it does when the body is in its buffer, and has then flushed the socket, which it does when that buffer is empty. The callback on reads, which only callers' connections used, becomes a socket of its own.

On the unchanged code early_bytes_spare_response failed: the response of 12 MiB broke off. Ruled out by reading: the idle timeout did not cut such a response, since hyper finishes the response of a busy connection that is closed gracefully.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -3,6 +3,7 @@
 mod agent_updates;
 mod attempt;
 mod body;
+mod caller_socket;
 mod catalogue_watch;
 mod close_reason;
 mod connection;
@@ -18,6 +19,7 @@
 mod refusal;
 mod request;
 mod request_log;
+mod response_body;
 mod socket;
 mod state;
 mod stream_relay;
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -18,11 +18,13 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
+use super::caller_socket::CallerSocket;
 use super::close_reason::CloseReason;
 pub(super) use super::connection_activity::ActiveRequest;
 use super::connection_activity::ConnectionActivity;
 use super::handler::handle_request;
-use super::socket::Socket;
+use super::response_body::OpenResponse;
+use super::response_body::ResponseBody;
 use super::state::Entry;
 use crate::Dialect;
 
@@ -58,16 +60,16 @@
     let service = service_fn(|request| {
         let entry = Rc::clone(&entry);
         let active = ActiveRequest::begin(&activity);
+        let open = OpenResponse::begin(&activity);
         async move {
             let mut response = handle_request(&entry, request, active).await;
             if entry.shutdown.is_triggered() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, open)))
         }
     });
-    let reader_activity = Rc::clone(&activity);
-    let socket = Socket::with_read_callback(stream, move || reader_activity.on_read());
+    let socket = CallerSocket::new(stream, &activity);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
--- a/crates/filbertcleat-gateway/src/entry/connection_activity.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_activity.rs
@@ -18,7 +18,10 @@
     clock: Clock,
     opened_at: MonoTime,
     requests: Cell<u32>,
+    /// Requests that are being handled and responses that are being written.
     open_requests: Cell<u32>,
+    /// Whether the end of a response waits in the buffer of the connection.
+    is_flush_due: Cell<bool>,
     idle_since: Cell<MonoTime>,
     /// When the first bytes of the next request arrived, while its head is incomplete.
     head_since: Cell<Option<MonoTime>>,
@@ -33,6 +36,7 @@
             opened_at: now,
             requests: Cell::new(0),
             open_requests: Cell::new(0),
+            is_flush_due: Cell::new(false),
             idle_since: Cell::new(now),
             head_since: Cell::new(None),
         }
@@ -49,9 +53,27 @@
         self.idle_since.set(self.clock.now());
     }
 
+    /// Records that a request will be responded to.
+    pub fn begin_response(&self) {
+        self.open_requests.set(self.open_requests.get() + 1);
+    }
+
+    /// Records that the whole response is in the buffer of the connection.
+    pub fn end_response(&self) {
+        self.is_flush_due.set(true);
+        self.end_request();
+    }
+
+    /// Records that the socket has taken all that was in the buffer of the connection.
+    pub fn on_flush(&self) {
+        if self.is_flush_due.replace(false) {
+            self.idle_since.set(self.clock.now());
+        }
+    }
+
     /// Records that bytes have arrived.
     pub fn on_read(&self) {
-        if self.open_requests.get() == 0 && self.head_since.get().is_none() {
+        if !self.is_busy() && self.head_since.get().is_none() {
             self.head_since.set(Some(self.clock.now()));
         }
     }
@@ -59,20 +81,23 @@
     /// Returns whether the connection has been idle for longer than the idle timeout.
     pub fn is_idle(&self, now: MonoTime, limits: CallerLimits) -> bool {
         let idle_ms = (limits.idle_timeout_ms as f64 * IDLE_TIMEOUT_FACTOR) as u64;
-        self.open_requests.get() == 0
-            && self.head_since.get().is_none()
-            && self.idle_ms(now) > idle_ms
+        !self.is_busy() && self.head_since.get().is_none() && self.idle_ms(now) > idle_ms
     }
 
     /// Returns whether the head of the next request did not arrive in time.
     pub fn is_head_overdue(&self, now: MonoTime, limits: CallerLimits) -> bool {
-        self.open_requests.get() == 0
+        !self.is_busy()
             && self
                 .head_since
                 .get()
                 .is_some_and(|since| now.ms_since(since) > limits.header_timeout_ms)
     }
 
+    /// Returns whether a request is being handled or its response is being written.
+    fn is_busy(&self) -> bool {
+        self.open_requests.get() > 0 || self.is_flush_due.get()
+    }
+
     /// Returns how many requests arrived.
     pub fn requests(&self) -> u32 {
         self.requests.get()
@@ -89,7 +114,7 @@
     }
 }
 
-/// Marks its connection as active until the request has been handled.
+/// Marks its connection as busy until the request has been handled.
 #[derive(Debug)]
 pub(super) struct ActiveRequest {
     activity: Rc<ConnectionActivity>,
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/response_body.rs
@@ -0,0 +1,71 @@
+//! The body of a response while it is written to its caller.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+
+use super::body::CallerBody;
+use super::body::StreamCut;
+use super::connection_activity::ConnectionActivity;
+
+/// The body of a response, which keeps its connection busy until it has been written.
+///
+/// Hyper drops it when the whole body is in the buffer of the connection.
+#[derive(Debug)]
+pub(super) struct ResponseBody {
+    body: CallerBody,
+    _open: OpenResponse,
+}
+
+impl ResponseBody {
+    /// Wraps the body of a response.
+    pub fn new(body: CallerBody, open: OpenResponse) -> Self {
+        Self { body, _open: open }
+    }
+}
+
+impl Body for ResponseBody {
+    type Data = Bytes;
+    type Error = StreamCut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Marks its connection as busy from the arrival of a request to the end of its response.
+#[derive(Debug)]
+pub(super) struct OpenResponse {
+    activity: Rc<ConnectionActivity>,
+}
+
+impl OpenResponse {
+    /// Records that a request will be responded to.
+    pub fn begin(activity: &Rc<ConnectionActivity>) -> Self {
+        activity.begin_response();
+        Self { activity: Rc::clone(activity) }
+    }
+}
+
+impl Drop for OpenResponse {
+    fn drop(&mut self) {
+        self.activity.end_response();
+    }
+}
--- a/crates/filbertcleat-gateway/src/entry/socket.rs
+++ b/crates/filbertcleat-gateway/src/entry/socket.rs
@@ -1,4 +1,4 @@
-//! A TCP stream that reports its reads or is reset when it is closed.
+//! A TCP stream that is reset when it is closed.
 
 use std::io;
 use std::pin::Pin;
@@ -12,55 +12,33 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-/// A TCP stream that calls back on reads, or that is reset when it is closed.
-pub(super) struct Socket<R> {
+/// A TCP stream that is reset when it is closed.
+#[derive(Debug)]
+pub(super) struct Socket {
     stream: TcpStream,
-    on_read: R,
-    close_mode: CloseMode,
 }
 
-/// How a stream is closed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum CloseMode {
-    /// Written bytes are delivered before the connection is closed.
-    Graceful,
-    /// The connection is reset, and undelivered bytes are discarded.
-    Reset,
-}
-
-impl<R: Fn() + Unpin> Socket<R> {
-    /// Wraps a stream so that `on_read` is called whenever bytes have arrived.
-    pub fn with_read_callback(stream: TcpStream, on_read: R) -> Self {
-        Self { stream, on_read, close_mode: CloseMode::Graceful }
-    }
-}
-
-impl Socket<fn()> {
+impl Socket {
     /// Wraps a stream so that it is reset when it is closed.
     ///
     /// Otherwise an abandoned request could still be delivered after a network partition heals.
     pub fn reset_on_close(stream: TcpStream) -> io::Result<Self> {
         SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
-        Ok(Self { stream, on_read: || {}, close_mode: CloseMode::Reset })
+        Ok(Self { stream })
     }
 }
 
-impl<R: Fn() + Unpin> AsyncRead for Socket<R> {
+impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            (self.on_read)();
-        }
-        read
+        Pin::new(&mut self.stream).poll_read(context, buffer)
     }
 }
 
-impl<R: Fn() + Unpin> AsyncWrite for Socket<R> {
+impl AsyncWrite for Socket {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -85,11 +63,8 @@
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.close_mode {
-            CloseMode::Graceful => Pin::new(&mut self.stream).poll_shutdown(context),
-            // A graceful shutdown would wait for undelivered bytes.
-            CloseMode::Reset => Poll::Ready(Ok(())),
-        }
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // A graceful shutdown would wait for undelivered bytes.
+        Poll::Ready(Ok(()))
     }
 }
