Apply the limits in force to open connections

Callers whose connection was accepted before a configuration kept its limits until the connection ended. When a later version raised the idle timeout, the entry closed connections that callers still reused; when it lowered it, nothing changed; a connection accepted before the first configuration kept the defaults. The limits of the head were stale in the same way, so that a head that is allowed was answered 431, or its connection was dropped at the older header timeout.

The limits were read once, when the connection was accepted. They are read at each check now. A longer idle timeout counts at once. Callers are not told of a shorter one, so the longer one still applies to a connection that becomes idle within 1.1 times that timeout after the change, for the whole time that it is idle; later ones are closed by the shorter one. The buffer that bounds a head is part of the hyper connection, which is built again on the same socket, with the bytes that it has read, as soon as no request is open.

Ruled out: the limit of the body, which each request reads from the configuration.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod events;
 mod handler;
+mod idle_timeouts;
 mod in_flight;
 mod placement;
 mod read_request;
--- a/crates/filbertcleat-gateway/src/entry/caller_socket.rs
+++ b/crates/filbertcleat-gateway/src/entry/caller_socket.rs
@@ -1,11 +1,16 @@
 //! The TCP stream of a caller's connection.
 
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
+use bytes::Buf;
+use bytes::Bytes;
+use futures_util::ready;
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -16,14 +21,16 @@
 /// The TCP stream of a caller's connection, which records when bytes arrive and are written.
 #[derive(Debug)]
 pub(super) struct CallerSocket {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     activity: Rc<ConnectionActivity>,
+    /// Bytes that were read from the stream before, and are to be read again.
+    unread: Bytes,
 }
 
 impl CallerSocket {
-    /// Wraps the stream of a connection.
-    pub fn new(stream: TcpStream, activity: &Rc<ConnectionActivity>) -> Self {
-        Self { stream, activity: Rc::clone(activity) }
+    /// Wraps the stream of a connection, of which `unread` has been taken already.
+    pub fn new(stream: &Rc<TcpStream>, activity: &Rc<ConnectionActivity>, unread: Bytes) -> Self {
+        Self { stream: Rc::clone(stream), activity: Rc::clone(activity), unread }
     }
 }
 
@@ -33,43 +40,61 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
+        if self.unread.has_remaining() {
+            let length = self.unread.len().min(buffer.remaining());
+            buffer.put_slice(&self.unread.split_to(length));
             self.activity.on_read();
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read_buf(buffer) {
+                Ok(0) => return Poll::Ready(Ok(())),
+                Ok(_) => {
+                    self.activity.on_read();
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
         }
-        read
     }
 }
 
 impl AsyncWrite for CallerSocket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        self.poll_write_vectored(context, &[io::IoSlice::new(bytes)])
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match self.stream.try_write_vectored(slices) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
     /// Hyper flushes the stream when it has taken all buffered bytes.
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.activity.on_flush();
-        Pin::new(&mut self.stream).poll_flush(context)
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -1,13 +1,15 @@
 //! Connections from callers and their time limits.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
+use bytes::Bytes;
 use filbertcleat_base::MonoTime;
-use filbertcleat_serve::CallerLimits;
 use http::HeaderValue;
 use http::header::CONNECTION;
 use hyper::server::conn::http1;
@@ -17,6 +19,9 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::Interval;
+use tokio::time::MissedTickBehavior;
 
 use super::caller_socket::CallerSocket;
 use super::close_reason::CloseReason;
@@ -55,60 +60,95 @@
         log::debug!("event=caller-gone reason=\"{error}\"");
         return;
     }
-    let limits = caller_limits(&entry);
+    let stream = Rc::new(stream);
     let activity = Rc::new(ConnectionActivity::new(entry.clock()));
-    let service = service_fn(|request| {
-        let entry = Rc::clone(&entry);
-        let active = ActiveRequest::begin(&activity);
-        let open = OpenResponse::begin(&activity);
-        async move {
-            let mut response = handle_request(&entry, request, active).await;
-            if entry.shutdown.is_triggered() {
-                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, open)))
-        }
-    });
-    let socket = CallerSocket::new(stream, &activity);
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(None)
-        .max_buf_size(limits.header_max_bytes.max(BUFFER_MIN_BYTES))
-        .serve_connection(TokioIo::new(socket), service);
-    let mut connection = pin!(connection);
+    let mut unread = Bytes::new();
     let mut is_closing = false;
-
     loop {
-        tokio::select! {
-            ended = connection.as_mut() => {
-                if let Err(error) = ended {
-                    log::debug!("event=caller-connection-ended reason=\"{error}\"");
+        let service = service_fn(|request| {
+            let entry = Rc::clone(&entry);
+            let active = ActiveRequest::begin(&activity);
+            let open = OpenResponse::begin(&activity);
+            async move {
+                let mut response = handle_request(&entry, request, active).await;
+                if entry.shutdown.is_triggered() {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                return;
+                Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, open)))
             }
-            () = tokio::time::sleep(CHECK_INTERVAL) => {
+        });
+        let header_max_bytes = entry.caller_limits().header_max_bytes;
+        let socket = CallerSocket::new(&stream, &activity, unread);
+        let mut connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(None)
+            .max_buf_size(header_max_bytes.max(BUFFER_MIN_BYTES))
+            .serve_connection(TokioIo::new(socket), service);
+        let mut checks = check_interval(CHECK_INTERVAL);
+        let progress = poll_fn(|context| {
+            if let Poll::Ready(ended) = Pin::new(&mut connection).poll(context) {
+                return Poll::Ready(Progress::Ended(ended));
+            }
+            let is_outdated = entry.caller_limits().header_max_bytes != header_max_bytes;
+            if is_outdated && activity.is_quiet() {
+                return Poll::Ready(Progress::Outdated);
+            }
+            while checks.poll_tick(context).is_ready() {
                 let now = entry.now();
-                if activity.is_head_overdue(now, limits) {
-                    log_close(from, CloseReason::HeadOverdue, &activity, now);
-                    return;
-                }
-                let reason = if activity.is_idle(now, limits) {
-                    Some(CloseReason::Idle)
-                } else {
-                    entry.is_out_of_rotation().then_some(CloseReason::Leaving)
-                };
-                if let (Some(reason), false) = (reason, is_closing) {
+                let Some(reason) = due_close(&entry, &activity, now) else { continue };
+                if !is_closing {
                     is_closing = true;
                     log_close(from, reason, &activity, now);
-                    connection.as_mut().graceful_shutdown();
                 }
+                if reason == CloseReason::HeadOverdue {
+                    return Poll::Ready(Progress::Ended(Ok(())));
+                }
+                Pin::new(&mut connection).graceful_shutdown();
+                context.waker().wake_by_ref();
             }
+            Poll::Pending
+        });
+        match progress.await {
+            Progress::Ended(Ok(())) => return,
+            Progress::Ended(Err(error)) => {
+                log::debug!("event=caller-connection-ended reason=\"{error}\"");
+                return;
+            }
+            Progress::Outdated => unread = connection.into_parts().read_buf,
         }
     }
 }
 
-fn caller_limits<D: Dialect>(entry: &Entry<D>) -> CallerLimits {
-    entry.state.borrow().deployment.as_ref().map(|known| known.limits).unwrap_or_default()
+/// Returns an interval whose first tick is one period away.
+fn check_interval(period: Duration) -> Interval {
+    let mut checks = tokio::time::interval_at(Instant::now() + period, period);
+    checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    checks
+}
+
+/// What has become of a connection.
+enum Progress {
+    /// The connection has ended.
+    Ended(hyper::Result<()>),
+    /// The connection is quiet, and its buffer has the size of an older configuration.
+    Outdated,
+}
+
+/// Returns why the entry has to close a connection, if it has to.
+fn due_close<D: Dialect>(
+    entry: &Entry<D>,
+    activity: &ConnectionActivity,
+    now: MonoTime,
+) -> Option<CloseReason> {
+    let idle_since = activity.idle_since();
+    let is_idle = now.ms_since(idle_since) > entry.idle_close_ms(idle_since);
+    if activity.is_head_overdue(now, entry.caller_limits().header_timeout_ms) {
+        Some(CloseReason::HeadOverdue)
+    } else if activity.is_quiet() && is_idle {
+        Some(CloseReason::Idle)
+    } else {
+        entry.is_out_of_rotation().then_some(CloseReason::Leaving)
+    }
 }
 
 fn log_close(from: SocketAddr, reason: CloseReason, activity: &ConnectionActivity, now: MonoTime) {
@@ -117,6 +157,6 @@
         reason.as_str(),
         activity.requests(),
         activity.open_ms(now),
-        activity.idle_ms(now),
+        now.ms_since(activity.idle_since()),
     );
 }
--- a/crates/filbertcleat-gateway/src/entry/connection_activity.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_activity.rs
@@ -4,14 +4,9 @@
 use std::rc::Rc;
 
 use filbertcleat_base::MonoTime;
-use filbertcleat_serve::CallerLimits;
 
 use crate::clock::Clock;
 
-/// Idle connections stay open for this multiple of the configured idle time. Callers stop reusing
-/// them earlier, so that no request is sent while the entry closes its connection.
-const IDLE_TIMEOUT_FACTOR: f64 = 1.1;
-
 /// The activity of a connection, which its time limits are checked against.
 #[derive(Debug)]
 pub(super) struct ConnectionActivity {
@@ -78,19 +73,15 @@
         }
     }
 
-    /// Returns whether the connection has been idle for longer than the idle timeout.
-    pub fn is_idle(&self, now: MonoTime, limits: CallerLimits) -> bool {
-        let idle_ms = (limits.idle_timeout_ms as f64 * IDLE_TIMEOUT_FACTOR) as u64;
-        !self.is_busy() && self.head_since.get().is_none() && self.idle_ms(now) > idle_ms
+    /// Returns whether no request is open and no byte of the next one has arrived.
+    pub fn is_quiet(&self) -> bool {
+        !self.is_busy() && self.head_since.get().is_none()
     }
 
     /// Returns whether the head of the next request did not arrive in time.
-    pub fn is_head_overdue(&self, now: MonoTime, limits: CallerLimits) -> bool {
+    pub fn is_head_overdue(&self, now: MonoTime, header_timeout_ms: u64) -> bool {
         !self.is_busy()
-            && self
-                .head_since
-                .get()
-                .is_some_and(|since| now.ms_since(since) > limits.header_timeout_ms)
+            && self.head_since.get().is_some_and(|since| now.ms_since(since) > header_timeout_ms)
     }
 
     /// Returns whether a request is being handled or its response is being written.
@@ -108,9 +99,9 @@
         now.ms_since(self.opened_at)
     }
 
-    /// Returns the time since the last request ended.
-    pub fn idle_ms(&self, now: MonoTime) -> u64 {
-        now.ms_since(self.idle_since.get())
+    /// Returns when the last request ended.
+    pub fn idle_since(&self) -> MonoTime {
+        self.idle_since.get()
     }
 }
 
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -10,6 +10,7 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
 use filbertcleat_serve::AdapterKey;
+use filbertcleat_serve::CallerLimits;
 use filbertcleat_serve::Deployment;
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::RequestQueue;
@@ -23,6 +24,7 @@
 use super::BALANCER_DELAY_MS;
 use super::agent_updates::AgentUpdateState;
 use super::connection_pool::ConnectionPool;
+use super::idle_timeouts::IdleTimeouts;
 use super::in_flight::InFlightAttempt;
 use crate::CatalogueEvent;
 use crate::Dialect;
@@ -53,6 +55,7 @@
     open_requests: Cell<usize>,
     shutdown_since: Cell<Option<MonoTime>>,
     configured_at: Cell<MonoTime>,
+    idle_timeouts: RefCell<IdleTimeouts>,
     /// When the catalogue last responded, by topic.
     catalogue_responded_at: [Cell<MonoTime>; 2],
 }
@@ -107,6 +110,7 @@
             open_requests: Cell::new(0),
             shutdown_since: Cell::new(None),
             configured_at: Cell::new(MonoTime::ZERO),
+            idle_timeouts: RefCell::default(),
             catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 2],
         }
     }
@@ -169,6 +173,8 @@
                     known.unwrap_or(0),
                     deployment.routes.len()
                 );
+                let idle_timeout_ms = deployment.limits.idle_timeout_ms;
+                self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
                 state.deployment = Some(Rc::new(deployment));
                 self.configured_at.set(now);
             }
@@ -181,6 +187,16 @@
         self.dispatcher_wakeup.notify_one();
     }
 
+    /// Returns the limits on callers that are in force.
+    pub fn caller_limits(&self) -> CallerLimits {
+        self.state.borrow().deployment.as_ref().map(|known| known.limits).unwrap_or_default()
+    }
+
+    /// Returns how long a caller's connection may be idle that became idle at a time.
+    pub fn idle_close_ms(&self, idle_since: MonoTime) -> u64 {
+        self.idle_timeouts.borrow().close_after_ms(idle_since)
+    }
+
     /// Counts a request towards the retry budget of its service.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
--- a/crates/filbertcleat-gateway/tests/support/caller.rs
+++ b/crates/filbertcleat-gateway/tests/support/caller.rs
@@ -65,14 +65,20 @@
 impl Caller {
     /// Connects to an entry.
     pub async fn connect(address: SocketAddr) -> io::Result<Self> {
-        Ok(Self { stream: TcpStream::connect(address).await? })
+        Self::over(TcpStream::connect(address).await?)
     }
 
     /// Connects to an entry with a receive window that is far smaller than a large response.
     pub async fn connect_slow(address: SocketAddr) -> io::Result<Self> {
         let socket = TcpSocket::new_v4()?;
         socket.set_recv_buffer_size(SLOW_WINDOW_BYTES)?;
-        Ok(Self { stream: socket.connect(address).await? })
+        Self::over(socket.connect(address).await?)
+    }
+
+    fn over(stream: TcpStream) -> io::Result<Self> {
+        // Acknowledgements take real time, which paused time does not wait for.
+        stream.set_nodelay(true)?;
+        Ok(Self { stream })
     }
 
     /// Sends a request.
