Deliver refusals whose request is still arriving

A caller whose request was refused before its body had arrived got a reset instead of the refusal, or a response that promised to keep a connection that was then closed: no route, no configuration, a leaving entry, a body or a head over the limit. A caller cannot tell such a reset from a lost response.

When the handler drops a body that has not ended, hyper stops reading and closes the connection, after a response without Connection: close. Closing a socket with unread bytes resets it, and later bytes meet the same reset.

A refused request is now read on for up to 250 ms and the size limit of a body. If it ends in that time, the connection is kept. Otherwise the refusal carries Connection: close, and the entry ends its side and discards what still arrives, for at most 5 s and the size limit of a body; the same holds for the responses that hyper makes to heads that it cannot parse. A caller that waits for 100 Continue is refused at once.

A connection that ends after its response no longer counts as quiet.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod connection_activity;
 mod connection_pool;
+mod discard;
 mod dispatch;
 mod events;
 mod handler;
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -27,6 +27,7 @@
 use super::close_reason::CloseReason;
 pub(super) use super::connection_activity::ActiveRequest;
 use super::connection_activity::ConnectionActivity;
+use super::discard::discard_request;
 use super::handler::handle_request;
 use super::response_body::OpenResponse;
 use super::response_body::ResponseBody;
@@ -64,16 +65,20 @@
     let activity = Rc::new(ConnectionActivity::new(entry.clock()));
     let mut unread = Bytes::new();
     let mut is_closing = false;
-    loop {
+    let is_request_unread = loop {
         let service = service_fn(|request| {
             let entry = Rc::clone(&entry);
             let active = ActiveRequest::begin(&activity);
             let open = OpenResponse::begin(&activity);
+            let activity = Rc::clone(&activity);
             async move {
                 let mut response = handle_request(&entry, request, active).await;
                 if entry.shutdown.is_triggered() {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
+                if response.headers().contains_key(CONNECTION) {
+                    activity.end_after_response();
+                }
                 Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, open)))
             }
         });
@@ -109,13 +114,16 @@
             Poll::Pending
         });
         match progress.await {
-            Progress::Ended(Ok(())) => return,
+            Progress::Ended(Ok(())) => break activity.is_ending(),
             Progress::Ended(Err(error)) => {
                 log::debug!("event=caller-connection-ended reason=\"{error}\"");
-                return;
+                break error.is_parse();
             }
             Progress::Outdated => unread = connection.into_parts().read_buf,
         }
+    };
+    if is_request_unread {
+        discard_request(&stream, entry.caller_limits().body_max_bytes).await;
     }
 }
 
--- a/crates/filbertcleat-gateway/src/entry/connection_activity.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_activity.rs
@@ -20,6 +20,8 @@
     idle_since: Cell<MonoTime>,
     /// When the first bytes of the next request arrived, while its head is incomplete.
     head_since: Cell<Option<MonoTime>>,
+    /// Whether the connection ends after the current response.
+    is_ending: Cell<bool>,
 }
 
 impl ConnectionActivity {
@@ -34,6 +36,7 @@
             is_flush_due: Cell::new(false),
             idle_since: Cell::new(now),
             head_since: Cell::new(None),
+            is_ending: Cell::new(false),
         }
     }
 
@@ -66,6 +69,16 @@
         }
     }
 
+    /// Records that the connection ends after the current response.
+    pub fn end_after_response(&self) {
+        self.is_ending.set(true);
+    }
+
+    /// Returns whether the connection ends after the current response.
+    pub fn is_ending(&self) -> bool {
+        self.is_ending.get()
+    }
+
     /// Records that bytes have arrived.
     pub fn on_read(&self) {
         if !self.is_busy() && self.head_since.get().is_none() {
@@ -84,9 +97,10 @@
             && self.head_since.get().is_some_and(|since| now.ms_since(since) > header_timeout_ms)
     }
 
-    /// Returns whether a request is being handled or its response is being written.
+    /// Returns whether a request is being handled, its response is being written, or the rest of
+    /// its body follows.
     fn is_busy(&self) -> bool {
-        self.open_requests.get() > 0 || self.is_flush_due.get()
+        self.open_requests.get() > 0 || self.is_flush_due.get() || self.is_ending.get()
     }
 
     /// Returns how many requests arrived.
--- a/crates/filbertcleat-gateway/src/entry/handler.rs
+++ b/crates/filbertcleat-gateway/src/entry/handler.rs
@@ -11,9 +11,11 @@
 use filbertcleat_serve::NextAttempt;
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::ServerId;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::CONNECTION;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -28,6 +30,7 @@
 use super::connection::ActiveRequest;
 use super::in_flight::InFlightAttempt;
 use super::placement::place_request;
+use super::read_request::RefusedRequest;
 use super::read_request::read_request;
 use super::refusal::RETRY_AFTER_FULL;
 use super::refusal::Refusal;
@@ -54,10 +57,14 @@
     let mut open = OpenRequest::new(entry, id.clone());
     let mut request = match read_request(entry, request, metadata).await {
         Ok(request) => request,
-        Err(refusal) => {
+        Err(RefusedRequest { refusal, is_read }) => {
             open.is_answered = true;
             log_refusal(&entry.metrics, id.as_deref(), refusal);
-            return refusal.response();
+            let mut response = refusal.response();
+            if !is_read {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            return response;
         }
     };
     entry.count_request(&request.service);
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -3,12 +3,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use filbertcleat_base::ServiceName;
 use filbertcleat_serve::RequestDemand;
+use filbertcleat_serve::Route;
 use http::Request;
 use http::header;
+use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
 use super::refusal::RETRY_AFTER_FULL;
@@ -23,6 +28,18 @@
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 /// `Retry-After` for a request that another entry can take at once: about the network latency.
 const RETRY_AFTER_OTHER_ENTRY: Duration = Duration::from_millis(20);
+/// How long a refusal waits for the rest of the body: some network round trips, so that a body that
+/// follows its head keeps its connection.
+const REFUSED_BODY_WAIT: Duration = Duration::from_millis(250);
+
+/// A request that the entry refused before forwarding it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RefusedRequest {
+    /// Why the request was refused.
+    pub refusal: Refusal,
+    /// Whether the request has been read to its end, so that its connection can be kept.
+    pub is_read: bool,
+}
 
 /// Reads the body of a request and finds its route and service.
 ///
@@ -31,34 +48,22 @@
     entry: &Rc<Entry<D>>,
     request: Request<Incoming>,
     metadata: RequestMetadata,
-) -> Result<CallerRequest, Refusal> {
+) -> Result<CallerRequest, RefusedRequest> {
     let arrived_at = entry.now();
     let (head, body) = request.into_parts();
-    if entry.is_out_of_rotation() {
-        // A request that starts now might not finish before the process has to exit.
-        return Err(Refusal::NotRun("the entry is leaving", RETRY_AFTER_OTHER_ENTRY));
-    }
-    let deployment = entry.state.borrow().deployment.clone();
-    let deployment =
-        deployment.ok_or(Refusal::NotRun("no configuration yet", RETRY_AFTER_UNAVAILABLE))?;
-
-    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let route = deployment.route(host, head.uri.path()).ok_or(Refusal::NoRoute)?;
-    let id = metadata.id.clone().ok_or(Refusal::BadRequest("the request has no id"))?;
-    let service = route.choose_service(&id).ok_or(Refusal::NoRoute)?.clone();
-    let uses_engine =
-        deployment.services.get(&service).is_some_and(|service| service.engine.is_some());
+    let routed = match route_request(entry, &head, &metadata) {
+        Ok(routed) => routed,
+        Err(refusal) => {
+            let is_read = discard_body(entry, &head, body).await;
+            return Err(RefusedRequest { refusal, is_read });
+        }
+    };
+    let RoutedRequest { id, route, service, uses_engine } = routed;
     let wait_ms = metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
     let deadline = arrived_at.plus_ms(wait_ms);
-
-    let limited = Limited::new(body, deployment.limits.body_max_bytes);
-    let body = tokio::time::timeout(Duration::from_millis(wait_ms), limited.collect()).await;
-    let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Refusal::BodyTooLarge),
-        Ok(Err(_broken)) => return Err(Refusal::BadRequest("the body broke off")),
-        Err(_elapsed) => return Err(Refusal::NotRun("the body did not arrive", RETRY_AFTER_FULL)),
+    let body = match read_body(entry, body, Duration::from_millis(wait_ms)).await {
+        Ok(body) => body,
+        Err(refusal) => return Err(RefusedRequest { refusal, is_read: false }),
     };
     let demand = RequestDemand {
         service: service.clone(),
@@ -78,7 +83,7 @@
         headers: head.headers,
         body,
         metadata,
-        route: route.clone(),
+        route,
         service,
         uses_engine,
         demand,
@@ -91,3 +96,71 @@
         avoided: Vec::new(),
     })
 }
+
+/// A request whose head has been matched to a route.
+struct RoutedRequest {
+    id: String,
+    route: Route,
+    service: ServiceName,
+    uses_engine: bool,
+}
+
+fn route_request<D: Dialect>(
+    entry: &Entry<D>,
+    head: &Parts,
+    metadata: &RequestMetadata,
+) -> Result<RoutedRequest, Refusal> {
+    if entry.is_out_of_rotation() {
+        // A request that starts now might not finish before the process has to exit.
+        return Err(Refusal::NotRun("the entry is leaving", RETRY_AFTER_OTHER_ENTRY));
+    }
+    let deployment = entry.state.borrow().deployment.clone();
+    let deployment =
+        deployment.ok_or(Refusal::NotRun("no configuration yet", RETRY_AFTER_UNAVAILABLE))?;
+
+    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let route = deployment.route(host, head.uri.path()).ok_or(Refusal::NoRoute)?;
+    let id = metadata.id.clone().ok_or(Refusal::BadRequest("the request has no id"))?;
+    let service = route.choose_service(&id).ok_or(Refusal::NoRoute)?.clone();
+    let uses_engine =
+        deployment.services.get(&service).is_some_and(|service| service.engine.is_some());
+    Ok(RoutedRequest { id, route: route.clone(), service, uses_engine })
+}
+
+async fn read_body<D: Dialect>(
+    entry: &Entry<D>,
+    body: Incoming,
+    wait: Duration,
+) -> Result<Bytes, Refusal> {
+    let limited = Limited::new(body, entry.caller_limits().body_max_bytes);
+    match tokio::time::timeout(wait, limited.collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Ok(Err(_broken)) => Err(Refusal::BadRequest("the body broke off")),
+        Err(_elapsed) => Err(Refusal::NotRun("the body did not arrive", RETRY_AFTER_FULL)),
+    }
+}
+
+/// Reads and drops the body of a refused request, and returns whether it has ended.
+///
+/// Otherwise its connection has to be closed, as the rest of the body precedes the next request.
+async fn discard_body<D: Dialect>(entry: &Entry<D>, head: &Parts, mut body: Incoming) -> bool {
+    if head.headers.contains_key(header::EXPECT) {
+        // The caller sends the body only if the entry asks for it.
+        return body.is_end_stream();
+    }
+    let mut bytes_left = entry.caller_limits().body_max_bytes;
+    let discard = async {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            match bytes_left.checked_sub(length) {
+                Some(left) => bytes_left = left,
+                None => return false,
+            }
+        }
+        true
+    };
+    tokio::time::timeout(REFUSED_BODY_WAIT, discard).await.unwrap_or(false)
+}
