Wait for written responses before a leaving entry exits

A leaving entry could exit while responses were still being written: a request counted as ended when its handler or relay had returned, not when its response had reached the socket, and idle connections were reset by the exit of the process. A caller with a small receive window lost the end of a large response or of a stream.

A leaving entry now waits, within its grace period, until all connections of its callers are closed. While the entry leaves, connections are checked every 50 ms instead of every second. A caller that reads nothing holds the entry for the grace period at most.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -9,12 +9,12 @@
 mod connection;
 mod connection_activity;
 mod connection_pool;
-mod discard;
 mod dispatch;
 mod events;
 mod handler;
 mod idle_timeouts;
 mod in_flight;
+mod open_connection;
 mod placement;
 mod read_request;
 mod readiness;
@@ -24,6 +24,7 @@
 mod response_body;
 mod socket;
 mod state;
+mod stream_close;
 mod stream_relay;
 
 use std::net::SocketAddr;
@@ -61,7 +62,7 @@
 const BALANCER_DELAY_MS: u64 = 2_600;
 /// The part of the shutdown grace period that is reserved for the exit of the process itself.
 const EXIT_RESERVE_MS: u64 = 600;
-/// How often a draining entry checks whether its requests have ended.
+/// How often a draining entry checks whether its requests and connections have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The listening sockets of an entry.
@@ -127,18 +128,24 @@
     let open = entry.open_requests();
     log::info!("event=stopping role=entry node={} requests={open}", settings.name);
     drain(&entry).await;
-    log::info!("event=stop role=entry node={} requests={}", settings.name, entry.open_requests());
+    log::info!(
+        "event=stop role=entry node={} requests={} connections={}",
+        settings.name,
+        entry.open_requests(),
+        entry.open_connections()
+    );
     Ok(())
 }
 
-/// Waits until the load balancer has removed the process and its requests have ended, at most for
-/// the grace period.
+/// Waits until the load balancer has removed the process and its callers have read their responses,
+/// at most for the grace period.
 async fn drain<D: Dialect>(entry: &Entry<D>) {
     entry.begin_shutdown();
     let since = entry.now();
     loop {
         let elapsed_ms = entry.now().ms_since(since);
-        let is_done = elapsed_ms >= BALANCER_DELAY_MS && entry.open_requests() == 0;
+        let is_idle = entry.open_requests() == 0 && entry.open_connections() == 0;
+        let is_done = elapsed_ms >= BALANCER_DELAY_MS && is_idle;
         if is_done || elapsed_ms + EXIT_RESERVE_MS >= entry.settings.grace_ms {
             return;
         }
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -4,6 +4,7 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
@@ -20,18 +21,19 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
-use tokio::time::Interval;
-use tokio::time::MissedTickBehavior;
 
+use super::DRAIN_CHECK_INTERVAL;
 use super::caller_socket::CallerSocket;
 use super::close_reason::CloseReason;
 pub(super) use super::connection_activity::ActiveRequest;
 use super::connection_activity::ConnectionActivity;
-use super::discard::discard_request;
 use super::handler::handle_request;
+use super::open_connection::OpenConnection;
 use super::response_body::OpenResponse;
 use super::response_body::ResponseBody;
 use super::state::Entry;
+use super::stream_close::close_after_response;
+use super::stream_close::close_idle;
 use crate::Dialect;
 
 /// The delay after a connection could not be accepted, for example for lack of file descriptors.
@@ -61,11 +63,12 @@
         log::debug!("event=caller-gone reason=\"{error}\"");
         return;
     }
+    let _open = OpenConnection::new(&entry);
     let stream = Rc::new(stream);
     let activity = Rc::new(ConnectionActivity::new(entry.clock()));
     let mut unread = Bytes::new();
     let mut is_closing = false;
-    let is_request_unread = loop {
+    let has_responded = loop {
         let service = service_fn(|request| {
             let entry = Rc::clone(&entry);
             let active = ActiveRequest::begin(&activity);
@@ -89,7 +92,7 @@
             .header_read_timeout(None)
             .max_buf_size(header_max_bytes.max(BUFFER_MIN_BYTES))
             .serve_connection(TokioIo::new(socket), service);
-        let mut checks = check_interval(CHECK_INTERVAL);
+        let mut check = pin!(tokio::time::sleep(check_interval(&entry)));
         let progress = poll_fn(|context| {
             if let Poll::Ready(ended) = Pin::new(&mut connection).poll(context) {
                 return Poll::Ready(Progress::Ended(ended));
@@ -98,15 +101,15 @@
             if is_outdated && activity.is_quiet() {
                 return Poll::Ready(Progress::Outdated);
             }
-            while checks.poll_tick(context).is_ready() {
-                let now = entry.now();
-                let Some(reason) = due_close(&entry, &activity, now) else { continue };
+            while check.as_mut().poll(context).is_ready() {
+                check.as_mut().reset(Instant::now() + check_interval(&entry));
+                let Some(reason) = due_close(&entry, &activity) else { continue };
                 if !is_closing {
                     is_closing = true;
-                    log_close(from, reason, &activity, now);
+                    log_close(from, reason, &activity, entry.now());
                 }
-                if reason == CloseReason::HeadOverdue {
-                    return Poll::Ready(Progress::Ended(Ok(())));
+                if reason == CloseReason::HeadOverdue || activity.is_quiet() {
+                    return Poll::Ready(Progress::Due);
                 }
                 Pin::new(&mut connection).graceful_shutdown();
                 context.waker().wake_by_ref();
@@ -114,40 +117,40 @@
             Poll::Pending
         });
         match progress.await {
-            Progress::Ended(Ok(())) => break activity.is_ending(),
-            Progress::Ended(Err(error)) => {
-                log::debug!("event=caller-connection-ended reason=\"{error}\"");
-                break error.is_parse();
+            Progress::Ended(ended) => {
+                if let Err(error) = ended {
+                    log::debug!("event=caller-connection-ended reason=\"{error}\"");
+                }
+                break true;
             }
+            Progress::Due => break false,
             Progress::Outdated => unread = connection.into_parts().read_buf,
         }
     };
-    if is_request_unread {
-        discard_request(&stream, entry.caller_limits().body_max_bytes).await;
+    if has_responded {
+        close_after_response(&stream, entry.caller_limits().body_max_bytes).await;
+    } else {
+        close_idle(&stream).await;
     }
 }
 
-/// Returns an interval whose first tick is one period away.
-fn check_interval(period: Duration) -> Interval {
-    let mut checks = tokio::time::interval_at(Instant::now() + period, period);
-    checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    checks
+fn check_interval<D: Dialect>(entry: &Entry<D>) -> Duration {
+    if entry.shutdown.is_triggered() { DRAIN_CHECK_INTERVAL } else { CHECK_INTERVAL }
 }
 
 /// What has become of a connection.
 enum Progress {
     /// The connection has ended.
     Ended(hyper::Result<()>),
+    /// The entry closes the connection.
+    Due,
     /// The connection is quiet, and its buffer has the size of an older configuration.
     Outdated,
 }
 
 /// Returns why the entry has to close a connection, if it has to.
-fn due_close<D: Dialect>(
-    entry: &Entry<D>,
-    activity: &ConnectionActivity,
-    now: MonoTime,
-) -> Option<CloseReason> {
+fn due_close<D: Dialect>(entry: &Entry<D>, activity: &ConnectionActivity) -> Option<CloseReason> {
+    let now = entry.now();
     let idle_since = activity.idle_since();
     let is_idle = now.ms_since(idle_since) > entry.idle_close_ms(idle_since);
     if activity.is_head_overdue(now, entry.caller_limits().header_timeout_ms) {
--- a/crates/filbertcleat-gateway/src/entry/connection_activity.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_activity.rs
@@ -74,11 +74,6 @@
         self.is_ending.set(true);
     }
 
-    /// Returns whether the connection ends after the current response.
-    pub fn is_ending(&self) -> bool {
-        self.is_ending.get()
-    }
-
     /// Records that bytes have arrived.
     pub fn on_read(&self) {
         if !self.is_busy() && self.head_since.get().is_none() {
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -53,6 +53,7 @@
     pub state: RefCell<State<D>>,
     clock: Clock,
     open_requests: Cell<usize>,
+    open_connections: Cell<usize>,
     shutdown_since: Cell<Option<MonoTime>>,
     configured_at: Cell<MonoTime>,
     idle_timeouts: RefCell<IdleTimeouts>,
@@ -108,6 +109,7 @@
             }),
             clock,
             open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
             shutdown_since: Cell::new(None),
             configured_at: Cell::new(MonoTime::ZERO),
             idle_timeouts: RefCell::default(),
@@ -140,6 +142,21 @@
         self.open_requests.set(self.open_requests.get().saturating_sub(1));
     }
 
+    /// Returns the number of open connections of callers.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.get()
+    }
+
+    /// Counts a caller's connection as open.
+    pub fn add_open_connection(&self) {
+        self.open_connections.set(self.open_connections.get() + 1);
+    }
+
+    /// Removes a closed connection from the count of open ones.
+    pub fn remove_open_connection(&self) {
+        self.open_connections.set(self.open_connections.get().saturating_sub(1));
+    }
+
     /// Returns whether the entry accepts callers: it has a configuration and is not shutting down.
     pub fn is_ready(&self) -> bool {
         self.state.borrow().deployment.is_some() && !self.shutdown.is_triggered()
