Answer requests that arrive before their connection is closed

Around the idle timeout, the header timeout and the leaving of an entry, a request that had arrived in its socket could be dropped unread: the check of the time limits and the read raced in a select that picks either, a suspended process finds both due when it goes on, and the readiness that the runtime knows of may be older than its timers. A leaving entry also closed connections on which a head had begun to arrive, and closed others right behind a response that had promised to keep them, such as a stream that began before the shutdown.

A leaving entry closes a connection once it has been idle for 200 ms, and answers what arrives until then; a head that has begun is bounded by the header timeout. Connections are no longer shut down by hyper.

A request that crosses the close on the network still meets a closed connection; it is left unread.

--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -34,12 +34,17 @@
 use super::state::Entry;
 use super::stream_close::close_after_response;
 use super::stream_close::close_idle;
+use super::stream_close::has_unread_bytes;
 use crate::Dialect;
 
 /// The delay after a connection could not be accepted, for example for lack of file descriptors.
 pub(super) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// How often a connection is checked against its time limits.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a connection to a leaving entry has to be idle before it is closed: some network round
+/// trips, so that the first request on a new connection, or one sent on reading a response that did
+/// not yet announce the close, is answered.
+const LEAVING_IDLE_MS: u64 = 200;
 /// The smallest read buffer that hyper accepts.
 const BUFFER_MIN_BYTES: usize = 8_192;
 
@@ -67,7 +72,6 @@
     let stream = Rc::new(stream);
     let activity = Rc::new(ConnectionActivity::new(entry.clock()));
     let mut unread = Bytes::new();
-    let mut is_closing = false;
     let has_responded = loop {
         let service = service_fn(|request| {
             let entry = Rc::clone(&entry);
@@ -104,15 +108,10 @@
             while check.as_mut().poll(context).is_ready() {
                 check.as_mut().reset(Instant::now() + check_interval(&entry));
                 let Some(reason) = due_close(&entry, &activity) else { continue };
-                if !is_closing {
-                    is_closing = true;
+                if !has_unread_bytes(&stream) {
                     log_close(from, reason, &activity, entry.now());
-                }
-                if reason == CloseReason::HeadOverdue || activity.is_quiet() {
                     return Poll::Ready(Progress::Due);
                 }
-                Pin::new(&mut connection).graceful_shutdown();
-                context.waker().wake_by_ref();
             }
             Poll::Pending
         });
@@ -152,13 +151,16 @@
 fn due_close<D: Dialect>(entry: &Entry<D>, activity: &ConnectionActivity) -> Option<CloseReason> {
     let now = entry.now();
     let idle_since = activity.idle_since();
-    let is_idle = now.ms_since(idle_since) > entry.idle_close_ms(idle_since);
+    let idle_ms = now.ms_since(idle_since);
     if activity.is_head_overdue(now, entry.caller_limits().header_timeout_ms) {
         Some(CloseReason::HeadOverdue)
-    } else if activity.is_quiet() && is_idle {
+    } else if !activity.is_quiet() {
+        None
+    } else if idle_ms > entry.idle_close_ms(idle_since) {
         Some(CloseReason::Idle)
     } else {
-        entry.is_out_of_rotation().then_some(CloseReason::Leaving)
+        let is_leaving = entry.is_out_of_rotation() && idle_ms > LEAVING_IDLE_MS;
+        is_leaving.then_some(CloseReason::Leaving)
     }
 }
 
--- a/crates/filbertcleat-gateway/src/entry/stream_close.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_close.rs
@@ -1,6 +1,7 @@
 //! Closes the stream of a caller's connection in order.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::time::Duration;
 
@@ -34,6 +35,15 @@
     log_failure(tokio::time::timeout(IDLE_CLOSE_TIMEOUT, closed).await.unwrap_or(Ok(())));
 }
 
+/// Returns whether bytes have arrived that the entry has not read.
+///
+/// It asks the kernel, since after a busy or suspended time the readiness that the runtime knows of
+/// is older than its timers.
+pub(super) fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    matches!(SockRef::from(stream).peek(&mut byte), Ok(length) if length > 0)
+}
+
 async fn close(
     stream: &TcpStream,
     caller_closed: impl Future<Output = io::Result<()>>,
