Log callers that keep their side of a closed connection open

A caller that did not end its side within the limit of an orderly close was passed over without a line. It writes one at debug level now, like other callers that are gone.

--- a/crates/filbertcleat-gateway/src/entry/stream_close.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_close.rs
@@ -22,8 +22,7 @@
 /// Bytes that still arrive, at most `max_bytes`, are discarded: with unread bytes the stream would
 /// be reset, and the response might be lost.
 pub(super) async fn close_after_response(stream: &TcpStream, max_bytes: usize) {
-    let closed = close(stream, discard(stream, max_bytes));
-    log_failure(tokio::time::timeout(RESPONSE_READ_TIMEOUT, closed).await.unwrap_or(Ok(())));
+    close(stream, discard(stream, max_bytes), RESPONSE_READ_TIMEOUT).await;
 }
 
 /// Closes an idle stream.
@@ -31,8 +30,8 @@
 /// A request that crosses the close is left unread, so that its caller gets a reset and knows that
 /// it has not run.
 pub(super) async fn close_idle(stream: &TcpStream) {
-    let closed = close(stream, async { stream.peek(&mut [0]).await.map(|_crossed| ()) });
-    log_failure(tokio::time::timeout(IDLE_CLOSE_TIMEOUT, closed).await.unwrap_or(Ok(())));
+    let closed = async { stream.peek(&mut [0]).await.map(|_crossed| ()) };
+    close(stream, closed, IDLE_CLOSE_TIMEOUT).await;
 }
 
 /// Returns whether bytes have arrived that the entry has not read.
@@ -44,12 +43,21 @@
     matches!(SockRef::from(stream).peek(&mut byte), Ok(length) if length > 0)
 }
 
+/// Ends the entry's side of a stream and waits until the caller has closed its own.
 async fn close(
     stream: &TcpStream,
     caller_closed: impl Future<Output = io::Result<()>>,
-) -> io::Result<()> {
-    SockRef::from(stream).shutdown(Shutdown::Write)?;
-    caller_closed.await
+    limit: Duration,
+) {
+    if let Err(error) = SockRef::from(stream).shutdown(Shutdown::Write) {
+        log::debug!("event=caller-gone reason=\"{error}\"");
+        return;
+    }
+    match tokio::time::timeout(limit, caller_closed).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::debug!("event=caller-gone reason=\"{error}\""),
+        Err(_elapsed) => log::debug!("event=caller-gone reason=\"its side was not closed\""),
+    }
 }
 
 async fn discard(stream: &TcpStream, max_bytes: usize) -> io::Result<()> {
@@ -66,9 +74,3 @@
     }
     Ok(())
 }
-
-fn log_failure(closed: io::Result<()>) {
-    if let Err(error) = closed {
-        log::debug!("event=caller-gone reason=\"{error}\"");
-    }
-}
