--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -1,13 +1,16 @@
 //! Connections from callers and their time limits.
 
-use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::Pin;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
+use bytes::Bytes;
 use filbertcleat_base::MonoTime;
-use filbertcleat_serve::CallerLimits;
 use http::HeaderValue;
 use http::header::CONNECTION;
 use hyper::server::conn::http1;
@@ -17,29 +20,40 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
+use super::DRAIN_CHECK_INTERVAL;
+use super::caller_socket::CallerSocket;
+use super::close_reason::CloseReason;
+pub(super) use super::connection_activity::ActiveRequest;
+use super::connection_activity::ConnectionActivity;
 use super::handler::handle_request;
-use super::socket::Socket;
+use super::open_connection::OpenConnection;
+use super::response_body::OpenResponse;
+use super::response_body::ResponseBody;
 use super::state::Entry;
+use super::stream_close::close_after_response;
+use super::stream_close::close_idle;
+use super::stream_close::has_unread_bytes;
 use crate::Dialect;
-use crate::clock::Clock;
 
 /// The delay after a connection could not be accepted, for example for lack of file descriptors.
 pub(super) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// How often a connection is checked against its time limits.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a connection to a leaving entry has to be idle before it is closed: some network round
+/// trips, so that the first request on a new connection, or one sent on reading a response that did
+/// not yet announce the close, is answered.
+const LEAVING_IDLE_MS: u64 = 200;
 /// The smallest read buffer that hyper accepts.
 const BUFFER_MIN_BYTES: usize = 8_192;
-/// Idle connections stay open for this multiple of the configured idle time. Callers stop reusing
-/// them earlier, so that no request is sent while the entry closes its connection.
-const IDLE_TIMEOUT_FACTOR: f64 = 1.1;
 
 /// Accepts connections from callers for as long as the process runs.
 pub(super) async fn serve_callers<D: Dialect>(entry: Rc<Entry<D>>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _from)) => {
-                spawn_local(serve_connection(Rc::clone(&entry), stream));
+            Ok((stream, from)) => {
+                spawn_local(serve_connection(Rc::clone(&entry), stream, from));
             }
             Err(error) => {
                 log::warn!("event=accept-failed listener=callers reason=\"{error}\"");
@@ -49,123 +63,113 @@
     }
 }
 
-async fn serve_connection<D: Dialect>(entry: Rc<Entry<D>>, stream: TcpStream) {
+async fn serve_connection<D: Dialect>(entry: Rc<Entry<D>>, stream: TcpStream, from: SocketAddr) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("event=caller-gone reason=\"{error}\"");
         return;
     }
-    let limits = caller_limits(&entry);
-    let activity = Rc::new(Activity::new(entry.clock()));
-    let service = service_fn(|request| {
-        let entry = Rc::clone(&entry);
-        let activity = Rc::clone(&activity);
-        activity.begin_request();
-        async move {
-            let active = ActiveRequest { activity };
-            let mut response = handle_request(&entry, request, active).await;
-            if entry.shutdown.is_triggered() {
-                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            Ok::<_, Infallible>(response)
-        }
-    });
-    let reader_activity = Rc::clone(&activity);
-    let socket = Socket::with_read_callback(stream, move || reader_activity.on_read());
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(None)
-        .max_buf_size(limits.header_max_bytes.max(BUFFER_MIN_BYTES))
-        .serve_connection(TokioIo::new(socket), service);
-    let mut connection = pin!(connection);
-    let mut is_closing = false;
-
-    loop {
-        tokio::select! {
-            ended = connection.as_mut() => {
-                if let Err(error) = ended {
-                    log::debug!("event=caller-connection-ended reason=\"{error}\"");
+    let _open = OpenConnection::new(&entry);
+    let stream = Rc::new(stream);
+    let activity = Rc::new(ConnectionActivity::new(entry.clock()));
+    let mut unread = Bytes::new();
+    let has_responded = loop {
+        let service = service_fn(|request| {
+            let entry = Rc::clone(&entry);
+            let active = ActiveRequest::begin(&activity);
+            let open = OpenResponse::begin(&activity);
+            let activity = Rc::clone(&activity);
+            async move {
+                let mut response = handle_request(&entry, request, active).await;
+                if entry.shutdown.is_triggered() {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                if response.headers().contains_key(CONNECTION) {
+                    activity.end_after_response();
                 }
-                return;
+                Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, open)))
             }
-            () = tokio::time::sleep(CHECK_INTERVAL) => {
-                let now = entry.now();
-                if activity.is_head_overdue(now, limits) {
-                    return;
+        });
+        let header_max_bytes = entry.caller_limits().header_max_bytes;
+        let socket = CallerSocket::new(&stream, &activity, unread);
+        let mut connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(None)
+            .max_buf_size(header_max_bytes.max(BUFFER_MIN_BYTES))
+            .serve_connection(TokioIo::new(socket), service);
+        let mut check = pin!(tokio::time::sleep(check_interval(&entry)));
+        let progress = poll_fn(|context| {
+            if let Poll::Ready(ended) = Pin::new(&mut connection).poll(context) {
+                return Poll::Ready(Progress::Ended(ended));
+            }
+            let is_outdated = entry.caller_limits().header_max_bytes != header_max_bytes;
+            if is_outdated && activity.is_quiet() {
+                return Poll::Ready(Progress::Outdated);
+            }
+            while check.as_mut().poll(context).is_ready() {
+                check.as_mut().reset(Instant::now() + check_interval(&entry));
+                let Some(reason) = due_close(&entry, &activity) else { continue };
+                if !has_unread_bytes(&stream) {
+                    log_close(from, reason, &activity, entry.now());
+                    return Poll::Ready(Progress::Due);
                 }
-                if !is_closing && (activity.is_idle(now, limits) || entry.is_out_of_rotation()) {
-                    is_closing = true;
-                    connection.as_mut().graceful_shutdown();
+            }
+            Poll::Pending
+        });
+        match progress.await {
+            Progress::Ended(ended) => {
+                if let Err(error) = ended {
+                    log::debug!("event=caller-connection-ended reason=\"{error}\"");
                 }
+                break true;
             }
+            Progress::Due => break false,
+            Progress::Outdated => unread = connection.into_parts().read_buf,
         }
+    };
+    if has_responded {
+        close_after_response(&stream, entry.caller_limits().body_max_bytes).await;
+    } else {
+        close_idle(&stream).await;
     }
 }
 
-fn caller_limits<D: Dialect>(entry: &Entry<D>) -> CallerLimits {
-    entry.state.borrow().deployment.as_ref().map(|known| known.limits).unwrap_or_default()
+fn check_interval<D: Dialect>(entry: &Entry<D>) -> Duration {
+    if entry.shutdown.is_triggered() { DRAIN_CHECK_INTERVAL } else { CHECK_INTERVAL }
 }
 
-/// The activity of a connection, which its time limits are checked against.
-#[derive(Debug)]
-struct Activity {
-    clock: Clock,
-    open_requests: Cell<u32>,
-    idle_since: Cell<MonoTime>,
-    /// When the first bytes of the next request arrived, while its head is incomplete.
-    head_since: Cell<Option<MonoTime>>,
+/// What has become of a connection.
+enum Progress {
+    /// The connection has ended.
+    Ended(hyper::Result<()>),
+    /// The entry closes the connection.
+    Due,
+    /// The connection is quiet, and its buffer has the size of an older configuration.
+    Outdated,
 }
 
-impl Activity {
-    fn new(clock: Clock) -> Self {
-        let now = clock.now();
-        Self {
-            clock,
-            open_requests: Cell::new(0),
-            idle_since: Cell::new(now),
-            head_since: Cell::new(None),
-        }
-    }
-
-    fn begin_request(&self) {
-        self.open_requests.set(self.open_requests.get() + 1);
-        self.head_since.set(None);
-    }
-
-    fn end_request(&self) {
-        self.open_requests.set(self.open_requests.get().saturating_sub(1));
-        self.idle_since.set(self.clock.now());
-    }
-
-    fn on_read(&self) {
-        if self.open_requests.get() == 0 && self.head_since.get().is_none() {
-            self.head_since.set(Some(self.clock.now()));
-        }
-    }
-
-    fn is_idle(&self, now: MonoTime, limits: CallerLimits) -> bool {
-        let idle_ms = (limits.idle_timeout_ms as f64 * IDLE_TIMEOUT_FACTOR) as u64;
-        self.open_requests.get() == 0
-            && self.head_since.get().is_none()
-            && now.ms_since(self.idle_since.get()) > idle_ms
-    }
-
-    fn is_head_overdue(&self, now: MonoTime, limits: CallerLimits) -> bool {
-        self.open_requests.get() == 0
-            && self
-                .head_since
-                .get()
-                .is_some_and(|since| now.ms_since(since) > limits.header_timeout_ms)
+/// Returns why the entry has to close a connection, if it has to.
+fn due_close<D: Dialect>(entry: &Entry<D>, activity: &ConnectionActivity) -> Option<CloseReason> {
+    let now = entry.now();
+    let idle_since = activity.idle_since();
+    let idle_ms = now.ms_since(idle_since);
+    if activity.is_head_overdue(now, entry.caller_limits().header_timeout_ms) {
+        Some(CloseReason::HeadOverdue)
+    } else if !activity.is_quiet() {
+        None
+    } else if idle_ms > entry.idle_close_ms(idle_since) {
+        Some(CloseReason::Idle)
+    } else {
+        let is_leaving = entry.is_out_of_rotation() && idle_ms > LEAVING_IDLE_MS;
+        is_leaving.then_some(CloseReason::Leaving)
     }
 }
 
-/// Marks its connection as active until the response has been written.
-#[derive(Debug)]
-pub(super) struct ActiveRequest {
-    activity: Rc<Activity>,
-}
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.activity.end_request();
-    }
+fn log_close(from: SocketAddr, reason: CloseReason, activity: &ConnectionActivity, now: MonoTime) {
+    log::info!(
+        "event=connection-closed from={from} reason={} requests={} open_ms={} idle_ms={}",
+        reason.as_str(),
+        activity.requests(),
+        activity.open_ms(now),
+        now.ms_since(activity.idle_since()),
+    );
 }
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/connection_activity.rs
@@ -0,0 +1,135 @@
+//! The activity of a caller's connection.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use filbertcleat_base::MonoTime;
+
+use crate::clock::Clock;
+
+/// The activity of a connection, which its time limits are checked against.
+#[derive(Debug)]
+pub(super) struct ConnectionActivity {
+    clock: Clock,
+    opened_at: MonoTime,
+    requests: Cell<u32>,
+    /// Requests that are being handled and responses that are being written.
+    open_requests: Cell<u32>,
+    /// Whether the end of a response waits in the buffer of the connection.
+    is_flush_due: Cell<bool>,
+    idle_since: Cell<MonoTime>,
+    /// When the first bytes of the next request arrived, while its head is incomplete.
+    head_since: Cell<Option<MonoTime>>,
+    /// Whether the connection ends after the current response.
+    is_ending: Cell<bool>,
+}
+
+impl ConnectionActivity {
+    /// Creates the activity of a connection that has just been accepted.
+    pub fn new(clock: Clock) -> Self {
+        let now = clock.now();
+        Self {
+            clock,
+            opened_at: now,
+            requests: Cell::new(0),
+            open_requests: Cell::new(0),
+            is_flush_due: Cell::new(false),
+            idle_since: Cell::new(now),
+            head_since: Cell::new(None),
+            is_ending: Cell::new(false),
+        }
+    }
+
+    fn begin_request(&self) {
+        self.requests.set(self.requests.get() + 1);
+        self.open_requests.set(self.open_requests.get() + 1);
+        self.head_since.set(None);
+    }
+
+    fn end_request(&self) {
+        self.open_requests.set(self.open_requests.get().saturating_sub(1));
+        self.idle_since.set(self.clock.now());
+    }
+
+    /// Records that a request will be responded to.
+    pub fn begin_response(&self) {
+        self.open_requests.set(self.open_requests.get() + 1);
+    }
+
+    /// Records that the whole response is in the buffer of the connection.
+    pub fn end_response(&self) {
+        self.is_flush_due.set(true);
+        self.end_request();
+    }
+
+    /// Records that the socket has taken all that was in the buffer of the connection.
+    pub fn on_flush(&self) {
+        if self.is_flush_due.replace(false) {
+            self.idle_since.set(self.clock.now());
+        }
+    }
+
+    /// Records that the connection ends after the current response.
+    pub fn end_after_response(&self) {
+        self.is_ending.set(true);
+    }
+
+    /// Records that bytes have arrived.
+    pub fn on_read(&self) {
+        if !self.is_busy() && self.head_since.get().is_none() {
+            self.head_since.set(Some(self.clock.now()));
+        }
+    }
+
+    /// Returns whether no request is open and no byte of the next one has arrived.
+    pub fn is_quiet(&self) -> bool {
+        !self.is_busy() && self.head_since.get().is_none()
+    }
+
+    /// Returns whether the head of the next request did not arrive in time.
+    pub fn is_head_overdue(&self, now: MonoTime, header_timeout_ms: u64) -> bool {
+        !self.is_busy()
+            && self.head_since.get().is_some_and(|since| now.ms_since(since) > header_timeout_ms)
+    }
+
+    /// Returns whether a request is being handled, its response is being written, or the rest of
+    /// its body follows.
+    fn is_busy(&self) -> bool {
+        self.open_requests.get() > 0 || self.is_flush_due.get() || self.is_ending.get()
+    }
+
+    /// Returns how many requests arrived.
+    pub fn requests(&self) -> u32 {
+        self.requests.get()
+    }
+
+    /// Returns the time since the connection was accepted.
+    pub fn open_ms(&self, now: MonoTime) -> u64 {
+        now.ms_since(self.opened_at)
+    }
+
+    /// Returns when the last request ended.
+    pub fn idle_since(&self) -> MonoTime {
+        self.idle_since.get()
+    }
+}
+
+/// Marks its connection as busy until the request has been handled.
+#[derive(Debug)]
+pub(super) struct ActiveRequest {
+    activity: Rc<ConnectionActivity>,
+}
+
+impl ActiveRequest {
+    /// Records that the head of a request has been read.
+    pub fn begin(activity: &Rc<ConnectionActivity>) -> Self {
+        activity.begin_request();
+        Self { activity: Rc::clone(activity) }
+    }
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.activity.end_request();
+    }
+}
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -10,6 +10,7 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
 use filbertcleat_serve::AdapterKey;
+use filbertcleat_serve::CallerLimits;
 use filbertcleat_serve::Deployment;
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::RequestQueue;
@@ -23,6 +24,7 @@
 use super::BALANCER_DELAY_MS;
 use super::agent_updates::AgentUpdateState;
 use super::connection_pool::ConnectionPool;
+use super::idle_timeouts::IdleTimeouts;
 use super::in_flight::InFlightAttempt;
 use super::origins::OriginState;
 use crate::CatalogueEvent;
@@ -52,8 +54,10 @@
     pub state: RefCell<State<D>>,
     clock: Clock,
     open_requests: Cell<usize>,
+    open_connections: Cell<usize>,
     shutdown_since: Cell<Option<MonoTime>>,
     configured_at: Cell<MonoTime>,
+    idle_timeouts: RefCell<IdleTimeouts>,
     /// When the catalogue last responded, by topic.
     catalogue_responded_at: [Cell<MonoTime>; 2],
 }
@@ -108,8 +112,10 @@
             }),
             clock,
             open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
             shutdown_since: Cell::new(None),
             configured_at: Cell::new(MonoTime::ZERO),
+            idle_timeouts: RefCell::default(),
             catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 2],
         }
     }
@@ -139,6 +145,21 @@
         self.open_requests.set(self.open_requests.get().saturating_sub(1));
     }
 
+    /// Returns the number of open connections of callers.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.get()
+    }
+
+    /// Counts a caller's connection as open.
+    pub fn add_open_connection(&self) {
+        self.open_connections.set(self.open_connections.get() + 1);
+    }
+
+    /// Removes a closed connection from the count of open ones.
+    pub fn remove_open_connection(&self) {
+        self.open_connections.set(self.open_connections.get().saturating_sub(1));
+    }
+
     /// Returns whether the entry accepts callers: it has a configuration and is not shutting down.
     pub fn is_ready(&self) -> bool {
         self.state.borrow().deployment.is_some() && !self.shutdown.is_triggered()
@@ -172,6 +193,8 @@
                     known.unwrap_or(0),
                     deployment.routes.len()
                 );
+                let idle_timeout_ms = deployment.limits.idle_timeout_ms;
+                self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
                 state.deployment = Some(Rc::new(deployment));
                 self.configured_at.set(now);
             }
@@ -184,6 +207,16 @@
         self.dispatcher_wakeup.notify_one();
     }
 
+    /// Returns the limits on callers that are in force.
+    pub fn caller_limits(&self) -> CallerLimits {
+        self.state.borrow().deployment.as_ref().map(|known| known.limits).unwrap_or_default()
+    }
+
+    /// Returns how long a caller's connection may be idle that became idle at a time.
+    pub fn idle_close_ms(&self, idle_since: MonoTime) -> u64 {
+        self.idle_timeouts.borrow().close_after_ms(idle_since)
+    }
+
     /// Counts a request towards the retry budget of its service.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
