List all topics again when the catalogue was restored

After a restore from a copy the catalogue assigns versions again. A watch after an old cursor can then succeed and skip every change that got a version below the cursor: callers would be served by an old configuration, or by servers that drained, until the next change of the same row. Only a cursor beyond the newest version is refused, so the refusal alone does not show a restore.

Responses of the catalogue now name their epoch, failed calls included. A new epoch in any of them makes both topics list again at once, gives up open calls, and grants servers the time to write their missing records again, also if no call failed. A response of an earlier epoch counts as a failed call and changes nothing. A catalogue that names no epoch is followed as before. Each restore is logged once (`catalogue-restored`) and counted (`catalogue_restores`).

The test catalogue now answers a list of servers with a complete list, and a cursor beyond its version as expired, as the store does.

--- a/crates/filbertcleat-gateway/src/catalogue.rs
+++ b/crates/filbertcleat-gateway/src/catalogue.rs
@@ -1,13 +1,13 @@
 //! The catalogue of configurations, adapter versions and backend servers.
 
+mod data;
 mod event;
 mod response;
 mod topic;
 
 use std::time::Duration;
 
-use filbertcleat_base::Fault;
-
+pub use self::data::CatalogueData;
 pub use self::event::CatalogueEvent;
 pub use self::response::CatalogueResponse;
 pub use self::topic::Topic;
@@ -15,7 +15,7 @@
 /// The store in which operators and backend servers publish their state.
 pub trait Catalogue: Clone + 'static {
     /// Lists all current entries of a topic.
-    fn list(&self, topic: Topic) -> impl Future<Output = Result<CatalogueResponse, Fault>>;
+    fn list(&self, topic: Topic) -> impl Future<Output = CatalogueResponse>;
 
     /// Waits up to `wait` for changes after the cursor `after`.
     fn watch(
@@ -23,5 +23,5 @@
         topic: Topic,
         after: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<CatalogueResponse, Fault>>;
+    ) -> impl Future<Output = CatalogueResponse>;
 }
--- a/crates/filbertcleat-gateway/src/catalogue/response.rs
+++ b/crates/filbertcleat-gateway/src/catalogue/response.rs
@@ -1,17 +1,15 @@
 //! Responses of the catalogue.
 
-use super::event::CatalogueEvent;
+use filbertcleat_base::Fault;
+
+use super::data::CatalogueData;
 
 /// The response of the catalogue to a list or watch call.
 #[derive(Clone, Debug, PartialEq)]
-pub enum CatalogueResponse {
-    /// The current entries of the topic, or the changes after the cursor.
-    Events {
-        /// The events, in order.
-        events: Vec<CatalogueEvent>,
-        /// The cursor for the next watch call.
-        cursor: u64,
-    },
-    /// The changes after the cursor are no longer available; the topic has to be listed again.
-    CursorExpired,
+pub struct CatalogueResponse {
+    /// The epoch of the catalogue that the response names, also if the call failed; `None` if it
+    /// names none or did not arrive.
+    pub epoch: Option<u64>,
+    /// The data, or why there is none.
+    pub result: Result<CatalogueData, Fault>,
 }
--- a/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
+++ b/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use filbertcleat_base::Fault;
+use filbertcleat_base::Step;
+use filbertcleat_serve::EpochChange;
 
 use super::state::Entry;
 use crate::Catalogue;
+use crate::CatalogueData;
 use crate::CatalogueDelays;
 use crate::CatalogueResponse;
 use crate::Dialect;
@@ -28,14 +31,25 @@
     topic: Topic,
 ) {
     let delays = entry.settings.catalogue_delays;
+    let mut restores = entry.catalogue_restores();
     let mut watcher = CatalogueWatcher { entry, topic, cursor: None, failures: 0 };
     loop {
-        let outcome = match watcher.cursor {
-            None => catalogue.list(topic).await,
-            Some(after) => catalogue.watch(topic, after, wait_for(topic, delays)).await,
+        let cursor = watcher.cursor;
+        let step = async {
+            let response = match cursor {
+                None => catalogue.list(topic).await,
+                Some(after) => catalogue.watch(topic, after, wait_for(topic, delays)).await,
+            };
+            let pause = watcher.apply(response);
+            tokio::time::sleep(pause).await;
         };
-        let pause = watcher.apply(outcome);
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            biased;
+            // A call of either topic showed the restore. An open call is given up: its cursor is of
+            // an earlier epoch, and its connection may have gone silent.
+            _ = restores.changed() => watcher.cursor = None,
+            () = step => {}
+        }
     }
 }
 
@@ -47,11 +61,35 @@
 }
 
 impl<D: Dialect> CatalogueWatcher<D> {
-    /// Applies the result of a call and returns the pause until the next one.
-    fn apply(&mut self, outcome: Result<CatalogueResponse, Fault>) -> Duration {
-        match outcome {
-            Ok(CatalogueResponse::Events { events, cursor }) => {
+    /// Applies a response and returns the pause until the next call.
+    fn apply(&mut self, response: CatalogueResponse) -> Duration {
+        let CatalogueResponse { epoch, result } = response;
+        // Without a response there is no epoch to compare.
+        let change = if epoch.is_some() || result.is_ok() {
+            self.entry.observe_catalogue_epoch(self.topic, epoch)
+        } else {
+            EpochChange::Unchanged
+        };
+        match (change, result) {
+            (EpochChange::Outdated, _) => {
+                let reason = "the response is of an epoch that has ended";
+                self.on_failure(&Fault::new(Step::Store, self.topic.as_str(), reason))
+            }
+            (EpochChange::Unchanged | EpochChange::Restored, Err(fault)) => self.on_failure(&fault),
+            // The next call lists the topic; the data may belong to a cursor of an earlier epoch.
+            (EpochChange::Restored, Ok(_)) => {
                 self.on_success();
+                Duration::ZERO
+            }
+            (EpochChange::Unchanged, Ok(data)) => self.on_data(data),
+        }
+    }
+
+    /// Applies the data of a response of the current epoch.
+    fn on_data(&mut self, data: CatalogueData) -> Duration {
+        self.on_success();
+        match data {
+            CatalogueData::Events { events, cursor } => {
                 for event in events {
                     self.entry.apply_event(event);
                 }
@@ -61,23 +99,24 @@
                     Topic::Servers => servers_pause(self.entry.settings.catalogue_delays),
                 }
             }
-            Ok(CatalogueResponse::CursorExpired) => {
+            CatalogueData::CursorExpired => {
                 log::info!("event=catalogue-lapsed topic={}", self.topic.as_str());
-                self.on_success();
                 self.cursor = None;
                 Duration::ZERO
             }
-            Err(fault) => {
-                if self.failures == 0 {
-                    let topic = self.topic.as_str();
-                    log::warn!("event=catalogue-lost topic={topic} reason=\"{fault}\"");
-                }
-                self.failures += 1;
-                (RETRY_PAUSE * self.failures).min(RETRY_PAUSE_MAX)
-            }
         }
     }
 
+    /// Records a failed call, and the loss of the catalogue if it is the first one.
+    fn on_failure(&mut self, fault: &Fault) -> Duration {
+        if self.failures == 0 {
+            let topic = self.topic.as_str();
+            log::warn!("event=catalogue-lost topic={topic} reason=\"{fault}\"");
+        }
+        self.failures += 1;
+        (RETRY_PAUSE * self.failures).min(RETRY_PAUSE_MAX)
+    }
+
     /// Records a successful call, and the recovery if earlier calls had failed.
     fn on_success(&mut self) {
         self.entry.on_catalogue_response(self.topic);
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -10,7 +10,9 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
 use filbertcleat_serve::AdapterKey;
+use filbertcleat_serve::CatalogueEpoch;
 use filbertcleat_serve::Deployment;
+use filbertcleat_serve::EpochChange;
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::RequestQueue;
 use filbertcleat_serve::RetryBudget;
@@ -53,6 +55,9 @@
     open_requests: Cell<usize>,
     shutdown_since: Cell<Option<MonoTime>>,
     configured_at: Cell<MonoTime>,
+    catalogue_epoch: Cell<CatalogueEpoch>,
+    /// The number of times that the catalogue was restored, for the tasks that have to list again.
+    catalogue_restores: watch::Sender<u64>,
     /// When the catalogue last responded, by topic.
     catalogue_responded_at: [Cell<MonoTime>; 2],
 }
@@ -107,6 +112,8 @@
             open_requests: Cell::new(0),
             shutdown_since: Cell::new(None),
             configured_at: Cell::new(MonoTime::ZERO),
+            catalogue_epoch: Cell::default(),
+            catalogue_restores: watch::Sender::new(0),
             catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 2],
         }
     }
@@ -205,6 +212,28 @@
         self.catalogue_responded_at[topic_index(topic)].set(self.now());
     }
 
+    /// Records the epoch that a response of the catalogue names. If the catalogue was restored, all
+    /// topics are listed again.
+    pub fn observe_catalogue_epoch(&self, topic: Topic, named: Option<u64>) -> EpochChange {
+        let before = self.catalogue_epoch.get();
+        let mut epoch = before;
+        let change = epoch.observe(named);
+        self.catalogue_epoch.set(epoch);
+        if change == EpochChange::Restored {
+            let topic = topic.as_str();
+            log::warn!("event=catalogue-restored epoch={epoch} before={before} topic={topic}");
+            self.metrics.count(Metric::CatalogueRestores, &[]);
+            self.state.borrow_mut().fleet.on_catalogue_regained(self.now());
+            self.catalogue_restores.send_modify(|restores| *restores += 1);
+        }
+        change
+    }
+
+    /// Returns a receiver that changes each time that the catalogue was restored from a copy.
+    pub fn catalogue_restores(&self) -> watch::Receiver<u64> {
+        self.catalogue_restores.subscribe()
+    }
+
     /// Sets the gauges from the current state.
     pub fn update_gauges(&self, metrics: &Metrics) {
         let now = self.now();
--- a/crates/filbertcleat-gateway/src/lib.rs
+++ b/crates/filbertcleat-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub use agent::AgentListeners;
 pub use agent::run_agent;
 pub use catalogue::Catalogue;
+pub use catalogue::CatalogueData;
 pub use catalogue::CatalogueEvent;
 pub use catalogue::CatalogueResponse;
 pub use catalogue::Topic;
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -27,6 +27,8 @@
     ConfigurationAge,
     /// The time since the catalogue last answered, by topic.
     CatalogueAge,
+    /// Restores of the catalogue from a copy that the entry has seen.
+    CatalogueRestores,
     /// Backend servers, by status.
     Servers,
     /// Attempts in flight at backend servers.
@@ -50,7 +52,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 22] = [
+pub const METRICS: [Metric; 23] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -63,6 +65,7 @@
     Metric::ConfigurationVersion,
     Metric::ConfigurationAge,
     Metric::CatalogueAge,
+    Metric::CatalogueRestores,
     Metric::Servers,
     Metric::InFlight,
     Metric::Queued,
@@ -91,6 +94,7 @@
             Self::ConfigurationVersion => "configuration_version",
             Self::ConfigurationAge => "configuration_age_ms",
             Self::CatalogueAge => "catalogue_age_ms",
+            Self::CatalogueRestores => "catalogue_restores",
             Self::Servers => "servers",
             Self::InFlight => "open",
             Self::Queued => "waiting",
--- a/crates/filbertcleat-gateway/tests/support/catalogue.rs
+++ b/crates/filbertcleat-gateway/tests/support/catalogue.rs
@@ -8,20 +8,34 @@
 use filbertcleat_base::Fault;
 use filbertcleat_base::Step;
 use filbertcleat_gateway::Catalogue;
+use filbertcleat_gateway::CatalogueData;
 use filbertcleat_gateway::CatalogueEvent;
 use filbertcleat_gateway::CatalogueResponse;
 use filbertcleat_gateway::Topic;
+use filbertcleat_serve::ListedServer;
+use filbertcleat_serve::ListingChange;
 
 /// A catalogue in memory that tests write to.
 #[derive(Clone, Debug, Default)]
 pub struct TestCatalogue {
     rows: Rc<RefCell<Vec<(Topic, CatalogueEvent)>>>,
+    epoch: Rc<Cell<Option<u64>>>,
     is_down: Rc<Cell<bool>>,
     is_expired: Rc<Cell<bool>>,
     calls: Rc<Cell<u32>>,
+    /// Calls of the topic up to this number get no answer.
+    silenced: Rc<Cell<Option<(Topic, u32)>>>,
+    outdated: Rc<RefCell<Option<CatalogueEvent>>>,
 }
 
 impl TestCatalogue {
+    /// Creates a catalogue whose responses name their epoch.
+    pub fn with_epoch(epoch: u64) -> Self {
+        let catalogue = Self::default();
+        catalogue.epoch.set(Some(epoch));
+        catalogue
+    }
+
     /// Publishes an event.
     pub fn write(&self, event: CatalogueEvent) {
         let topic = match event {
@@ -43,50 +57,117 @@
         self.is_expired.set(true);
     }
 
+    /// Returns the current version, which is the number of events so far.
+    pub fn version(&self) -> usize {
+        self.rows.borrow().len()
+    }
+
+    /// Restores the copy of a version and begins the next epoch.
+    pub fn restore(&self, version: usize) {
+        self.rows.borrow_mut().truncate(version);
+        self.epoch.set(self.epoch.get().map(|epoch| epoch + 1));
+    }
+
+    /// Leaves the calls of a topic that are open now without an answer.
+    pub fn silence_open_calls(&self, topic: Topic) {
+        self.silenced.set(Some((topic, self.calls.get())));
+    }
+
+    /// Makes the next change of the event's topic arrive from the epoch before.
+    pub fn answer_outdated(&self, event: CatalogueEvent) {
+        *self.outdated.borrow_mut() = Some(event);
+    }
+
     /// Returns the number of calls so far.
     pub fn calls(&self) -> u32 {
         self.calls.get()
     }
 
-    fn after(&self, topic: Topic, cursor: u64) -> Result<CatalogueResponse, Fault> {
+    fn begin_call(&self) -> u32 {
+        self.calls.set(self.calls.get() + 1);
+        self.calls.get()
+    }
+
+    fn respond(&self, result: Result<CatalogueData, Fault>) -> CatalogueResponse {
+        CatalogueResponse { epoch: self.epoch.get(), result }
+    }
+
+    fn after(&self, topic: Topic, cursor: u64) -> Result<CatalogueData, Fault> {
         if self.is_down.get() {
             return Err(Fault::new(Step::Store, "test", "down"));
         }
         let rows = self.rows.borrow();
+        if cursor > rows.len() as u64 {
+            return Ok(CatalogueData::CursorExpired);
+        }
         let events = rows.iter().skip(cursor as usize).filter(|(row_topic, _)| *row_topic == topic);
         let events = events.map(|(_, event)| event.clone()).collect();
-        Ok(CatalogueResponse::Events { events, cursor: rows.len() as u64 })
+        Ok(CatalogueData::Events { events, cursor: rows.len() as u64 })
     }
 }
 
 impl Catalogue for TestCatalogue {
-    async fn list(&self, topic: Topic) -> Result<CatalogueResponse, Fault> {
-        self.calls.set(self.calls.get() + 1);
+    async fn list(&self, topic: Topic) -> CatalogueResponse {
+        self.begin_call();
         self.is_expired.set(false);
-        self.after(topic, 0)
+        let entries = self.after(topic, 0).map(|data| match data {
+            CatalogueData::Events { events, cursor } => {
+                CatalogueData::Events { events: current(topic, events), cursor }
+            }
+            CatalogueData::CursorExpired => CatalogueData::CursorExpired,
+        });
+        self.respond(entries)
     }
 
-    async fn watch(
-        &self,
-        topic: Topic,
-        after: u64,
-        wait: Duration,
-    ) -> Result<CatalogueResponse, Fault> {
+    async fn watch(&self, topic: Topic, after: u64, wait: Duration) -> CatalogueResponse {
         const CHECK_INTERVAL: Duration = Duration::from_millis(20);
-        self.calls.set(self.calls.get() + 1);
+        let call = self.begin_call();
         let mut waited = Duration::ZERO;
         loop {
+            let is_silent = |(silent, last)| silent == topic && call <= last;
+            if self.silenced.get().is_some_and(is_silent) {
+                std::future::pending::<()>().await;
+            }
             if self.is_expired.get() {
-                return Ok(CatalogueResponse::CursorExpired);
+                return self.respond(Ok(CatalogueData::CursorExpired));
             }
-            let changes = self.after(topic, after)?;
+            if let Some(event) = self.outdated.borrow_mut().take_if(|_| topic == Topic::Operators) {
+                let data = CatalogueData::Events { events: vec![event], cursor: after };
+                let epoch = self.epoch.get().map(|epoch| epoch - 1);
+                return CatalogueResponse { epoch, result: Ok(data) };
+            }
+            let changes = self.after(topic, after);
             let is_empty =
-                matches!(&changes, CatalogueResponse::Events { events, .. } if events.is_empty());
+                matches!(&changes, Ok(CatalogueData::Events { events, .. }) if events.is_empty());
             if !is_empty || waited >= wait {
-                return Ok(changes);
+                return self.respond(changes);
             }
             tokio::time::sleep(CHECK_INTERVAL).await;
             waited += CHECK_INTERVAL;
         }
     }
 }
+
+/// Returns the current entries of a topic: of the servers' topic, the complete list.
+fn current(topic: Topic, events: Vec<CatalogueEvent>) -> Vec<CatalogueEvent> {
+    match topic {
+        Topic::Operators => events,
+        Topic::Servers => {
+            let mut list: Vec<ListedServer> = Vec::new();
+            for event in events {
+                let CatalogueEvent::Listing(change) = event else { continue };
+                match change {
+                    ListingChange::Snapshot(all) => list = all,
+                    ListingChange::Upserted(listed) => {
+                        list.retain(|known| known.id != listed.id);
+                        list.push(listed);
+                    }
+                    ListingChange::Removed(id) | ListingChange::Invalid(id) => {
+                        list.retain(|known| known.id != id);
+                    }
+                }
+            }
+            vec![CatalogueEvent::Listing(ListingChange::Snapshot(list))]
+        }
+    }
+}
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -16,6 +16,7 @@
 mod attempts;
 mod budget;
 mod deployment;
+mod epoch;
 mod fleet;
 mod key;
 mod listing;
@@ -38,6 +39,8 @@
 pub use deployment::Route;
 pub use deployment::ServiceSpec;
 pub use deployment::Target;
+pub use epoch::CatalogueEpoch;
+pub use epoch::EpochChange;
 pub use fleet::AttemptOutcome;
 pub use fleet::Fleet;
 pub use fleet::Server;
