Hold back records of servers that left before a restore

A catalogue that is restored from a copy lists servers again that had left before the restore. The entry took each for a new server and would send requests to it after its drain time, or to an address that another server has by then.

The fleet remembers the servers that left for a minute. A restored catalogue's record of the same start is held back until the server writes again, until the catalogue removes it, or until it has stayed for longer than the catalogue keeps a silent server; then the server must be live, as its heartbeats need not change its record. Other starts, and removals after the restore, are as before.

Evidence: removed_server_held_back and lasting_record_listed failed on the code before (with on_catalogue_regained, as on_catalogue_restored did not exist): the server was listed at once. Found by reading; not seen in a run. restored_twice was added with the fix and not run before it.

--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -223,7 +223,7 @@
             let topic = topic.as_str();
             log::warn!("event=catalogue-restored epoch={epoch} before={before} topic={topic}");
             self.metrics.count(Metric::CatalogueRestores, &[]);
-            self.state.borrow_mut().fleet.on_catalogue_regained(self.now());
+            self.state.borrow_mut().fleet.on_catalogue_restored(self.now());
             self.catalogue_restores.send_modify(|restores| *restores += 1);
         }
         change
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -5,6 +5,7 @@
 mod gap_control;
 mod prefill_fit;
 mod prefill_pacer;
+mod removed_servers;
 mod server;
 mod share_ceiling;
 
@@ -16,6 +17,7 @@
 
 use self::engine_model::EngineModel;
 pub(crate) use self::prefill_pacer::PrefillPacer;
+use self::removed_servers::RemovedServers;
 pub use self::server::AttemptOutcome;
 pub use self::server::Server;
 use crate::AgentUpdate;
@@ -30,6 +32,8 @@
     servers: BTreeMap<ServerId, Server>,
     /// Servers that are missing in the catalogue after an outage, with the time of their removal.
     unconfirmed: BTreeMap<ServerId, MonoTime>,
+    /// Servers that left, whose records a restored catalogue may list again.
+    removed: RemovedServers,
     /// What the engines of each service have shown.
     models: BTreeMap<ServiceName, EngineModel>,
     total_attempts: u64,
@@ -52,7 +56,10 @@
                     .filter(|id| !list.iter().any(|listed| listed.id == **id))
                     .cloned()
                     .collect();
-                for listed in list {
+                let (leftovers, current): (Vec<_>, Vec<_>) =
+                    list.into_iter().partition(|listed| self.removed.is_leftover(now, listed));
+                self.removed.hold_back(leftovers);
+                for listed in current {
                     self.upsert(now, listed);
                 }
                 for id in missing {
@@ -69,6 +76,21 @@
         self.relist_grace_until = now.plus_ms(Self::RELIST_GRACE_MS);
     }
 
+    /// Records that the catalogue was restored from a copy, which may lack the records of servers
+    /// and list older ones.
+    pub fn on_catalogue_restored(&mut self, now: MonoTime) {
+        self.removed.on_restored(now);
+        self.on_catalogue_regained(now);
+    }
+
+    /// Adds the backend servers that left before a restore and whose records have stayed in the
+    /// catalogue for so long that they must be live.
+    pub fn list_held_back(&mut self, now: MonoTime) {
+        for listed in self.removed.take_lasting(now) {
+            self.upsert(now, listed);
+        }
+    }
+
     /// Removes the backend servers whose records did not reappear within the grace time after an
     /// outage.
     pub fn expire_unlisted(&mut self, now: MonoTime) {
@@ -79,8 +101,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in expired {
-            self.unconfirmed.remove(&id);
-            self.servers.remove(&id);
+            self.take_out(now, &id);
         }
     }
 
@@ -203,6 +224,7 @@
 
     fn upsert(&mut self, now: MonoTime, listed: ListedServer) {
         self.unconfirmed.remove(&listed.id);
+        self.removed.forget(&listed.id);
         if let Some(server) = self.servers.get_mut(&listed.id) {
             server.apply_listing(now, listed);
             return;
@@ -216,7 +238,14 @@
             self.unconfirmed.entry(id.clone()).or_insert(self.relist_grace_until);
             return;
         }
+        self.take_out(now, id);
+    }
+
+    fn take_out(&mut self, now: MonoTime, id: &ServerId) {
         self.unconfirmed.remove(id);
-        self.servers.remove(id);
+        self.removed.release(id);
+        if let Some(server) = self.servers.remove(id) {
+            self.removed.on_removed(now, &server.listed);
+        }
     }
 }
--- /dev/null
+++ b/crates/filbertcleat-serve/tests/restored_listing.rs
@@ -0,0 +1,103 @@
+//! How the fleet reads a catalogue that was restored from a copy.
+
+mod support;
+
+use filbertcleat_serve::Fleet;
+use filbertcleat_serve::ListedServer;
+use filbertcleat_serve::ListingChange;
+
+use self::support::at;
+use self::support::fleet;
+use self::support::id;
+use self::support::listed;
+
+fn has(fleet: &Fleet, name: &str) -> bool {
+    fleet.server(&id(name)).is_some()
+}
+
+/// Restores the catalogue at a time, with a copy that lists one server.
+fn restore(fleet: &mut Fleet, now: u64, record: ListedServer) {
+    fleet.on_catalogue_restored(at(now));
+    fleet.apply_listing(at(now), ListingChange::Snapshot(vec![record]));
+}
+
+#[test]
+fn removed_server_held_back() {
+    let mut fleet = fleet(at(0), &[("a", &[])]);
+    fleet.apply_listing(at(1_000), ListingChange::Removed(id("a")));
+
+    restore(&mut fleet, 5_000, listed("a"));
+    assert!(!has(&fleet, "a"), "the record is that of a server that left");
+
+    fleet.apply_listing(at(6_000), ListingChange::Upserted(listed("a")));
+    assert!(has(&fleet, "a"), "the server wrote its record again");
+}
+
+#[test]
+fn silent_server_removed() {
+    let mut fleet = fleet(at(0), &[("a", &[])]);
+    fleet.apply_listing(at(1_000), ListingChange::Removed(id("a")));
+
+    restore(&mut fleet, 5_000, listed("a"));
+    fleet.apply_listing(at(9_000), ListingChange::Removed(id("a")));
+    fleet.list_held_back(at(60_000));
+
+    assert!(!has(&fleet, "a"));
+}
+
+#[test]
+fn restored_twice() {
+    let mut fleet = fleet(at(0), &[("a", &[])]);
+    fleet.apply_listing(at(1_000), ListingChange::Removed(id("a")));
+
+    restore(&mut fleet, 5_000, listed("a"));
+    fleet.apply_listing(at(6_000), ListingChange::Removed(id("a")));
+    restore(&mut fleet, 9_000, listed("a"));
+
+    assert!(!has(&fleet, "a"));
+}
+
+#[test]
+fn lasting_record_listed() {
+    let mut fleet = fleet(at(0), &[("a", &[])]);
+    fleet.apply_listing(at(1_000), ListingChange::Removed(id("a")));
+
+    restore(&mut fleet, 5_000, listed("a"));
+    fleet.list_held_back(at(8_000));
+    assert!(!has(&fleet, "a"));
+    fleet.list_held_back(at(20_000));
+
+    assert!(has(&fleet, "a"), "the catalogue would have removed the record of a silent server");
+}
+
+#[test]
+fn other_start_listed() {
+    let mut fleet = fleet(at(0), &[("a", &[])]);
+    fleet.apply_listing(at(1_000), ListingChange::Removed(id("a")));
+
+    restore(&mut fleet, 5_000, ListedServer { started_unix_ms: 2, ..listed("a") });
+
+    assert!(has(&fleet, "a"));
+}
+
+#[test]
+fn removal_after_restore() {
+    let mut fleet = fleet(at(0), &[("a", &[]), ("b", &[])]);
+    restore(&mut fleet, 5_000, listed("b"));
+    fleet.expire_unlisted(at(8_000));
+    assert!(!has(&fleet, "a"), "the server did not write again in time");
+
+    fleet.apply_listing(at(9_000), ListingChange::Snapshot(vec![listed("a"), listed("b")]));
+
+    assert!(has(&fleet, "a"), "a record that is newer than the restore is the server's own");
+}
+
+#[test]
+fn ordinary_listing_unchanged() {
+    let mut fleet = fleet(at(0), &[("a", &[])]);
+    fleet.apply_listing(at(1_000), ListingChange::Removed(id("a")));
+
+    fleet.apply_listing(at(2_000), ListingChange::Snapshot(vec![listed("a")]));
+
+    assert!(has(&fleet, "a"));
+}
