Keep a server draining when a restored catalogue lists it as ready

A copy may be older than a server's report that it drains. After the restore the record said ready, and the entry placed requests on the server again although it had learned of the drain, until the server wrote once more or was gone.

A start of a server that drains never accepts requests again, so a record of the same start cannot cancel it. A record of another start or address still begins anew. draining_is_final failed before: the server was usable after the restore. Found by reading; not seen in a run.

--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -99,7 +99,8 @@
     }
 
     /// Replaces the server's catalogue record. A new address or start time resets all state, as it
-    /// shows a new incarnation under the same id.
+    /// shows a new incarnation under the same id. An incarnation that drains never accepts requests
+    /// again; only a record from before lists it as ready.
     pub fn apply_listing(&mut self, now: MonoTime, listed: ListedServer) {
         let is_restarted = listed.started_unix_ms != self.listed.started_unix_ms;
         let is_moved = listed.address != self.listed.address;
@@ -107,7 +108,8 @@
             *self = Self::new(now, listed, self.prefill.model());
             return;
         }
-        self.listed = listed;
+        let is_draining = self.listed.is_draining || listed.is_draining;
+        self.listed = ListedServer { is_draining, ..listed };
     }
 
     /// Applies an update of the server's agent, unless a later one of the same agent is known.
--- a/crates/filbertcleat-serve/tests/restored_listing.rs
+++ b/crates/filbertcleat-serve/tests/restored_listing.rs
@@ -21,6 +21,20 @@
     fleet.apply_listing(at(now), ListingChange::Snapshot(vec![record]));
 }
 
+#[test]
+fn draining_is_final() {
+    let mut fleet = fleet(at(0), &[("a", &[])]);
+    let draining = ListedServer { is_draining: true, ..listed("a") };
+    fleet.apply_listing(at(1_000), ListingChange::Upserted(draining));
+
+    restore(&mut fleet, 5_000, listed("a"));
+    assert!(!fleet.server(&id("a")).expect("listed").is_usable(at(5_000)));
+
+    let restarted = ListedServer { started_unix_ms: 2, ..listed("a") };
+    fleet.apply_listing(at(9_000), ListingChange::Upserted(restarted));
+    assert!(fleet.server(&id("a")).expect("listed").is_usable(at(9_000)), "another start");
+}
+
 #[test]
 fn removed_server_held_back() {
     let mut fleet = fleet(at(0), &[("a", &[])]);
