Ignore records of earlier starts after a restore

A server may start again under its id. A copy from before lists its earlier start; the entry took that for another restart, forgot what the engine had loaded and what ran there, and did so again when the server wrote its record anew.

For as long as a restored catalogue may list leftovers, a record with an earlier start time than the known one is ignored. At other times it still counts as a restart, as the clock of a server may have been set back. earlier_start_ignored failed before: the start was 20 in place of 50. Found by reading; not seen in a run.

--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -226,7 +226,10 @@
         self.unconfirmed.remove(&listed.id);
         self.removed.forget(&listed.id);
         if let Some(server) = self.servers.get_mut(&listed.id) {
-            server.apply_listing(now, listed);
+            let is_earlier_start = listed.started_unix_ms < server.listed.started_unix_ms;
+            if !(is_earlier_start && self.removed.may_list_leftovers(now)) {
+                server.apply_listing(now, listed);
+            }
             return;
         }
         let model = self.models.get(&listed.service).copied().unwrap_or_else(EngineModel::new);
--- a/crates/filbertcleat-serve/tests/restored_listing.rs
+++ b/crates/filbertcleat-serve/tests/restored_listing.rs
@@ -6,9 +6,11 @@
 use filbertcleat_serve::ListedServer;
 use filbertcleat_serve::ListingChange;
 
+use self::support::agent_update;
 use self::support::at;
 use self::support::fleet;
 use self::support::id;
+use self::support::key;
 use self::support::listed;
 
 fn has(fleet: &Fleet, name: &str) -> bool {
@@ -35,6 +37,20 @@
     assert!(fleet.server(&id("a")).expect("listed").is_usable(at(9_000)), "another start");
 }
 
+#[test]
+fn earlier_start_ignored() {
+    let mut fleet = fleet(at(0), &[]);
+    let current = ListedServer { started_unix_ms: 50, ..listed("a") };
+    fleet.apply_listing(at(0), ListingChange::Upserted(current));
+    fleet.apply_update(at(1), agent_update("a", 1, &["x"]));
+
+    restore(&mut fleet, 5_000, ListedServer { started_unix_ms: 20, ..listed("a") });
+
+    let server = fleet.server(&id("a")).expect("listed");
+    assert_eq!(server.listed.started_unix_ms, 50);
+    assert!(server.has_adapter(&key("x"), 1), "nothing is forgotten");
+}
+
 #[test]
 fn removed_server_held_back() {
     let mut fleet = fleet(at(0), &[("a", &[])]);
