Hold back earlier starts of servers that left before a restore

The fleet compared the start of a held-back record for equality, so that a copy from before a server's last start listed its earlier one as new. starts_compared (case earlier) failed before: the server was listed.

--- a/crates/filbertcleat-serve/src/fleet/removed_servers.rs
+++ b/crates/filbertcleat-serve/src/fleet/removed_servers.rs
@@ -51,11 +51,12 @@
         self.removed.insert(server.id.clone(), removed);
     }
 
-    /// Returns whether a listed record is that of a server that left before the restore.
+    /// Returns whether a listed record is that of a server that left before the restore, or of an
+    /// earlier start of it.
     pub fn is_leftover(&self, now: MonoTime, listed: &ListedServer) -> bool {
         self.may_list_leftovers(now)
             && self.removed.get(&listed.id).is_some_and(|removed| {
-                removed.started_unix_ms == listed.started_unix_ms
+                removed.started_unix_ms >= listed.started_unix_ms
                     && self.restored_at.is_some_and(|restored_at| removed.at < restored_at)
             })
     }
--- a/crates/filbertcleat-serve/tests/restored_listing.rs
+++ b/crates/filbertcleat-serve/tests/restored_listing.rs
@@ -5,6 +5,7 @@
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::ListedServer;
 use filbertcleat_serve::ListingChange;
+use rstest::rstest;
 
 use self::support::agent_update;
 use self::support::at;
@@ -100,14 +101,17 @@
     assert!(has(&fleet, "a"), "the catalogue would have removed the record of a silent server");
 }
 
-#[test]
-fn other_start_listed() {
+#[rstest]
+#[case::earlier(0, false)]
+#[case::same(1, false)]
+#[case::later(2, true)]
+fn starts_compared(#[case] started_unix_ms: u64, #[case] is_listed: bool) {
     let mut fleet = fleet(at(0), &[("a", &[])]);
     fleet.apply_listing(at(1_000), ListingChange::Removed(id("a")));
 
-    restore(&mut fleet, 5_000, ListedServer { started_unix_ms: 2, ..listed("a") });
+    restore(&mut fleet, 5_000, ListedServer { started_unix_ms, ..listed("a") });
 
-    assert!(has(&fleet, "a"));
+    assert_eq!(has(&fleet, "a"), is_listed);
 }
 
 #[test]
