Recognise later configurations with lower numbers after a restore

Numbers of configurations are the operators' own. If they number by what the store has after a restore, a later configuration may bear a number that is not above the one in force. Entries ignored it until the number passed the old one: callers were served by the lost configuration.

CurrentDeployment decides now. Before a restore, numbers must increase as before. After one, a number that is known with other content is later and comes into force; what is known, or is in the first list of the restored catalogue, is not; anything else with a lower number waits until operators have had the time to write the lost configurations again, and comes into force if the catalogue then still names it. Once the configuration in force is read again, numbers must increase.

Content is compared by a hash of at most 64 configurations, since keeping them whole would cost memory on large deployments.

--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -158,7 +158,7 @@
     state: &mut State<D>,
     port: u16,
 ) -> Vec<(SocketAddr, EntryUpdate)> {
-    let Some(deployment) = state.deployment.clone() else { return Vec::new() };
+    let Some(deployment) = state.deployment.get().cloned() else { return Vec::new() };
     let mut due = Vec::new();
     state.agent_updates.count_model_demand(now, &deployment, &state.fleet, &state.recent_requests);
     for server in state.fleet.servers() {
--- a/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
+++ b/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
@@ -93,6 +93,7 @@
                 for event in events {
                     self.entry.apply_event(event);
                 }
+                self.entry.on_topic_read(self.topic, self.cursor.is_none());
                 self.cursor = Some(cursor);
                 match self.topic {
                     Topic::Operators => Duration::ZERO,
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -102,7 +102,7 @@
 }
 
 fn caller_limits<D: Dialect>(entry: &Entry<D>) -> CallerLimits {
-    entry.state.borrow().deployment.as_ref().map(|known| known.limits).unwrap_or_default()
+    entry.state.borrow().deployment.get().map(|known| known.limits).unwrap_or_default()
 }
 
 /// The activity of a connection, which its time limits are checked against.
--- a/crates/filbertcleat-gateway/src/entry/dispatch.rs
+++ b/crates/filbertcleat-gateway/src/entry/dispatch.rs
@@ -50,7 +50,7 @@
         let state = &mut *entry.state.borrow_mut();
         state.fleet.expire_unlisted(now);
         state.fleet.list_held_back(now);
-        let Some(deployment) = state.deployment.clone() else { return };
+        let Some(deployment) = state.deployment.get().cloned() else { return };
         let engine_spec =
             |demand: &RequestDemand| deployment.services.get(&demand.service)?.engine.as_ref();
         let failure_domain = &entry.settings.failure_domain;
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -38,7 +38,7 @@
         // A request that starts now might not finish before the process has to exit.
         return Err(Refusal::NotRun("the entry is leaving", RETRY_AFTER_OTHER_ENTRY));
     }
-    let deployment = entry.state.borrow().deployment.clone();
+    let deployment = entry.state.borrow().deployment.get().cloned();
     let deployment =
         deployment.ok_or(Refusal::NotRun("no configuration yet", RETRY_AFTER_UNAVAILABLE))?;
 
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -4,14 +4,14 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::rc::Rc;
 
 use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
 use filbertcleat_serve::AdapterKey;
 use filbertcleat_serve::CatalogueEpoch;
-use filbertcleat_serve::Deployment;
+use filbertcleat_serve::CurrentDeployment;
+use filbertcleat_serve::DeploymentChange;
 use filbertcleat_serve::EpochChange;
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::RequestQueue;
@@ -64,7 +64,7 @@
 
 /// The state that routing decisions are based on.
 pub(super) struct State<D: Dialect> {
-    pub deployment: Option<Rc<Deployment>>,
+    pub deployment: CurrentDeployment,
     /// The newest version of each adapter that the catalogue named.
     pub versions: HashMap<AdapterKey, u64>,
     pub fleet: Fleet,
@@ -98,7 +98,7 @@
             metrics: Metrics::new(),
             dispatcher_wakeup: Notify::new(),
             state: RefCell::new(State {
-                deployment: None,
+                deployment: CurrentDeployment::default(),
                 versions: HashMap::new(),
                 fleet: Fleet::default(),
                 queue: RequestQueue::new(incarnation_id()),
@@ -145,7 +145,7 @@
 
     /// Returns whether the entry accepts callers: it has a configuration and is not shutting down.
     pub fn is_ready(&self) -> bool {
-        self.state.borrow().deployment.is_some() && !self.shutdown.is_triggered()
+        self.state.borrow().deployment.get().is_some() && !self.shutdown.is_triggered()
     }
 
     /// Returns whether shutdown began long enough ago for the load balancer to send no more
@@ -160,24 +160,20 @@
         self.shutdown_since.set(Some(self.now()));
     }
 
-    /// Applies an event of the catalogue; versions of configurations and adapters are monotonic.
+    /// Applies an event of the catalogue; versions of adapters are monotonic.
     pub fn apply_event(&self, event: CatalogueEvent) {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
         match event {
             CatalogueEvent::Deployment(deployment) => {
-                let known = state.deployment.as_ref().map(|known| known.version);
-                if known.is_some_and(|known| known >= deployment.version) {
-                    return;
+                let (version, before) = (deployment.version, state.deployment.version());
+                match state.deployment.offer(deployment) {
+                    DeploymentChange::Applied => self.on_configured(now, &state.deployment, before),
+                    DeploymentChange::Ignored => {}
+                    DeploymentChange::Undecided => log::info!(
+                        "event=configuration-undecided version={version} before={before}"
+                    ),
                 }
-                log::info!(
-                    "event=configuration version={} before={} routes={}",
-                    deployment.version,
-                    known.unwrap_or(0),
-                    deployment.routes.len()
-                );
-                state.deployment = Some(Rc::new(deployment));
-                self.configured_at.set(now);
             }
             CatalogueEvent::AdapterVersion { key, version } => {
                 let known = state.versions.entry(key).or_default();
@@ -188,6 +184,31 @@
         self.dispatcher_wakeup.notify_one();
     }
 
+    /// Records that all changes of a topic up to now have been applied, and whether they were those
+    /// of a list.
+    pub fn on_topic_read(&self, topic: Topic, is_list: bool) {
+        if topic != Topic::Operators {
+            return;
+        }
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        if is_list {
+            state.deployment.on_topic_listed();
+        }
+        let before = state.deployment.version();
+        if state.deployment.on_current_read(now) {
+            self.on_configured(now, &state.deployment, before);
+            self.dispatcher_wakeup.notify_one();
+        }
+    }
+
+    fn on_configured(&self, now: MonoTime, current: &CurrentDeployment, before: u64) {
+        let routes = current.get().map_or(0, |deployment| deployment.routes.len());
+        let version = current.version();
+        log::info!("event=configuration version={version} before={before} routes={routes}");
+        self.configured_at.set(now);
+    }
+
     /// Counts a request towards the retry budget of its service.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
@@ -223,7 +244,10 @@
             let topic = topic.as_str();
             log::warn!("event=catalogue-restored epoch={epoch} before={before} topic={topic}");
             self.metrics.count(Metric::CatalogueRestores, &[]);
-            self.state.borrow_mut().fleet.on_catalogue_restored(self.now());
+            let (now, state) = (self.now(), &mut *self.state.borrow_mut());
+            state.fleet.on_catalogue_restored(now);
+            let contact_ms = self.settings.catalogue_delays.contact_ms;
+            state.deployment.on_catalogue_restored(now, contact_ms);
             self.catalogue_restores.send_modify(|restores| *restores += 1);
         }
         change
@@ -238,8 +262,7 @@
     pub fn update_gauges(&self, metrics: &Metrics) {
         let now = self.now();
         let state = self.state.borrow();
-        let version = state.deployment.as_ref().map_or(0, |deployment| deployment.version);
-        metrics.gauge(Metric::ConfigurationVersion, &[], version);
+        metrics.gauge(Metric::ConfigurationVersion, &[], state.deployment.version());
         metrics.gauge(Metric::ConfigurationAge, &[], now.ms_since(self.configured_at.get()));
         for topic in [Topic::Operators, Topic::Servers] {
             let age_ms = now.ms_since(self.catalogue_responded_at[topic_index(topic)].get());
--- a/crates/filbertcleat-gateway/tests/restored_catalogue.rs
+++ b/crates/filbertcleat-gateway/tests/restored_catalogue.rs
@@ -138,6 +138,45 @@
     });
 }
 
+#[test]
+fn reissued_configuration_applied() {
+    World::run(async {
+        let desk = Backend::start("d1", RESPONSE).await;
+        let world = start(&desk).await;
+        let copy = world.catalogue.version();
+        world.catalogue.write(configuration(2, "lost"));
+        tokio::time::sleep(CONFIGURATION_BOUND).await;
+
+        world.catalogue.restore(copy);
+        tokio::time::sleep(CONFIGURATION_BOUND).await;
+        world.catalogue.write(configuration(2, "new"));
+        tokio::time::sleep(CONFIGURATION_BOUND).await;
+
+        assert_eq!(status(&world, "/new/1").await, 200);
+        assert_eq!(status(&world, "/lost/1").await, 404);
+    });
+}
+
+#[test]
+fn lower_configuration_decided() {
+    World::run(async {
+        let desk = Backend::start("d1", RESPONSE).await;
+        let world = start(&desk).await;
+        let copy = world.catalogue.version();
+        world.catalogue.write(configuration(9, "lost"));
+        tokio::time::sleep(CONFIGURATION_BOUND).await;
+
+        world.catalogue.restore(copy);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        world.catalogue.write(configuration(5, "new"));
+        tokio::time::sleep(CONFIGURATION_BOUND).await;
+        assert_eq!(status(&world, "/lost/1").await, 200, "it may be written again");
+        tokio::time::sleep(Duration::from_secs(4)).await;
+
+        assert_eq!(status(&world, "/new/1").await, 200);
+    });
+}
+
 #[test]
 fn missing_server_kept() {
     World::run(async {
--- a/crates/filbertcleat-serve/src/deployment.rs
+++ b/crates/filbertcleat-serve/src/deployment.rs
@@ -1,5 +1,8 @@
 //! The operators' configuration: routes, services and limits.
 
+mod change;
+mod current;
+mod fingerprint;
 mod limits;
 mod model;
 mod retry_policy;
@@ -7,9 +10,13 @@
 mod service;
 
 use std::collections::BTreeMap;
+use std::fmt::Write;
 
 use filbertcleat_base::ServiceName;
 
+pub use self::change::DeploymentChange;
+pub use self::current::CurrentDeployment;
+use self::fingerprint::FingerprintWriter;
 pub use self::limits::CallerLimits;
 pub use self::model::ModelSpec;
 pub use self::retry_policy::RetryPolicy;
@@ -45,4 +52,12 @@
             })
             .max_by_key(|route| route.path_prefix.len())
     }
+
+    /// Returns a hash of the content, which is the same throughout a process.
+    fn fingerprint(&self) -> u64 {
+        let mut writer = FingerprintWriter::default();
+        // Writing to a hash is infallible.
+        let _ = write!(writer, "{self:?}");
+        writer.finish()
+    }
 }
