Keep unlisted servers while the catalogue is away again

After an outage, servers without a record get 2.2 s to write it again. That time ran on if the catalogue went away again, and was not renewed by a second restore, so that live servers were removed that had had no chance to write; callers would get 503 until the servers' next records.

The grace time now stands still from the first failed call of the servers' topic and begins again when the catalogue answers. It is one time for all servers that are missing.

Evidence: grace_outlasts_outages (without its call of on_catalogue_lost, which did not exist) failed before: the server was gone.

--- a/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
+++ b/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
@@ -114,6 +114,9 @@
             let topic = self.topic.as_str();
             log::warn!("event=catalogue-lost topic={topic} reason=\"{fault}\"");
         }
+        if self.topic == Topic::Servers {
+            self.entry.state.borrow_mut().fleet.on_catalogue_lost();
+        }
         self.failures += 1;
         (RETRY_PAUSE * self.failures).min(RETRY_PAUSE_MAX)
     }
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -10,6 +10,8 @@
 mod share_ceiling;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::mem;
 
 use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
@@ -30,13 +32,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     servers: BTreeMap<ServerId, Server>,
-    /// Servers that are missing in the catalogue after an outage, with the time of their removal.
-    unconfirmed: BTreeMap<ServerId, MonoTime>,
+    /// Servers that are missing in the catalogue after an outage.
+    unconfirmed: BTreeSet<ServerId>,
     /// Servers that left, whose records a restored catalogue may list again.
     removed: RemovedServers,
     /// What the engines of each service have shown.
     models: BTreeMap<ServiceName, EngineModel>,
     total_attempts: u64,
+    is_catalogue_lost: bool,
     relist_grace_until: MonoTime,
 }
 
@@ -71,8 +74,14 @@
         }
     }
 
+    /// Records that the catalogue does not answer. Servers cannot write their records meanwhile.
+    pub fn on_catalogue_lost(&mut self) {
+        self.is_catalogue_lost = true;
+    }
+
     /// Records that the catalogue answers again after an outage.
     pub fn on_catalogue_regained(&mut self, now: MonoTime) {
+        self.is_catalogue_lost = false;
         self.relist_grace_until = now.plus_ms(Self::RELIST_GRACE_MS);
     }
 
@@ -94,13 +103,10 @@
     /// Removes the backend servers whose records did not reappear within the grace time after an
     /// outage.
     pub fn expire_unlisted(&mut self, now: MonoTime) {
-        let expired: Vec<_> = self
-            .unconfirmed
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in expired {
+        if self.is_in_relist_grace(now) {
+            return;
+        }
+        for id in mem::take(&mut self.unconfirmed) {
             self.take_out(now, &id);
         }
     }
@@ -237,13 +243,17 @@
     }
 
     fn remove(&mut self, now: MonoTime, id: &ServerId) {
-        if now < self.relist_grace_until && self.servers.contains_key(id) {
-            self.unconfirmed.entry(id.clone()).or_insert(self.relist_grace_until);
+        if self.is_in_relist_grace(now) && self.servers.contains_key(id) {
+            self.unconfirmed.insert(id.clone());
             return;
         }
         self.take_out(now, id);
     }
 
+    fn is_in_relist_grace(&self, now: MonoTime) -> bool {
+        self.is_catalogue_lost || now < self.relist_grace_until
+    }
+
     fn take_out(&mut self, now: MonoTime, id: &ServerId) {
         self.unconfirmed.remove(id);
         self.removed.release(id);
--- a/crates/filbertcleat-serve/tests/listing.rs
+++ b/crates/filbertcleat-serve/tests/listing.rs
@@ -62,6 +62,23 @@
     assert_eq!(server_ids(&fleet), ["alive"], "a record that stays missing removes its server");
 }
 
+#[test]
+fn grace_outlasts_outages() {
+    let mut fleet = fleet(at(0), &[("alive", &[])]);
+    fleet.on_catalogue_regained(at(10_000));
+    fleet.apply_listing(at(10_001), ListingChange::Snapshot(Vec::new()));
+
+    fleet.on_catalogue_lost();
+    fleet.expire_unlisted(at(15_000));
+    assert_eq!(server_ids(&fleet), ["alive"], "the server could not write its record");
+    fleet.on_catalogue_regained(at(15_000));
+    fleet.expire_unlisted(at(17_000));
+    assert_eq!(server_ids(&fleet), ["alive"], "the grace time begins again");
+
+    fleet.expire_unlisted(at(18_000));
+    assert!(server_ids(&fleet).is_empty());
+}
+
 #[test]
 fn restart_resets_state() {
     let mut fleet = fleet(at(0), &[("a", &["x"])]);
