Draw the moment of a restore against writes and reads

Two properties of a running entry, with restores, losses, absences and writes at random moments. If operators and servers write again what was lost, the version in force never decreases, the last configuration comes into force and the server stays usable. If operators assign the lost numbers again, their last configuration comes into force all the same.

--- a/crates/filbertcleat-gateway/tests/support/catalogue.rs
+++ b/crates/filbertcleat-gateway/tests/support/catalogue.rs
@@ -62,6 +62,16 @@
         self.rows.borrow().len()
     }
 
+    /// Returns the version of the newest configuration; 0 without one.
+    pub fn configuration_version(&self) -> u64 {
+        let rows = self.rows.borrow();
+        let mut versions = rows.iter().rev().filter_map(|(_, event)| match event {
+            CatalogueEvent::Deployment(deployment) => Some(deployment.version),
+            CatalogueEvent::AdapterVersion { .. } | CatalogueEvent::Listing(_) => None,
+        });
+        versions.next().unwrap_or(0)
+    }
+
     /// Restores the copy of a version and begins the next epoch.
     pub fn restore(&self, version: usize) {
         self.rows.borrow_mut().truncate(version);
