--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -4,14 +4,16 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::rc::Rc;
 
 use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
 use filbertcleat_serve::AdapterKey;
 use filbertcleat_serve::CallerLimits;
-use filbertcleat_serve::Deployment;
+use filbertcleat_serve::CatalogueEpoch;
+use filbertcleat_serve::CurrentDeployment;
+use filbertcleat_serve::DeploymentChange;
+use filbertcleat_serve::EpochChange;
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::RequestQueue;
 use filbertcleat_serve::RetryBudget;
@@ -58,13 +60,16 @@
     shutdown_since: Cell<Option<MonoTime>>,
     configured_at: Cell<MonoTime>,
     idle_timeouts: RefCell<IdleTimeouts>,
+    catalogue_epoch: Cell<CatalogueEpoch>,
+    /// The number of times that the catalogue was restored, for the tasks that have to list again.
+    catalogue_restores: watch::Sender<u64>,
     /// When the catalogue last responded, by topic.
     catalogue_responded_at: [Cell<MonoTime>; 2],
 }
 
 /// The state that routing decisions are based on.
 pub(super) struct State<D: Dialect> {
-    pub deployment: Option<Rc<Deployment>>,
+    pub deployment: CurrentDeployment,
     /// The newest version of each adapter that the catalogue named.
     pub versions: HashMap<AdapterKey, u64>,
     pub fleet: Fleet,
@@ -99,7 +104,7 @@
             metrics: Metrics::new(),
             dispatcher_wakeup: Notify::new(),
             state: RefCell::new(State {
-                deployment: None,
+                deployment: CurrentDeployment::default(),
                 versions: HashMap::new(),
                 fleet: Fleet::default(),
                 queue: RequestQueue::new(incarnation_id()),
@@ -116,6 +121,8 @@
             shutdown_since: Cell::new(None),
             configured_at: Cell::new(MonoTime::ZERO),
             idle_timeouts: RefCell::default(),
+            catalogue_epoch: Cell::default(),
+            catalogue_restores: watch::Sender::new(0),
             catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 2],
         }
     }
@@ -162,7 +169,7 @@
 
     /// Returns whether the entry accepts callers: it has a configuration and is not shutting down.
     pub fn is_ready(&self) -> bool {
-        self.state.borrow().deployment.is_some() && !self.shutdown.is_triggered()
+        self.state.borrow().deployment.get().is_some() && !self.shutdown.is_triggered()
     }
 
     /// Returns whether shutdown began long enough ago for the load balancer to send no more
@@ -177,26 +184,20 @@
         self.shutdown_since.set(Some(self.now()));
     }
 
-    /// Applies an event of the catalogue; versions of configurations and adapters are monotonic.
+    /// Applies an event of the catalogue; versions of adapters are monotonic.
     pub fn apply_event(&self, event: CatalogueEvent) {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
         match event {
             CatalogueEvent::Deployment(deployment) => {
-                let known = state.deployment.as_ref().map(|known| known.version);
-                if known.is_some_and(|known| known >= deployment.version) {
-                    return;
+                let (version, before) = (deployment.version, state.deployment.version());
+                match state.deployment.offer(deployment) {
+                    DeploymentChange::Applied => self.on_configured(now, &state.deployment, before),
+                    DeploymentChange::Ignored => {}
+                    DeploymentChange::Undecided => log::info!(
+                        "event=configuration-undecided version={version} before={before}"
+                    ),
                 }
-                log::info!(
-                    "event=configuration version={} before={} routes={}",
-                    deployment.version,
-                    known.unwrap_or(0),
-                    deployment.routes.len()
-                );
-                let idle_timeout_ms = deployment.limits.idle_timeout_ms;
-                self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
-                state.deployment = Some(Rc::new(deployment));
-                self.configured_at.set(now);
             }
             CatalogueEvent::AdapterVersion { key, version } => {
                 let known = state.versions.entry(key).or_default();
@@ -209,7 +210,7 @@
 
     /// Returns the limits on callers that are in force.
     pub fn caller_limits(&self) -> CallerLimits {
-        self.state.borrow().deployment.as_ref().map(|known| known.limits).unwrap_or_default()
+        self.state.borrow().deployment.get().map(|known| known.limits).unwrap_or_default()
     }
 
     /// Returns how long a caller's connection may be idle that became idle at a time.
@@ -217,6 +218,35 @@
         self.idle_timeouts.borrow().close_after_ms(idle_since)
     }
 
+    /// Records that all changes of a topic up to now have been applied, and whether they were those
+    /// of a list.
+    pub fn on_topic_read(&self, topic: Topic, is_list: bool) {
+        if topic != Topic::Operators {
+            return;
+        }
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        if is_list {
+            state.deployment.on_topic_listed();
+        }
+        let before = state.deployment.version();
+        if state.deployment.on_current_read(now) {
+            self.on_configured(now, &state.deployment, before);
+            self.dispatcher_wakeup.notify_one();
+        }
+    }
+
+    fn on_configured(&self, now: MonoTime, current: &CurrentDeployment, before: u64) {
+        let routes = current.get().map_or(0, |deployment| deployment.routes.len());
+        let version = current.version();
+        log::info!("event=configuration version={version} before={before} routes={routes}");
+        if let Some(deployment) = current.get() {
+            let idle_timeout_ms = deployment.limits.idle_timeout_ms;
+            self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
+        }
+        self.configured_at.set(now);
+    }
+
     /// Counts a request towards the retry budget of its service.
     pub fn count_request(&self, service: &ServiceName) {
         let now = self.now();
@@ -241,12 +271,36 @@
         self.catalogue_responded_at[topic_index(topic)].set(self.now());
     }
 
+    /// Records the epoch that a response of the catalogue names. If the catalogue was restored, all
+    /// topics are listed again.
+    pub fn observe_catalogue_epoch(&self, topic: Topic, named: Option<u64>) -> EpochChange {
+        let before = self.catalogue_epoch.get();
+        let mut epoch = before;
+        let change = epoch.observe(named);
+        self.catalogue_epoch.set(epoch);
+        if change == EpochChange::Restored {
+            let topic = topic.as_str();
+            log::warn!("event=catalogue-restored epoch={epoch} before={before} topic={topic}");
+            self.metrics.count(Metric::CatalogueRestores, &[]);
+            let (now, state) = (self.now(), &mut *self.state.borrow_mut());
+            state.fleet.on_catalogue_restored(now);
+            let contact_ms = self.settings.catalogue_delays.contact_ms;
+            state.deployment.on_catalogue_restored(now, contact_ms);
+            self.catalogue_restores.send_modify(|restores| *restores += 1);
+        }
+        change
+    }
+
+    /// Returns a receiver that changes each time that the catalogue was restored from a copy.
+    pub fn catalogue_restores(&self) -> watch::Receiver<u64> {
+        self.catalogue_restores.subscribe()
+    }
+
     /// Sets the gauges from the current state.
     pub fn update_gauges(&self, metrics: &Metrics) {
         let now = self.now();
         let state = self.state.borrow();
-        let version = state.deployment.as_ref().map_or(0, |deployment| deployment.version);
-        metrics.gauge(Metric::ConfigurationVersion, &[], version);
+        metrics.gauge(Metric::ConfigurationVersion, &[], state.deployment.version());
         metrics.gauge(Metric::ConfigurationAge, &[], now.ms_since(self.configured_at.get()));
         for topic in [Topic::Operators, Topic::Servers] {
             let age_ms = now.ms_since(self.catalogue_responded_at[topic_index(topic)].get());
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -5,11 +5,13 @@
 mod gap_control;
 mod prefill_fit;
 mod prefill_pacer;
+mod removed_servers;
 mod server;
 mod share_ceiling;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::mem;
 
 use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
@@ -17,6 +19,7 @@
 
 use self::engine_model::EngineModel;
 pub(crate) use self::prefill_pacer::PrefillPacer;
+use self::removed_servers::RemovedServers;
 pub use self::server::AttemptOutcome;
 pub use self::server::Server;
 use crate::AgentUpdate;
@@ -30,11 +33,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     servers: BTreeMap<ServerId, Server>,
-    /// Servers that are missing in the catalogue after an outage, with the time of their removal.
-    unconfirmed: BTreeMap<ServerId, MonoTime>,
+    /// Servers that are missing in the catalogue after an outage.
+    unconfirmed: BTreeSet<ServerId>,
+    /// Servers that left, whose records a restored catalogue may list again.
+    removed: RemovedServers,
     /// What the engines of each service have shown.
     models: BTreeMap<ServiceName, EngineModel>,
     total_attempts: u64,
+    is_catalogue_lost: bool,
     relist_grace_until: MonoTime,
 }
 
@@ -54,7 +60,10 @@
                     .filter(|id| !list.iter().any(|listed| listed.id == **id))
                     .cloned()
                     .collect();
-                for listed in list {
+                let (leftovers, current): (Vec<_>, Vec<_>) =
+                    list.into_iter().partition(|listed| self.removed.is_leftover(now, listed));
+                self.removed.hold_back(leftovers);
+                for listed in current {
                     self.upsert(now, listed);
                 }
                 for id in missing {
@@ -66,23 +75,40 @@
         }
     }
 
+    /// Records that the catalogue does not answer. Servers cannot write their records meanwhile.
+    pub fn on_catalogue_lost(&mut self) {
+        self.is_catalogue_lost = true;
+    }
+
     /// Records that the catalogue answers again after an outage.
     pub fn on_catalogue_regained(&mut self, now: MonoTime) {
+        self.is_catalogue_lost = false;
         self.relist_grace_until = now.plus_ms(Self::RELIST_GRACE_MS);
     }
 
+    /// Records that the catalogue was restored from a copy, which may lack the records of servers
+    /// and list older ones.
+    pub fn on_catalogue_restored(&mut self, now: MonoTime) {
+        self.removed.on_restored(now);
+        self.on_catalogue_regained(now);
+    }
+
+    /// Adds the backend servers that left before a restore and whose records have stayed in the
+    /// catalogue for so long that they must be live.
+    pub fn list_held_back(&mut self, now: MonoTime) {
+        for listed in self.removed.take_lasting(now) {
+            self.upsert(now, listed);
+        }
+    }
+
     /// Removes the backend servers whose records did not reappear within the grace time after an
     /// outage.
     pub fn expire_unlisted(&mut self, now: MonoTime) {
-        let expired: Vec<_> = self
-            .unconfirmed
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in expired {
-            self.unconfirmed.remove(&id);
-            self.servers.remove(&id);
+        if self.is_in_relist_grace(now) {
+            return;
+        }
+        for id in mem::take(&mut self.unconfirmed) {
+            self.take_out(now, &id);
         }
     }
 
@@ -217,8 +243,12 @@
 
     fn upsert(&mut self, now: MonoTime, listed: ListedServer) {
         self.unconfirmed.remove(&listed.id);
+        self.removed.forget(&listed.id);
         if let Some(server) = self.servers.get_mut(&listed.id) {
-            server.apply_listing(now, listed);
+            let is_earlier_start = listed.started_unix_ms < server.listed.started_unix_ms;
+            if !(is_earlier_start && self.removed.may_list_leftovers(now)) {
+                server.apply_listing(now, listed);
+            }
             return;
         }
         let model = self.models.get(&listed.service).copied().unwrap_or_else(EngineModel::new);
@@ -226,11 +256,22 @@
     }
 
     fn remove(&mut self, now: MonoTime, id: &ServerId) {
-        if now < self.relist_grace_until && self.servers.contains_key(id) {
-            self.unconfirmed.entry(id.clone()).or_insert(self.relist_grace_until);
+        if self.is_in_relist_grace(now) && self.servers.contains_key(id) {
+            self.unconfirmed.insert(id.clone());
             return;
         }
+        self.take_out(now, id);
+    }
+
+    fn is_in_relist_grace(&self, now: MonoTime) -> bool {
+        self.is_catalogue_lost || now < self.relist_grace_until
+    }
+
+    fn take_out(&mut self, now: MonoTime, id: &ServerId) {
         self.unconfirmed.remove(id);
-        self.servers.remove(id);
+        self.removed.release(id);
+        if let Some(server) = self.servers.remove(id) {
+            self.removed.on_removed(now, &server.listed);
+        }
     }
 }
