Place nothing on servers that announce their leaving

What callers would see: a backend server that leaves says so in each of its answers, often before its row in the store does, and some never write it there.

Cause: nothing read the mark. Draining was known from the store's rows only.

Tests: gateway/tests/leaving.rs was run first on the unchanged code: all 11 cases failed. With the mark in a whole answer, a 404, a 421 or a refusal the server got all 40 of the following requests; with it in a 500, a foreign or an unsealed answer the gauge of leaving servers stayed 0; 6 of 6 streams went to the server whose running stream had the mark; 10 of 10 requests went there after its row was written again. The case of the foreign answer had a fault of its own there (the fake replaced the letter of the id in the header's name too); it was corrected and not run on the old code again. The tests of agents, of the engine's client and of the decisions use new types, so they could not be run on the old code.

Fix: the dialect turns the headers of any answer into a ServerNotice. An entry applies it to every head that it parses, before it validates the answer, and agents to reports and answers to orders, refused ones too. The fleet keeps the announcement by id and start time, apart from the rows, and treats such a server as draining wherever servers are selected; queued requests look for another one in the next pass, and a request whose connection is still being opened is placed anew.

Ruled out: keeping the mark in the server's state, which is dropped with its row; keeping it by address, which shuts out the next start; making the agent's knowledge permanent without an id, since reports of these machines name none.

Evidence: the 240 tests of serve, gateway, prepared and wire pass, with 36 new cases.

The agents' tests share the entry that demands adapters now; agent_orders.rs checks what it did.

--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -22,8 +22,10 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+use crate::EngineAnswer;
 use crate::EngineControl;
 use crate::OrderResponse;
+use crate::ServerNotice;
 use crate::ShutdownSignal;
 use crate::clock::Clock;
 use crate::listen::bind_if;
@@ -90,6 +92,7 @@
         id,
         sequence: 0,
         is_engine_lost: false,
+        is_engine_leaving: false,
     };
     tokio::select! {
         () = agent.run() => {}
@@ -100,8 +103,8 @@
 
 /// The result of a call to the engine; at most one call is in progress at a time.
 enum CallResult {
-    Report(Result<EngineReport, Fault>),
-    Order(Order, Result<OrderResponse, CallError>),
+    Report(EngineAnswer<Result<EngineReport, Fault>>),
+    Order(Order, EngineAnswer<Result<OrderResponse, CallError>>),
 }
 
 struct Agent<E> {
@@ -121,6 +124,8 @@
     id: u64,
     sequence: u64,
     is_engine_lost: bool,
+    /// Whether the engine announced in its last answer that it is leaving.
+    is_engine_leaving: bool,
 }
 
 impl<E: EngineControl> Agent<E> {
@@ -157,11 +162,15 @@
                 result = call_result(&mut self.call) => {
                     self.call = None;
                     match result {
-                        CallResult::Report(report) => {
-                            self.apply_report(report);
+                        CallResult::Report(EngineAnswer { result, notice }) => {
+                            self.apply_notice(notice, result.is_ok());
+                            self.apply_report(result);
                             report_at = Instant::now() + self.report_interval();
                         }
-                        CallResult::Order(order, response) => self.apply_response(&order, response),
+                        CallResult::Order(order, EngineAnswer { result, notice }) => {
+                            self.apply_notice(notice, false);
+                            self.apply_response(&order, result);
+                        }
                     }
                 }
                 () = tokio::time::sleep_until(report_at), if self.call.is_none() => {
@@ -187,7 +196,8 @@
     ///
     /// A report that overlaps with an order might not show the effect of the order.
     fn send_order(&mut self) {
-        if self.call.is_some() || self.needs_report {
+        // A leaving engine gets no new requests, so a load is of no use to it.
+        if self.call.is_some() || self.needs_report || self.is_engine_leaving {
             return;
         }
         let announcement_delay_ms = self.recipients.announcement_delay_ms();
@@ -201,6 +211,19 @@
         }));
     }
 
+    /// Applies what the engine announced in an answer.
+    ///
+    /// A complete report without the announcement comes from a new start of the engine, which
+    /// reports need not name.
+    fn apply_notice(&mut self, notice: ServerNotice, is_complete_report: bool) {
+        let was_leaving = self.is_engine_leaving;
+        self.is_engine_leaving = notice.is_leaving || (was_leaving && !is_complete_report);
+        if self.is_engine_leaving && !was_leaving {
+            log::info!("event=leaving-announced by=engine");
+            self.metrics.count(Metric::LeavingAnnouncements, &[("by", "engine")]);
+        }
+    }
+
     /// Applies a report of the engine, or records that the engine did not respond.
     fn apply_report(&mut self, report: Result<EngineReport, Fault>) {
         self.needs_report = false;
@@ -282,7 +305,8 @@
         let is_due = match &self.last_update {
             None => true,
             Some(last)
-                if last.adapters != update.adapters
+                if last.is_leaving != update.is_leaving
+                    || last.adapters != update.adapters
                     || last.available_models != update.available_models =>
             {
                 true
@@ -342,6 +366,7 @@
             memory_tokens: report.memory_tokens,
             others_prompt_tokens: self.scheduler.others_prompt_tokens(now, self.id),
             others_total_tokens: 0,
+            is_leaving: self.is_engine_leaving,
             live_entries: u32::try_from(self.scheduler.live_entries(now)).unwrap_or(u32::MAX),
         })
     }
--- a/crates/filbertcleat-gateway/src/control.rs
+++ b/crates/filbertcleat-gateway/src/control.rs
@@ -5,13 +5,18 @@
 use filbertcleat_serve::EngineReport;
 use filbertcleat_serve::Order;
 
+use crate::EngineAnswer;
+
 /// The engine that an agent controls, on the same VM.
 pub trait EngineControl: 'static {
     /// Requests a report of the loaded models and adapters and of the running requests.
-    fn report(&self) -> impl Future<Output = Result<EngineReport, Fault>>;
+    fn report(&self) -> impl Future<Output = EngineAnswer<Result<EngineReport, Fault>>>;
 
     /// Sends an order to load or unload a model or an adapter.
-    fn order(&self, order: &Order) -> impl Future<Output = Result<OrderResponse, CallError>>;
+    fn order(
+        &self,
+        order: &Order,
+    ) -> impl Future<Output = EngineAnswer<Result<OrderResponse, CallError>>>;
 }
 
 /// The response of an engine to an order.
--- a/crates/filbertcleat-gateway/src/dialect/response.rs
+++ b/crates/filbertcleat-gateway/src/dialect/response.rs
@@ -2,6 +2,8 @@
 
 use filbertcleat_serve::ServerId;
 
+use crate::ServerNotice;
+
 /// Metadata from the headers of a backend server's response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
@@ -16,4 +18,6 @@
     /// Whether the body has a content encoding. Backend servers never encode bodies, so such a
     /// response comes from something else.
     pub is_encoded: bool,
+    /// What the backend server announces about itself.
+    pub notice: ServerNotice,
 }
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -10,6 +10,7 @@
 mod events;
 mod handler;
 mod in_flight;
+mod notices;
 mod placement;
 mod read_request;
 mod readiness;
--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -9,15 +9,19 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
 use filbertcleat_serve::AdapterDemand;
+use filbertcleat_serve::AgentUpdate;
 use filbertcleat_serve::Deployment;
 use filbertcleat_serve::EntryUpdate;
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::ModelDemand;
 use filbertcleat_serve::ServerId;
 
+use super::notices::NoticeSource;
+use super::notices::apply_notice;
 use super::state::Entry;
 use super::state::State;
 use crate::Dialect;
+use crate::ServerNotice;
 use crate::peer_socket::PeerUpdate;
 use crate::peer_socket::incarnation_id;
 
@@ -122,6 +126,7 @@
     loop {
         let (update, from) = entry.peers.receive(&mut buffer).await;
         let PeerUpdate::Agent(mut update) = update else { continue };
+        apply_agent_notice(&entry, &update);
         let now = entry.now();
         let fleet = &mut entry.state.borrow_mut().fleet;
         if update.server.as_str().is_empty() {
@@ -135,6 +140,22 @@
     }
 }
 
+/// Applies what an engine announced to its agent.
+///
+/// Without the engine's id the announcement holds only until the agent's next update: the engine
+/// at that address may have started again under another id.
+fn apply_agent_notice<D: Dialect>(entry: &Entry<D>, update: &AgentUpdate) {
+    if update.server.as_str().is_empty() {
+        return;
+    }
+    let started_unix_ms = {
+        let state = entry.state.borrow();
+        state.fleet.server(&update.server).map_or(0, |server| server.listed.started_unix_ms)
+    };
+    let notice = ServerNotice { is_leaving: update.is_leaving };
+    apply_notice(entry, &update.server, started_unix_ms, notice, NoticeSource::Agent);
+}
+
 /// Sends an update to each agent for which one is due.
 pub(super) fn update_agents<D: Dialect>(entry: &Entry<D>) {
     let now = entry.now();
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use filbertcleat_serve::AttemptOutcome;
+use filbertcleat_serve::Server;
+use filbertcleat_serve::ServerId;
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
@@ -16,10 +18,13 @@
 use hyper::client::conn::http1::SendRequest;
 
 use super::in_flight::InFlightAttempt;
+use super::notices::NoticeSource;
+use super::notices::apply_notice;
 use super::request::CallerRequest;
 use super::state::Entry;
 use crate::AttemptMetadata;
 use crate::Dialect;
+use crate::ResponseMetadata;
 
 /// Extra time that the entry waits for a response after the request's deadline.
 ///
@@ -72,12 +77,12 @@
     attempt: &InFlightAttempt<D>,
     resume_after: Option<u64>,
 ) -> Result<BackendResponse, AttemptFailure> {
-    let address = {
+    let listed = {
         let state = entry.state.borrow();
         let server = state.fleet.server(attempt.server());
-        server.map(|server| server.listed.address)
+        server.map(|server| (server.listed.address, server.listed.started_unix_ms))
     };
-    let address = address.ok_or(AttemptFailure::not_arrived(
+    let (address, started_unix_ms) = listed.ok_or(AttemptFailure::not_arrived(
         AttemptOutcome::Unreachable,
         "the backend server is no longer listed",
     ))?;
@@ -101,6 +106,13 @@
                 "the request's deadline has passed",
             ));
         }
+        // Connecting takes time, in which another answer may have announced the leaving.
+        if is_leaving(entry, attempt.server()) {
+            return Err(AttemptFailure::not_arrived(
+                AttemptOutcome::Left,
+                "the backend server is leaving",
+            ));
+        }
         let outbound = build_request(entry, request, attempt, remaining_ms, resume_after);
         let limit = Duration::from_millis(remaining_ms + RESPONSE_GRACE_MS);
         let sent = tokio::time::timeout(limit, sender.try_send_request(outbound)).await;
@@ -122,7 +134,14 @@
             }
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
-                return validate_response(entry, request, attempt, head, body, address, sender);
+                let metadata = entry.dialect.parse_response(&head.headers);
+                let server = metadata.server.as_ref().unwrap_or(attempt.server());
+                // The start of another server than the one asked is not known.
+                let started_unix_ms = if server == attempt.server() { started_unix_ms } else { 0 };
+                let source = NoticeSource::Answer;
+                apply_notice(entry, server, started_unix_ms, metadata.notice, source);
+                let response = BackendResponse { head, body, address, sender };
+                return validate_response(entry, request, attempt, response, &metadata);
             }
         }
     }
@@ -140,12 +159,9 @@
     entry: &Rc<Entry<D>>,
     request: &CallerRequest,
     attempt: &InFlightAttempt<D>,
-    head: Parts,
-    body: Incoming,
-    address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    response: BackendResponse,
+    metadata: &ResponseMetadata,
 ) -> Result<BackendResponse, AttemptFailure> {
-    let metadata = entry.dialect.parse_response(&head.headers);
     // A late response to an earlier request can arrive on a reused connection.
     let is_foreign = metadata.id.as_ref().is_some_and(|id| *id != request.id);
     if is_foreign {
@@ -154,9 +170,10 @@
             "the response is for another request",
         ));
     }
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
+    let status = response.head.status;
+    if status == StatusCode::MISDIRECTED_REQUEST {
         let is_other = metadata.server.as_ref().is_some_and(|server| server != attempt.server());
-        entry.pool.keep(address, sender, &head.headers);
+        entry.pool.keep(response.address, response.sender, &response.head.headers);
         return Err(if is_other {
             AttemptFailure::not_run(
                 AttemptOutcome::Misdirected,
@@ -170,20 +187,24 @@
         });
     }
     if metadata.is_not_run {
-        entry.pool.keep(address, sender, &head.headers);
+        entry.pool.keep(response.address, response.sender, &response.head.headers);
         return Err(AttemptFailure::not_run(
             AttemptOutcome::Full,
             "the backend server had no free capacity",
         ));
     }
     let is_valid = metadata.id.is_some() && !metadata.is_encoded;
-    if !is_valid || (head.status.is_success() && !metadata.is_sealed) {
+    if !is_valid || (status.is_success() && !metadata.is_sealed) {
         return Err(AttemptFailure::unknown(
             AttemptOutcome::Broken,
             "the response has no response seal or id",
         ));
     }
-    Ok(BackendResponse { head, body, address, sender })
+    Ok(response)
+}
+
+fn is_leaving<D: Dialect>(entry: &Entry<D>, server: &ServerId) -> bool {
+    entry.state.borrow().fleet.server(server).is_some_and(Server::is_leaving)
 }
 
 fn build_request<D: Dialect>(
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -221,7 +221,7 @@
         };
         let usable = count(&|server| server.is_usable(now));
         let connected = count(&|server| server.fresh_update(now).is_some());
-        let leaving = count(&|server| server.listed.is_draining);
+        let leaving = count(&|server| server.is_leaving());
         for (status, number) in [("usable", usable), ("heard", connected), ("leaving", leaving)] {
             metrics.gauge(Metric::Servers, &[("are", status)], number);
         }
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -29,6 +29,8 @@
     CatalogueAge,
     /// Backend servers, by status.
     Servers,
+    /// Starts of backend servers that announced their leaving, by the source of the announcement.
+    LeavingAnnouncements,
     /// Attempts in flight at backend servers.
     InFlight,
     /// Requests in the queue of the entry.
@@ -50,7 +52,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 22] = [
+pub const METRICS: [Metric; 23] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -64,6 +66,7 @@
     Metric::ConfigurationAge,
     Metric::CatalogueAge,
     Metric::Servers,
+    Metric::LeavingAnnouncements,
     Metric::InFlight,
     Metric::Queued,
     Metric::Orders,
@@ -92,6 +95,7 @@
             Self::ConfigurationAge => "configuration_age_ms",
             Self::CatalogueAge => "catalogue_age_ms",
             Self::Servers => "servers",
+            Self::LeavingAnnouncements => "leaving",
             Self::InFlight => "open",
             Self::Queued => "waiting",
             Self::Orders => "orders",
--- a/crates/filbertcleat-gateway/src/peer_socket/convert.rs
+++ b/crates/filbertcleat-gateway/src/peer_socket/convert.rs
@@ -126,6 +126,7 @@
         others_tokens: update.others_prompt_tokens,
         others_total_tokens: update.others_total_tokens,
         entries: update.live_entries,
+        leaving: update.is_leaving,
     }
 }
 
@@ -149,6 +150,7 @@
         others_prompt_tokens: message.others_tokens,
         others_total_tokens: message.others_total_tokens,
         live_entries: message.entries,
+        is_leaving: message.leaving,
     }
 }
 
--- a/crates/filbertcleat-gateway/tests/agent_orders.rs
+++ b/crates/filbertcleat-gateway/tests/agent_orders.rs
@@ -1,30 +1,24 @@
 //! An agent whose engine is slow to respond to orders.
 
+mod support;
+
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use filbertcleat_base::Fault;
 use filbertcleat_base::ModelName;
-use filbertcleat_base::NodeName;
-use filbertcleat_gateway::AgentListeners;
+use filbertcleat_gateway::EngineAnswer;
 use filbertcleat_gateway::EngineControl;
 use filbertcleat_gateway::OrderResponse;
-use filbertcleat_gateway::ShutdownSignal;
-use filbertcleat_gateway::run_agent;
+use filbertcleat_gateway::ServerNotice;
 use filbertcleat_platform::CallError;
 use filbertcleat_serve::EngineReport;
 use filbertcleat_serve::Order;
 use filbertcleat_serve::ServerId;
-use filbertcleat_wire::v1;
-use prost::Message;
-use tokio::net::UdpSocket;
-use tokio::runtime::Builder;
-use tokio::task::LocalSet;
-use tokio::task::spawn_local;
 
-const LOOPBACK: [u8; 4] = [127, 0, 0, 1];
+use self::support::DemandingEntry;
+use self::support::World;
 
 /// An engine that reports at once and takes seconds to respond to an order.
 #[derive(Clone, Debug, Default)]
@@ -39,9 +33,9 @@
 }
 
 impl EngineControl for SlowEngine {
-    async fn report(&self) -> Result<EngineReport, Fault> {
+    async fn report(&self) -> EngineAnswer<Result<EngineReport, Fault>> {
         self.reports.set(self.reports.get() + 1);
-        Ok(EngineReport {
+        let report = EngineReport {
             server: ServerId::new("w1"),
             started_unix_ms: 1,
             order_count: u64::from(self.completed.get()),
@@ -54,88 +48,23 @@
             waiting_requests: 0,
             memory_used_tokens: 0,
             memory_tokens: 100_000,
-        })
+        };
+        EngineAnswer { result: Ok(report), notice: ServerNotice::default() }
     }
 
-    async fn order(&self, _: &Order) -> Result<OrderResponse, CallError> {
+    async fn order(&self, _: &Order) -> EngineAnswer<Result<OrderResponse, CallError>> {
         self.orders.set(self.orders.get() + 1);
         tokio::time::sleep(Self::ORDER_DURATION).await;
         self.completed.set(self.completed.get() + 1);
-        Ok(OrderResponse::Accepted)
-    }
-}
-
-/// An entry that demands adapters.
-struct Entry {
-    socket: UdpSocket,
-    agent: SocketAddr,
-    sequence: u64,
-}
-
-impl Entry {
-    /// Sends an update that demands an adapter.
-    fn demand(&mut self, adapter: &str) {
-        self.sequence += 1;
-        let engine_spec = v1::EngineShape {
-            slots: 8,
-            memory_tokens: 100_000,
-            weights_max_mb: 1_100.0,
-            adapter_places: 4,
-            models: vec![v1::ModelShape {
-                name: "base".into(),
-                weights_mb: 1_000.0,
-                adapter_mb: 10.0,
-            }],
-        };
-        let demand = v1::AdapterDemand {
-            model: "base".into(),
-            adapter: adapter.into(),
-            version: 1,
-            priority: 1,
-            waiting: 1,
-        };
-        let update = v1::EntryUpdate {
-            entry: 1,
-            sequence: self.sequence,
-            wants: vec![demand],
-            shape: Some(engine_spec),
-            ..v1::EntryUpdate::default()
-        };
-        let datagram = v1::Datagram { update: Some(v1::datagram::Update::Entry(update)) };
-        let sent = self.socket.try_send_to(&datagram.encode_to_vec(), self.agent);
-        sent.expect("loopback accepts the datagram");
+        EngineAnswer { result: Ok(OrderResponse::Accepted), notice: ServerNotice::default() }
     }
-
-    /// Returns the number of datagrams received since the last call.
-    fn received(&self) -> usize {
-        let mut buffer = [0; 2_000];
-        std::iter::from_fn(|| self.socket.try_recv(&mut buffer).ok()).count()
-    }
-}
-
-fn run(test: impl Future<Output = ()>) {
-    let runtime = Builder::new_current_thread().enable_all().start_paused(true).build();
-    LocalSet::new().block_on(&runtime.expect("a runtime starts"), test);
-}
-
-async fn start(engine: &SlowEngine) -> Entry {
-    let address = SocketAddr::from((LOOPBACK, 0));
-    let listeners = AgentListeners::bind(address, None).await.expect("ports are free");
-    let socket = UdpSocket::bind(address).await.expect("ports are free");
-    socket.writable().await.expect("bound");
-    let agent = listeners.peer_address;
-    let engine = engine.clone();
-    spawn_local(async move {
-        run_agent(&NodeName::new("agent-1"), listeners, engine, ShutdownSignal::default()).await;
-    });
-    Entry { socket, agent, sequence: 0 }
 }
 
 #[test]
 fn updates_continue() {
-    run(async {
+    World::run(async {
         let engine = SlowEngine::default();
-        let mut entry = start(&engine).await;
+        let mut entry = DemandingEntry::start(engine.clone()).await;
         tokio::time::sleep(Duration::from_millis(200)).await;
         for _ in 0..4 {
             entry.demand("a");
@@ -144,15 +73,15 @@
 
         assert_eq!(engine.orders.get(), 1, "the order is in progress");
         assert_eq!(engine.completed.get(), 0);
-        assert!(entry.received() >= 2, "the agent keeps sending updates");
+        assert!(entry.received().len() >= 2, "the agent keeps sending updates");
     });
 }
 
 #[test]
 fn calls_are_serialized() {
-    run(async {
+    World::run(async {
         let engine = SlowEngine::default();
-        let mut entry = start(&engine).await;
+        let mut entry = DemandingEntry::start(engine.clone()).await;
         tokio::time::sleep(Duration::from_millis(200)).await;
         entry.demand("a");
         tokio::time::sleep(Duration::from_millis(300)).await;
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -38,6 +38,15 @@
     Unsealed,
     /// Never responds.
     Silent,
+    /// Runs another script and adds header lines, each with its line end, to its response.
+    WithHeaders { lines: &'static str, script: Box<Script> },
+}
+
+impl Script {
+    /// Adds header lines, each with its line end, to the response.
+    pub fn with_headers(self, lines: &'static str) -> Self {
+        Self::WithHeaders { lines, script: Box::new(self) }
+    }
 }
 
 /// A fake backend server with scripted responses.
@@ -121,8 +130,15 @@
         head: &str,
         script: Script,
     ) -> bool {
+        let (lines, script) = match script {
+            Script::WithHeaders { lines, script } => (lines, *script),
+            script => ("", script),
+        };
         let response_head = |status: u16| {
-            format!("HTTP/1.1 {status} X\r\nx-id: {id}\r\nx-seal: s\r\nx-server: {}\r\n", self.id)
+            format!(
+                "HTTP/1.1 {status} X\r\nx-id: {id}\r\nx-seal: s\r\nx-server: {}\r\n{lines}",
+                self.id
+            )
         };
         let events_head = format!("{}transfer-encoding: chunked\r\n\r\n", response_head(200));
         let last_event_id = header(head, "x-after").and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -169,6 +185,7 @@
                 write(stream, &response_text(&text, "no seal")).await
             }
             Script::Silent => std::future::pending().await,
+            Script::WithHeaders { .. } => panic!("header lines are added to a plain script only"),
         }
     }
 }
--- a/crates/filbertcleat-gateway/tests/support/dialect.rs
+++ b/crates/filbertcleat-gateway/tests/support/dialect.rs
@@ -5,6 +5,7 @@
 use filbertcleat_gateway::Dialect;
 use filbertcleat_gateway::RequestMetadata;
 use filbertcleat_gateway::ResponseMetadata;
+use filbertcleat_gateway::ServerNotice;
 use filbertcleat_serve::ServerId;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -42,6 +43,7 @@
             is_not_run: headers.contains_key("x-not-run"),
             server: text(headers, "x-server").map(|text| ServerId::new(&text)),
             is_encoded: false,
+            notice: ServerNotice { is_leaving: headers.contains_key("x-leaving") },
         }
     }
 }
--- a/crates/filbertcleat-gateway/tests/support/mod.rs
+++ b/crates/filbertcleat-gateway/tests/support/mod.rs
@@ -1,10 +1,11 @@
 //! Fake backend servers, a fake catalogue and a caller for tests of an entry, all on loopback.
 
-#![allow(dead_code, reason = "each test file uses only some of these items")]
+#![allow(dead_code, unused_imports, reason = "each test file uses only some of these items")]
 
 pub mod backend;
 mod caller;
 mod catalogue;
+mod demanding_entry;
 mod dialect;
 pub mod world;
 
@@ -13,6 +14,7 @@
 pub use caller::Call;
 pub use caller::Caller;
 pub use catalogue::TestCatalogue;
+pub use demanding_entry::DemandingEntry;
 pub use dialect::TestDialect;
 pub use world::World;
 pub use world::route;
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -3,6 +3,7 @@
 mod engine_model;
 mod engine_pace;
 mod gap_control;
+mod leaving_servers;
 mod prefill_fit;
 mod prefill_pacer;
 mod server;
@@ -15,6 +16,7 @@
 use filbertcleat_base::ServiceName;
 
 use self::engine_model::EngineModel;
+use self::leaving_servers::LeavingServers;
 pub(crate) use self::prefill_pacer::PrefillPacer;
 pub use self::server::AttemptOutcome;
 pub use self::server::Server;
@@ -30,6 +32,7 @@
     servers: BTreeMap<ServerId, Server>,
     /// Servers that are missing in the catalogue after an outage, with the time of their removal.
     unconfirmed: BTreeMap<ServerId, MonoTime>,
+    leaving: LeavingServers,
     /// What the engines of each service have shown.
     models: BTreeMap<ServiceName, EngineModel>,
     total_attempts: u64,
@@ -91,6 +94,16 @@
         }
     }
 
+    /// Records that one start of a backend server has announced that it is leaving. From then on it
+    /// gets no requests, whatever the catalogue says. Returns whether that was not known.
+    pub fn on_leaving(&mut self, now: MonoTime, id: &ServerId, started_unix_ms: u64) -> bool {
+        let is_new = self.leaving.record(now, id, started_unix_ms);
+        if let Some(server) = self.servers.get_mut(id) {
+            server.has_announced_leaving = self.leaving.contains(id, server.listed.started_unix_ms);
+        }
+        is_new
+    }
+
     /// Records that a request is sent to a backend server. Returns the time that the server needs
     /// for the prompts ahead of it, in milliseconds.
     pub fn on_sent(&mut self, now: MonoTime, id: &ServerId, demand: &RequestDemand) -> f64 {
@@ -157,11 +170,11 @@
     }
 
     /// Returns the backend servers that run a request's service, have loaded its model and are not
-    /// draining.
+    /// leaving.
     pub fn servers_for(&self, demand: &RequestDemand) -> impl Iterator<Item = &Server> {
         self.servers().filter(|server| {
             server.listed.service == demand.service
-                && !server.listed.is_draining
+                && !server.is_leaving()
                 && demand.model.as_ref().is_none_or(|model| server.has_model(model))
         })
     }
@@ -174,8 +187,7 @@
     /// Returns the number of engines that have loaded a base model or are loading it.
     pub fn engines_with_model(&self, model: &ModelName) -> u32 {
         let engines = self.servers().filter(|server| {
-            !server.listed.is_draining
-                && (server.has_model(model) || server.is_loading_model(model))
+            !server.is_leaving() && (server.has_model(model) || server.is_loading_model(model))
         });
         u32::try_from(engines.count()).unwrap_or(u32::MAX)
     }
@@ -203,12 +215,17 @@
 
     fn upsert(&mut self, now: MonoTime, listed: ListedServer) {
         self.unconfirmed.remove(&listed.id);
-        if let Some(server) = self.servers.get_mut(&listed.id) {
+        let has_announced_leaving = self.leaving.contains(&listed.id, listed.started_unix_ms);
+        let id = listed.id.clone();
+        if let Some(server) = self.servers.get_mut(&id) {
             server.apply_listing(now, listed);
+            server.has_announced_leaving = has_announced_leaving;
             return;
         }
         let model = self.models.get(&listed.service).copied().unwrap_or_else(EngineModel::new);
-        self.servers.insert(listed.id.clone(), Server::new(now, listed, model));
+        let mut server = Server::new(now, listed, model);
+        server.has_announced_leaving = has_announced_leaving;
+        self.servers.insert(id, server);
     }
 
     fn remove(&mut self, now: MonoTime, id: &ServerId) {
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -25,6 +25,8 @@
     pub sent_since_update: u32,
     /// When the last byte of a response arrived from the server.
     pub last_byte_at: MonoTime,
+    /// Whether this start of the server has announced that it is leaving.
+    pub(super) has_announced_leaving: bool,
     address_hash: u64,
     prefill: PrefillPacer,
     memory_since_update_tokens: u64,
@@ -87,6 +89,7 @@
             open_requests: 0,
             sent_since_update: 0,
             last_byte_at: now,
+            has_announced_leaving: false,
             prefill: PrefillPacer::new(now, model),
             memory_since_update_tokens: 0,
             update: None,
@@ -143,9 +146,17 @@
         self.update.as_ref().map(|(received_at, _)| now.ms_since(*received_at))
     }
 
+    /// Returns whether the server is leaving, according to its catalogue record, its own answers or
+    /// its agent.
+    pub fn is_leaving(&self) -> bool {
+        self.listed.is_draining
+            || self.has_announced_leaving
+            || self.update.as_ref().is_some_and(|(_, update)| update.is_leaving)
+    }
+
     /// Returns whether new requests may be sent to the server.
     pub fn is_usable(&self, now: MonoTime) -> bool {
-        !self.listed.is_draining && now >= self.backoff_until && !self.is_silent(now)
+        !self.is_leaving() && now >= self.backoff_until && !self.is_silent(now)
     }
 
     /// Returns whether the server has loaded a base model, according to its agent or, without an
--- a/crates/filbertcleat-serve/src/placement.rs
+++ b/crates/filbertcleat-serve/src/placement.rs
@@ -209,7 +209,7 @@
     let candidates = |only_usable: bool| {
         fleet.servers().filter(move |server| {
             server.listed.service == demand.service
-                && !server.listed.is_draining
+                && !server.is_leaving()
                 && (server.is_usable(now) || !only_usable)
         })
     };
--- a/crates/filbertcleat-serve/src/update/agent.rs
+++ b/crates/filbertcleat-serve/src/update/agent.rs
@@ -32,6 +32,8 @@
     pub others_prompt_tokens: u64,
     /// The prompt tokens that entries other than the recipient have sent since the agent's start.
     pub others_total_tokens: u64,
+    /// Whether the engine announced in its last answer that it is leaving.
+    pub is_leaving: bool,
     /// The number of entries from which the agent has recently received updates.
     pub live_entries: u32,
 }
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -79,6 +79,7 @@
         memory_tokens: 100_000,
         others_prompt_tokens: 0,
         others_total_tokens: 0,
+        is_leaving: false,
         live_entries: 2,
     }
 }
