Keep the pause that a backend server asks for

What callers would see: a server that turns a request away with 503 may say for how long it wants nothing more. When all servers asked for a pause, each request was sent to them again, and its refusal told callers to return after 300 ms whatever the servers had asked for.

Cause: nothing read the time that a server's refusal gives.

Fix: the dialect reads the time into the notice of an answer; fractions, dates, negative, huge and odd values are bounded and logged. The fleet keeps the end of the pause by the server's id, apart from its row, and placement, which first attempts, retries and resumed streams share, passes the server over. The check is made once more when the connection is open. If all servers are in a pause, requests are refused at once, in the queue too, with the time of the first that opens, spread by the hash of their ids, and draw no retry. The attempt ends as `paused`, which is no fault.

Load: one paused server must not tip its load onto the next. The bound is that of one entry. Adapters of a server that opens soon are not loaded elsewhere.

Ruled out: the backoff of failed servers, which is bounded by 4 s and weighs the failure rate; passing the pause on to peers, as it was asked of one machine.

--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -1,5 +1,7 @@
 //! The agent process, which loads and unloads the models and adapters of the engine on its VM.
 
+mod engine_notices;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,6 +24,7 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+use self::engine_notices::EngineNotices;
 use crate::EngineAnswer;
 use crate::EngineControl;
 use crate::OrderResponse;
@@ -92,7 +95,7 @@
         id,
         sequence: 0,
         is_engine_lost: false,
-        is_engine_leaving: false,
+        notices: EngineNotices::default(),
     };
     tokio::select! {
         () = agent.run() => {}
@@ -124,8 +127,7 @@
     id: u64,
     sequence: u64,
     is_engine_lost: bool,
-    /// Whether the engine announced in its last answer that it is leaving.
-    is_engine_leaving: bool,
+    notices: EngineNotices,
 }
 
 impl<E: EngineControl> Agent<E> {
@@ -148,6 +150,7 @@
         let mut buffer = Vec::new();
         let mut report_at = Instant::now();
         loop {
+            let report_due = report_at.max(self.clock.instant(self.notices.paused_until()));
             tokio::select! {
                 (update, from) = self.socket.receive(&mut buffer) => {
                     let now = self.clock.now();
@@ -164,7 +167,9 @@
                     match result {
                         CallResult::Report(EngineAnswer { result, notice }) => {
                             self.apply_notice(notice, result.is_ok());
-                            self.apply_report(result);
+                            if notice.pause.is_none() {
+                                self.apply_report(result);
+                            }
                             report_at = Instant::now() + self.report_interval();
                         }
                         CallResult::Order(order, EngineAnswer { result, notice }) => {
@@ -173,7 +178,7 @@
                         }
                     }
                 }
-                () = tokio::time::sleep_until(report_at), if self.call.is_none() => {
+                () = tokio::time::sleep_until(report_due), if self.call.is_none() => {
                     self.request_report();
                 }
             }
@@ -196,8 +201,8 @@
     ///
     /// A report that overlaps with an order might not show the effect of the order.
     fn send_order(&mut self) {
-        // A leaving engine gets no new requests, so a load is of no use to it.
-        if self.call.is_some() || self.needs_report || self.is_engine_leaving {
+        let accepts_orders = self.notices.accepts_orders(self.clock.now());
+        if self.call.is_some() || self.needs_report || !accepts_orders {
             return;
         }
         let announcement_delay_ms = self.recipients.announcement_delay_ms();
@@ -212,15 +217,12 @@
     }
 
     /// Applies what the engine announced in an answer.
-    ///
-    /// A complete report without the announcement comes from a new start of the engine, which
-    /// reports need not name.
     fn apply_notice(&mut self, notice: ServerNotice, is_complete_report: bool) {
-        let was_leaving = self.is_engine_leaving;
-        self.is_engine_leaving = notice.is_leaving || (was_leaving && !is_complete_report);
-        if self.is_engine_leaving && !was_leaving {
-            log::info!("event=leaving-announced by=engine");
-            self.metrics.count(Metric::LeavingAnnouncements, &[("by", "engine")]);
+        let now = self.clock.now();
+        self.notices.apply(now, &self.metrics, notice, is_complete_report);
+        if notice.pause.is_some() {
+            // Without reports the agent has nothing current to tell entries.
+            self.scheduler.on_engine_lost();
         }
     }
 
@@ -366,7 +368,7 @@
             memory_tokens: report.memory_tokens,
             others_prompt_tokens: self.scheduler.others_prompt_tokens(now, self.id),
             others_total_tokens: 0,
-            is_leaving: self.is_engine_leaving,
+            is_leaving: self.notices.is_leaving(),
             live_entries: u32::try_from(self.scheduler.live_entries(now)).unwrap_or(u32::MAX),
         })
     }
--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -140,7 +140,7 @@
     }
 }
 
-/// Applies what an engine announced to its agent.
+/// Applies what an engine announced to its agent. A pause concerns the agent only.
 ///
 /// Without the engine's id the announcement holds only until the agent's next update: the engine
 /// at that address may have started again under another id.
@@ -152,7 +152,7 @@
         let state = entry.state.borrow();
         state.fleet.server(&update.server).map_or(0, |server| server.listed.started_unix_ms)
     };
-    let notice = ServerNotice { is_leaving: update.is_leaving };
+    let notice = ServerNotice { is_leaving: update.is_leaving, ..ServerNotice::default() };
     apply_notice(entry, &update.server, started_unix_ms, notice, NoticeSource::Agent);
 }
 
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
-use filbertcleat_serve::Server;
 use filbertcleat_serve::ServerId;
 use http::HeaderMap;
 use http::Request;
@@ -38,6 +38,21 @@
     pub body: Incoming,
     pub address: SocketAddr,
     pub sender: SendRequest<Full<Bytes>>,
+    /// Whether the backend server asks for a pause.
+    pub requests_pause: bool,
+}
+
+impl BackendResponse {
+    /// Returns the outcome that the fleet records for a response that was read to its end.
+    pub fn outcome(&self) -> AttemptOutcome {
+        let is_failed = self.head.status.is_server_error();
+        if is_failed { self.failure_outcome() } else { AttemptOutcome::Answered }
+    }
+
+    /// Returns the outcome that the fleet records for a response that is of no use.
+    pub fn failure_outcome(&self) -> AttemptOutcome {
+        if self.requests_pause { AttemptOutcome::Paused } else { AttemptOutcome::Failed }
+    }
 }
 
 /// An attempt that ended without a valid response.
@@ -64,6 +79,12 @@
         Self { may_have_run: false, has_arrived: true, outcome, reason }
     }
 
+    /// Replaces the outcome if the backend server asks for a pause, which is no fault.
+    fn with_pause(self, requests_pause: bool) -> Self {
+        let outcome = if requests_pause { AttemptOutcome::Paused } else { self.outcome };
+        Self { outcome, ..self }
+    }
+
     /// Creates the failure of an attempt that may have run.
     pub fn unknown(outcome: AttemptOutcome, reason: &'static str) -> Self {
         Self { may_have_run: true, has_arrived: true, outcome, reason }
@@ -106,11 +127,12 @@
                 "the request's deadline has passed",
             ));
         }
-        // Connecting takes time, in which another answer may have announced the leaving.
-        if is_leaving(entry, attempt.server()) {
+        // Connecting takes time, in which another answer may have announced that the server is
+        // leaving or asked for a pause.
+        if !accepts_requests(entry, attempt.server(), now) {
             return Err(AttemptFailure::not_arrived(
                 AttemptOutcome::Left,
-                "the backend server is leaving",
+                "the backend server is leaving or in a pause",
             ));
         }
         let outbound = build_request(entry, request, attempt, remaining_ms, resume_after);
@@ -135,13 +157,16 @@
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
                 let metadata = entry.dialect.parse_response(&head.headers);
+                let notice = metadata.notice.with_status(head.status);
                 let server = metadata.server.as_ref().unwrap_or(attempt.server());
                 // The start of another server than the one asked is not known.
                 let started_unix_ms = if server == attempt.server() { started_unix_ms } else { 0 };
                 let source = NoticeSource::Answer;
-                apply_notice(entry, server, started_unix_ms, metadata.notice, source);
-                let response = BackendResponse { head, body, address, sender };
-                return validate_response(entry, request, attempt, response, &metadata);
+                apply_notice(entry, server, started_unix_ms, notice, source);
+                let requests_pause = notice.pause.is_some();
+                let response = BackendResponse { head, body, address, sender, requests_pause };
+                let validated = validate_response(entry, request, attempt, response, &metadata);
+                return validated.map_err(|failure| failure.with_pause(requests_pause));
             }
         }
     }
@@ -203,8 +228,9 @@
     Ok(response)
 }
 
-fn is_leaving<D: Dialect>(entry: &Entry<D>, server: &ServerId) -> bool {
-    entry.state.borrow().fleet.server(server).is_some_and(Server::is_leaving)
+fn accepts_requests<D: Dialect>(entry: &Entry<D>, server: &ServerId, now: MonoTime) -> bool {
+    let state = entry.state.borrow();
+    state.fleet.server(server).is_some_and(|server| server.accepts_requests(now))
 }
 
 fn build_request<D: Dialect>(
--- a/crates/filbertcleat-gateway/src/entry/dispatch.rs
+++ b/crates/filbertcleat-gateway/src/entry/dispatch.rs
@@ -61,6 +61,11 @@
                 None => Some(attempt),
             });
         }
+        // A request whose sender is dropped is refused at once instead of waiting for its time to
+        // pass.
+        for ticket in state.queue.paused_requests() {
+            state.placements.remove(&ticket);
+        }
     }
     // Attempts whose caller has gone are dropped here, after the borrow of the state has ended:
     // dropping one borrows the state again to update its counts.
--- a/crates/filbertcleat-gateway/src/entry/handler.rs
+++ b/crates/filbertcleat-gateway/src/entry/handler.rs
@@ -27,6 +27,7 @@
 use super::body::CallerBody;
 use super::connection::ActiveRequest;
 use super::in_flight::InFlightAttempt;
+use super::placement::pause_refusal;
 use super::placement::place_request;
 use super::read_request::read_request;
 use super::refusal::RETRY_AFTER_FULL;
@@ -177,7 +178,10 @@
     };
     let failed_attempt =
         FailedAttempt { may_have_run: failure.may_have_run, has_arrived: failure.has_arrived };
+    // A retry that would find all servers in a pause must not draw on the budget.
+    let pause_refusal = pause_refusal(entry, request);
     let is_allowed = match attempts.next_after(failed_attempt) {
+        _ if pause_refusal.is_some() => false,
         NextAttempt::Unbudgeted => true,
         NextAttempt::Retry => entry.take_retry(&request.service),
         NextAttempt::Stop => false,
@@ -187,7 +191,8 @@
     }
     Err(match (failure.may_have_run, failure.outcome) {
         (false, _) if !attempts.is_time_left => Refusal::DeadlineExceeded("the time is over"),
-        (false, _) => Refusal::NotRun("no backend server took the request", RETRY_AFTER_FULL),
+        (false, _) => pause_refusal
+            .unwrap_or(Refusal::NotRun("no backend server took the request", RETRY_AFTER_FULL)),
         (true, AttemptOutcome::Silent) => Refusal::DeadlineExceeded("no answer in time"),
         (true, _) => Refusal::OutcomeUnknown("the answer was lost"),
     })
@@ -216,7 +221,11 @@
         return Ok(Forwarded::Streaming { response: Box::new(backend_response), attempt });
     }
 
-    attempt.on_response_bytes();
+    let outcome = backend_response.outcome();
+    // The time of a refusal says nothing of how fast the engine is.
+    if outcome != AttemptOutcome::Paused {
+        attempt.on_response_bytes();
+    }
     let BackendResponse { mut head, body, address, sender, .. } = backend_response;
     let limit = Duration::from_millis(request.remaining_ms(entry.now()) + RESPONSE_GRACE_MS);
     let read = Limited::new(body, RESPONSE_MAX_BYTES).collect();
@@ -236,8 +245,7 @@
         }
     };
     let server = attempt.server().clone();
-    let is_failed = head.status.is_server_error();
-    attempt.end(if is_failed { AttemptOutcome::Failed } else { AttemptOutcome::Answered });
+    attempt.end(outcome);
     entry.pool.keep(address, sender, &head.headers);
     strip_connection_headers(&mut head.headers);
     Ok(Forwarded::Complete { response: build_response(head.status, head.headers, body), server })
--- a/crates/filbertcleat-gateway/src/entry/in_flight.rs
+++ b/crates/filbertcleat-gateway/src/entry/in_flight.rs
@@ -92,6 +92,7 @@
             AttemptOutcome::Unreachable => "unreachable",
             AttemptOutcome::Broken => "broken",
             AttemptOutcome::Silent => "silent",
+            AttemptOutcome::Paused => "paused",
             AttemptOutcome::Left => "left",
         };
         self.entry.metrics.count(Metric::Attempts, &[("ending", outcome)]);
--- a/crates/filbertcleat-gateway/src/entry/notices.rs
+++ b/crates/filbertcleat-gateway/src/entry/notices.rs
@@ -6,6 +6,7 @@
 use crate::Dialect;
 use crate::ServerNotice;
 use crate::metrics::Metric;
+use crate::pause_log::log_pause;
 
 /// How an entry learned of an announcement.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -25,7 +26,8 @@
     }
 }
 
-/// Applies what one start of a backend server announced.
+/// Applies what one start of a backend server announced, and wakes the dispatcher: requests that
+/// wait for this server have to look for another.
 pub(super) fn apply_notice<D: Dialect>(
     entry: &Entry<D>,
     server: &ServerId,
@@ -33,16 +35,20 @@
     notice: ServerNotice,
     source: NoticeSource,
 ) {
+    let now = entry.now();
+    let by = source.as_str();
+    if let Some(requested) = notice.pause {
+        let pause_ms = entry.state.borrow_mut().fleet.on_pause_requested(now, server, requested);
+        log_pause(&entry.metrics, by, server.as_str(), requested, pause_ms);
+        entry.dispatcher_wakeup.notify_one();
+    }
     if !notice.is_leaving {
         return;
     }
-    let now = entry.now();
     let is_new = entry.state.borrow_mut().fleet.on_leaving(now, server, started_unix_ms);
     if is_new {
-        let by = source.as_str();
         log::info!("event=leaving-announced by={by} server={server} started_ms={started_unix_ms}");
         entry.metrics.count(Metric::LeavingAnnouncements, &[("by", by)]);
-        // Requests that wait for this server have to look for another.
         entry.dispatcher_wakeup.notify_one();
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/placement.rs
+++ b/crates/filbertcleat-gateway/src/entry/placement.rs
@@ -3,8 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use filbertcleat_base::MonoTime;
+use filbertcleat_base::stable_hash;
+use filbertcleat_serve::Fleet;
 use filbertcleat_serve::WaitCause;
+use filbertcleat_serve::engine_pause_end;
 use filbertcleat_serve::place_plain;
+use filbertcleat_serve::plain_pause_end;
+use filbertcleat_serve::return_delay_ms;
 use tokio::sync::oneshot;
 
 use super::in_flight::InFlightAttempt;
@@ -33,7 +39,8 @@
 /// Picks the backend server for a request and counts the request as in flight there.
 ///
 /// Requests to a service with engines wait in the queue until the dispatcher assigns an engine.
-/// Returns a refusal with a `Retry-After` if none is assigned within the request's maximum wait.
+/// Returns a refusal with a `Retry-After` if none is assigned within the request's maximum wait, or
+/// at once if all engines are in a pause.
 pub(super) async fn place_request<D: Dialect>(
     entry: &Rc<Entry<D>>,
     request: &mut CallerRequest,
@@ -44,10 +51,7 @@
         let failure_domain = &entry.settings.failure_domain;
         let server =
             place_plain(now, &state.fleet, &request.demand, failure_domain, &request.avoided)
-                .ok_or(Refusal::NotRun(
-                    "no backend server of the service",
-                    RETRY_AFTER_UNAVAILABLE,
-                ))?;
+                .ok_or_else(|| plain_refusal(now, &state.fleet, request))?;
         let backlog_ms = state.fleet.on_sent(now, &server, &request.demand);
         if let Some(server) = state.fleet.server(&server) {
             log_placement(&entry.metrics, request, server, backlog_ms, now);
@@ -87,11 +91,46 @@
     let retry_after = match cause {
         WaitCause::Engine => RETRY_AFTER_MODEL_LOAD,
         WaitCause::AdapterLoad => RETRY_AFTER_FULL,
+        WaitCause::Paused => {
+            let refusal = pause_refusal(entry, request);
+            return Err(refusal.unwrap_or(Refusal::NotRun(cause.as_str(), RETRY_AFTER_FULL)));
+        }
         WaitCause::Pending | WaitCause::Capacity => capacity_wait(entry, request),
     };
     Err(Refusal::NotRun(cause.as_str(), retry_after))
 }
 
+/// Returns the refusal of a request if all backend servers that might serve it are in a pause.
+///
+/// Its `Retry-After` ends when the first of them opens, and a little later for most callers.
+pub(super) fn pause_refusal<D: Dialect>(
+    entry: &Entry<D>,
+    request: &CallerRequest,
+) -> Option<Refusal> {
+    let now = entry.now();
+    let fleet = &entry.state.borrow().fleet;
+    let pause_end = if request.uses_engine { engine_pause_end } else { plain_pause_end };
+    let opens_at = pause_end(now, fleet, &request.demand, &request.avoided)?;
+    Some(refuse_until(now, opens_at, request))
+}
+
+fn refuse_until(now: MonoTime, opens_at: MonoTime, request: &CallerRequest) -> Refusal {
+    let delay_ms = return_delay_ms(now, opens_at, stable_hash(&request.id));
+    Refusal::NotRun("every backend server asked for a pause", Duration::from_millis(delay_ms))
+}
+
+/// Returns the refusal of a request for which no server without an engine is left.
+fn plain_refusal(now: MonoTime, fleet: &Fleet, request: &CallerRequest) -> Refusal {
+    if let Some(opens_at) = plain_pause_end(now, fleet, &request.demand, &request.avoided) {
+        return refuse_until(now, opens_at, request);
+    }
+    let mut servers = fleet.servers().filter(|server| server.listed.service == request.service);
+    if servers.any(|server| server.paused_until(now).is_some()) {
+        return Refusal::NotRun("no room beside the servers in a pause", RETRY_AFTER_FULL);
+    }
+    Refusal::NotRun("no backend server of the service", RETRY_AFTER_UNAVAILABLE)
+}
+
 /// Returns the `Retry-After` until the fleet is expected to have free capacity for the request.
 fn capacity_wait<D: Dialect>(entry: &Entry<D>, request: &CallerRequest) -> Duration {
     let state = entry.state.borrow();
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -222,7 +222,10 @@
         let usable = count(&|server| server.is_usable(now));
         let connected = count(&|server| server.fresh_update(now).is_some());
         let leaving = count(&|server| server.is_leaving());
-        for (status, number) in [("usable", usable), ("heard", connected), ("leaving", leaving)] {
+        let paused = count(&|server| server.paused_until(now).is_some());
+        for (status, number) in
+            [("usable", usable), ("heard", connected), ("leaving", leaving), ("paused", paused)]
+        {
             metrics.gauge(Metric::Servers, &[("are", status)], number);
         }
         let in_flight = state.fleet.servers().map(|server| u64::from(server.open_requests)).sum();
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -228,8 +228,8 @@
                 );
                 Some((Box::new(response), attempt))
             }
-            Ok(_failed) => {
-                attempt.end(AttemptOutcome::Failed);
+            Ok(failed) => {
+                attempt.end(failed.failure_outcome());
                 None
             }
             Err(failure) => {
--- a/crates/filbertcleat-gateway/src/lib.rs
+++ b/crates/filbertcleat-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod logs;
 mod metrics;
 mod notice;
+mod pause_log;
 mod peer_socket;
 mod settings;
 mod shutdown;
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -31,6 +31,8 @@
     Servers,
     /// Starts of backend servers that announced their leaving, by the source of the announcement.
     LeavingAnnouncements,
+    /// Pauses that backend servers asked for, by the source.
+    Pauses,
     /// Attempts in flight at backend servers.
     InFlight,
     /// Requests in the queue of the entry.
@@ -52,7 +54,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 23] = [
+pub const METRICS: [Metric; 24] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -67,6 +69,7 @@
     Metric::CatalogueAge,
     Metric::Servers,
     Metric::LeavingAnnouncements,
+    Metric::Pauses,
     Metric::InFlight,
     Metric::Queued,
     Metric::Orders,
@@ -96,6 +99,7 @@
             Self::CatalogueAge => "catalogue_age_ms",
             Self::Servers => "servers",
             Self::LeavingAnnouncements => "leaving",
+            Self::Pauses => "pauses",
             Self::InFlight => "open",
             Self::Queued => "waiting",
             Self::Orders => "orders",
--- a/crates/filbertcleat-gateway/tests/agent_notices.rs
+++ b/crates/filbertcleat-gateway/tests/agent_notices.rs
@@ -19,13 +19,14 @@
 use filbertcleat_serve::EngineReport;
 use filbertcleat_serve::Order;
 use filbertcleat_serve::OrderKind;
+use filbertcleat_serve::RequestedPause;
 use filbertcleat_serve::ServerId;
 use filbertcleat_wire::v1;
 
 use self::support::DemandingEntry;
 use self::support::World;
 
-const LEAVING: ServerNotice = ServerNotice { is_leaving: true };
+const LEAVING: ServerNotice = ServerNotice { is_leaving: true, pause: None };
 
 /// An engine whose answers carry notices.
 #[derive(Clone, Debug, Default)]
@@ -140,3 +141,50 @@
         assert_eq!(engine.orders.borrow().len(), 1, "no order for a leaving engine");
     });
 }
+
+/// The engine asks its agent for a pause of three seconds.
+fn pause_3_s() -> ServerNotice {
+    let pause = Some(RequestedPause::Lasting { asked_ms: 3_000 });
+    ServerNotice { is_leaving: false, pause }
+}
+
+#[test]
+fn pause_in_report_kept() {
+    World::run(async {
+        let engine = NoticeEngine::default();
+        let mut entry = DemandingEntry::start(engine.clone()).await;
+        demand(&mut entry, "a", 1_000).await;
+        engine.report_notice.set(pause_3_s());
+        engine.refuses_reports.set(true);
+        demand(&mut entry, "a", 300).await;
+        engine.report_notice.set(ServerNotice::default());
+        engine.refuses_reports.set(false);
+        let reports = engine.reports.get();
+
+        let updates = demand(&mut entry, "b", 2_500).await;
+
+        assert_eq!(engine.reports.get(), reports);
+        assert_eq!(engine.orders.borrow().len(), 1, "the order waits");
+        assert!(updates.is_empty(), "the agent has nothing current to tell");
+        let updates = demand(&mut entry, "b", 1_000).await;
+        assert!(engine.reports.get() > reports);
+        assert_eq!(engine.orders.borrow().len(), 2);
+        assert!(!updates.is_empty());
+    });
+}
+
+#[test]
+fn pause_in_order_answer_kept() {
+    World::run(async {
+        let engine = NoticeEngine::default();
+        let mut entry = DemandingEntry::start(engine.clone()).await;
+        demand(&mut entry, "a", 1_000).await;
+        engine.order_notice.set(pause_3_s());
+        demand(&mut entry, "b", 300).await;
+        let calls = (engine.reports.get(), engine.orders.borrow().len());
+
+        demand(&mut entry, "c", 2_500).await;
+
+        assert_eq!((engine.reports.get(), engine.orders.borrow().len()), calls);
+    });
+}
--- a/crates/filbertcleat-gateway/tests/support/dialect.rs
+++ b/crates/filbertcleat-gateway/tests/support/dialect.rs
@@ -6,6 +6,7 @@
 use filbertcleat_gateway::RequestMetadata;
 use filbertcleat_gateway::ResponseMetadata;
 use filbertcleat_gateway::ServerNotice;
+use filbertcleat_serve::RequestedPause;
 use filbertcleat_serve::ServerId;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -43,7 +44,13 @@
             is_not_run: headers.contains_key("x-not-run"),
             server: text(headers, "x-server").map(|text| ServerId::new(&text)),
             is_encoded: false,
-            notice: ServerNotice { is_leaving: headers.contains_key("x-leaving") },
+            notice: ServerNotice {
+                is_leaving: headers.contains_key("x-leaving"),
+                pause: text(headers, "x-pause-ms").map(|text| match text.parse() {
+                    Ok(asked_ms) => RequestedPause::Lasting { asked_ms },
+                    Err(_not_a_number) => RequestedPause::Unreadable,
+                }),
+            },
         }
     }
 }
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -1,11 +1,14 @@
 //! The state of all backend servers as an entry knows it.
 
+mod attempt_outcome;
 mod engine_model;
 mod engine_pace;
 mod gap_control;
 mod leaving_servers;
+mod paused_servers;
 mod prefill_fit;
 mod prefill_pacer;
+mod requested_pause;
 mod server;
 mod share_ceiling;
 
@@ -15,10 +18,12 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
 
+pub use self::attempt_outcome::AttemptOutcome;
 use self::engine_model::EngineModel;
 use self::leaving_servers::LeavingServers;
+use self::paused_servers::PausedServers;
 pub(crate) use self::prefill_pacer::PrefillPacer;
-pub use self::server::AttemptOutcome;
+pub use self::requested_pause::RequestedPause;
 pub use self::server::Server;
 use crate::AgentUpdate;
 use crate::ListedServer;
@@ -33,6 +38,7 @@
     /// Servers that are missing in the catalogue after an outage, with the time of their removal.
     unconfirmed: BTreeMap<ServerId, MonoTime>,
     leaving: LeavingServers,
+    paused: PausedServers,
     /// What the engines of each service have shown.
     models: BTreeMap<ServiceName, EngineModel>,
     total_attempts: u64,
@@ -104,6 +110,22 @@
         is_new
     }
 
+    /// Records that a backend server asked for a pause. It gets no requests for that time, whatever
+    /// the catalogue says, and is not considered faulty. Returns the time in milliseconds.
+    pub fn on_pause_requested(
+        &mut self,
+        now: MonoTime,
+        id: &ServerId,
+        requested: RequestedPause,
+    ) -> u64 {
+        let pause_ms = requested.bounded_ms();
+        self.paused.record(now, id, pause_ms);
+        if let Some(server) = self.servers.get_mut(id) {
+            server.paused_until = self.paused.until(id);
+        }
+        pause_ms
+    }
+
     /// Records that a request is sent to a backend server. Returns the time that the server needs
     /// for the prompts ahead of it, in milliseconds.
     pub fn on_sent(&mut self, now: MonoTime, id: &ServerId, demand: &RequestDemand) -> f64 {
@@ -172,11 +194,13 @@
     /// Returns the backend servers that run a request's service, have loaded its model and are not
     /// leaving.
     pub fn servers_for(&self, demand: &RequestDemand) -> impl Iterator<Item = &Server> {
-        self.servers().filter(|server| {
-            server.listed.service == demand.service
-                && !server.is_leaving()
-                && demand.model.as_ref().is_none_or(|model| server.has_model(model))
-        })
+        self.servers_of(&demand.service)
+            .filter(|server| demand.model.as_ref().is_none_or(|model| server.has_model(model)))
+    }
+
+    /// Returns the backend servers of a service that are not leaving.
+    pub(crate) fn servers_of(&self, service: &ServiceName) -> impl Iterator<Item = &Server> {
+        self.servers().filter(|server| server.listed.service == *service && !server.is_leaving())
     }
 
     /// Returns the backend server with an id.
@@ -216,15 +240,18 @@
     fn upsert(&mut self, now: MonoTime, listed: ListedServer) {
         self.unconfirmed.remove(&listed.id);
         let has_announced_leaving = self.leaving.contains(&listed.id, listed.started_unix_ms);
+        let paused_until = self.paused.until(&listed.id);
         let id = listed.id.clone();
         if let Some(server) = self.servers.get_mut(&id) {
             server.apply_listing(now, listed);
             server.has_announced_leaving = has_announced_leaving;
+            server.paused_until = paused_until;
             return;
         }
         let model = self.models.get(&listed.service).copied().unwrap_or_else(EngineModel::new);
         let mut server = Server::new(now, listed, model);
         server.has_announced_leaving = has_announced_leaving;
+        server.paused_until = paused_until;
         self.servers.insert(id, server);
     }
 
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -6,6 +6,7 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::stable_hash;
 
+use super::attempt_outcome::AttemptOutcome;
 use super::engine_model::EngineModel;
 use super::prefill_pacer::PrefillPacer;
 use crate::AdapterKey;
@@ -27,6 +28,8 @@
     pub last_byte_at: MonoTime,
     /// Whether this start of the server has announced that it is leaving.
     pub(super) has_announced_leaving: bool,
+    /// When the pause that the server last asked for ends.
+    pub(super) paused_until: MonoTime,
     address_hash: u64,
     prefill: PrefillPacer,
     memory_since_update_tokens: u64,
@@ -40,31 +43,6 @@
     busy_since: Option<MonoTime>,
 }
 
-/// How an attempt at a backend server ended.
-///
-/// Logs contain the names of the variants.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum AttemptOutcome {
-    /// The backend server answered in full.
-    Answered,
-    /// The backend server answered with a server error.
-    Failed,
-    /// The backend server had no capacity and did not run the request.
-    Full,
-    /// The backend server lacks the adapter or its version and did not run the request.
-    Lacking,
-    /// Another backend server has the address.
-    Misdirected,
-    /// No connection could be established.
-    Unreachable,
-    /// The connection broke, or the response violated the protocol.
-    Broken,
-    /// The response timed out.
-    Silent,
-    /// The caller disconnected, or the entry abandoned the request for reasons of its own.
-    Left,
-}
-
 impl Server {
     /// The age up to which an agent's update counts as fresh. Agents send an update at least every
     /// 500 ms, so three may be lost.
@@ -90,6 +68,7 @@
             sent_since_update: 0,
             last_byte_at: now,
             has_announced_leaving: false,
+            paused_until: MonoTime::ZERO,
             prefill: PrefillPacer::new(now, model),
             memory_since_update_tokens: 0,
             update: None,
@@ -154,9 +133,19 @@
             || self.update.as_ref().is_some_and(|(_, update)| update.is_leaving)
     }
 
+    /// Returns when the pause that the server asked for ends, or `None` if it is in none.
+    pub fn paused_until(&self, now: MonoTime) -> Option<MonoTime> {
+        Some(self.paused_until).filter(|until| *until > now)
+    }
+
+    /// Returns whether the server itself wants requests: it is not leaving and not in a pause.
+    pub fn accepts_requests(&self, now: MonoTime) -> bool {
+        !self.is_leaving() && self.paused_until(now).is_none()
+    }
+
     /// Returns whether new requests may be sent to the server.
     pub fn is_usable(&self, now: MonoTime) -> bool {
-        !self.is_leaving() && now >= self.backoff_until && !self.is_silent(now)
+        self.accepts_requests(now) && now >= self.backoff_until && !self.is_silent(now)
     }
 
     /// Returns whether the server has loaded a base model, according to its agent or, without an
@@ -362,7 +351,7 @@
                 self.consecutive_failures = 0;
                 self.failure_rate *= 1.0 - Self::FAILURE_RATE_WEIGHT;
             }
-            AttemptOutcome::Left => {}
+            AttemptOutcome::Left | AttemptOutcome::Paused => {}
             // A full server is healthy. Its load counts as higher until the next update.
             AttemptOutcome::Full => self.sent_since_update += 1,
             AttemptOutcome::Lacking => self.forget_adapter(demand),
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -4,6 +4,7 @@
 //! - `listing`: the catalogue's records of backend servers
 //! - `update`: the updates that entries and agents send each other
 //! - `fleet`: the state of the backend servers as an entry knows it
+//! - `return_delay`: when callers should return to paused backend servers
 //! - `placement`: selects the backend server of a request
 //! - `queue`: orders the requests that wait at an entry and dispatches them to engines
 //! - `attempts`: decides whether a request may be sent again
@@ -23,6 +24,7 @@
 mod queue;
 mod recipients;
 mod request;
+mod return_delay;
 mod scheduler;
 mod update;
 
@@ -40,6 +42,7 @@
 pub use deployment::Target;
 pub use fleet::AttemptOutcome;
 pub use fleet::Fleet;
+pub use fleet::RequestedPause;
 pub use fleet::Server;
 pub use key::AdapterKey;
 pub use key::ServerId;
@@ -48,14 +51,17 @@
 pub use listing::ListingChange;
 pub use placement::Placement;
 pub use placement::QueueWait;
+pub use placement::engine_pause_end;
 pub use placement::place_engine;
 pub use placement::place_plain;
+pub use placement::plain_pause_end;
 pub use queue::RequestQueue;
 pub use queue::SentRequest;
 pub use queue::Ticket;
 pub use queue::WaitCause;
 pub use recipients::UpdateRecipients;
 pub use request::RequestDemand;
+pub use return_delay::return_delay_ms;
 pub use scheduler::AdapterScheduler;
 pub use scheduler::EngineReport;
 pub use scheduler::Order;
--- a/crates/filbertcleat-serve/src/placement.rs
+++ b/crates/filbertcleat-serve/src/placement.rs
@@ -20,6 +20,8 @@
     AwaitLoad(ServerId),
     /// Wait until a backend server has free capacity: the given one, or any if none is given.
     AwaitCapacity(Option<ServerId>),
+    /// All backend servers that might serve the request are in a pause, until this time at least.
+    Paused(MonoTime),
     /// No backend server has loaded the request's model.
     NoEngine,
 }
@@ -99,6 +101,9 @@
         |server: &&Server| server.is_usable(now) && !avoided.contains(&server.listed.id);
     let eligible: Vec<&Server> = fleet.servers_for(demand).filter(is_eligible).collect();
     if eligible.is_empty() {
+        if let Some(opens_at) = engine_pause_end(now, fleet, demand, avoided) {
+            return Placement::Paused(opens_at);
+        }
         // An engine in failure backoff is available again sooner than a model could be loaded.
         let has_engine = fleet.servers_for(demand).next().is_some();
         return if has_engine { Placement::AwaitCapacity(None) } else { Placement::NoEngine };
@@ -137,6 +142,11 @@
     if let Some(server) = loading {
         return Placement::AwaitLoad(server.listed.id.clone());
     }
+    if with_adapter.is_empty()
+        && let Some(holder) = holder_opening_soon(now, fleet, demand, avoided, wait)
+    {
+        return Placement::AwaitCapacity(Some(holder.listed.id.clone()));
+    }
     // All engines with the adapter are busy. Another copy costs a load and another adapter's slot.
     let soonest = with_adapter.iter().min_by(|left, right| {
         left.estimated_first_event_ms(now, demand)
@@ -160,6 +170,26 @@
     }
 }
 
+/// Returns the paused engine with the adapter that opens before a load elsewhere would be complete.
+///
+/// The adapters of a paused engine would otherwise displace those of the other engines, which would
+/// then have to load them again.
+fn holder_opening_soon<'a>(
+    now: MonoTime,
+    fleet: &'a Fleet,
+    demand: &RequestDemand,
+    avoided: &[ServerId],
+    wait: QueueWait<'_>,
+) -> Option<&'a Server> {
+    let key = demand.adapter.as_ref()?;
+    let holders = fleet.servers_for(demand).filter(|server| {
+        !avoided.contains(&server.listed.id) && server.has_adapter(key, demand.min_version)
+    });
+    let paused = holders.filter_map(|server| Some((server.paused_until(now)?, server)));
+    let (opens_at, holder) = paused.min_by_key(|(opens_at, _)| *opens_at)?;
+    (opens_at.ms_since(now) <= wait.load_ms).then_some(holder)
+}
+
 /// Returns the engines that prefill a long prompt fast enough for the streams running there, or all
 /// of them if there is none.
 ///
@@ -198,7 +228,9 @@
 
 /// Selects the backend server for a request to a service without engines, if one is left.
 ///
-/// The request is never placed on a server in `avoided`.
+/// The request is never placed on a server in `avoided`. While a server of the service is in a pause,
+/// the others get no more requests than they process at once, so that its load does not overload
+/// them too.
 pub fn place_plain(
     now: MonoTime,
     fleet: &Fleet,
@@ -206,11 +238,15 @@
     local_domain: &FailureDomain,
     avoided: &[ServerId],
 ) -> Option<ServerId> {
+    let is_any_paused =
+        fleet.servers_of(&demand.service).any(|server| server.paused_until(now).is_some());
     let candidates = |only_usable: bool| {
         fleet.servers().filter(move |server| {
             server.listed.service == demand.service
                 && !server.is_leaving()
+                && server.paused_until(now).is_none()
                 && (server.is_usable(now) || !only_usable)
+                && (!is_any_paused || has_free_concurrency(server))
         })
     };
     let cheapest = |only_usable: bool| {
@@ -225,6 +261,47 @@
     cheapest(true).or_else(|| cheapest(false)).map(|server| server.listed.id.clone())
 }
 
+/// Returns when the first engine ends its pause, if all that might serve the request are in one.
+pub fn engine_pause_end(
+    now: MonoTime,
+    fleet: &Fleet,
+    demand: &RequestDemand,
+    avoided: &[ServerId],
+) -> Option<MonoTime> {
+    first_pause_end(now, || fleet.servers_for(demand), avoided)
+}
+
+/// Returns when the first server of a service without engines ends its pause, if all that might
+/// serve the request are in one.
+pub fn plain_pause_end(
+    now: MonoTime,
+    fleet: &Fleet,
+    demand: &RequestDemand,
+    avoided: &[ServerId],
+) -> Option<MonoTime> {
+    first_pause_end(now, || fleet.servers_of(&demand.service), avoided)
+}
+
+/// A server in `avoided` may be the one that has just turned the request away. It counts as open
+/// neither during its pause nor after it, but callers may return to it.
+fn first_pause_end<'a, I: Iterator<Item = &'a Server>>(
+    now: MonoTime,
+    servers: impl Fn() -> I,
+    avoided: &[ServerId],
+) -> Option<MonoTime> {
+    let is_open = |server: &Server| {
+        server.paused_until(now).is_none() && !avoided.contains(&server.listed.id)
+    };
+    if servers().any(is_open) {
+        return None;
+    }
+    servers().filter_map(|server| server.paused_until(now)).min()
+}
+
+fn has_free_concurrency(server: &Server) -> bool {
+    server.open_requests < server.listed.concurrency_limit.max(1)
+}
+
 /// Returns the cost of sending a request to an engine, as an equivalent delay.
 fn engine_cost_ms(
     now: MonoTime,
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -113,6 +113,13 @@
         self.requests.get(&ticket).map(|request| request.cause)
     }
 
+    /// Returns the requests that found all engines in a pause. They should be refused at once.
+    pub fn paused_requests(&self) -> impl Iterator<Item = Ticket> {
+        let mut requests = self.requests.iter();
+        std::iter::from_fn(move || requests.find(|(_, request)| request.cause == WaitCause::Paused))
+            .map(|(ticket, _)| *ticket)
+    }
+
     /// Returns the number of queued requests.
     pub fn len(&self) -> usize {
         self.requests.len()
@@ -182,6 +189,10 @@
                     request.jitter = None;
                     reserved.extend(server);
                 }
+                Placement::Paused(_) => {
+                    request.cause = WaitCause::Paused;
+                    request.jitter = None;
+                }
                 Placement::NoEngine => request.cause = WaitCause::Engine,
             }
         }
--- a/crates/filbertcleat-serve/src/queue/cause.rs
+++ b/crates/filbertcleat-serve/src/queue/cause.rs
@@ -11,6 +11,8 @@
     Capacity,
     /// No engine has loaded the request's model.
     Engine,
+    /// All engines with the request's model have asked for a pause.
+    Paused,
 }
 
 impl WaitCause {
@@ -21,6 +23,7 @@
             Self::AdapterLoad => "the adapter was not loaded in time",
             Self::Capacity => "no engine had room in time",
             Self::Engine => "no engine holds the model",
+            Self::Paused => "every engine asked for a pause",
         }
     }
 }
