--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -1,5 +1,7 @@
 //! The agent process, which loads and unloads the models and adapters of the engine on its VM.
 
+mod engine_notices;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,8 +26,11 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+use self::engine_notices::EngineNotices;
+use crate::EngineAnswer;
 use crate::EngineControl;
 use crate::OrderResponse;
+use crate::ServerNotice;
 use crate::ShutdownSignal;
 use crate::clock::Clock;
 use crate::listen::bind_if;
@@ -93,6 +98,7 @@
         id,
         sequence: 0,
         is_engine_lost: false,
+        notices: EngineNotices::default(),
     };
     tokio::select! {
         () = agent.run() => {}
@@ -103,8 +109,8 @@
 
 /// The result of a call to the engine; at most one call is in progress at a time.
 enum CallResult {
-    Report(Result<EngineReport, Fault>),
-    Order(Order, Result<OrderResponse, CallError>),
+    Report(EngineAnswer<Result<EngineReport, Fault>>),
+    Order(Order, EngineAnswer<Result<OrderResponse, CallError>>),
 }
 
 struct Agent<E> {
@@ -125,6 +131,7 @@
     id: u64,
     sequence: u64,
     is_engine_lost: bool,
+    notices: EngineNotices,
 }
 
 impl<E: EngineControl> Agent<E> {
@@ -147,6 +154,7 @@
         let mut buffer = Vec::new();
         let mut report_at = Instant::now();
         loop {
+            let report_due = report_at.max(self.clock.instant(self.notices.paused_until()));
             tokio::select! {
                 (update, from) = self.socket.receive(&mut buffer) => {
                     let now = self.clock.now();
@@ -161,14 +169,20 @@
                 result = call_result(&mut self.call) => {
                     self.call = None;
                     match result {
-                        CallResult::Report(report) => {
-                            self.apply_report(report);
+                        CallResult::Report(EngineAnswer { result, notice }) => {
+                            self.apply_notice(notice, result.is_ok());
+                            if notice.pause.is_none() {
+                                self.apply_report(result);
+                            }
                             report_at = Instant::now() + self.report_interval();
                         }
-                        CallResult::Order(order, response) => self.apply_response(&order, response),
+                        CallResult::Order(order, EngineAnswer { result, notice }) => {
+                            self.apply_notice(notice, false);
+                            self.apply_response(&order, result);
+                        }
                     }
                 }
-                () = tokio::time::sleep_until(report_at), if self.call.is_none() => {
+                () = tokio::time::sleep_until(report_due), if self.call.is_none() => {
                     self.request_report();
                 }
             }
@@ -212,7 +226,8 @@
     ///
     /// A report that overlaps with an order might not show the effect of the order.
     fn send_order(&mut self) {
-        if self.call.is_some() || self.needs_report {
+        let accepts_orders = self.notices.accepts_orders(self.clock.now());
+        if self.call.is_some() || self.needs_report || !accepts_orders {
             return;
         }
         let announcement_delay_ms = self.recipients.announcement_delay_ms();
@@ -226,6 +241,16 @@
         }));
     }
 
+    /// Applies what the engine announced in an answer.
+    fn apply_notice(&mut self, notice: ServerNotice, is_complete_report: bool) {
+        let now = self.clock.now();
+        self.notices.apply(now, &self.metrics, notice, is_complete_report);
+        if notice.pause.is_some() {
+            // Without reports the agent has nothing current to tell entries.
+            self.scheduler.on_engine_lost();
+        }
+    }
+
     /// Applies a report of the engine, or records that the engine did not respond.
     fn apply_report(&mut self, report: Result<EngineReport, Fault>) {
         self.needs_report = false;
@@ -307,7 +332,8 @@
         let is_due = match &self.last_update {
             None => true,
             Some(last)
-                if last.adapters != update.adapters
+                if last.is_leaving != update.is_leaving
+                    || last.adapters != update.adapters
                     || last.available_models != update.available_models =>
             {
                 true
@@ -367,6 +393,7 @@
             memory_tokens: report.memory_tokens,
             others_prompt_tokens: self.scheduler.others_prompt_tokens(now, self.id),
             others_total_tokens: 0,
+            is_leaving: self.notices.is_leaving(),
             live_entries: u32::try_from(self.scheduler.live_entries(now)).unwrap_or(u32::MAX),
         })
     }
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -14,6 +14,7 @@
 mod handler;
 mod idle_timeouts;
 mod in_flight;
+mod notices;
 mod open_connection;
 mod origins;
 mod placement;
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
+use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
 use http::HeaderMap;
 use http::Request;
@@ -17,10 +19,13 @@
 use hyper::client::conn::http1::SendRequest;
 
 use super::in_flight::InFlightAttempt;
+use super::notices::NoticeSource;
+use super::notices::apply_notice;
 use super::request::CallerRequest;
 use super::state::Entry;
 use crate::AttemptMetadata;
 use crate::Dialect;
+use crate::ResponseMetadata;
 
 /// Extra time that the entry waits for a response after the request's deadline.
 ///
@@ -36,6 +41,21 @@
     /// The software version of the backend server.
     pub software_version: SoftwareVersion,
     pub sender: SendRequest<Full<Bytes>>,
+    /// Whether the backend server asks for a pause.
+    pub requests_pause: bool,
+}
+
+impl BackendResponse {
+    /// Returns the outcome that the fleet records for a response that was read to its end.
+    pub fn outcome(&self) -> AttemptOutcome {
+        let is_failed = self.head.status.is_server_error();
+        if is_failed { self.failure_outcome() } else { AttemptOutcome::Answered }
+    }
+
+    /// Returns the outcome that the fleet records for a response that is of no use.
+    pub fn failure_outcome(&self) -> AttemptOutcome {
+        if self.requests_pause { AttemptOutcome::Paused } else { AttemptOutcome::Failed }
+    }
 }
 
 /// An attempt that ended without a valid response.
@@ -62,6 +82,12 @@
         Self { may_have_run: false, has_arrived: true, outcome, reason }
     }
 
+    /// Replaces the outcome if the backend server asks for a pause, which is no fault.
+    fn with_pause(self, requests_pause: bool) -> Self {
+        let outcome = if requests_pause { AttemptOutcome::Paused } else { self.outcome };
+        Self { outcome, ..self }
+    }
+
     /// Creates the failure of an attempt that may have run.
     pub fn unknown(outcome: AttemptOutcome, reason: &'static str) -> Self {
         Self { may_have_run: true, has_arrived: true, outcome, reason }
@@ -80,12 +106,14 @@
         let server = state.fleet.server(attempt.server()).map(|server| &server.listed);
         let server =
             server.filter(|listed| request.demand.allows_software(&listed.software_version));
-        server.map(|listed| (listed.address, listed.software_version.clone()))
+        server
+            .map(|listed| (listed.address, listed.software_version.clone(), listed.started_unix_ms))
     };
-    let (address, software_version) = listed.ok_or(AttemptFailure::not_arrived(
-        AttemptOutcome::Unreachable,
-        "the backend server is no longer listed",
-    ))?;
+    let (address, software_version, started_unix_ms) =
+        listed.ok_or(AttemptFailure::not_arrived(
+            AttemptOutcome::Unreachable,
+            "the backend server is no longer listed",
+        ))?;
 
     // A pooled connection that turns out to be closed has not transmitted the request, so another
     // connection may be tried.
@@ -106,6 +134,14 @@
                 "the request's deadline has passed",
             ));
         }
+        // Connecting takes time, in which another answer may have announced that the server is
+        // leaving or asked for a pause.
+        if !accepts_requests(entry, attempt.server(), now) {
+            return Err(AttemptFailure::not_arrived(
+                AttemptOutcome::Left,
+                "the backend server is leaving or in a pause",
+            ));
+        }
         let outbound = build_request(entry, request, attempt, remaining_ms, resume_after);
         let limit = Duration::from_millis(remaining_ms + RESPONSE_GRACE_MS);
         let sent = tokio::time::timeout(limit, sender.try_send_request(outbound)).await;
@@ -127,8 +163,24 @@
             }
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
-                let response = BackendResponse { head, body, address, software_version, sender };
-                return validate_response(entry, request, attempt, response);
+                let metadata = entry.dialect.parse_response(&head.headers);
+                let notice = metadata.notice.with_status(head.status);
+                let server = metadata.server.as_ref().unwrap_or(attempt.server());
+                // The start of another server than the one asked is not known.
+                let started_unix_ms = if server == attempt.server() { started_unix_ms } else { 0 };
+                let source = NoticeSource::Answer;
+                apply_notice(entry, server, started_unix_ms, notice, source);
+                let requests_pause = notice.pause.is_some();
+                let response = BackendResponse {
+                    head,
+                    body,
+                    address,
+                    software_version,
+                    sender,
+                    requests_pause,
+                };
+                let validated = validate_response(entry, request, attempt, response, &metadata);
+                return validated.map_err(|failure| failure.with_pause(requests_pause));
             }
         }
     }
@@ -147,9 +199,8 @@
     request: &CallerRequest,
     attempt: &InFlightAttempt<D>,
     response: BackendResponse,
+    metadata: &ResponseMetadata,
 ) -> Result<BackendResponse, AttemptFailure> {
-    let head = &response.head;
-    let metadata = entry.dialect.parse_response(&head.headers);
     // A late response to an earlier request can arrive on a reused connection.
     let is_foreign = metadata.id.as_ref().is_some_and(|id| *id != request.id);
     if is_foreign {
@@ -158,9 +209,10 @@
             "the response is for another request",
         ));
     }
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
+    let status = response.head.status;
+    if status == StatusCode::MISDIRECTED_REQUEST {
         let is_other = metadata.server.as_ref().is_some_and(|server| server != attempt.server());
-        entry.pool.keep(response.address, response.sender, &head.headers);
+        entry.pool.keep(response.address, response.sender, &response.head.headers);
         return Err(if is_other {
             AttemptFailure::not_run(
                 AttemptOutcome::Misdirected,
@@ -174,14 +226,14 @@
         });
     }
     if metadata.is_not_run {
-        entry.pool.keep(response.address, response.sender, &head.headers);
+        entry.pool.keep(response.address, response.sender, &response.head.headers);
         return Err(AttemptFailure::not_run(
             AttemptOutcome::Full,
             "the backend server had no free capacity",
         ));
     }
     let is_valid = metadata.id.is_some() && !metadata.is_encoded;
-    if !is_valid || (head.status.is_success() && !metadata.is_sealed) {
+    if !is_valid || (status.is_success() && !metadata.is_sealed) {
         return Err(AttemptFailure::unknown(
             AttemptOutcome::Broken,
             "the response has no response seal or id",
@@ -190,6 +242,11 @@
     Ok(response)
 }
 
+fn accepts_requests<D: Dialect>(entry: &Entry<D>, server: &ServerId, now: MonoTime) -> bool {
+    let state = entry.state.borrow();
+    state.fleet.server(server).is_some_and(|server| server.accepts_requests(now))
+}
+
 fn build_request<D: Dialect>(
     entry: &Rc<Entry<D>>,
     request: &CallerRequest,
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -311,8 +311,11 @@
         };
         let usable = count(&|server| server.is_usable(now));
         let connected = count(&|server| server.fresh_update(now).is_some());
-        let leaving = count(&|server| server.listed.is_draining);
-        for (status, number) in [("usable", usable), ("heard", connected), ("leaving", leaving)] {
+        let leaving = count(&|server| server.is_leaving());
+        let paused = count(&|server| server.paused_until(now).is_some());
+        for (status, number) in
+            [("usable", usable), ("heard", connected), ("leaving", leaving), ("paused", paused)]
+        {
             metrics.gauge(Metric::Servers, &[("are", status)], number);
         }
         let in_flight = state.fleet.servers().map(|server| u64::from(server.open_requests)).sum();
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -373,8 +373,8 @@
             Ok(response) if response.head.status.is_success() => {
                 return Ok(StreamSource::new(Box::new(response), attempt));
             }
-            Ok(_failed) => AttemptFailure::unknown(
-                AttemptOutcome::Failed,
+            Ok(failed) => AttemptFailure::unknown(
+                failed.failure_outcome(),
                 "the backend server returned a failure status",
             ),
             Err(failure) => failure,
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -33,6 +33,10 @@
     CatalogueRestores,
     /// Backend servers, by status.
     Servers,
+    /// Starts of backend servers that announced their leaving, by the source of the announcement.
+    LeavingAnnouncements,
+    /// Pauses that backend servers asked for, by the source.
+    Pauses,
     /// Attempts in flight at backend servers.
     InFlight,
     /// Requests in the queue of the entry.
@@ -54,7 +58,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 24] = [
+pub const METRICS: [Metric; 26] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -70,6 +74,8 @@
     Metric::CatalogueAge,
     Metric::CatalogueRestores,
     Metric::Servers,
+    Metric::LeavingAnnouncements,
+    Metric::Pauses,
     Metric::InFlight,
     Metric::Queued,
     Metric::Orders,
@@ -100,6 +106,8 @@
             Self::CatalogueAge => "catalogue_age_ms",
             Self::CatalogueRestores => "catalogue_restores",
             Self::Servers => "servers",
+            Self::LeavingAnnouncements => "leaving",
+            Self::Pauses => "pauses",
             Self::InFlight => "open",
             Self::Queued => "waiting",
             Self::Orders => "orders",
--- a/crates/filbertcleat-gateway/tests/software_versions.rs
+++ b/crates/filbertcleat-gateway/tests/software_versions.rs
@@ -13,8 +13,10 @@
 use filbertcleat_gateway::AgentListeners;
 use filbertcleat_gateway::CatalogueDelays;
 use filbertcleat_gateway::CatalogueEvent;
+use filbertcleat_gateway::EngineAnswer;
 use filbertcleat_gateway::EngineControl;
 use filbertcleat_gateway::OrderResponse;
+use filbertcleat_gateway::ServerNotice;
 use filbertcleat_gateway::ShutdownSignal;
 use filbertcleat_gateway::run_agent;
 use filbertcleat_platform::CallError;
@@ -158,8 +160,8 @@
 }
 
 impl EngineControl for IdleEngine {
-    async fn report(&self) -> Result<EngineReport, Fault> {
-        Ok(EngineReport {
+    async fn report(&self) -> EngineAnswer<Result<EngineReport, Fault>> {
+        let report = EngineReport {
             server: self.server.clone(),
             started_unix_ms: 1,
             order_count: 0,
@@ -172,11 +174,12 @@
             waiting_requests: 0,
             memory_used_tokens: 0,
             memory_tokens: 100_000,
-        })
+        };
+        EngineAnswer { result: Ok(report), notice: ServerNotice::default() }
     }
 
-    async fn order(&self, _: &Order) -> Result<OrderResponse, CallError> {
-        Ok(OrderResponse::Done)
+    async fn order(&self, _: &Order) -> EngineAnswer<Result<OrderResponse, CallError>> {
+        EngineAnswer { result: Ok(OrderResponse::Done), notice: ServerNotice::default() }
     }
 }
 
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -1,11 +1,15 @@
 //! The state of all backend servers as an entry knows it.
 
+mod attempt_outcome;
 mod engine_model;
 mod engine_pace;
 mod gap_control;
+mod leaving_servers;
+mod paused_servers;
 mod prefill_fit;
 mod prefill_pacer;
 mod removed_servers;
+mod requested_pause;
 mod server;
 mod share_ceiling;
 
@@ -17,10 +21,13 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
 
+pub use self::attempt_outcome::AttemptOutcome;
 use self::engine_model::EngineModel;
+use self::leaving_servers::LeavingServers;
+use self::paused_servers::PausedServers;
 pub(crate) use self::prefill_pacer::PrefillPacer;
 use self::removed_servers::RemovedServers;
-pub use self::server::AttemptOutcome;
+pub use self::requested_pause::RequestedPause;
 pub use self::server::Server;
 use crate::AgentUpdate;
 use crate::ListedServer;
@@ -37,6 +44,8 @@
     unconfirmed: BTreeSet<ServerId>,
     /// Servers that left, whose records a restored catalogue may list again.
     removed: RemovedServers,
+    leaving: LeavingServers,
+    paused: PausedServers,
     /// What the engines of each service have shown.
     models: BTreeMap<ServiceName, EngineModel>,
     total_attempts: u64,
@@ -119,6 +128,32 @@
         }
     }
 
+    /// Records that one start of a backend server has announced that it is leaving. From then on it
+    /// gets no requests, whatever the catalogue says. Returns whether that was not known.
+    pub fn on_leaving(&mut self, now: MonoTime, id: &ServerId, started_unix_ms: u64) -> bool {
+        let is_new = self.leaving.record(now, id, started_unix_ms);
+        if let Some(server) = self.servers.get_mut(id) {
+            server.has_announced_leaving = self.leaving.contains(id, server.listed.started_unix_ms);
+        }
+        is_new
+    }
+
+    /// Records that a backend server asked for a pause. It gets no requests for that time, whatever
+    /// the catalogue says, and is not considered faulty. Returns the time in milliseconds.
+    pub fn on_pause_requested(
+        &mut self,
+        now: MonoTime,
+        id: &ServerId,
+        requested: RequestedPause,
+    ) -> u64 {
+        let pause_ms = requested.bounded_ms();
+        self.paused.record(now, id, pause_ms);
+        if let Some(server) = self.servers.get_mut(id) {
+            server.paused_until = self.paused.until(id);
+        }
+        pause_ms
+    }
+
     /// Records that a request is sent to a backend server. Returns the time that the server needs
     /// for the prompts ahead of it, in milliseconds.
     pub fn on_sent(&mut self, now: MonoTime, id: &ServerId, demand: &RequestDemand) -> f64 {
@@ -185,11 +220,11 @@
     }
 
     /// Returns the backend servers that run a request's service with a software version that may
-    /// serve it, and are not draining.
+    /// serve it, and are not leaving.
     pub fn candidates_for(&self, demand: &RequestDemand) -> impl Iterator<Item = &Server> {
         self.servers().filter(|server| {
             server.listed.service == demand.service
-                && !server.listed.is_draining
+                && !server.is_leaving()
                 && demand.allows_software(&server.listed.software_version)
         })
     }
@@ -214,8 +249,7 @@
     /// Returns the number of engines that have loaded a base model or are loading it.
     pub fn engines_with_model(&self, model: &ModelName) -> u32 {
         let engines = self.servers().filter(|server| {
-            !server.listed.is_draining
-                && (server.has_model(model) || server.is_loading_model(model))
+            !server.is_leaving() && (server.has_model(model) || server.is_loading_model(model))
         });
         u32::try_from(engines.count()).unwrap_or(u32::MAX)
     }
@@ -244,15 +278,24 @@
     fn upsert(&mut self, now: MonoTime, listed: ListedServer) {
         self.unconfirmed.remove(&listed.id);
         self.removed.forget(&listed.id);
-        if let Some(server) = self.servers.get_mut(&listed.id) {
+        let has_announced_leaving = self.leaving.contains(&listed.id, listed.started_unix_ms);
+        let paused_until = self.paused.until(&listed.id);
+        let id = listed.id.clone();
+        if let Some(server) = self.servers.get_mut(&id) {
             let is_earlier_start = listed.started_unix_ms < server.listed.started_unix_ms;
-            if !(is_earlier_start && self.removed.may_list_leftovers(now)) {
-                server.apply_listing(now, listed);
+            if is_earlier_start && self.removed.may_list_leftovers(now) {
+                return;
             }
+            server.apply_listing(now, listed);
+            server.has_announced_leaving = has_announced_leaving;
+            server.paused_until = paused_until;
             return;
         }
         let model = self.models.get(&listed.service).copied().unwrap_or_else(EngineModel::new);
-        self.servers.insert(listed.id.clone(), Server::new(now, listed, model));
+        let mut server = Server::new(now, listed, model);
+        server.has_announced_leaving = has_announced_leaving;
+        server.paused_until = paused_until;
+        self.servers.insert(id, server);
     }
 
     fn remove(&mut self, now: MonoTime, id: &ServerId) {
