Close a connection on which a server sends framing without end

A backend server that sent 100 or 103 heads without end, or the digits of a chunk length without end, kept its connection and its caller until the deadline: the caller got 504 at 5 s instead of 502 at once, or its stream was cut at 5.2 s (3 s if resumable), and the entry read all that came, as the HTTP library skips such bytes without reporting them.

Ruled out by the cases that passed unchanged: garbage instead of a head, empty lines, header lines and one header without end (the library's limits of 408 KiB and 100 headers), chunk extensions and trailers without end, bodies with a false length, and refusals whose body does not end: these connections were closed at once and not used again.

The socket of a connection to a backend server now counts what it reads against an allowance and fails once it is used up: 1 MiB for a head, 16 MiB for a body that is read whole, framing included, and 1 MiB between two pieces of a stream's data. The failed read ends the attempt as any broken connection does: 502 or a cut stream, no reuse. Bodies are read into one buffer, so that chunks of one byte do not each keep the bytes that they were read with.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -2,6 +2,8 @@
 
 mod agent_updates;
 mod attempt;
+mod backend_body;
+mod backend_connection;
 mod body;
 mod catalogue_watch;
 mod connection;
@@ -11,6 +13,7 @@
 mod handler;
 mod in_flight;
 mod placement;
+mod read_allowance;
 mod read_request;
 mod readiness;
 mod refusal;
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use filbertcleat_serve::AttemptOutcome;
+use filbertcleat_serve::RetryPolicy;
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
@@ -13,8 +14,10 @@
 use http::response::Parts;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 
+use super::backend_body::BackendBody;
+use super::backend_body::BodyKind;
+use super::backend_connection::BackendConnection;
 use super::in_flight::InFlightAttempt;
 use super::request::CallerRequest;
 use super::state::Entry;
@@ -30,9 +33,9 @@
 /// A response whose head has been received, with the connection that it arrives on.
 pub(super) struct BackendResponse {
     pub head: Parts,
-    pub body: Incoming,
+    pub body: BackendBody,
     pub address: SocketAddr,
-    pub sender: SendRequest<Full<Bytes>>,
+    pub connection: BackendConnection,
 }
 
 /// An attempt that ended without a valid response.
@@ -86,7 +89,7 @@
     // connection may be tried.
     for _ in 0..CONNECTIONS_MAX {
         let checked_out = entry.pool.checkout(address).await;
-        let mut sender = checked_out.map_err(|error| {
+        let mut connection = checked_out.map_err(|error| {
             log::debug!("event=connect-failed peer={address} reason=\"{error}\"");
             AttemptFailure::not_arrived(
                 AttemptOutcome::Unreachable,
@@ -103,7 +106,7 @@
         }
         let outbound = build_request(entry, request, attempt, remaining_ms, resume_after);
         let limit = Duration::from_millis(remaining_ms + RESPONSE_GRACE_MS);
-        let sent = tokio::time::timeout(limit, sender.try_send_request(outbound)).await;
+        let sent = tokio::time::timeout(limit, connection.try_send(outbound)).await;
         match sent {
             Err(_elapsed) => {
                 return Err(AttemptFailure::unknown(
@@ -122,7 +125,7 @@
             }
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
-                return validate_response(entry, request, attempt, head, body, address, sender);
+                return validate_response(entry, request, attempt, head, body, address, connection);
             }
         }
     }
@@ -143,7 +146,7 @@
     head: Parts,
     body: Incoming,
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    connection: BackendConnection,
 ) -> Result<BackendResponse, AttemptFailure> {
     let metadata = entry.dialect.parse_response(&head.headers);
     // A late response to an earlier request can arrive on a reused connection.
@@ -156,7 +159,7 @@
     }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         let is_other = metadata.server.as_ref().is_some_and(|server| server != attempt.server());
-        entry.pool.keep(address, sender, &head.headers);
+        entry.pool.keep(address, connection, &head.headers);
         return Err(if is_other {
             AttemptFailure::not_run(
                 AttemptOutcome::Misdirected,
@@ -170,7 +173,7 @@
         });
     }
     if metadata.is_not_run {
-        entry.pool.keep(address, sender, &head.headers);
+        entry.pool.keep(address, connection, &head.headers);
         return Err(AttemptFailure::not_run(
             AttemptOutcome::Full,
             "the backend server had no free capacity",
@@ -183,7 +186,17 @@
             "the response has no response seal or id",
         ));
     }
-    Ok(BackendResponse { head, body, address, sender })
+    let body =
+        BackendBody::new(body, connection.allowance().clone(), body_kind(request, head.status));
+    Ok(BackendResponse { head, body, address, connection })
+}
+
+/// Returns whether the body of a response with this status is forwarded as a stream.
+pub(super) fn body_kind(request: &CallerRequest, status: StatusCode) -> BodyKind {
+    match request.route.retry_policy {
+        RetryPolicy::Stream { .. } if status.is_success() => BodyKind::Stream,
+        _ => BodyKind::Whole,
+    }
 }
 
 fn build_request<D: Dialect>(
--- a/crates/filbertcleat-gateway/src/entry/connection_pool.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_pool.rs
@@ -7,18 +7,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use http::HeaderMap;
-use http_body_util::Full;
 use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
+use super::backend_connection::BackendConnection;
+use super::read_allowance::ReadAllowance;
 use super::socket::Socket;
 use crate::clock::Clock;
 
@@ -50,7 +49,7 @@
 }
 
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    connection: BackendConnection,
     expires_at: MonoTime,
 }
 
@@ -61,15 +60,15 @@
     }
 
     /// Returns an idle connection, or connects if there is none.
-    pub async fn checkout(&self, address: SocketAddr) -> io::Result<SendRequest<Full<Bytes>>> {
-        if let Some(sender) = self.take_idle(address) {
-            return Ok(sender);
+    pub async fn checkout(&self, address: SocketAddr) -> io::Result<BackendConnection> {
+        if let Some(connection) = self.take_idle(address) {
+            return Ok(connection);
         }
         self.connect(address).await
     }
 
     /// Opens a new connection, which is reset when it is closed.
-    pub async fn connect(&self, address: SocketAddr) -> io::Result<SendRequest<Full<Bytes>>> {
+    pub async fn connect(&self, address: SocketAddr) -> io::Result<BackendConnection> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         let socket = SockRef::from(&stream);
@@ -78,37 +77,38 @@
             TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
         socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_PROBES))?;
 
-        let handshake =
-            http1::Builder::new().handshake(TokioIo::new(Socket::reset_on_close(stream)?)).await;
+        let allowance = ReadAllowance::for_head();
+        let socket = Socket::reset_on_close(stream, allowance.clone())?;
+        let handshake = http1::Builder::new().handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         spawn_local(async move {
             if let Err(error) = connection.await {
                 log::debug!("event=connection-ended peer={address} reason=\"{error}\"");
             }
         });
-        Ok(sender)
+        Ok(BackendConnection::new(sender, allowance))
     }
 
     /// Keeps a connection for reuse, unless the response headers `head` forbid it.
     ///
     /// A connection whose response has not been read to its end is not ready, and is not reused.
-    pub fn keep(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>, head: &HeaderMap) {
+    pub fn keep(&self, address: SocketAddr, connection: BackendConnection, head: &HeaderMap) {
         let Some(keep_ms) = keep_ms(head) else { return };
         let expires_at = self.clock.now().plus_ms(keep_ms);
         let mut idle = self.idle.borrow_mut();
         let queue = idle.entry(address).or_default();
         if queue.len() < IDLE_MAX {
-            queue.push_back(Idle { sender, expires_at });
+            queue.push_back(Idle { connection, expires_at });
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<BackendConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let queue = idle.get_mut(&address)?;
-        queue.retain(|idle| !idle.sender.is_closed() && idle.expires_at > now);
-        let ready = queue.iter().position(|idle| idle.sender.is_ready())?;
-        queue.remove(ready).map(|idle| idle.sender)
+        queue.retain(|idle| !idle.connection.is_closed() && idle.expires_at > now);
+        let ready = queue.iter().position(|idle| idle.connection.is_ready())?;
+        queue.remove(ready).map(|idle| idle.connection)
     }
 }
 
--- a/crates/filbertcleat-gateway/src/entry/handler.rs
+++ b/crates/filbertcleat-gateway/src/entry/handler.rs
@@ -1,15 +1,16 @@
 //! Handles a caller's request: reads it, forwards it and retries failed attempts.
 
+use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
 use filbertcleat_serve::Attempts;
 use filbertcleat_serve::FailedAttempt;
 use filbertcleat_serve::NextAttempt;
-use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::ServerId;
 use http::Request;
 use http::Response;
@@ -22,8 +23,12 @@
 use super::attempt::AttemptFailure;
 use super::attempt::BackendResponse;
 use super::attempt::RESPONSE_GRACE_MS;
+use super::attempt::body_kind;
 use super::attempt::send_attempt;
 use super::attempt::strip_connection_headers;
+use super::backend_body::BackendBody;
+use super::backend_body::BodyKind;
+use super::backend_body::RESPONSE_MAX_BYTES;
 use super::body::CallerBody;
 use super::connection::ActiveRequest;
 use super::in_flight::InFlightAttempt;
@@ -39,10 +44,6 @@
 use super::stream_relay::relay_stream;
 use crate::Dialect;
 
-/// The largest unstreamed response. Such a response is read whole before it is forwarded, so that
-/// the request can be retried if the response breaks off.
-const RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
-
 /// Handles a caller's request and returns the response.
 pub(super) async fn handle_request<D: Dialect>(
     entry: &Rc<Entry<D>>,
@@ -211,17 +212,15 @@
         }
     };
     request.attempts += 1;
-    let is_stream = matches!(request.route.retry_policy, RetryPolicy::Stream { .. });
-    if is_stream && backend_response.head.status.is_success() {
+    if body_kind(request, backend_response.head.status) == BodyKind::Stream {
         return Ok(Forwarded::Streaming { response: Box::new(backend_response), attempt });
     }
 
     attempt.on_response_bytes();
-    let BackendResponse { mut head, body, address, sender, .. } = backend_response;
+    let BackendResponse { mut head, body, address, connection } = backend_response;
     let limit = Duration::from_millis(request.remaining_ms(entry.now()) + RESPONSE_GRACE_MS);
-    let read = Limited::new(body, RESPONSE_MAX_BYTES).collect();
-    let body = match tokio::time::timeout(limit, read).await {
-        Ok(Ok(body)) => body.to_bytes(),
+    let body = match tokio::time::timeout(limit, read_whole(body)).await {
+        Ok(Ok(body)) => body,
         failed => {
             let failure = if failed.is_err() {
                 AttemptFailure::unknown(
@@ -238,11 +237,24 @@
     let server = attempt.server().clone();
     let is_failed = head.status.is_server_error();
     attempt.end(if is_failed { AttemptOutcome::Failed } else { AttemptOutcome::Answered });
-    entry.pool.keep(address, sender, &head.headers);
+    entry.pool.keep(address, connection, &head.headers);
     strip_connection_headers(&mut head.headers);
     Ok(Forwarded::Complete { response: build_response(head.status, head.headers, body), server })
 }
 
+/// Reads a body to its end, into one buffer: many small chunks, each kept with the bytes that it
+/// was read with, would take many times the memory.
+async fn read_whole(body: BackendBody) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    let mut body = Limited::new(body, RESPONSE_MAX_BYTES);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(bytes.freeze())
+}
+
 fn build_response(
     status: StatusCode,
     headers: http::HeaderMap,
--- a/crates/filbertcleat-gateway/src/entry/socket.rs
+++ b/crates/filbertcleat-gateway/src/entry/socket.rs
@@ -12,11 +12,14 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use super::read_allowance::ReadAllowance;
+
 /// A TCP stream that calls back on reads, or that is reset when it is closed.
 pub(super) struct Socket<R> {
     stream: TcpStream,
     on_read: R,
     close_mode: CloseMode,
+    allowance: Option<ReadAllowance>,
 }
 
 /// How a stream is closed.
@@ -31,17 +34,24 @@
 impl<R: Fn() + Unpin> Socket<R> {
     /// Wraps a stream so that `on_read` is called whenever bytes have arrived.
     pub fn with_read_callback(stream: TcpStream, on_read: R) -> Self {
-        Self { stream, on_read, close_mode: CloseMode::Graceful }
+        Self { stream, on_read, close_mode: CloseMode::Graceful, allowance: None }
     }
 }
 
 impl Socket<fn()> {
-    /// Wraps a stream so that it is reset when it is closed.
+    /// Wraps a stream so that it is reset when it is closed, and that reads fail once `allowance`
+    /// is used up.
     ///
-    /// Otherwise an abandoned request could still be delivered after a network partition heals.
-    pub fn reset_on_close(stream: TcpStream) -> io::Result<Self> {
+    /// Without the reset, an abandoned request could still be delivered after a network partition
+    /// heals.
+    pub fn reset_on_close(stream: TcpStream, allowance: ReadAllowance) -> io::Result<Self> {
         SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
-        Ok(Self { stream, on_read: || {}, close_mode: CloseMode::Reset })
+        Ok(Self {
+            stream,
+            on_read: || {},
+            close_mode: CloseMode::Reset,
+            allowance: Some(allowance),
+        })
     }
 }
 
@@ -51,10 +61,16 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.allowance.as_ref().is_some_and(ReadAllowance::is_used_up) {
+            return Poll::Ready(Err(io::Error::other("the peer sends more than a response")));
+        }
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         if buffer.filled().len() > before {
             (self.on_read)();
+            if let Some(allowance) = &self.allowance {
+                allowance.use_up(buffer.filled().len() - before);
+            }
         }
         read
     }
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -108,8 +108,8 @@
             attempt.end(outcome);
             let is_final = match end {
                 StreamEnd::Complete => {
-                    let BackendResponse { head, address, sender, .. } = *response;
-                    self.entry.pool.keep(address, sender, &head.headers);
+                    let BackendResponse { head, address, connection, .. } = *response;
+                    self.entry.pool.keep(address, connection, &head.headers);
                     self.log_end(&server, Outcome::Streamed);
                     return;
                 }
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -38,8 +38,14 @@
     Unsealed,
     /// Never responds.
     Silent,
+    /// Sends `start`, in which `HEAD` stands for the head of a sealed success without its framing,
+    /// and then `piece` again and again until the connection is closed.
+    Endless { start: &'static str, piece: &'static str },
 }
 
+/// The bytes after which a server that sends without end gives up and falls silent.
+pub const ENDLESS_MAX_BYTES: usize = 40 * 1024 * 1024;
+
 /// A fake backend server with scripted responses.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -55,6 +61,8 @@
     pub cancelled: Rc<Cell<usize>>,
     /// The number of those whose connection was reset.
     pub reset: Rc<Cell<usize>>,
+    /// The bytes that scripts without end have written.
+    pub endless_bytes: Rc<Cell<usize>>,
 }
 
 impl Backend {
@@ -71,6 +79,7 @@
             connections: Rc::default(),
             cancelled: Rc::default(),
             reset: Rc::default(),
+            endless_bytes: Rc::default(),
         };
         let acceptor = backend.clone();
         spawn_local(async move {
@@ -87,6 +96,11 @@
         self.scripts.borrow_mut().push_back(script);
     }
 
+    /// Drops the scripts of requests that have not arrived.
+    pub fn drop_scripts(&self) {
+        self.scripts.borrow_mut().clear();
+    }
+
     /// Returns how many requests arrived.
     pub fn arrivals(&self) -> usize {
         self.seen.borrow().len()
@@ -169,7 +183,23 @@
                 write(stream, &response_text(&text, "no seal")).await
             }
             Script::Silent => std::future::pending().await,
+            Script::Endless { start, piece } => {
+                write(stream, &start.replace("HEAD", &response_head(200))).await;
+                self.write_endlessly(stream, piece).await
+            }
+        }
+    }
+
+    /// Writes `piece` until the connection breaks, and then waits for its end to be noticed.
+    async fn write_endlessly(&self, stream: &mut OwnedWriteHalf, piece: &str) -> ! {
+        const BLOCK_BYTES: usize = 16 * 1024;
+        let block = piece.repeat(BLOCK_BYTES / piece.len());
+        while self.endless_bytes.get() < ENDLESS_MAX_BYTES && write(stream, &block).await {
+            self.endless_bytes.set(self.endless_bytes.get() + block.len());
+            // Lets the reader keep up, so that few bytes wait in the sockets' buffers.
+            tokio::task::yield_now().await;
         }
+        std::future::pending().await
     }
 }
 
