Cut a stream whose event does not end

An entry kept all bytes of an event until its blank line. A backend server that sent one event without end filled the entry's memory until the deadline.

The new cases of event_without_end send an event without end as an unframed body and as one with a false length.

An event of more than 1 MiB now ends the attempt as a broken stream: the caller's stream is cut, or resumed at another server if it may be, and the connection is closed. Complete events that arrived before are still forwarded.

--- a/crates/filbertcleat-gateway/src/entry/events.rs
+++ b/crates/filbertcleat-gateway/src/entry/events.rs
@@ -9,6 +9,9 @@
     buffer: BytesMut,
 }
 
+/// The largest event: many times a whole answer, of which an event usually holds a few tokens.
+const EVENT_MAX_BYTES: usize = 1024 * 1024;
+
 /// A complete event.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct Event {
@@ -35,6 +38,11 @@
     pub fn is_between_events(&self) -> bool {
         self.buffer.is_empty()
     }
+
+    /// Returns whether the partial event that is buffered is larger than any event may be.
+    pub fn is_event_too_large(&self) -> bool {
+        self.buffer.len() > EVENT_MAX_BYTES
+    }
 }
 
 /// Returns the length of the first event including its blank line, if it is complete.
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -181,6 +181,10 @@
                     return StreamEnd::CallerGone;
                 }
             }
+            if splitter.is_event_too_large() {
+                log::warn!("event=event-too-large id={}", self.request.id);
+                return StreamEnd::Broken;
+            }
         }
     }
 
--- a/crates/filbertcleat-gateway/tests/endless_bytes.rs
+++ b/crates/filbertcleat-gateway/tests/endless_bytes.rs
@@ -12,6 +12,7 @@
 use self::support::Call;
 use self::support::Script;
 use self::support::World;
+use self::support::backend::large_event;
 use self::support::caller::Reply;
 use self::support::route;
 
@@ -152,9 +153,10 @@
 }
 
 #[rstest]
-fn framing_without_end(
+fn event_without_end(
     #[values(NOT_RESUMABLE, RESUMABLE)] kind: RetryPolicy,
-    #[values(CHUNK_GARBAGE, CHUNK_LENGTH, CHUNK_EXTENSION, TRAILERS)] script: Script,
+    #[values(UNFRAMED, COUNTED, CHUNK_GARBAGE, CHUNK_LENGTH, CHUNK_EXTENSION, TRAILERS)]
+    script: Script,
 ) {
     World::run(async {
         let observed = play(kind, 2, script).await;
@@ -193,3 +195,17 @@
         assert!(broken.endless_bytes.get() <= broken.arrivals() * RESPONSE_MAX_BYTES);
     });
 }
+
+#[test]
+fn large_event_forwarded() {
+    World::run(async {
+        let writer = Backend::start("w1", Script::LargeEvent { data_bytes: 500_000 }).await;
+        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
+
+        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+
+        let reply = reply.expect("a response");
+        assert!(reply.is_complete);
+        assert_eq!(reply.body, large_event(500_000));
+    });
+}
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -41,6 +41,8 @@
     /// Sends `start`, in which `HEAD` stands for the head of a sealed success without its framing,
     /// and then `piece` again and again until the connection is closed.
     Endless { start: &'static str, piece: &'static str },
+    /// Sends one event whose data has the given length, and ends the stream properly.
+    LargeEvent { data_bytes: usize },
 }
 
 /// The bytes after which a server that sends without end gives up and falls silent.
@@ -187,6 +189,11 @@
                 write(stream, &start.replace("HEAD", &response_head(200))).await;
                 self.write_endlessly(stream, piece).await
             }
+            Script::LargeEvent { data_bytes } => {
+                write(stream, &events_head).await;
+                write(stream, &chunk(&large_event(data_bytes))).await;
+                write(stream, "0\r\n\r\n").await
+            }
         }
     }
 
@@ -208,6 +215,11 @@
     format!("id: {number}\ndata: piece-{number}\n\n")
 }
 
+/// Returns the text of an event whose data has the given length.
+pub fn large_event(data_bytes: usize) -> String {
+    format!("id: 1\ndata: {}\n\n", "x".repeat(data_bytes))
+}
+
 async fn write(stream: &mut OwnedWriteHalf, text: &str) -> bool {
     stream.write_all(text.as_bytes()).await.is_ok()
 }
