Search the bytes of an event once

The entry searched all bytes of an unfinished event again with each piece of it that arrived, so that the processor time of an event grew with the square of its length: one server that sent an event without end in small chunks kept an entry from all other work.

The splitter now keeps how far it has searched and where the last line starts.

--- a/crates/filbertcleat-gateway/src/entry/events.rs
+++ b/crates/filbertcleat-gateway/src/entry/events.rs
@@ -7,6 +7,10 @@
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
     buffer: BytesMut,
+    /// The length of the buffer's part that was searched and holds no end of an event.
+    searched_bytes: usize,
+    /// The start of the line in which that part ends.
+    line_start: usize,
 }
 
 /// The largest event: many times a whole answer, of which an event usually holds a few tokens.
@@ -26,7 +30,7 @@
     pub fn push(&mut self, bytes: &[u8]) -> Vec<Event> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(length) = first_event_length(&self.buffer) {
+        while let Some(length) = self.find_event_end() {
             let bytes = self.buffer.split_to(length).freeze();
             let id = event_id(&bytes);
             events.push(Event { bytes, id });
@@ -43,22 +47,23 @@
     pub fn is_event_too_large(&self) -> bool {
         self.buffer.len() > EVENT_MAX_BYTES
     }
-}
 
-/// Returns the length of the first event including its blank line, if it is complete.
-fn first_event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if index > 0 && (line.is_empty() || line == b"\r") {
-            return Some(index + 1);
+    /// Returns the length of the first event including its blank line, if it is complete.
+    fn find_event_end(&mut self) -> Option<usize> {
+        for index in self.searched_bytes..self.buffer.len() {
+            if self.buffer[index] != b'\n' {
+                continue;
+            }
+            let line = &self.buffer[self.line_start..index];
+            if index > 0 && (line.is_empty() || line == b"\r") {
+                (self.searched_bytes, self.line_start) = (0, 0);
+                return Some(index + 1);
+            }
+            self.line_start = index + 1;
         }
-        line_start = index + 1;
+        self.searched_bytes = self.buffer.len();
+        None
     }
-    None
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/filbertcleat-gateway/tests/endless_bytes.rs
+++ b/crates/filbertcleat-gateway/tests/endless_bytes.rs
@@ -50,6 +50,8 @@
     Script::Endless { start: "HEADcontent-length: 99999999999\r\n\r\n", piece: "x" };
 const CHUNKS: Script =
     Script::Endless { start: "HEADtransfer-encoding: chunked\r\n\r\n", piece: CHUNK };
+const SMALL_CHUNKS: Script =
+    Script::Endless { start: "HEADtransfer-encoding: chunked\r\n\r\n", piece: "4\r\nxxxx\r\n" };
 const CHUNK_GARBAGE: Script =
     Script::Endless { start: "HEADtransfer-encoding: chunked\r\n\r\n", piece: "no chunk " };
 const CHUNK_LENGTH: Script =
@@ -155,7 +157,16 @@
 #[rstest]
 fn event_without_end(
     #[values(NOT_RESUMABLE, RESUMABLE)] kind: RetryPolicy,
-    #[values(UNFRAMED, COUNTED, CHUNK_GARBAGE, CHUNK_LENGTH, CHUNK_EXTENSION, TRAILERS)]
+    #[values(
+        UNFRAMED,
+        COUNTED,
+        CHUNKS,
+        SMALL_CHUNKS,
+        CHUNK_GARBAGE,
+        CHUNK_LENGTH,
+        CHUNK_EXTENSION,
+        TRAILERS
+    )]
     script: Script,
 ) {
     World::run(async {
