--- a/crates/filbertcleat-platform/src/http.rs
+++ b/crates/filbertcleat-platform/src/http.rs
@@ -31,7 +31,7 @@
 }
 
 impl HttpClient {
-    /// The maximum size of a response body that is read into memory.
+    /// The maximum size of a response body that is read into memory, unless the request sets one.
     const RESPONSE_MAX_BYTES: usize = 64 * 1024 * 1024;
 
     /// Creates a client with a default time limit for each request.
@@ -55,9 +55,10 @@
     pub async fn send(&self, request: HttpRequest) -> Result<HttpResponse, CallError> {
         let (step, peer) = (request.step, request.peer());
         let timeout = request.timeout.unwrap_or(self.timeout);
+        let response_max_bytes = request.response_max_bytes.unwrap_or(Self::RESPONSE_MAX_BYTES);
         let exchange = async {
             let response = self.send_streaming(request).await?;
-            read_whole(response, step, &peer).await
+            read_whole(response, step, &peer, response_max_bytes).await
         };
 
         match tokio::time::timeout(timeout, exchange).await {
@@ -114,9 +115,10 @@
     response: Response<Incoming>,
     step: Step,
     peer: &str,
+    response_max_bytes: usize,
 ) -> Result<HttpResponse, CallError> {
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, HttpClient::RESPONSE_MAX_BYTES).collect().await;
+    let body = Limited::new(body, response_max_bytes).collect().await;
     let body =
         body.map_err(|error| CallError { sent: true, fault: Fault::new(step, peer, error) })?;
     Ok(HttpResponse { status: head.status, headers: head.headers, body: body.to_bytes() })
--- a/crates/filbertcleat-platform/src/http/request.rs
+++ b/crates/filbertcleat-platform/src/http/request.rs
@@ -18,12 +18,21 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) timeout: Option<Duration>,
+    pub(super) response_max_bytes: Option<usize>,
 }
 
 impl HttpRequest {
     /// Creates a request without a body.
     pub fn new(step: Step, method: Method, url: String) -> Self {
-        Self { step, method, url, headers: HeaderMap::new(), body: Bytes::new(), timeout: None }
+        Self {
+            step,
+            method,
+            url,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            timeout: None,
+            response_max_bytes: None,
+        }
     }
 
     /// Adds a header; a name or value that is invalid in HTTP is ignored.
@@ -53,6 +62,12 @@
         self
     }
 
+    /// Sets the largest response body, which overrides the client's default.
+    pub fn with_response_max(mut self, bytes: usize) -> Self {
+        self.response_max_bytes = Some(bytes);
+        self
+    }
+
     /// Returns the host and port of the URL.
     pub(super) fn peer(&self) -> String {
         let rest = self.url.split_once("://").map_or(self.url.as_str(), |(_, rest)| rest);
