--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -2,6 +2,8 @@
 
 mod agent_updates;
 mod attempt;
+mod backend_body;
+mod backend_connection;
 mod body;
 mod caller_socket;
 mod catalogue_watch;
@@ -18,6 +20,7 @@
 mod open_connection;
 mod origins;
 mod placement;
+mod read_allowance;
 mod read_request;
 mod readiness;
 mod refusal;
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
+use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
 use http::HeaderMap;
@@ -15,9 +16,10 @@
 use http::header;
 use http::response::Parts;
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 
+use super::backend_body::BackendBody;
+use super::backend_body::BodyKind;
+use super::backend_connection::BackendConnection;
 use super::in_flight::InFlightAttempt;
 use super::notices::NoticeSource;
 use super::notices::apply_notice;
@@ -36,11 +38,11 @@
 /// A response whose head has been received, with the connection that it arrives on.
 pub(super) struct BackendResponse {
     pub head: Parts,
-    pub body: Incoming,
+    pub body: BackendBody,
     pub address: SocketAddr,
     /// The software version of the backend server.
     pub software_version: SoftwareVersion,
-    pub sender: SendRequest<Full<Bytes>>,
+    pub connection: BackendConnection,
     /// Whether the backend server asks for a pause.
     pub requests_pause: bool,
 }
@@ -119,7 +121,7 @@
     // connection may be tried.
     for _ in 0..CONNECTIONS_MAX {
         let checked_out = entry.pool.checkout(address).await;
-        let mut sender = checked_out.map_err(|error| {
+        let mut connection = checked_out.map_err(|error| {
             log::debug!("event=connect-failed peer={address} reason=\"{error}\"");
             AttemptFailure::not_arrived(
                 AttemptOutcome::Unreachable,
@@ -144,7 +146,7 @@
         }
         let outbound = build_request(entry, request, attempt, remaining_ms, resume_after);
         let limit = Duration::from_millis(remaining_ms + RESPONSE_GRACE_MS);
-        let sent = tokio::time::timeout(limit, sender.try_send_request(outbound)).await;
+        let sent = tokio::time::timeout(limit, connection.try_send(outbound)).await;
         match sent {
             Err(_elapsed) => {
                 return Err(AttemptFailure::unknown(
@@ -171,12 +173,14 @@
                 let source = NoticeSource::Answer;
                 apply_notice(entry, server, started_unix_ms, notice, source);
                 let requests_pause = notice.pause.is_some();
+                let kind = body_kind(request, head.status);
+                let body = BackendBody::new(body, connection.allowance().clone(), kind);
                 let response = BackendResponse {
                     head,
                     body,
                     address,
                     software_version,
-                    sender,
+                    connection,
                     requests_pause,
                 };
                 let validated = validate_response(entry, request, attempt, response, &metadata);
@@ -212,7 +216,7 @@
     let status = response.head.status;
     if status == StatusCode::MISDIRECTED_REQUEST {
         let is_other = metadata.server.as_ref().is_some_and(|server| server != attempt.server());
-        entry.pool.keep(response.address, response.sender, &response.head.headers);
+        entry.pool.keep(response.address, response.connection, &response.head.headers);
         return Err(if is_other {
             AttemptFailure::not_run(
                 AttemptOutcome::Misdirected,
@@ -226,7 +230,7 @@
         });
     }
     if metadata.is_not_run {
-        entry.pool.keep(response.address, response.sender, &response.head.headers);
+        entry.pool.keep(response.address, response.connection, &response.head.headers);
         return Err(AttemptFailure::not_run(
             AttemptOutcome::Full,
             "the backend server had no free capacity",
@@ -247,6 +251,14 @@
     state.fleet.server(server).is_some_and(|server| server.accepts_requests(now))
 }
 
+/// Returns whether the body of a response with this status is forwarded as a stream.
+pub(super) fn body_kind(request: &CallerRequest, status: StatusCode) -> BodyKind {
+    match request.route.retry_policy {
+        RetryPolicy::Stream { .. } if status.is_success() => BodyKind::Stream,
+        _ => BodyKind::Whole,
+    }
+}
+
 fn build_request<D: Dialect>(
     entry: &Rc<Entry<D>>,
     request: &CallerRequest,
--- a/crates/filbertcleat-gateway/src/entry/socket.rs
+++ b/crates/filbertcleat-gateway/src/entry/socket.rs
@@ -12,19 +12,24 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-/// A TCP stream that is reset when it is closed.
+use super::read_allowance::ReadAllowance;
+
+/// A TCP stream that is reset when it is closed, and that reads a limited number of bytes.
 #[derive(Debug)]
 pub(super) struct Socket {
     stream: TcpStream,
+    allowance: ReadAllowance,
 }
 
 impl Socket {
-    /// Wraps a stream so that it is reset when it is closed.
+    /// Wraps a stream so that it is reset when it is closed, and that reads fail once `allowance`
+    /// is used up.
     ///
-    /// Otherwise an abandoned request could still be delivered after a network partition heals.
-    pub fn reset_on_close(stream: TcpStream) -> io::Result<Self> {
+    /// Without the reset, an abandoned request could still be delivered after a network partition
+    /// heals.
+    pub fn reset_on_close(stream: TcpStream, allowance: ReadAllowance) -> io::Result<Self> {
         SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
-        Ok(Self { stream })
+        Ok(Self { stream, allowance })
     }
 }
 
@@ -34,7 +39,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        if self.allowance.is_used_up() {
+            return Poll::Ready(Err(io::Error::other("the peer sends more than a response")));
+        }
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.allowance.use_up(buffer.filled().len() - before);
+        read
     }
 }
 
--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -77,8 +77,8 @@
     /// Ends the attempt after a complete stream and keeps the connection for reuse.
     pub fn complete(self, pool: &ConnectionPool) {
         self.attempt.end(AttemptOutcome::Answered);
-        let BackendResponse { head, address, sender, .. } = *self.response;
-        pool.keep(address, sender, &head.headers);
+        let BackendResponse { head, address, connection, .. } = *self.response;
+        pool.keep(address, connection, &head.headers);
     }
 
     /// Ends the attempt before the end of the stream, which resets the connection.
@@ -102,7 +102,11 @@
                 continue;
             };
             self.attempt.on_response_bytes();
-            return SourceItem::Events(self.splitter.push(&bytes));
+            let events = self.splitter.push(&bytes);
+            if events.is_empty() && self.splitter.is_event_too_large() {
+                return SourceItem::Broken("an event is too large".to_owned());
+            }
+            return SourceItem::Events(events);
         }
     }
 }
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -43,6 +43,11 @@
     Unsealed,
     /// Never responds.
     Silent,
+    /// Sends `start`, in which `HEAD` stands for the head of a sealed success without its framing,
+    /// and then `piece` again and again until the connection is closed.
+    Endless { start: &'static str, piece: &'static str },
+    /// Sends one event whose data has the given length, and ends the stream properly.
+    LargeEvent { data_bytes: usize },
     /// Runs another script and adds header lines, each with its line end, to its response.
     WithHeaders { lines: &'static str, script: Box<Script> },
 }
@@ -54,6 +59,9 @@
     }
 }
 
+/// The bytes after which a server that sends without end gives up and falls silent.
+pub const ENDLESS_MAX_BYTES: usize = 40 * 1024 * 1024;
+
 /// A fake backend server with scripted responses.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -69,6 +77,8 @@
     pub cancelled: Rc<Cell<usize>>,
     /// The number of those whose connection was reset.
     pub reset: Rc<Cell<usize>>,
+    /// The bytes that scripts without end have written.
+    pub endless_bytes: Rc<Cell<usize>>,
 }
 
 impl Backend {
@@ -90,6 +100,7 @@
             connections: Rc::default(),
             cancelled: Rc::default(),
             reset: Rc::default(),
+            endless_bytes: Rc::default(),
         };
         let acceptor = backend.clone();
         spawn_local(async move {
@@ -106,6 +117,11 @@
         self.scripts.borrow_mut().push_back(script);
     }
 
+    /// Drops the scripts of requests that have not arrived.
+    pub fn drop_scripts(&self) {
+        self.scripts.borrow_mut().clear();
+    }
+
     /// Returns how many requests arrived.
     pub fn arrivals(&self) -> usize {
         self.seen.borrow().len()
@@ -215,9 +231,30 @@
                 write(stream, &response_text(&text, "no seal")).await
             }
             Script::Silent => std::future::pending().await,
+            Script::Endless { start, piece } => {
+                write(stream, &start.replace("HEAD", &response_head(200))).await;
+                self.write_endlessly(stream, piece).await
+            }
+            Script::LargeEvent { data_bytes } => {
+                write(stream, &events_head).await;
+                write(stream, &chunk(&large_event(data_bytes))).await;
+                write(stream, "0\r\n\r\n").await
+            }
             Script::WithHeaders { .. } => panic!("header lines are added to a plain script only"),
         }
     }
+
+    /// Writes `piece` until the connection breaks, and then waits for its end to be noticed.
+    async fn write_endlessly(&self, stream: &mut OwnedWriteHalf, piece: &str) -> ! {
+        const BLOCK_BYTES: usize = 16 * 1024;
+        let block = piece.repeat(BLOCK_BYTES / piece.len());
+        while self.endless_bytes.get() < ENDLESS_MAX_BYTES && write(stream, &block).await {
+            self.endless_bytes.set(self.endless_bytes.get() + block.len());
+            // Lets the reader keep up, so that few bytes wait in the sockets' buffers.
+            tokio::task::yield_now().await;
+        }
+        std::future::pending().await
+    }
 }
 
 /// Returns the text of an event.
@@ -225,6 +262,11 @@
     format!("id: {number}\ndata: piece-{number}\n\n")
 }
 
+/// Returns the text of an event whose data has the given length.
+pub fn large_event(data_bytes: usize) -> String {
+    format!("id: 1\ndata: {}\n\n", "x".repeat(data_bytes))
+}
+
 async fn write(stream: &mut OwnedWriteHalf, text: &str) -> bool {
     stream.write_all(text.as_bytes()).await.is_ok()
 }
