Refuse to take up a stream before any server is known

Found by reading: an entry that has just started gets the configuration before the list of servers. A request that takes up a stream which nobody remembers found no second version then, waited in the queue and was placed at any server once they were listed. early_resumption_refused failed before (placed and answered) and passes: the request is refused as not run unless all known servers run one version.

--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -70,7 +70,7 @@
 
 /// Limits a request that takes up a stream to the software version that began the stream.
 ///
-/// Returns a refusal if the version is unknown while servers of several versions serve, because the
+/// Returns a refusal if the version is unknown, unless all servers run the same one, because the
 /// parts that two versions write do not fit together.
 pub(super) async fn restrict_software<D: Dialect>(
     entry: &Rc<Entry<D>>,
@@ -96,8 +96,9 @@
         version.as_ref().map_or("-", SoftwareVersion::as_str),
     );
     entry.metrics.count(Metric::OriginLookups, &[("outcome", outcome)]);
+    // Without a known server the versions that will serve are unknown too.
     let is_ambiguous = version.is_none()
-        && entry.state.borrow().fleet.software_versions(&request.service).len() > 1;
+        && entry.state.borrow().fleet.software_versions(&request.service).len() != 1;
     if is_ambiguous {
         let reason = "the software version that began the stream is unknown";
         return Err(Refusal::NotRun(reason, RETRY_AFTER_UNAVAILABLE));
--- a/crates/filbertcleat-gateway/tests/software_versions.rs
+++ b/crates/filbertcleat-gateway/tests/software_versions.rs
@@ -153,6 +153,26 @@
     });
 }
 
+/// An entry that has just started gets the configuration before the list of servers.
+#[test]
+fn early_resumption_refused() {
+    World::run(async {
+        let (one, two) =
+            (Backend::start("w1", FIVE_EVENTS).await, Backend::start("w2", FIVE_EVENTS).await);
+        let world = start(1, Vec::new()).await;
+        let mut caller = world.caller().await;
+        caller.send(&take_up("b")).await.expect("the entry reads the request");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        upsert(&world.catalogue, near(&one, "v1"));
+        upsert(&world.catalogue, near(&two, "v2"));
+
+        let reply = caller.read_reply().await.expect("a response");
+
+        assert_eq!(reply.status, 503);
+        assert_eq!(one.arrivals() + two.arrivals(), 0);
+    });
+}
+
 /// An engine without orders.
 #[derive(Clone, Debug)]
 struct IdleEngine {
