--- a/crates/filbertcleat-gateway/tests/review_socket_timers.rs
+++ b/crates/filbertcleat-gateway/tests/socket_timers.rs
@@ -1,4 +1,4 @@
-//! Review of issue 23: the socket timers beside backend servers that are silent for a while.
+//! The timers of connections to backend servers.
 
 mod support;
 
--- a/crates/filbertcleat-gateway/tests/review_silence.rs
+++ b/crates/filbertcleat-gateway/tests/stalled_streams.rs
@@ -1,4 +1,4 @@
-//! Review of issue 23: silent and slow backend servers, and what ends a stream beside them.
+//! Streams of silent and slow backend servers, and what ends them.
 
 mod support;
 
