--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -30,6 +30,7 @@
 mod socket;
 mod state;
 mod stream_close;
+mod stream_moves;
 mod stream_relay;
 mod stream_source;
 
