Log the shared parts of a placed request's prompt

The logs of the incident of crashing prompts could not show whether the requests that broke off before their first event had a part of their prompts in common. The platform's list of parts is now parsed, without the last, which is the request's own, and request-placed names them. Nothing else uses them yet.

--- a/crates/filbertcleat-gateway/src/dialect/request.rs
+++ b/crates/filbertcleat-gateway/src/dialect/request.rs
@@ -2,6 +2,7 @@
 
 use filbertcleat_base::ModelName;
 use filbertcleat_serve::AdapterKey;
+use filbertcleat_serve::PromptPart;
 
 /// Metadata from the headers of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -14,6 +15,8 @@
     pub model: Option<ModelName>,
     /// The requested adapter.
     pub adapter: Option<AdapterKey>,
+    /// The parts of the prompt in order, without the last, which is the request's own.
+    pub prompt_parts: Vec<PromptPart>,
     /// The length of the prompt in tokens; 0 if unknown.
     pub prompt_tokens: u64,
     /// The maximum number of tokens to generate; 0 if unknown.
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -32,6 +32,9 @@
 /// follows its head keeps its connection.
 const REFUSED_BODY_WAIT: Duration = Duration::from_millis(250);
 
+/// The most parts of a prompt that are looked at: several times what prompts share.
+const PROMPT_PARTS_MAX: usize = 16;
+
 /// A request that the entry refused before forwarding it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RefusedRequest {
@@ -71,6 +74,7 @@
         adapter: metadata.adapter.clone(),
         min_version: 0,
         software_version: None,
+        prompt_parts: metadata.prompt_parts.iter().copied().take(PROMPT_PARTS_MAX).collect(),
         prompt_tokens: metadata.prompt_tokens,
         output_tokens_max: metadata.max_tokens,
         latency_objective_ms: route.latency_objective_ms,
--- a/crates/filbertcleat-gateway/tests/support/dialect.rs
+++ b/crates/filbertcleat-gateway/tests/support/dialect.rs
@@ -6,6 +6,7 @@
 use filbertcleat_gateway::RequestMetadata;
 use filbertcleat_gateway::ResponseMetadata;
 use filbertcleat_gateway::ServerNotice;
+use filbertcleat_serve::PromptPart;
 use filbertcleat_serve::RequestedPause;
 use filbertcleat_serve::ServerId;
 use http::HeaderMap;
@@ -21,6 +22,9 @@
             id: text(headers, "x-id"),
             deadline_ms: text(headers, "x-wait-ms").and_then(|text| text.parse().ok()),
             model: text(headers, "x-model").map(|text| ModelName::new(&text)),
+            prompt_parts: text(headers, "x-parts")
+                .map(|text| text.split(',').map(part).collect())
+                .unwrap_or_default(),
             prompt_tokens: text(headers, "x-prompt")
                 .and_then(|text| text.parse().ok())
                 .unwrap_or(0),
@@ -57,6 +61,10 @@
     }
 }
 
+fn part(text: &str) -> PromptPart {
+    PromptPart::new(u64::from_str_radix(text, 16).expect("parts are hexadecimal"))
+}
+
 fn text(headers: &HeaderMap, name: &str) -> Option<String> {
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
 }
--- a/crates/filbertcleat-serve/src/request.rs
+++ b/crates/filbertcleat-serve/src/request.rs
@@ -1,9 +1,12 @@
 //! The properties of a request that affect its placement.
 
+use std::rc::Rc;
+
 use filbertcleat_base::ModelName;
 use filbertcleat_base::ServiceName;
 
 use crate::AdapterKey;
+use crate::PromptPart;
 use crate::SoftwareVersion;
 
 /// The properties of a request that affect its placement.
@@ -19,6 +22,8 @@
     pub min_version: u64,
     /// The only software version that may serve the request, if it continues a stream.
     pub software_version: Option<SoftwareVersion>,
+    /// The parts of the prompt that other requests may share.
+    pub prompt_parts: Rc<[PromptPart]>,
     /// The length of the prompt in tokens.
     pub prompt_tokens: u64,
     /// The largest number of tokens in the response.
