Turn away prompts with a part under which backend servers end

Cause: nothing related the ends of servers to what their requests had in common, and what one entry saw of them bound no other. Ruled out: retries of one request (all were first attempts) and overload (small batches).

When a server breaks off a request before its first event and refuses connections, the entry marks the shared parts of that request's prompt with this end, and tells three agents, which tell all entries. A part is turned away after three moments of crashes without an answer (five if it was answered shortly before); crashes that it explains do not count against other parts, so that the callers and the first part that sound requests share stay allowed. Digests with the updates of entries make good what was lost, and bring a started process up to date. Trials at doubling intervals end a suspicion that was wrong or is over.

Before: seven cases of crashing_prompts fail, 20 to 30 requests after the fifth end.

--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -1,6 +1,7 @@
 //! The agent process, which loads and unloads the models and adapters of the engine on its VM.
 
 mod engine_notices;
+mod held_marks;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -27,6 +28,7 @@
 use tokio::time::Instant;
 
 use self::engine_notices::EngineNotices;
+use self::held_marks::HeldMarks;
 use crate::EngineAnswer;
 use crate::EngineControl;
 use crate::OrderResponse;
@@ -93,6 +95,7 @@
         scheduler: AdapterScheduler::new(id),
         recipients: UpdateRecipients::default(),
         origins: StreamOrigins::default(),
+        crash_marks: HeldMarks::default(),
         last_update: None,
         last_update_at: MonoTime::ZERO,
         id,
@@ -125,6 +128,7 @@
     scheduler: AdapterScheduler,
     recipients: UpdateRecipients,
     origins: StreamOrigins,
+    crash_marks: HeldMarks,
     last_update: Option<AgentUpdate>,
     last_update_at: MonoTime,
     /// The id of this incarnation of the agent.
@@ -158,7 +162,7 @@
             tokio::select! {
                 (update, from) = self.socket.receive(&mut buffer) => {
                     let now = self.clock.now();
-                    let Some(update) = self.handle_origins(now, from, update) else { continue };
+                    let Some(update) = self.handle_facts(now, from, update) else { continue };
                     self.recipients.on_entry_update(now, from, &update);
                     let was_busy = self.scheduler.needs_frequent_reports(now);
                     self.scheduler.apply_entry_update(now, update);
@@ -191,15 +195,28 @@
         }
     }
 
-    /// Handles what concerns the origins of streams, and returns any update of an entry.
-    fn handle_origins(
+    /// Handles what the agent holds for entries, and returns any update of an entry.
+    fn handle_facts(
         &mut self,
         now: MonoTime,
         from: SocketAddr,
         update: PeerUpdate,
     ) -> Option<EntryUpdate> {
         match update {
-            PeerUpdate::Entry(update) => return Some(update),
+            PeerUpdate::Entry(update) => {
+                let digest = update.crash_digest;
+                let marks = digest.and_then(|digest| self.crash_marks.complete_unless(now, digest));
+                if let Some(marks) = marks {
+                    self.socket.send(from, &marks);
+                }
+                return Some(update);
+            }
+            PeerUpdate::CrashMarks { marks, .. } => {
+                if let Some(news) = self.crash_marks.merge(now, &marks) {
+                    let others = self.recipients.addresses().filter(|address| *address != from);
+                    others.for_each(|address| self.socket.send(address, &news));
+                }
+            }
             PeerUpdate::Origin(origin) => self.origins.record(now, origin),
             PeerUpdate::OriginQuery(request) => {
                 let version = self.origins.software_version(request).cloned();
--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -16,6 +16,8 @@
 use filbertcleat_serve::ModelDemand;
 use filbertcleat_serve::ServerId;
 
+use super::crashes;
+use super::crashes::on_marks;
 use super::notices::NoticeSource;
 use super::notices::apply_notice;
 use super::origins::on_origin_reply;
@@ -24,7 +26,6 @@
 use crate::Dialect;
 use crate::ServerNotice;
 use crate::peer_socket::PeerUpdate;
-use crate::peer_socket::incarnation_id;
 
 /// The longest interval between two updates to an agent. Agents consider an entry gone after
 /// 3,000 ms without one.
@@ -37,6 +38,8 @@
 const UPDATE_INTERVAL_MIN_MS: u64 = 1;
 /// The longest interval between two scans for due updates, which go over all backend servers.
 const SCAN_INTERVAL_MS: u64 = 50;
+/// The shortest interval between two digests to an agent, which leaves time for its marks to arrive.
+const DIGEST_INTERVAL_MS: u64 = 300;
 /// The interval at which the demand for base models is counted. Agents use it once a second.
 const MODEL_DEMAND_INTERVAL_MS: u64 = 500;
 
@@ -49,6 +52,9 @@
     /// The demand for base models and the number of their engines, by service.
     model_demand: BTreeMap<ServiceName, Vec<ModelDemand>>,
     model_demand_at: Option<MonoTime>,
+    /// The agents that hold the crash marks of all entries.
+    digest_receivers: Vec<SocketAddr>,
+    digest_receivers_at: Option<MonoTime>,
     last_scan: Option<ScanState>,
 }
 
@@ -62,13 +68,15 @@
 
 impl AgentUpdateState {
     /// Creates the state of an entry that has sent nothing yet.
-    pub fn new() -> Self {
+    pub fn new(entry: u64) -> Self {
         Self {
-            entry: incarnation_id(),
+            entry,
             sequence: 0,
             servers: HashMap::new(),
             model_demand: BTreeMap::new(),
             model_demand_at: None,
+            digest_receivers: Vec::new(),
+            digest_receivers_at: None,
             last_scan: None,
         }
     }
@@ -88,6 +96,15 @@
         is_due
     }
 
+    /// Chooses the agents that get digests, once per interval.
+    fn choose_digest_receivers(&mut self, now: MonoTime, fleet: &Fleet, port: u16) {
+        if self.digest_receivers_at.is_some_and(|at| now.ms_since(at) < DIGEST_INTERVAL_MS) {
+            return;
+        }
+        self.digest_receivers_at = Some(now);
+        self.digest_receivers = crashes::holders(fleet, port);
+    }
+
     /// Recomputes the demand for base models and the number of their engines, once per interval.
     fn count_model_demand(
         &mut self,
@@ -119,6 +136,7 @@
     adapter_demand: Vec<AdapterDemand>,
     sent_prompt_tokens: u64,
     uses_adapters: bool,
+    digest_at: Option<MonoTime>,
 }
 
 /// Applies the updates of agents for as long as the process runs.
@@ -132,6 +150,10 @@
                 on_origin_reply(&entry, request, version);
                 continue;
             }
+            PeerUpdate::CrashMarks { marks, is_complete } => {
+                on_marks(&entry, from, &marks, is_complete);
+                continue;
+            }
             PeerUpdate::Entry(_) | PeerUpdate::Origin(_) | PeerUpdate::OriginQuery(_) => {
                 log::debug!("event=news-unexpected peer={from}");
                 continue;
@@ -193,6 +215,8 @@
     let Some(deployment) = state.deployment.get().cloned() else { return Vec::new() };
     let mut due = Vec::new();
     state.agent_updates.count_model_demand(now, &deployment, &state.fleet, &state.recent_requests);
+    let digest = state.crashes.evidence.digest();
+    state.agent_updates.choose_digest_receivers(now, &state.fleet, port);
     for server in state.fleet.servers() {
         let service = deployment.services.get(&server.listed.service);
         let Some(engine_spec) = service.and_then(|service| service.engine.as_ref()) else {
@@ -215,6 +239,13 @@
         if !is_due {
             continue;
         }
+        let to = SocketAddr::new(server.listed.address.ip(), port);
+        let mut digest_at = last.and_then(|last| last.digest_at);
+        let is_digest_due = state.agent_updates.digest_receivers.contains(&to)
+            && digest_at.is_none_or(|at| now.ms_since(at) >= DIGEST_INTERVAL_MS);
+        if is_digest_due {
+            digest_at = Some(now);
+        }
         state.agent_updates.sequence += 1;
         let update = EntryUpdate {
             entry: state.agent_updates.entry,
@@ -226,6 +257,7 @@
                 .map(|(key, count)| (key.clone(), count))
                 .collect(),
             engine_spec: Some(engine_spec.clone()),
+            crash_digest: is_digest_due.then_some(digest),
             model_demand: state
                 .agent_updates
                 .model_demand
@@ -235,10 +267,10 @@
             sent_prompt_tokens,
         };
         let uses_adapters = !update.adapters_in_use.is_empty();
-        due.push((SocketAddr::new(server.listed.address.ip(), port), update));
+        due.push((to, update));
         state.agent_updates.servers.insert(
             server.listed.id.clone(),
-            LastUpdate { at: now, adapter_demand, sent_prompt_tokens, uses_adapters },
+            LastUpdate { at: now, adapter_demand, sent_prompt_tokens, uses_adapters, digest_at },
         );
     }
     if state.agent_updates.servers.len() > state.fleet.servers().len() {
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -20,6 +20,7 @@
 use super::backend_body::BackendBody;
 use super::backend_body::BodyKind;
 use super::backend_connection::BackendConnection;
+use super::crashes::admit_prompt;
 use super::in_flight::InFlightAttempt;
 use super::notices::NoticeSource;
 use super::notices::apply_notice;
@@ -119,6 +120,7 @@
 
     // A pooled connection that turns out to be closed has not transmitted the request, so another
     // connection may be tried.
+    let mut is_admitted = false;
     for _ in 0..CONNECTIONS_MAX {
         let checked_out = entry.pool.checkout(address).await;
         let mut connection = checked_out.map_err(|error| {
@@ -144,6 +146,14 @@
                 "the backend server is leaving or in a pause",
             ));
         }
+        // A trial that finds its connection closed stays a trial.
+        is_admitted = is_admitted || admit_prompt(entry, request);
+        if !is_admitted {
+            return Err(AttemptFailure::not_arrived(
+                AttemptOutcome::Left,
+                "backend servers ended under a part of the prompt",
+            ));
+        }
         let outbound = build_request(entry, request, attempt, remaining_ms, resume_after);
         let limit = Duration::from_millis(remaining_ms + RESPONSE_GRACE_MS);
         let sent = tokio::time::timeout(limit, connection.try_send(outbound)).await;
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/crashes.rs
@@ -0,0 +1,183 @@
+//! Relates the ends of backend servers to prompts, and tells what the entry learns to the others.
+
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertcleat_base::MonoTime;
+use filbertcleat_serve::CrashEvidence;
+use filbertcleat_serve::CrashId;
+use filbertcleat_serve::CrashMark;
+use filbertcleat_serve::Fleet;
+use filbertcleat_serve::PromptPart;
+use filbertcleat_serve::PromptVerdict;
+use filbertcleat_serve::ServerId;
+use filbertcleat_serve::crash_mark_holders;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+
+use super::holders::peer_addresses;
+use super::refusal::Refusal;
+use super::request::CallerRequest;
+use super::state::Entry;
+use crate::Dialect;
+use crate::metrics::Metric;
+use crate::peer_socket::PeerUpdate;
+
+/// How long a server that broke off a response is given to accept a connection: several round trips
+/// between regions.
+const VERIFY_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The crash evidence of an entry.
+#[derive(Debug, Default)]
+pub(super) struct CrashState {
+    pub evidence: CrashEvidence,
+    /// The parts of prompts on which servers broke off that may have ended.
+    unverified: HashMap<CrashId, Vec<PromptPart>>,
+}
+
+/// Handles a response that broke off before it had properly begun. Its prompt may have ended the
+/// server, which then refuses connections.
+pub(super) fn on_broken_early<D: Dialect>(
+    entry: &Rc<Entry<D>>,
+    server: &ServerId,
+    parts: &[PromptPart],
+) {
+    let state = &mut *entry.state.borrow_mut();
+    let Some(listed) = state.fleet.server(server).map(|server| &server.listed) else { return };
+    let crash = CrashId::of(server, listed.started_unix_ms);
+    let unverified = state.crashes.unverified.entry(crash).or_default();
+    let is_first = unverified.is_empty();
+    unverified.extend(parts);
+    if is_first {
+        let (entry, server, address) = (Rc::clone(entry), server.clone(), listed.address);
+        let broken_at = entry.now();
+        spawn_local(async move {
+            let has_ended = refuses_connections(address).await;
+            on_verified(&entry, crash, &server, broken_at, has_ended);
+        });
+    }
+}
+
+async fn refuses_connections(address: SocketAddr) -> bool {
+    let connected = tokio::time::timeout(VERIFY_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
+fn on_verified<D: Dialect>(
+    entry: &Entry<D>,
+    crash: CrashId,
+    server: &ServerId,
+    broken_at: MonoTime,
+    has_ended: bool,
+) {
+    let now = entry.now();
+    let parts = entry.state.borrow_mut().crashes.unverified.remove(&crash).unwrap_or_default();
+    if !has_ended {
+        return;
+    }
+    let marks = change_evidence(entry, |evidence| {
+        evidence.on_server_ended(now, crash, now.ms_since(broken_at), parts)
+    });
+    log::info!("event=server-ended server={server} marked_parts={}", marks.len());
+    entry.metrics.count(Metric::ServerEnds, &[]);
+    tell_holders(entry, marks);
+}
+
+/// Records that a server has answered a prompt with these parts.
+pub(super) fn on_prompt_answered<D: Dialect>(entry: &Entry<D>, parts: &[PromptPart]) {
+    let now = entry.now();
+    let cleared = change_evidence(entry, |evidence| evidence.on_answered(now, parts));
+    tell_holders(entry, cleared);
+}
+
+/// Returns whether the request may be sent now, and tells the others if it is a trial.
+pub(super) fn admit_prompt<D: Dialect>(entry: &Entry<D>, request: &CallerRequest) -> bool {
+    let now = entry.now();
+    let parts = &request.demand.prompt_parts;
+    let verdict = entry.state.borrow().crashes.evidence.verdict(now, parts);
+    match verdict {
+        PromptVerdict::Allowed => true,
+        PromptVerdict::TurnedAway { .. } => false,
+        PromptVerdict::Trial => {
+            log::info!("event=prompt-trial id={}", request.id);
+            let seed = entry.incarnation;
+            let marks = change_evidence(entry, |evidence| evidence.on_trial(now, parts, seed));
+            tell_holders(entry, marks);
+            true
+        }
+    }
+}
+
+/// Returns the refusal of a request whose prompt has crashed backend servers.
+pub(super) fn prompt_refusal<D: Dialect>(
+    entry: &Entry<D>,
+    request: &CallerRequest,
+) -> Option<Refusal> {
+    let evidence = &entry.state.borrow().crashes.evidence;
+    match evidence.verdict(entry.now(), &request.demand.prompt_parts) {
+        PromptVerdict::Allowed | PromptVerdict::Trial => None,
+        PromptVerdict::TurnedAway { wait_ms } => Some(Refusal::NotRun(
+            "backend servers ended under a part of the prompt",
+            Duration::from_millis(wait_ms),
+        )),
+    }
+}
+
+/// Merges the marks of an agent. The agent gets those that its complete list lacks.
+pub(super) fn on_marks<D: Dialect>(
+    entry: &Entry<D>,
+    from: SocketAddr,
+    marks: &[CrashMark],
+    is_complete: bool,
+) {
+    let now = entry.now();
+    change_evidence(entry, |evidence| evidence.merge(now, marks));
+    if !is_complete {
+        return;
+    }
+    let missing = entry.state.borrow().crashes.evidence.marks_missing_in(now, marks);
+    if !missing.is_empty() {
+        entry.peers.send(from, &PeerUpdate::CrashMarks { marks: missing, is_complete: false });
+    }
+}
+
+/// Changes the evidence, and logs which parts are suspected or no longer are.
+fn change_evidence<D: Dialect>(
+    entry: &Entry<D>,
+    change: impl FnOnce(&mut CrashEvidence) -> Vec<CrashMark>,
+) -> Vec<CrashMark> {
+    let evidence = &mut entry.state.borrow_mut().crashes.evidence;
+    let before = evidence.suspected_parts();
+    let marks = change(evidence);
+    if marks.is_empty() {
+        return marks;
+    }
+    let after = evidence.suspected_parts();
+    for part in after.difference(&before) {
+        log::warn!("event=prompt-part-suspected part={part}");
+    }
+    for part in before.difference(&after) {
+        log::info!("event=prompt-part-cleared part={part}");
+    }
+    entry.dispatcher_wakeup.notify_one();
+    marks
+}
+
+fn tell_holders<D: Dialect>(entry: &Entry<D>, marks: Vec<CrashMark>) {
+    if marks.is_empty() {
+        return;
+    }
+    let holders = holders(&entry.state.borrow().fleet, entry.settings.peer_port);
+    let update = PeerUpdate::CrashMarks { marks, is_complete: false };
+    for holder in holders {
+        entry.peers.send(holder, &update);
+    }
+}
+
+/// Returns the addresses of the agents that hold the marks of all entries.
+pub(super) fn holders(fleet: &Fleet, port: u16) -> Vec<SocketAddr> {
+    peer_addresses(fleet, port, crash_mark_holders)
+}
--- a/crates/filbertcleat-gateway/src/entry/dispatch.rs
+++ b/crates/filbertcleat-gateway/src/entry/dispatch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use filbertcleat_base::MonoTime;
+use filbertcleat_serve::PromptVerdict;
 use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::RequestQueue;
 use filbertcleat_serve::SentRequest;
@@ -67,6 +68,13 @@
         for ticket in state.queue.paused_requests() {
             state.placements.remove(&ticket);
         }
+        let evidence = &state.crashes.evidence;
+        let is_turned_away = |demand: &RequestDemand| {
+            matches!(evidence.verdict(now, &demand.prompt_parts), PromptVerdict::TurnedAway { .. })
+        };
+        for ticket in state.queue.requests_where(is_turned_away) {
+            state.placements.remove(&ticket);
+        }
     }
     // Attempts whose caller has gone are dropped here, after the borrow of the state has ended:
     // dropping one borrows the state again to update its counts.
--- a/crates/filbertcleat-gateway/src/entry/handler.rs
+++ b/crates/filbertcleat-gateway/src/entry/handler.rs
@@ -33,6 +33,7 @@
 use super::backend_body::RESPONSE_MAX_BYTES;
 use super::body::CallerBody;
 use super::connection::ActiveRequest;
+use super::crashes::prompt_refusal;
 use super::in_flight::InFlightAttempt;
 use super::origins::restrict_software;
 use super::placement::pause_refusal;
@@ -188,10 +189,10 @@
     };
     let failed_attempt =
         FailedAttempt { may_have_run: failure.may_have_run, has_arrived: failure.has_arrived };
-    // A retry that would find all servers in a pause must not draw on the budget.
-    let pause_refusal = pause_refusal(entry, request);
+    // A retry that would be refused must not draw on the budget.
+    let known_refusal = prompt_refusal(entry, request).or_else(|| pause_refusal(entry, request));
     let is_allowed = match attempts.next_after(failed_attempt) {
-        _ if pause_refusal.is_some() => false,
+        _ if known_refusal.is_some() => false,
         NextAttempt::Unbudgeted => true,
         NextAttempt::Retry => entry.take_retry(&request.service),
         NextAttempt::Stop => false,
@@ -201,7 +202,7 @@
     }
     Err(match (failure.may_have_run, failure.outcome) {
         (false, _) if !attempts.is_time_left => Refusal::DeadlineExceeded("the time is over"),
-        (false, _) => pause_refusal
+        (false, _) => known_refusal
             .unwrap_or(Refusal::NotRun("no backend server took the request", RETRY_AFTER_FULL)),
         (true, AttemptOutcome::Silent) => Refusal::DeadlineExceeded("no answer in time"),
         (true, _) => Refusal::OutcomeUnknown("the answer was lost"),
@@ -253,7 +254,10 @@
         }
     };
     let server = attempt.server().clone();
-    attempt.end(outcome);
+    match outcome {
+        AttemptOutcome::Answered => attempt.end_complete(),
+        failed => attempt.end(failed),
+    }
     entry.pool.keep(address, connection, &head.headers);
     strip_connection_headers(&mut head.headers);
     Ok(Forwarded::Complete { response: build_response(head.status, head.headers, body), server })
--- a/crates/filbertcleat-gateway/src/entry/in_flight.rs
+++ b/crates/filbertcleat-gateway/src/entry/in_flight.rs
@@ -9,6 +9,8 @@
 use filbertcleat_serve::Ticket;
 use filbertcleat_serve::WaitCause;
 
+use super::crashes::on_broken_early;
+use super::crashes::on_prompt_answered;
 use super::state::Entry;
 use crate::Dialect;
 use crate::metrics::Metric;
@@ -21,11 +23,18 @@
     sent_at: MonoTime,
     /// The time that the server needs for the prompts ahead of this one.
     backlog_ms: f64,
+    first_bytes_at: Option<MonoTime>,
     last_bytes_at: Option<MonoTime>,
+    /// Whether the answer has shown that its prompt does not crash the server.
+    is_prompt_sound: bool,
     outcome: AttemptOutcome,
 }
 
 impl<D: Dialect> InFlightAttempt<D> {
+    /// The time from the first bytes of an answer in which its prompt may still crash the server:
+    /// that of several decoding steps, and of the bytes on their way.
+    const CRASH_WINDOW_MS: u64 = 250;
+
     /// Creates the guard for an attempt that the fleet already counts.
     pub fn new(
         entry: &Rc<Entry<D>>,
@@ -41,7 +50,9 @@
             demand,
             sent_at,
             backlog_ms,
+            first_bytes_at: None,
             last_bytes_at: None,
+            is_prompt_sound: false,
             outcome: AttemptOutcome::Left,
         }
     }
@@ -59,6 +70,25 @@
     /// Records that bytes of the response have arrived.
     pub fn on_response_bytes(&mut self) {
         let now = self.entry.now();
+        self.record_bytes(now);
+        let first_bytes_at = *self.first_bytes_at.get_or_insert(now);
+        if now.ms_since(first_bytes_at) >= Self::CRASH_WINDOW_MS {
+            self.on_prompt_sound();
+        }
+    }
+
+    /// Ends the attempt after a complete answer.
+    pub fn end_complete(mut self) {
+        self.on_prompt_sound();
+        self.end(AttemptOutcome::Answered);
+    }
+
+    /// Ends the attempt with the given outcome; a guard dropped without one counts as abandoned.
+    pub fn end(mut self, outcome: AttemptOutcome) {
+        self.outcome = outcome;
+    }
+
+    fn record_bytes(&mut self, now: MonoTime) {
         let fleet = &mut self.entry.state.borrow_mut().fleet;
         if let Some(last) = self.last_bytes_at.replace(now) {
             fleet.on_bytes_received(now, &self.server, &self.demand, now.ms_since(last));
@@ -72,15 +102,21 @@
         }
     }
 
-    /// Ends the attempt with the given outcome; a guard dropped without one counts as abandoned.
-    pub fn end(mut self, outcome: AttemptOutcome) {
-        self.outcome = outcome;
+    fn on_prompt_sound(&mut self) {
+        if !self.is_prompt_sound {
+            self.is_prompt_sound = true;
+            on_prompt_answered(&self.entry, &self.demand.prompt_parts);
+        }
     }
 }
 
 impl<D: Dialect> Drop for InFlightAttempt<D> {
     fn drop(&mut self) {
         let now = self.entry.now();
+        let parts = &self.demand.prompt_parts;
+        if self.outcome == AttemptOutcome::Broken && !self.is_prompt_sound && !parts.is_empty() {
+            on_broken_early(&self.entry, &self.server, parts);
+        }
         let fleet = &mut self.entry.state.borrow_mut().fleet;
         fleet.on_ended(now, &self.server, &self.demand, self.outcome);
         let outcome = match self.outcome {
--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -1,7 +1,6 @@
 //! Finds and spreads the software versions that began streams.
 
 use std::collections::HashMap;
-use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +14,7 @@
 use filbertcleat_serve::origin_holders;
 use tokio::sync::oneshot;
 
+use super::holders::peer_addresses;
 use super::refusal::RETRY_AFTER_UNAVAILABLE;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
@@ -169,8 +169,5 @@
 
 /// Returns the addresses of the agents that hold the origin of a request's stream.
 fn holders(fleet: &Fleet, request: RequestHash, port: u16) -> Vec<SocketAddr> {
-    let engines = fleet.servers().filter(|server| !server.listed.models.is_empty());
-    let agents: Vec<IpAddr> = engines.map(|server| server.listed.address.ip()).collect();
-    let holders = origin_holders(request, agents);
-    holders.into_iter().map(|ip| SocketAddr::new(ip, port)).collect()
+    peer_addresses(fleet, port, |agents| origin_holders(request, agents))
 }
--- a/crates/filbertcleat-gateway/src/entry/placement.rs
+++ b/crates/filbertcleat-gateway/src/entry/placement.rs
@@ -13,6 +13,7 @@
 use filbertcleat_serve::return_delay_ms;
 use tokio::sync::oneshot;
 
+use super::crashes::prompt_refusal;
 use super::in_flight::InFlightAttempt;
 use super::in_flight::QueueGuard;
 use super::refusal::RETRY_AFTER_FULL;
@@ -52,6 +53,9 @@
         let reason = "no backend server of the stream's software version";
         return Err(Refusal::NotRun(reason, RETRY_AFTER_UNAVAILABLE));
     }
+    if let Some(refusal) = prompt_refusal(entry, request) {
+        return Err(refusal);
+    }
     if !request.uses_engine {
         let state = &mut *entry.state.borrow_mut();
         let failure_domain = &entry.settings.failure_domain;
@@ -92,6 +96,9 @@
         }
         return Ok(attempt);
     }
+    if let Some(refusal) = prompt_refusal(entry, request) {
+        return Err(refusal);
+    }
     let (cause, at) = wait_cause.unwrap_or((WaitCause::Pending, None));
     log_give_up(request, &entry.state.borrow().fleet, entry.now(), cause, at.as_ref());
     let retry_after = match cause {
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -26,6 +26,7 @@
 use super::BALANCER_DELAY_MS;
 use super::agent_updates::AgentUpdateState;
 use super::connection_pool::ConnectionPool;
+use super::crashes::CrashState;
 use super::idle_timeouts::IdleTimeouts;
 use super::in_flight::InFlightAttempt;
 use super::origins::OriginState;
@@ -54,6 +55,8 @@
     /// Wakes the dispatcher when a queued request might be placed.
     pub dispatcher_wakeup: Notify,
     pub state: RefCell<State<D>>,
+    /// The id of this incarnation of the entry.
+    pub incarnation: u64,
     clock: Clock,
     open_requests: Cell<usize>,
     open_connections: Cell<usize>,
@@ -78,6 +81,7 @@
     pub placements: HashMap<Ticket, oneshot::Sender<InFlightAttempt<D>>>,
     pub agent_updates: AgentUpdateState,
     pub origins: OriginState,
+    pub crashes: CrashState,
     /// Recent requests by base model: a count that is halved at intervals.
     pub recent_requests: BTreeMap<ModelName, u32>,
     halved_at: MonoTime,
@@ -94,6 +98,7 @@
         shutdown: ShutdownSignal,
     ) -> Self {
         let clock = Clock::start();
+        let incarnation = incarnation_id();
         Self {
             settings,
             dialect,
@@ -103,14 +108,16 @@
             pool: ConnectionPool::new(clock),
             metrics: Metrics::new(),
             dispatcher_wakeup: Notify::new(),
+            incarnation,
             state: RefCell::new(State {
                 deployment: CurrentDeployment::default(),
                 versions: HashMap::new(),
                 fleet: Fleet::default(),
-                queue: RequestQueue::new(incarnation_id()),
+                queue: RequestQueue::new(incarnation),
                 placements: HashMap::new(),
-                agent_updates: AgentUpdateState::new(),
+                agent_updates: AgentUpdateState::new(incarnation),
                 origins: OriginState::default(),
+                crashes: CrashState::default(),
                 recent_requests: BTreeMap::new(),
                 halved_at: MonoTime::ZERO,
                 budgets: HashMap::new(),
@@ -321,6 +328,8 @@
         let in_flight = state.fleet.servers().map(|server| u64::from(server.open_requests)).sum();
         metrics.gauge(Metric::InFlight, &[], in_flight);
         metrics.gauge(Metric::Queued, &[], state.queue.len() as u64);
+        let suspected = state.crashes.evidence.suspected_parts().len();
+        metrics.gauge(Metric::SuspectedParts, &[], suspected as u64);
         metrics.gauge(Metric::DroppedLogLines, &[], dropped_log_lines());
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -76,7 +76,12 @@
 
     /// Ends the attempt after a complete stream and keeps the connection for reuse.
     pub fn complete(self, pool: &ConnectionPool) {
-        self.attempt.end(AttemptOutcome::Answered);
+        // Without framing the end of the connection may be that of the server.
+        if self.has_framing {
+            self.attempt.end_complete();
+        } else {
+            self.attempt.end(AttemptOutcome::Answered);
+        }
         let BackendResponse { head, address, connection, .. } = *self.response;
         pool.keep(address, connection, &head.headers);
     }
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -37,6 +37,10 @@
     LeavingAnnouncements,
     /// Pauses that backend servers asked for, by the source.
     Pauses,
+    /// Ends of backend servers that broke off requests before their first event.
+    ServerEnds,
+    /// Parts of prompts for which requests are turned away.
+    SuspectedParts,
     /// Attempts in flight at backend servers.
     InFlight,
     /// Requests in the queue of the entry.
@@ -58,7 +62,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 26] = [
+pub const METRICS: [Metric; 28] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -76,6 +80,8 @@
     Metric::Servers,
     Metric::LeavingAnnouncements,
     Metric::Pauses,
+    Metric::ServerEnds,
+    Metric::SuspectedParts,
     Metric::InFlight,
     Metric::Queued,
     Metric::Orders,
@@ -108,6 +114,8 @@
             Self::Servers => "servers",
             Self::LeavingAnnouncements => "leaving",
             Self::Pauses => "pauses",
+            Self::ServerEnds => "server_ends",
+            Self::SuspectedParts => "suspected_parts",
             Self::InFlight => "open",
             Self::Queued => "waiting",
             Self::Orders => "orders",
--- a/crates/filbertcleat-gateway/src/peer_socket/convert.rs
+++ b/crates/filbertcleat-gateway/src/peer_socket/convert.rs
@@ -6,11 +6,14 @@
 use filbertcleat_serve::AdapterKey;
 use filbertcleat_serve::AdapterStage;
 use filbertcleat_serve::AgentUpdate;
+use filbertcleat_serve::CrashId;
+use filbertcleat_serve::CrashMark;
 use filbertcleat_serve::EngineSpec;
 use filbertcleat_serve::EntryUpdate;
 use filbertcleat_serve::LoadedAdapter;
 use filbertcleat_serve::ModelDemand;
 use filbertcleat_serve::ModelSpec;
+use filbertcleat_serve::PromptPart;
 use filbertcleat_serve::RequestHash;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
@@ -31,6 +34,8 @@
     OriginQuery(RequestHash),
     /// The response to an `OriginQuery`; `None` if the agent does not know the stream.
     OriginReply(RequestHash, Option<SoftwareVersion>),
+    /// Marks that crashes have left on parts of prompts: all that the sender has, or some.
+    CrashMarks { marks: Vec<CrashMark>, is_complete: bool },
 }
 
 /// The error for a datagram without a known update, as a newer version may send.
@@ -55,6 +60,12 @@
                     software_version: version.as_ref().map(ToString::to_string),
                 })
             }
+            PeerUpdate::CrashMarks { marks, is_complete } => {
+                datagram::Update::CrashMarks(v1::CrashMarks {
+                    marks: marks.iter().map(mark_to_message).collect(),
+                    complete: *is_complete,
+                })
+            }
         };
         Self { update: Some(update) }
     }
@@ -78,10 +89,34 @@
                 let version = reply.software_version.as_deref().map(SoftwareVersion::new);
                 Ok(Self::OriginReply(RequestHash::new(reply.request), version))
             }
+            datagram::Update::CrashMarks(message) => Ok(Self::CrashMarks {
+                marks: message.marks.into_iter().map(mark_from_message).collect(),
+                is_complete: message.complete,
+            }),
         }
     }
 }
 
+fn mark_to_message(mark: &CrashMark) -> v1::CrashMark {
+    v1::CrashMark {
+        part: mark.part.get(),
+        crash: mark.crash.get(),
+        age_ms: mark.age_ms,
+        cleared: mark.is_cleared,
+        was_sound: mark.was_sound,
+    }
+}
+
+fn mark_from_message(message: v1::CrashMark) -> CrashMark {
+    CrashMark {
+        part: PromptPart::new(message.part),
+        crash: CrashId::new(message.crash),
+        age_ms: message.age_ms,
+        is_cleared: message.cleared,
+        was_sound: message.was_sound,
+    }
+}
+
 fn entry_to_message(update: &EntryUpdate) -> v1::EntryUpdate {
     let adapter_demand = update.adapter_demand.iter().map(|demand| v1::AdapterDemand {
         model: demand.key.model.to_string(),
@@ -109,6 +144,7 @@
         shape: update.engine_spec.as_ref().map(engine_spec_to_message),
         demand: model_demand.collect(),
         sent_tokens: update.sent_prompt_tokens,
+        crash_digest: update.crash_digest,
     }
 }
 
@@ -135,6 +171,7 @@
         engine_spec: message.shape.map(engine_spec_from_message),
         model_demand: model_demand.collect(),
         sent_prompt_tokens: message.sent_tokens,
+        crash_digest: message.crash_digest,
     }
 }
 
--- a/crates/filbertcleat-gateway/tests/crashing_prompts.rs
+++ b/crates/filbertcleat-gateway/tests/crashing_prompts.rs
@@ -4,6 +4,8 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use filbertcleat_gateway::CatalogueDelays;
@@ -42,8 +44,12 @@
 /// The requests with the part that may reach servers after that.
 const LATE_ARRIVALS_MAX: usize = 3;
 
+/// The next part of loopback for a site, so that those of concurrent tests have no port in common.
+static SUBNETS: AtomicU8 = AtomicU8::new(1);
+
 /// Nine servers with their agents, on VMs of their own, and an entry on each of some other VMs.
 struct Site {
+    subnet: u8,
     port: u16,
     catalogue: TestCatalogue,
     backends: Vec<Backend>,
@@ -53,7 +59,8 @@
 
 impl Site {
     async fn start(policy: RetryPolicy, attempts_max: u32, entries: u8) -> Self {
-        let port = free_peer_port(entry_ip(0)).await;
+        let subnet = SUBNETS.fetch_add(1, Ordering::Relaxed);
+        let port = free_peer_port(entry_ip(subnet, 0)).await;
         let catalogue = TestCatalogue::default();
         let routes = vec![route("write", policy, attempts_max)];
         catalogue.write(CatalogueEvent::Deployment(deployment(1, routes)));
@@ -64,13 +71,13 @@
                 down: DOWN,
                 otherwise: Box::new(Script::Events { count: 3, pause: Duration::from_millis(20) }),
             };
-            let ip = Ipv4Addr::new(127, 0, 1, 101 + number);
+            let ip = Ipv4Addr::new(127, 0, subnet, 101 + number);
             let backend = Backend::start_at(&format!("w{number}"), ip, script).await;
             agents.push(start_agent(&backend, port).await);
             catalogue.write(CatalogueEvent::Listing(ListingChange::Upserted(listed(&backend))));
             backends.push(backend);
         }
-        let mut site = Self { port, catalogue, backends, agents, entries: Vec::new() };
+        let mut site = Self { subnet, port, catalogue, backends, agents, entries: Vec::new() };
         for number in 0..entries {
             site.start_entry(number).await;
         }
@@ -79,7 +86,7 @@
     }
 
     async fn start_entry(&mut self, number: u8) {
-        let peers = SocketAddr::from((entry_ip(number), self.port));
+        let peers = SocketAddr::from((entry_ip(self.subnet, number), self.port));
         let delays =
             CatalogueDelays { configuration_ms: 2_000, draining_ms: 2_000, contact_ms: 3_000 };
         self.entries.push(World::start_with_peers(self.catalogue.clone(), delays, peers).await);
@@ -126,15 +133,14 @@
     }
 }
 
-fn entry_ip(number: u8) -> Ipv4Addr {
-    Ipv4Addr::new(127, 0, 1, 11 + number)
+fn entry_ip(subnet: u8, number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, subnet, 11 + number)
 }
 
 #[rstest]
 #[case::single_attempt(STREAM, 1)]
 #[case::retried(STREAM, 2)]
 #[case::resumed(RESUMABLE, 3)]
-#[ignore = "KNOWN-RED 11: nothing relates the ends of servers to a part of prompts"]
 fn crashing_part_stopped(#[case] policy: RetryPolicy, #[case] attempts_max: u32) {
     World::run(async move {
         let site = Site::start(policy, attempts_max, 1).await;
@@ -146,7 +152,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED 11: nothing relates the ends of servers to a part of prompts"]
 fn other_entry_warned() {
     World::run(async {
         let site = Site::start(STREAM, 1, 2).await;
@@ -159,7 +164,6 @@
 
 /// Each entry sees fewer crashes than tell a crashing part from a coincidence.
 #[test]
-#[ignore = "KNOWN-RED 11: nothing relates the ends of servers to a part of prompts"]
 fn crashes_counted_together() {
     World::run(async {
         let site = Site::start(STREAM, 1, 5).await;
@@ -179,7 +183,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED 11: nothing relates the ends of servers to a part of prompts"]
 fn started_entry_warned() {
     World::run(async {
         let mut site = Site::start(STREAM, 1, 1).await;
@@ -193,7 +196,6 @@
 
 /// The agents that were told of the crashes start again before an entry starts.
 #[test]
-#[ignore = "KNOWN-RED 11: nothing relates the ends of servers to a part of prompts"]
 fn agents_start_again() {
     World::run(async {
         let mut site = Site::start(STREAM, 1, 1).await;
@@ -238,6 +240,7 @@
     World::run(async move {
         let site = Site::start(STREAM, 1, 1).await;
         for _ in 0..3 {
+            assert!(site.send(0, "a1,a2").await.is_some_and(|reply| reply.is_complete));
             for backend in &site.backends {
                 let mut caller = site.entries[0].caller().await;
                 let extra = "x-parts: a1,a2\r\n";
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -9,7 +9,9 @@
 //! - `queue`: orders the requests that wait at an entry and dispatches them to engines
 //! - `attempts`: decides whether a request may be sent again
 //! - `budget`: limits the retries of an entry
+//! - `crash_evidence`: finds parts of prompts that crash backend servers
 //! - `recipients`: decides when an agent sends updates to which entries
+//! - `holders`: chooses the agents that hold what entries have to know from each other
 //! - `stream_origins`: remembers which software version began a stream
 //! - `scheduler`: decides which load and unload orders an agent sends to its engine
 //!
@@ -17,9 +19,11 @@
 
 mod attempts;
 mod budget;
+mod crash_evidence;
 mod deployment;
 mod epoch;
 mod fleet;
+mod holders;
 mod key;
 mod listing;
 mod placement;
@@ -38,6 +42,10 @@
 pub use attempts::FailedAttempt;
 pub use attempts::NextAttempt;
 pub use budget::RetryBudget;
+pub use crash_evidence::CrashEvidence;
+pub use crash_evidence::CrashId;
+pub use crash_evidence::CrashMark;
+pub use crash_evidence::PromptVerdict;
 pub use deployment::CallerLimits;
 pub use deployment::CurrentDeployment;
 pub use deployment::Deployment;
@@ -54,6 +62,8 @@
 pub use fleet::Fleet;
 pub use fleet::RequestedPause;
 pub use fleet::Server;
+pub use holders::crash_mark_holders;
+pub use holders::origin_holders;
 pub use key::AdapterKey;
 pub use key::ServerId;
 pub use listing::ListedModel;
@@ -81,7 +91,6 @@
 pub use software_version::SoftwareVersion;
 pub use stream_origins::StreamOrigin;
 pub use stream_origins::StreamOrigins;
-pub use stream_origins::origin_holders;
 pub use update::AdapterDemand;
 pub use update::AdapterStage;
 pub use update::AgentUpdate;
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -120,6 +120,15 @@
             .map(|(ticket, _)| *ticket)
     }
 
+    /// Returns the requests whose demand meets a condition.
+    pub fn requests_where(
+        &self,
+        condition: impl Fn(&RequestDemand) -> bool,
+    ) -> impl Iterator<Item = Ticket> {
+        let requests = self.requests.iter();
+        requests.filter(move |(_, request)| condition(&request.demand)).map(|(ticket, _)| *ticket)
+    }
+
     /// Returns the number of queued requests.
     pub fn len(&self) -> usize {
         self.requests.len()
--- a/crates/filbertcleat-serve/src/recipients.rs
+++ b/crates/filbertcleat-serve/src/recipients.rs
@@ -87,6 +87,11 @@
         due
     }
 
+    /// Returns the addresses of all entries that send updates.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.recipients.keys().copied()
+    }
+
     /// Returns the time after which an announcement has reached all entries.
     pub fn announcement_delay_ms(&self) -> u64 {
         let is_prompt_for_all = self.recipients.len() <= Self::PROMPT_RECIPIENTS_MAX;
--- a/crates/filbertcleat-serve/src/stream_origins.rs
+++ b/crates/filbertcleat-serve/src/stream_origins.rs
@@ -4,14 +4,10 @@
 //! entry, so the entry that forwards its first event tells the origin to a few agents, and an entry
 //! that does not know a stream asks them.
 
-use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::net::IpAddr;
 
 use filbertcleat_base::MonoTime;
-use filbertcleat_base::mix_hashes;
-use filbertcleat_base::stable_hash;
 
 use crate::RequestHash;
 use crate::SoftwareVersion;
@@ -72,22 +68,3 @@
         }
     }
 }
-
-/// The number of agents that hold each origin, so that the loss of two processes loses none.
-const HOLDERS: usize = 3;
-
-/// Returns the VMs whose agents hold the origin of a request's stream, the first in its rendezvous
-/// order of all `agents`.
-///
-/// All entries choose the same holders as long as they know the same VMs.
-pub fn origin_holders(
-    request: RequestHash,
-    agents: impl IntoIterator<Item = IpAddr>,
-) -> Vec<IpAddr> {
-    let weight = |agent: &IpAddr| mix_hashes(request.get(), stable_hash(&agent.to_string()));
-    let mut agents: Vec<IpAddr> = agents.into_iter().collect();
-    agents.sort_unstable_by_key(|agent| (Reverse(weight(agent)), *agent));
-    agents.dedup();
-    agents.truncate(HOLDERS);
-    agents
-}
