Cut streams that end inside an event or before their first

A stream that ends inside an event has been broken off, whatever its framing; one with chunks passed for complete and lost its last part. A response without framing that ends before any event passed for an empty stream, although a server that crashes closes the connection the same way: its caller was told of success, and its prompt counted as answered.

Two of the new cases of streams.rs failed before (empty_unframed_stream_is_cut, partial_event_is_cut framed); unframed_stream_forwarded passes as before. 322 tests of the crate pass.

--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -21,6 +21,8 @@
     splitter: EventSplitter,
     /// Whether the framing of the body shows a stream that ends early.
     has_framing: bool,
+    /// Whether an event has been received.
+    has_events: bool,
     /// An item that has been received and not been taken yet.
     received: Option<SourceItem>,
 }
@@ -41,7 +43,14 @@
         let headers = &response.head.headers;
         let has_framing =
             headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
-        Self { response, attempt, splitter: EventSplitter::default(), has_framing, received: None }
+        Self {
+            response,
+            attempt,
+            splitter: EventSplitter::default(),
+            has_framing,
+            has_events: false,
+            received: None,
+        }
     }
 
     /// Returns the backend server.
@@ -95,10 +104,14 @@
     async fn receive(&mut self) -> SourceItem {
         loop {
             let frame = match self.response.body.frame().await {
-                None if self.has_framing || self.splitter.is_between_events() => {
-                    return SourceItem::End;
+                None if !self.splitter.is_between_events() => {
+                    return SourceItem::Broken("the body ends within an event".to_owned());
+                }
+                // The end of the connection may be that of the server.
+                None if !self.has_framing && !self.has_events => {
+                    return SourceItem::Broken("the connection ends before an event".to_owned());
                 }
-                None => return SourceItem::Broken("the body ends within an event".to_owned()),
+                None => return SourceItem::End,
                 Some(Err(error)) => return SourceItem::Broken(error.to_string()),
                 Some(Ok(frame)) => frame,
             };
@@ -108,6 +121,7 @@
             };
             self.attempt.on_response_bytes();
             let events = self.splitter.push(&bytes);
+            self.has_events |= !events.is_empty();
             if events.is_empty() && self.splitter.is_event_too_large() {
                 return SourceItem::Broken("an event is too large".to_owned());
             }
--- a/crates/filbertcleat-gateway/tests/streams.rs
+++ b/crates/filbertcleat-gateway/tests/streams.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use filbertcleat_serve::RetryPolicy;
+use rstest::rstest;
 
 use self::support::Backend;
 use self::support::Call;
@@ -51,9 +52,39 @@
 }
 
 #[test]
-fn partial_event_is_cut() {
+fn unframed_stream_forwarded() {
     World::run(async {
-        let writer = Backend::start("w1", Script::UnframedPartialEvent).await;
+        let writer = Backend::start("w1", Script::UnframedEvents { count: 5 }).await;
+        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
+
+        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+
+        let reply = reply.expect("a response");
+        assert_eq!(reply.body, five_events());
+        assert!(reply.is_complete);
+    });
+}
+
+/// A server that ends after the head of an unframed response closes the connection like one that
+/// has sent everything.
+#[test]
+fn empty_unframed_stream_is_cut() {
+    World::run(async {
+        let writer = Backend::start("w1", Script::UnframedEvents { count: 0 }).await;
+        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
+
+        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+
+        assert!(!reply.expect("a response head").is_complete);
+    });
+}
+
+#[rstest]
+#[case::unframed(Script::UnframedPartialEvent)]
+#[case::framed(Script::FramedPartialEvent)]
+fn partial_event_is_cut(#[case] script: Script) {
+    World::run(async {
+        let writer = Backend::start("w1", script).await;
         let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
 
         let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -32,6 +32,10 @@
     EventsWithSilence { count: u64, after: u64, silence: Duration },
     /// Sends one event and half of the next without HTTP framing, and closes the connection.
     UnframedPartialEvent,
+    /// Sends one event and half of the next, and ends the stream properly.
+    FramedPartialEvent,
+    /// Sends `count` events without HTTP framing, and closes the connection.
+    UnframedEvents { count: u64 },
     /// Runs the request and closes the connection without a response.
     Close,
     /// Responds that it did not run the request.
@@ -260,6 +264,16 @@
                 write(stream, &format!("{}\r\n{}id: 2\nda", response_head(200), event(1))).await;
                 false
             }
+            Script::FramedPartialEvent => {
+                write(stream, &events_head).await;
+                write(stream, &chunk(&format!("{}id: 2\nda", event(1)))).await;
+                write(stream, "0\r\n\r\n").await
+            }
+            Script::UnframedEvents { count } => {
+                let events: String = (1..=count).map(event).collect();
+                write(stream, &format!("{}\r\n{events}", response_head(200))).await;
+                false
+            }
             Script::Close => false,
             Script::NotRun => {
                 let text = format!("{}x-not-run: 1\r\n", response_head(503));
