--- a/crates/filbertcleat-gateway/tests/streams.rs
+++ b/crates/filbertcleat-gateway/tests/streams.rs
@@ -18,6 +18,8 @@
 const RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: true };
 const FIVE_EVENTS: Script = Script::Events { count: 5, pause: Duration::from_millis(20) };
 
+const PARTIAL_EVENT: &str = "id: 1\ndata: piece-1\n\nid: 2\nda";
+
 fn five_events() -> String {
     (1..=5).map(event).collect()
 }
@@ -54,7 +56,7 @@
 #[test]
 fn unframed_stream_forwarded() {
     World::run(async {
-        let writer = Backend::start("w1", Script::UnframedEvents { count: 5 }).await;
+        let writer = Backend::start("w1", Script::Unframed { body: five_events().leak() }).await;
         let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
 
         let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
@@ -70,7 +72,7 @@
 #[test]
 fn empty_unframed_stream_is_cut() {
     World::run(async {
-        let writer = Backend::start("w1", Script::UnframedEvents { count: 0 }).await;
+        let writer = Backend::start("w1", Script::Unframed { body: "" }).await;
         let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
 
         let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
@@ -80,7 +82,7 @@
 }
 
 #[rstest]
-#[case::unframed(Script::UnframedPartialEvent)]
+#[case::unframed(Script::Unframed { body: PARTIAL_EVENT })]
 #[case::framed(Script::FramedPartialEvent)]
 fn partial_event_is_cut(#[case] script: Script) {
     World::run(async {
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,12 +31,10 @@
     EventsThenCut { count: u64 },
     /// Sends `count` events, falls silent once after event `after`, and ends the stream properly.
     EventsWithSilence { count: u64, after: u64, silence: Duration },
-    /// Sends one event and half of the next without HTTP framing, and closes the connection.
-    UnframedPartialEvent,
+    /// Sends a body without HTTP framing, and closes the connection.
+    Unframed { body: &'static str },
     /// Sends one event and half of the next, and ends the stream properly.
     FramedPartialEvent,
-    /// Sends `count` events without HTTP framing, and closes the connection.
-    UnframedEvents { count: u64 },
     /// Runs the request and closes the connection without a response.
     Close,
     /// Responds that it did not run the request.
@@ -229,10 +228,7 @@
             }
             Script::Events { count, pause } => {
                 write(stream, &events_head).await;
-                for number in last_event_id + 1..=count {
-                    tokio::time::sleep(pause).await;
-                    write(stream, &chunk(&event(number))).await;
-                }
+                write_events(stream, last_event_id + 1..=count, pause).await;
                 write(stream, "0\r\n\r\n").await
             }
             Script::LargeEvents { count, bytes } => {
@@ -245,9 +241,7 @@
             }
             Script::EventsThenCut { count } => {
                 write(stream, &events_head).await;
-                for number in last_event_id + 1..=count {
-                    write(stream, &chunk(&event(number))).await;
-                }
+                write_events(stream, last_event_id + 1..=count, Duration::ZERO).await;
                 false
             }
             Script::EventsWithSilence { count, after, silence } => {
@@ -260,18 +254,13 @@
                 }
                 write(stream, "0\r\n\r\n").await
             }
-            Script::UnframedPartialEvent => {
-                write(stream, &format!("{}\r\n{}id: 2\nda", response_head(200), event(1))).await;
-                false
-            }
             Script::FramedPartialEvent => {
                 write(stream, &events_head).await;
                 write(stream, &chunk(&format!("{}id: 2\nda", event(1)))).await;
                 write(stream, "0\r\n\r\n").await
             }
-            Script::UnframedEvents { count } => {
-                let events: String = (1..=count).map(event).collect();
-                write(stream, &format!("{}\r\n{events}", response_head(200))).await;
+            Script::Unframed { body } => {
+                write(stream, &format!("{}\r\n{body}", response_head(200))).await;
                 false
             }
             Script::Close => false,
@@ -335,6 +324,16 @@
     format!("id: 1\ndata: {}\n\n", "x".repeat(data_bytes))
 }
 
+/// Writes events with a pause before each.
+async fn write_events(stream: &mut OwnedWriteHalf, numbers: RangeInclusive<u64>, pause: Duration) {
+    for number in numbers {
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
+        write(stream, &chunk(&event(number))).await;
+    }
+}
+
 async fn write(stream: &mut OwnedWriteHalf, text: &str) -> bool {
     stream.write_all(text.as_bytes()).await.is_ok()
 }
