Read and log the limits that backend servers name

The dialect reads the header as part of a server's notice, entries log and count each change (limit-changed), and agents pass on the limit that their engine names to them. A value that is no number changes nothing. Placement does not use the limit yet.

--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -350,6 +350,7 @@
             None => true,
             Some(last)
                 if last.is_leaving != update.is_leaving
+                    || last.limit != update.limit
                     || last.adapters != update.adapters
                     || last.available_models != update.available_models =>
             {
@@ -411,6 +412,7 @@
             others_prompt_tokens: self.scheduler.others_prompt_tokens(now, self.id),
             others_total_tokens: 0,
             is_leaving: self.notices.is_leaving(),
+            limit: self.notices.limit(),
             live_entries: u32::try_from(self.scheduler.live_entries(now)).unwrap_or(u32::MAX),
         })
     }
--- a/crates/filbertcleat-gateway/src/agent/engine_notices.rs
+++ b/crates/filbertcleat-gateway/src/agent/engine_notices.rs
@@ -1,6 +1,7 @@
 //! What an engine announced to its agent.
 
 use filbertcleat_base::MonoTime;
+use filbertcleat_serve::NamedLimit;
 
 use crate::ServerNotice;
 use crate::metrics::Metric;
@@ -12,6 +13,7 @@
 pub(super) struct EngineNotices {
     is_leaving: bool,
     paused_until: MonoTime,
+    limit: NamedLimit,
 }
 
 impl EngineNotices {
@@ -26,6 +28,9 @@
         notice: ServerNotice,
         is_complete_report: bool,
     ) {
+        if notice.limit != NamedLimit::Unreadable {
+            self.limit = notice.limit;
+        }
         let was_leaving = self.is_leaving;
         self.is_leaving = notice.is_leaving || (was_leaving && !is_complete_report);
         if self.is_leaving && !was_leaving {
@@ -44,6 +49,11 @@
         self.is_leaving
     }
 
+    /// Returns the limit that the engine named in its last answer.
+    pub fn limit(&self) -> NamedLimit {
+        self.limit
+    }
+
     /// Returns when the pause that the engine last asked for ends.
     pub fn paused_until(&self) -> MonoTime {
         self.paused_until
--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -185,7 +185,8 @@
         let state = entry.state.borrow();
         state.fleet.server(&update.server).map_or(0, |server| server.listed.started_unix_ms)
     };
-    let notice = ServerNotice { is_leaving: update.is_leaving, ..ServerNotice::default() };
+    let AgentUpdate { is_leaving, limit, .. } = *update;
+    let notice = ServerNotice { is_leaving, limit, ..ServerNotice::default() };
     apply_notice(entry, &update.server, started_unix_ms, notice, NoticeSource::Agent);
 }
 
--- a/crates/filbertcleat-gateway/src/entry/notices.rs
+++ b/crates/filbertcleat-gateway/src/entry/notices.rs
@@ -1,5 +1,7 @@
 //! Applies what backend servers announce in their answers.
 
+use filbertcleat_serve::LimitSource;
+use filbertcleat_serve::NamedLimit;
 use filbertcleat_serve::ServerId;
 
 use super::state::Entry;
@@ -42,6 +44,25 @@
         log_pause(&entry.metrics, by, server.as_str(), requested, pause_ms);
         entry.dispatcher_wakeup.notify_one();
     }
+    let limit_source = match source {
+        NoticeSource::Answer => LimitSource::Answer,
+        NoticeSource::Agent => LimitSource::Agent,
+    };
+    let limit = {
+        let fleet = &mut entry.state.borrow_mut().fleet;
+        let is_changed = fleet.on_limit(server, limit_source, notice.limit);
+        let limit = fleet.server(server).and_then(|server| server.limit());
+        is_changed.then_some(limit)
+    };
+    if let Some(limit) = limit {
+        let per_s = limit.map_or("-".to_owned(), |limit| limit.to_string());
+        log::info!("event=limit-changed by={by} server={server} per_s={per_s}");
+        entry.metrics.count(Metric::LimitChanges, &[("by", by)]);
+        entry.dispatcher_wakeup.notify_one();
+    }
+    if notice.limit == NamedLimit::Unreadable {
+        log::warn!("event=limit-unreadable by={by} server={server}");
+    }
     if !notice.is_leaving {
         return;
     }
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -37,6 +37,8 @@
     LeavingAnnouncements,
     /// Pauses that backend servers asked for, by the source.
     Pauses,
+    /// Changes of the limits that backend servers name, by the source.
+    LimitChanges,
     /// Ends of backend servers that broke off requests before their first event.
     ServerEnds,
     /// Parts of prompts for which requests are turned away.
@@ -62,7 +64,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 28] = [
+pub const METRICS: [Metric; 29] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -80,6 +82,7 @@
     Metric::Servers,
     Metric::LeavingAnnouncements,
     Metric::Pauses,
+    Metric::LimitChanges,
     Metric::ServerEnds,
     Metric::SuspectedParts,
     Metric::InFlight,
@@ -114,6 +117,7 @@
             Self::Servers => "servers",
             Self::LeavingAnnouncements => "leaving",
             Self::Pauses => "pauses",
+            Self::LimitChanges => "limit_changes",
             Self::ServerEnds => "server_ends",
             Self::SuspectedParts => "suspected_parts",
             Self::InFlight => "open",
--- a/crates/filbertcleat-gateway/src/notice.rs
+++ b/crates/filbertcleat-gateway/src/notice.rs
@@ -1,5 +1,6 @@
 //! What a backend server announces about itself in the headers of an answer.
 
+use filbertcleat_serve::NamedLimit;
 use filbertcleat_serve::RequestedPause;
 use http::StatusCode;
 
@@ -12,6 +13,8 @@
     pub is_leaving: bool,
     /// The pause that the backend server asks for.
     pub pause: Option<RequestedPause>,
+    /// The limit that the backend server names.
+    pub limit: NamedLimit,
 }
 
 impl ServerNotice {
--- a/crates/filbertcleat-gateway/src/peer_socket/convert.rs
+++ b/crates/filbertcleat-gateway/src/peer_socket/convert.rs
@@ -13,8 +13,10 @@
 use filbertcleat_serve::LoadedAdapter;
 use filbertcleat_serve::ModelDemand;
 use filbertcleat_serve::ModelSpec;
+use filbertcleat_serve::NamedLimit;
 use filbertcleat_serve::PromptPart;
 use filbertcleat_serve::RequestHash;
+use filbertcleat_serve::RequestLimit;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
 use filbertcleat_serve::StreamOrigin;
@@ -197,6 +199,10 @@
         others_total_tokens: update.others_total_tokens,
         entries: update.live_entries,
         leaving: update.is_leaving,
+        limit_thousandths_per_s: match update.limit {
+            NamedLimit::Named(limit) => Some(limit.thousandths()),
+            NamedLimit::Absent | NamedLimit::Unreadable => None,
+        },
     }
 }
 
@@ -221,6 +227,9 @@
         others_total_tokens: message.others_total_tokens,
         live_entries: message.entries,
         is_leaving: message.leaving,
+        limit: message.limit_thousandths_per_s.map_or(NamedLimit::Absent, |thousandths| {
+            NamedLimit::Named(RequestLimit::from_thousandths(thousandths))
+        }),
     }
 }
 
--- a/crates/filbertcleat-gateway/tests/agent_notices.rs
+++ b/crates/filbertcleat-gateway/tests/agent_notices.rs
@@ -17,6 +17,7 @@
 use filbertcleat_platform::CallError;
 use filbertcleat_serve::AdapterKey;
 use filbertcleat_serve::EngineReport;
+use filbertcleat_serve::NamedLimit;
 use filbertcleat_serve::Order;
 use filbertcleat_serve::OrderKind;
 use filbertcleat_serve::RequestedPause;
@@ -26,7 +27,8 @@
 use self::support::DemandingEntry;
 use self::support::World;
 
-const LEAVING: ServerNotice = ServerNotice { is_leaving: true, pause: None };
+const LEAVING: ServerNotice =
+    ServerNotice { is_leaving: true, pause: None, limit: NamedLimit::Absent };
 
 /// An engine whose answers carry notices.
 #[derive(Clone, Debug, Default)]
@@ -145,7 +147,7 @@
 /// The engine asks its agent for a pause of three seconds.
 fn pause_3_s() -> ServerNotice {
     let pause = Some(RequestedPause::Lasting { asked_ms: 3_000 });
-    ServerNotice { is_leaving: false, pause }
+    ServerNotice { pause, ..ServerNotice::default() }
 }
 
 #[test]
--- a/crates/filbertcleat-gateway/tests/support/dialect.rs
+++ b/crates/filbertcleat-gateway/tests/support/dialect.rs
@@ -6,7 +6,9 @@
 use filbertcleat_gateway::RequestMetadata;
 use filbertcleat_gateway::ResponseMetadata;
 use filbertcleat_gateway::ServerNotice;
+use filbertcleat_serve::NamedLimit;
 use filbertcleat_serve::PromptPart;
+use filbertcleat_serve::RequestLimit;
 use filbertcleat_serve::RequestedPause;
 use filbertcleat_serve::ServerId;
 use http::HeaderMap;
@@ -52,6 +54,10 @@
             is_encoded: false,
             notice: ServerNotice {
                 is_leaving: headers.contains_key("x-leaving"),
+                limit: text(headers, "x-limit").map_or(NamedLimit::Absent, |text| {
+                    let limit = text.parse().ok().and_then(RequestLimit::per_second);
+                    limit.map_or(NamedLimit::Unreadable, NamedLimit::Named)
+                }),
                 pause: text(headers, "x-pause-ms").map(|text| match text.parse() {
                     Ok(asked_ms) => RequestedPause::Lasting { asked_ms },
                     Err(_not_a_number) => RequestedPause::Unreadable,
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -5,10 +5,13 @@
 mod engine_pace;
 mod gap_control;
 mod leaving_servers;
+mod limit_source;
+mod named_limit;
 mod paused_servers;
 mod prefill_fit;
 mod prefill_pacer;
 mod removed_servers;
+mod request_limit;
 mod requested_pause;
 mod server;
 mod share_ceiling;
@@ -24,9 +27,12 @@
 pub use self::attempt_outcome::AttemptOutcome;
 use self::engine_model::EngineModel;
 use self::leaving_servers::LeavingServers;
+pub use self::limit_source::LimitSource;
+pub use self::named_limit::NamedLimit;
 use self::paused_servers::PausedServers;
 pub(crate) use self::prefill_pacer::PrefillPacer;
 use self::removed_servers::RemovedServers;
+pub use self::request_limit::RequestLimit;
 pub use self::requested_pause::RequestedPause;
 pub use self::server::Server;
 use crate::AgentUpdate;
@@ -154,6 +160,12 @@
         pause_ms
     }
 
+    /// Records what an answer of a backend server, or of its engine to an agent, says about its
+    /// limit. Returns whether that changed.
+    pub fn on_limit(&mut self, id: &ServerId, source: LimitSource, named: NamedLimit) -> bool {
+        self.servers.get_mut(id).is_some_and(|server| server.on_limit(source, named))
+    }
+
     /// Records that a request is sent to a backend server. Returns the time that the server needs
     /// for the prompts ahead of it, in milliseconds.
     pub fn on_sent(&mut self, now: MonoTime, id: &ServerId, demand: &RequestDemand) -> f64 {
--- /dev/null
+++ b/crates/filbertcleat-serve/src/fleet/named_limit.rs
@@ -0,0 +1,15 @@
+//! What an answer of a backend server says about its limit on requests.
+
+use super::RequestLimit;
+
+/// What an answer of a backend server says about its limit on requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum NamedLimit {
+    /// The server has no limit.
+    #[default]
+    Absent,
+    /// The server names a limit.
+    Named(RequestLimit),
+    /// The server names a limit that cannot be read. The one that is known stays in force.
+    Unreadable,
+}
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -6,6 +6,9 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::stable_hash;
 
+use super::LimitSource;
+use super::NamedLimit;
+use super::RequestLimit;
 use super::attempt_outcome::AttemptOutcome;
 use super::engine_model::EngineModel;
 use super::prefill_pacer::PrefillPacer;
@@ -30,6 +33,10 @@
     pub(super) has_announced_leaving: bool,
     /// When the pause that the server last asked for ends.
     pub(super) paused_until: MonoTime,
+    /// The limit that the server's last answer to this entry named.
+    answer_limit: Option<RequestLimit>,
+    /// The limit that the server's last answer to its agent named.
+    agent_limit: Option<RequestLimit>,
     address_hash: u64,
     prefill: PrefillPacer,
     memory_since_update_tokens: u64,
@@ -69,6 +76,8 @@
             last_byte_at: now,
             has_announced_leaving: false,
             paused_until: MonoTime::ZERO,
+            answer_limit: None,
+            agent_limit: None,
             prefill: PrefillPacer::new(now, model),
             memory_since_update_tokens: 0,
             update: None,
@@ -140,6 +149,11 @@
         Some(self.paused_until).filter(|until| *until > now)
     }
 
+    /// Returns the limit that the server names, the lower one if two are known.
+    pub fn limit(&self) -> Option<RequestLimit> {
+        self.answer_limit.into_iter().chain(self.agent_limit).min()
+    }
+
     /// Returns whether the server itself wants requests: it is not leaving and not in a pause.
     pub fn accepts_requests(&self, now: MonoTime) -> bool {
         !self.is_leaving() && self.paused_until(now).is_none()
@@ -276,6 +290,21 @@
         self.failure_rate
     }
 
+    /// Records what an answer says about the server's limit. Returns whether that changed.
+    pub(super) fn on_limit(&mut self, source: LimitSource, named: NamedLimit) -> bool {
+        let before = self.limit();
+        let known = match source {
+            LimitSource::Answer => &mut self.answer_limit,
+            LimitSource::Agent => &mut self.agent_limit,
+        };
+        match named {
+            NamedLimit::Absent => *known = None,
+            NamedLimit::Named(limit) => *known = Some(limit),
+            NamedLimit::Unreadable => {}
+        }
+        self.limit() != before
+    }
+
     /// Sets what the servers of the service have shown.
     pub(super) fn set_model(&mut self, model: EngineModel) {
         self.prefill.set_model(model);
--- a/crates/filbertcleat-serve/src/update/agent.rs
+++ b/crates/filbertcleat-serve/src/update/agent.rs
@@ -3,6 +3,7 @@
 use filbertcleat_base::ModelName;
 
 use crate::LoadedAdapter;
+use crate::NamedLimit;
 use crate::ServerId;
 
 /// An agent's update about its engine, sent to an entry.
@@ -34,6 +35,8 @@
     pub others_total_tokens: u64,
     /// Whether the engine announced in its last answer that it is leaving.
     pub is_leaving: bool,
+    /// What the engine's last answer to the agent says about its limit on requests.
+    pub limit: NamedLimit,
     /// The number of entries from which the agent has recently received updates.
     pub live_entries: u32,
 }
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -21,6 +21,7 @@
 use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::LoadedAdapter;
 use filbertcleat_serve::ModelSpec;
+use filbertcleat_serve::NamedLimit;
 use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
@@ -82,6 +83,7 @@
         others_prompt_tokens: 0,
         others_total_tokens: 0,
         is_leaving: false,
+        limit: NamedLimit::Absent,
         live_entries: 2,
     }
 }
