--- a/crates/filbertcleat-gateway/tests/crashing_prompts.rs
+++ b/crates/filbertcleat-gateway/tests/crashing_prompts.rs
@@ -2,30 +2,18 @@
 
 mod support;
 
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
-use std::sync::atomic::AtomicU8;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use filbertcleat_gateway::CatalogueDelays;
-use filbertcleat_gateway::CatalogueEvent;
-use filbertcleat_gateway::ShutdownSignal;
-use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::RetryPolicy;
 use rstest::rstest;
 
-use self::support::Backend;
 use self::support::Call;
 use self::support::Script;
-use self::support::TestCatalogue;
+use self::support::Site;
 use self::support::World;
 use self::support::caller::Reply;
-use self::support::idle_agent::free_peer_port;
 use self::support::idle_agent::start_agent;
 use self::support::route;
-use self::support::world::deployment;
-use self::support::world::listed;
 
 const STREAM: RetryPolicy = RetryPolicy::Stream { resumable: false };
 const RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: true };
@@ -37,75 +25,41 @@
 const DOWN: Duration = Duration::from_secs(4);
 /// The time between two requests with the crashing part.
 const INTERVAL: Duration = Duration::from_millis(400);
-/// The time in which an entry learns of a change of the catalogue.
-const LISTING_DELAY: Duration = Duration::from_secs(2);
 /// The time within which all processes that are connected have to know of the crashes.
 const CONTACT: Duration = Duration::from_secs(3);
 /// The requests with the part that may reach servers after that.
 const LATE_ARRIVALS_MAX: usize = 3;
 
-/// The next part of loopback for a site, so that those of concurrent tests have no port in common.
-static SUBNETS: AtomicU8 = AtomicU8::new(1);
-
-/// Nine servers with their agents, on VMs of their own, and an entry on each of some other VMs.
-struct Site {
-    subnet: u8,
-    port: u16,
-    catalogue: TestCatalogue,
-    backends: Vec<Backend>,
-    agents: Vec<ShutdownSignal>,
-    entries: Vec<World>,
+/// Nine servers that the part crashes, and some entries.
+struct CrashSite {
+    site: Site,
 }
 
-impl Site {
+impl CrashSite {
     async fn start(policy: RetryPolicy, attempts_max: u32, entries: u8) -> Self {
-        let subnet = SUBNETS.fetch_add(1, Ordering::Relaxed);
-        let port = free_peer_port(entry_ip(subnet, 0)).await;
-        let catalogue = TestCatalogue::default();
+        let script = Script::CrashOnPart {
+            part: CRASHING,
+            down: DOWN,
+            otherwise: Box::new(Script::Events { count: 3, pause: Duration::from_millis(20) }),
+        };
+        let servers = (0..9).map(|number| (format!("w{number}"), script.clone())).collect();
         let routes = vec![route("write", policy, attempts_max)];
-        catalogue.write(CatalogueEvent::Deployment(deployment(1, routes)));
-        let (mut backends, mut agents) = (Vec::new(), Vec::new());
-        for number in 0..9 {
-            let script = Script::CrashOnPart {
-                part: CRASHING,
-                down: DOWN,
-                otherwise: Box::new(Script::Events { count: 3, pause: Duration::from_millis(20) }),
-            };
-            let ip = Ipv4Addr::new(127, 0, subnet, 101 + number);
-            let backend = Backend::start_at(&format!("w{number}"), ip, script).await;
-            agents.push(start_agent(&backend, port).await);
-            catalogue.write(CatalogueEvent::Listing(ListingChange::Upserted(listed(&backend))));
-            backends.push(backend);
-        }
-        let mut site = Self { subnet, port, catalogue, backends, agents, entries: Vec::new() };
-        for number in 0..entries {
-            site.start_entry(number).await;
-        }
-        tokio::time::sleep(LISTING_DELAY).await;
-        site
-    }
-
-    async fn start_entry(&mut self, number: u8) {
-        let peers = SocketAddr::from((entry_ip(self.subnet, number), self.port));
-        let delays =
-            CatalogueDelays { configuration_ms: 2_000, draining_ms: 2_000, contact_ms: 3_000 };
-        self.entries.push(World::start_with_peers(self.catalogue.clone(), delays, peers).await);
+        Self { site: Site::start(routes, servers, entries).await }
     }
 
     fn crashes(&self) -> usize {
-        self.backends.iter().map(|backend| backend.crashes.get()).sum()
+        self.site.backends.iter().map(|backend| backend.crashes.get()).sum()
     }
 
     /// Returns how many requests with the crashing part have reached servers.
     fn arrivals(&self) -> usize {
-        self.backends.iter().map(|backend| backend.arrivals_with(CRASHING)).sum()
+        self.site.backends.iter().map(|backend| backend.arrivals_with(CRASHING)).sum()
     }
 
     /// Sends a request with these shared parts to an entry.
     async fn send(&self, entry: usize, parts: &str) -> Option<Reply> {
         let extra = format!("x-parts: {parts}\r\n").leak();
-        let mut caller = self.entries[entry].caller().await;
-        caller.call(&Call { extra, ..Call::new("a", "/write/1") }).await
+        self.site.send(entry, &Call { extra, ..Call::new("a", "/write/1") }).await
     }
 
     /// Sends requests with the crashing part, no two alike, until five servers have ended or 20 have
@@ -133,17 +87,13 @@
     }
 }
 
-fn entry_ip(subnet: u8, number: u8) -> Ipv4Addr {
-    Ipv4Addr::new(127, 0, subnet, 11 + number)
-}
-
 #[rstest]
 #[case::single_attempt(STREAM, 1)]
 #[case::retried(STREAM, 2)]
 #[case::resumed(RESUMABLE, 3)]
 fn crashing_part_stopped(#[case] policy: RetryPolicy, #[case] attempts_max: u32) {
     World::run(async move {
-        let site = Site::start(policy, attempts_max, 1).await;
+        let site = CrashSite::start(policy, attempts_max, 1).await;
         site.crash_five(0).await;
         tokio::time::sleep(CONTACT).await;
 
@@ -154,7 +104,7 @@
 #[test]
 fn other_entry_warned() {
     World::run(async {
-        let site = Site::start(STREAM, 1, 2).await;
+        let site = CrashSite::start(STREAM, 1, 2).await;
         site.crash_five(0).await;
         tokio::time::sleep(CONTACT).await;
 
@@ -166,7 +116,7 @@
 #[test]
 fn crashes_counted_together() {
     World::run(async {
-        let site = Site::start(STREAM, 1, 5).await;
+        let site = CrashSite::start(STREAM, 1, 5).await;
         for entry in 0..5 {
             site.send(entry, &format!("{FIRST},{CRASHING},{entry}0")).await;
             tokio::time::sleep(INTERVAL).await;
@@ -185,9 +135,9 @@
 #[test]
 fn started_entry_warned() {
     World::run(async {
-        let mut site = Site::start(STREAM, 1, 1).await;
+        let mut site = CrashSite::start(STREAM, 1, 1).await;
         site.crash_five(0).await;
-        site.start_entry(1).await;
+        site.site.start_entry(1).await;
         tokio::time::sleep(CONTACT).await;
 
         site.expect_turned_away(1).await;
@@ -198,15 +148,16 @@
 #[test]
 fn agents_start_again() {
     World::run(async {
-        let mut site = Site::start(STREAM, 1, 1).await;
+        let mut site = CrashSite::start(STREAM, 1, 1).await;
         site.crash_five(0).await;
-        for (agent, backend) in site.agents.iter_mut().zip(&site.backends) {
+        let Site { agents, backends, port, .. } = &mut site.site;
+        for (agent, backend) in agents.iter_mut().zip(backends) {
             agent.trigger();
             tokio::time::sleep(Duration::from_millis(100)).await;
-            *agent = start_agent(backend, site.port).await;
+            *agent = start_agent(backend, *port).await;
         }
         tokio::time::sleep(CONTACT).await;
-        site.start_entry(1).await;
+        site.site.start_entry(1).await;
         tokio::time::sleep(CONTACT).await;
 
         site.expect_turned_away(1).await;
@@ -217,7 +168,7 @@
 #[test]
 fn sound_prompts_served() {
     World::run(async {
-        let site = Site::start(STREAM, 1, 2).await;
+        let site = CrashSite::start(STREAM, 1, 2).await;
         site.crash_five(0).await;
         tokio::time::sleep(CONTACT * 2).await;
 
@@ -238,11 +189,11 @@
 #[case::in_turn(Duration::from_millis(700))]
 fn other_crashes_blame_nobody(#[case] gap: Duration) {
     World::run(async move {
-        let site = Site::start(STREAM, 1, 1).await;
+        let site = CrashSite::start(STREAM, 1, 1).await;
         for _ in 0..3 {
             assert!(site.send(0, "a1,a2").await.is_some_and(|reply| reply.is_complete));
-            for backend in &site.backends {
-                let mut caller = site.entries[0].caller().await;
+            for backend in &site.site.backends {
+                let mut caller = site.site.entries[0].caller().await;
                 let extra = "x-parts: a1,a2\r\n";
                 let call = Call { extra, ..Call::new("a", "/write/1") };
                 caller.send(&call).await.expect("the entry reads the request");
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -17,6 +17,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// What the backend server does with one request.
 #[derive(Clone, Debug)]
@@ -78,6 +79,8 @@
     default_script: Rc<RefCell<Script>>,
     /// The heads of the requests that arrived.
     pub seen: Rc<RefCell<Vec<String>>>,
+    /// When these requests arrived.
+    pub arrived_at: Rc<RefCell<Vec<Instant>>>,
     /// The number of accepted connections.
     pub connections: Rc<Cell<usize>>,
     /// The number of requests whose connection was closed while they ran.
@@ -108,6 +111,7 @@
             scripts: Rc::default(),
             default_script: Rc::new(RefCell::new(default_script)),
             seen: Rc::default(),
+            arrived_at: Rc::default(),
             connections: Rc::default(),
             cancelled: Rc::default(),
             reset: Rc::default(),
@@ -152,6 +156,11 @@
         self.seen.borrow().iter().filter(|head| has_part(head, part)).count()
     }
 
+    /// Replaces the script of requests without one of their own.
+    pub fn set_default(&self, script: Script) {
+        *self.default_script.borrow_mut() = script;
+    }
+
     /// Queues a script for the next request.
     pub fn script_next(&self, script: Script) {
         self.scripts.borrow_mut().push_back(script);
@@ -174,6 +183,7 @@
         while let Some(head) = read_request(&mut reader).await {
             let id = header(&head, "x-id").unwrap_or_default();
             self.seen.borrow_mut().push(head.clone());
+            self.arrived_at.borrow_mut().push(Instant::now());
             let script = self.scripts.borrow_mut().pop_front();
             let script = script.unwrap_or_else(|| self.default_script.borrow().clone());
             let is_kept_alive = tokio::select! {
--- a/crates/filbertcleat-gateway/tests/support/mod.rs
+++ b/crates/filbertcleat-gateway/tests/support/mod.rs
@@ -8,6 +8,7 @@
 mod demanding_entry;
 mod dialect;
 pub mod idle_agent;
+pub mod site;
 pub mod world;
 
 pub use backend::Backend;
@@ -17,5 +18,6 @@
 pub use catalogue::TestCatalogue;
 pub use demanding_entry::DemandingEntry;
 pub use dialect::TestDialect;
+pub use site::Site;
 pub use world::World;
 pub use world::route;
--- a/crates/filbertcleat-serve/src/fleet/request_limit.rs
+++ b/crates/filbertcleat-serve/src/fleet/request_limit.rs
@@ -12,7 +12,8 @@
     /// Creates the limit from requests per second, or returns `None` if that is no such number.
     pub fn per_second(requests: f64) -> Option<Self> {
         // The conversion of a value that is too large saturates.
-        (requests >= 0.0).then(|| Self { thousandths_per_s: (requests * 1_000.0) as u64 })
+        let thousandths_per_s = (requests * 1_000.0) as u64;
+        (requests >= 0.0).then_some(Self { thousandths_per_s })
     }
 
     /// Creates the limit from thousandths of a request per second.
