Await each agent's reply to a question for a stream's origin

The open question now keeps the agents that have not replied, and only these are asked again.

late_replies_awaited failed before (503, no request at a server).

--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -147,7 +147,7 @@
         let mut update = match update {
             PeerUpdate::Agent(update) => update,
             PeerUpdate::OriginReply(request, version) => {
-                on_origin_reply(&entry, request, version);
+                on_origin_reply(&entry, from, request, version);
                 continue;
             }
             PeerUpdate::CrashMarks { marks, is_complete } => {
--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -1,5 +1,6 @@
 //! Finds and spreads the software versions that began streams.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -39,7 +40,9 @@
 /// A question that not all agents have answered.
 #[derive(Debug, Default)]
 struct OpenQuery {
-    awaited_replies: usize,
+    /// The agents that have not replied. A late reply to an earlier question counts like one to a
+    /// later question.
+    awaited: BTreeSet<SocketAddr>,
     waiting: Vec<oneshot::Sender<Option<SoftwareVersion>>>,
 }
 
@@ -110,14 +113,15 @@
 /// Applies an agent's response to a question.
 pub(super) fn on_origin_reply<D: Dialect>(
     entry: &Entry<D>,
+    from: SocketAddr,
     request: RequestHash,
     version: Option<SoftwareVersion>,
 ) {
     let now = entry.now();
     let origins = &mut entry.state.borrow_mut().origins;
     let Some(query) = origins.queries.get_mut(&request) else { return };
-    query.awaited_replies = query.awaited_replies.saturating_sub(1);
-    if version.is_none() && query.awaited_replies > 0 {
+    query.awaited.remove(&from);
+    if version.is_none() && !query.awaited.is_empty() {
         return;
     }
     for waiting in origins.queries.remove(&request).into_iter().flat_map(|query| query.waiting) {
@@ -147,7 +151,8 @@
     Lookup::Unknown
 }
 
-/// Asks the agents that hold an origin, or returns `None` if there are none.
+/// Asks the agents that hold an origin and have not replied, or returns `None` if no agent holds
+/// one.
 fn ask<D: Dialect>(
     entry: &Entry<D>,
     request: RequestHash,
@@ -159,10 +164,12 @@
     }
     let (sender, receiver) = oneshot::channel();
     let query = state.origins.queries.entry(request).or_default();
-    query.awaited_replies = holders.len();
+    if query.waiting.is_empty() {
+        query.awaited.extend(holders);
+    }
     query.waiting.push(sender);
-    for holder in holders {
-        entry.peers.send(holder, &PeerUpdate::OriginQuery(request));
+    for holder in &query.awaited {
+        entry.peers.send(*holder, &PeerUpdate::OriginQuery(request));
     }
     Some(receiver)
 }
--- a/crates/filbertcleat-gateway/tests/software_versions.rs
+++ b/crates/filbertcleat-gateway/tests/software_versions.rs
@@ -4,6 +4,7 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use filbertcleat_base::FailureDomain;
@@ -14,7 +15,12 @@
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
+use filbertcleat_wire::v1;
+use filbertcleat_wire::v1::datagram::Update;
+use prost::Message;
 use rstest::rstest;
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
 
 use self::support::Backend;
 use self::support::Call;
@@ -199,3 +205,62 @@
         assert!(reply.is_complete);
     });
 }
+
+/// An agent that replies to the first questions for a stream after these delays, with a version or
+/// without.
+async fn start_late_agent(address: SocketAddr, delays_ms: [u64; 2], version: Option<&'static str>) {
+    let socket = Rc::new(UdpSocket::bind(address).await.expect("the port is free"));
+    spawn_local(async move {
+        let mut buffer = [0; 2_000];
+        let mut delays_ms = delays_ms.into_iter();
+        loop {
+            let (length, from) = socket.recv_from(&mut buffer).await.expect("loopback works");
+            let datagram = v1::Datagram::decode(&buffer[..length]).expect("a valid message");
+            let Some(Update::OriginQuery(query)) = datagram.update else { continue };
+            let Some(wait_ms) = delays_ms.next() else { return };
+            let socket = Rc::clone(&socket);
+            spawn_local(async move {
+                tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+                let software_version = version.map(str::to_owned);
+                let reply = v1::OriginReply { request: query.request, software_version };
+                let reply = v1::Datagram { update: Some(Update::OriginReply(reply)) };
+                socket.send_to(&reply.encode_to_vec(), from).await.expect("loopback works");
+            });
+        }
+    });
+}
+
+/// Two agents don't know the stream, and their replies come after the entry has asked again; the
+/// third one knows the stream and is the last to reply.
+#[test]
+fn late_replies_awaited() {
+    World::run(async {
+        let [entry_ip, old_ip, new_ip, other_ip] =
+            [21, 23, 24, 25].map(|last| Ipv4Addr::new(127, 0, 0, last));
+        let port = free_peer_port(entry_ip).await;
+        let old = Backend::start_at("w1", old_ip, FIVE_EVENTS).await;
+        let new = Backend::start_at("w2", new_ip, FIVE_EVENTS).await;
+        let other = Backend::start_at("w3", other_ip, FIVE_EVENTS).await;
+        for (ip, delays_ms, version) in
+            [(old_ip, [65, 10], None), (new_ip, [66, 10], None), (other_ip, [200, 40], Some("v1"))]
+        {
+            start_late_agent(SocketAddr::from((ip, port)), delays_ms, version).await;
+        }
+        let catalogue = TestCatalogue::default();
+        let delays =
+            CatalogueDelays { configuration_ms: 2_000, draining_ms: 2_000, contact_ms: 3_000 };
+        let routes = vec![route("write", RESUMABLE, 1)];
+        catalogue.write(CatalogueEvent::Deployment(deployment(1, routes)));
+        for record in [near(&old, "v1"), far(&new, "v2"), far(&other, "v2")] {
+            upsert(&catalogue, record);
+        }
+        let peers = SocketAddr::from((entry_ip, port));
+        let world = World::start_with_peers(catalogue, delays, peers).await;
+        tokio::time::sleep(LISTING_DELAY).await;
+
+        let reply = world.caller().await.call(&take_up("b")).await.expect("a response");
+
+        assert_eq!((reply.status, old.arrivals()), (200, 1));
+        assert_eq!(reply.body, events(4..=5));
+    });
+}
