--- a/crates/filbertcleat-gateway/src/entry/stream_moves.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_moves.rs
@@ -35,6 +35,7 @@
             return Some(source);
         }
         self.request.attempts += 1;
+        let server = attempt.server().clone();
         let mut silent = Some(source);
         let opened = {
             let mut opening = pin!(self.open_with_event(attempt));
@@ -66,8 +67,12 @@
             }
             Err(failure) => {
                 self.request.attempts -= u32::from(!failure.has_arrived);
-                self.log_not_resumed(failure.reason);
-                silent
+                self.log_event("resume-failed", &server, failure.reason);
+                if silent.is_some() {
+                    return silent;
+                }
+                self.request.avoided.push(server);
+                self.resume_after(failure).await
             }
         }
     }
@@ -98,6 +103,12 @@
 
     /// Resumes a broken stream, unless the caller disconnects first.
     pub(super) async fn resume_for_caller(&mut self) -> Option<StreamSource<D>> {
+        let failure = AttemptFailure::unknown(AttemptOutcome::Broken, "the stream broke off");
+        self.resume_after(failure).await
+    }
+
+    /// Resumes a stream after a failed attempt, unless the caller disconnects first.
+    async fn resume_after(&mut self, failure: AttemptFailure) -> Option<StreamSource<D>> {
         let sender = self.sender.clone();
         tokio::select! {
             biased;
@@ -105,16 +116,15 @@
                 self.log_not_resumed("the caller disconnected");
                 None
             }
-            resumed = self.resume() => resumed,
+            resumed = self.resume(failure) => resumed,
         }
     }
 
-    /// Resumes a broken stream with a new attempt, after the last event that was forwarded.
+    /// Resumes a stream with a new attempt, after the last event that was forwarded.
     ///
     /// Returns `None` if the attempts or the retry budget are used up, or if no backend server is
     /// available.
-    async fn resume(&mut self) -> Option<StreamSource<D>> {
-        let mut failure = AttemptFailure::unknown(AttemptOutcome::Broken, "the stream broke off");
+    async fn resume(&mut self, mut failure: AttemptFailure) -> Option<StreamSource<D>> {
         loop {
             if let Err(refusal) = check_retry(&self.entry, &self.request, failure) {
                 self.log_not_resumed(refusal.reason());
