Carry crash marks and leaving servers as shared facts

One entry's answer told it that a server is leaving, and the others went on sending there until the store or an answer of their own told them. Crash marks had a message of their own.

Both are facts in one bounded structure now, with one message, one digest and one counter: told at once to three agents, which tell all entries, and compared by digest with updates that are sent anyway.

--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -1,7 +1,6 @@
 //! The agent process, which loads and unloads the models and adapters of the engine on its VM.
 
 mod engine_notices;
-mod held_marks;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -18,8 +17,10 @@
 use filbertcleat_serve::AgentUpdate;
 use filbertcleat_serve::EngineReport;
 use filbertcleat_serve::EntryUpdate;
+use filbertcleat_serve::Fact;
 use filbertcleat_serve::Order;
 use filbertcleat_serve::OrderKind;
+use filbertcleat_serve::SharedFacts;
 use filbertcleat_serve::StreamOrigins;
 use filbertcleat_serve::UpdateRecipients;
 use tokio::net::TcpListener;
@@ -28,7 +29,6 @@
 use tokio::time::Instant;
 
 use self::engine_notices::EngineNotices;
-use self::held_marks::HeldMarks;
 use crate::EngineAnswer;
 use crate::EngineControl;
 use crate::OrderResponse;
@@ -95,7 +95,7 @@
         scheduler: AdapterScheduler::new(id),
         recipients: UpdateRecipients::default(),
         origins: StreamOrigins::default(),
-        crash_marks: HeldMarks::default(),
+        facts: SharedFacts::default(),
         last_update: None,
         last_update_at: MonoTime::ZERO,
         id,
@@ -128,7 +128,7 @@
     scheduler: AdapterScheduler,
     recipients: UpdateRecipients,
     origins: StreamOrigins,
-    crash_marks: HeldMarks,
+    facts: SharedFacts,
     last_update: Option<AgentUpdate>,
     last_update_at: MonoTime,
     /// The id of this incarnation of the agent.
@@ -204,19 +204,13 @@
     ) -> Option<EntryUpdate> {
         match update {
             PeerUpdate::Entry(update) => {
-                let digest = update.crash_digest;
-                let marks = digest.and_then(|digest| self.crash_marks.complete_unless(now, digest));
-                if let Some(marks) = marks {
-                    self.socket.send(from, &marks);
+                if update.facts_digest.is_some_and(|digest| digest != self.facts.digest()) {
+                    let facts = self.facts.all(now);
+                    self.socket.send(from, &PeerUpdate::Facts { facts, is_complete: true });
                 }
                 return Some(update);
             }
-            PeerUpdate::CrashMarks { marks, .. } => {
-                if let Some(news) = self.crash_marks.merge(now, &marks) {
-                    let others = self.recipients.addresses().filter(|address| *address != from);
-                    others.for_each(|address| self.socket.send(address, &news));
-                }
-            }
+            PeerUpdate::Facts { facts, .. } => self.pass_on(now, from, &facts),
             PeerUpdate::Origin(origin) => self.origins.record(now, origin),
             PeerUpdate::OriginQuery(request) => {
                 let version = self.origins.software_version(request).cloned();
@@ -229,6 +223,18 @@
         None
     }
 
+    /// Merges the facts of an entry, and tells the other entries those that are new.
+    fn pass_on(&mut self, now: MonoTime, from: SocketAddr, facts: &[Fact]) {
+        let news = self.facts.merge(now, facts);
+        if news.is_empty() {
+            return;
+        }
+        let update = PeerUpdate::Facts { facts: news, is_complete: false };
+        for address in self.recipients.addresses().filter(|address| *address != from) {
+            self.socket.send(address, &update);
+        }
+    }
+
     fn report_interval(&self) -> Duration {
         let is_busy = self.scheduler.needs_frequent_reports(self.clock.now());
         if is_busy { Self::BUSY_REPORT_INTERVAL } else { Self::REPORT_INTERVAL }
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -14,6 +14,7 @@
 mod crashes;
 mod dispatch;
 mod events;
+mod facts;
 mod handler;
 mod holders;
 mod idle_timeouts;
--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -16,8 +16,8 @@
 use filbertcleat_serve::ModelDemand;
 use filbertcleat_serve::ServerId;
 
-use super::crashes;
-use super::crashes::on_marks;
+use super::facts::holders;
+use super::facts::on_facts;
 use super::notices::NoticeSource;
 use super::notices::apply_notice;
 use super::origins::on_origin_reply;
@@ -38,7 +38,7 @@
 const UPDATE_INTERVAL_MIN_MS: u64 = 1;
 /// The longest interval between two scans for due updates, which go over all backend servers.
 const SCAN_INTERVAL_MS: u64 = 50;
-/// The shortest interval between two digests to an agent, which leaves time for its marks to arrive.
+/// The shortest interval between two digests to an agent, which leaves time for its facts to arrive.
 const DIGEST_INTERVAL_MS: u64 = 300;
 /// The interval at which the demand for base models is counted. Agents use it once a second.
 const MODEL_DEMAND_INTERVAL_MS: u64 = 500;
@@ -52,7 +52,7 @@
     /// The demand for base models and the number of their engines, by service.
     model_demand: BTreeMap<ServiceName, Vec<ModelDemand>>,
     model_demand_at: Option<MonoTime>,
-    /// The agents that hold the crash marks of all entries.
+    /// The agents that hold the facts of all entries.
     digest_receivers: Vec<SocketAddr>,
     digest_receivers_at: Option<MonoTime>,
     last_scan: Option<ScanState>,
@@ -102,7 +102,7 @@
             return;
         }
         self.digest_receivers_at = Some(now);
-        self.digest_receivers = crashes::holders(fleet, port);
+        self.digest_receivers = holders(fleet, port);
     }
 
     /// Recomputes the demand for base models and the number of their engines, once per interval.
@@ -150,8 +150,8 @@
                 on_origin_reply(&entry, from, request, version);
                 continue;
             }
-            PeerUpdate::CrashMarks { marks, is_complete } => {
-                on_marks(&entry, from, &marks, is_complete);
+            PeerUpdate::Facts { facts, is_complete } => {
+                on_facts(&entry, from, &facts, is_complete);
                 continue;
             }
             PeerUpdate::Entry(_) | PeerUpdate::Origin(_) | PeerUpdate::OriginQuery(_) => {
@@ -216,7 +216,7 @@
     let Some(deployment) = state.deployment.get().cloned() else { return Vec::new() };
     let mut due = Vec::new();
     state.agent_updates.count_model_demand(now, &deployment, &state.fleet, &state.recent_requests);
-    let digest = state.crashes.evidence.digest();
+    let digest = state.fleet.facts().digest();
     state.agent_updates.choose_digest_receivers(now, &state.fleet, port);
     for server in state.fleet.servers() {
         let service = deployment.services.get(&server.listed.service);
@@ -258,7 +258,7 @@
                 .map(|(key, count)| (key.clone(), count))
                 .collect(),
             engine_spec: Some(engine_spec.clone()),
-            crash_digest: is_digest_due.then_some(digest),
+            facts_digest: is_digest_due.then_some(digest),
             model_demand: state
                 .agent_updates
                 .model_demand
--- a/crates/filbertcleat-gateway/src/entry/crashes.rs
+++ b/crates/filbertcleat-gateway/src/entry/crashes.rs
@@ -1,4 +1,4 @@
-//! Relates the ends of backend servers to prompts, and tells what the entry learns to the others.
+//! Relates the ends of backend servers to prompts, and turns prompts away that crash servers.
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -10,33 +10,27 @@
 use filbertcleat_serve::CrashEvidence;
 use filbertcleat_serve::CrashId;
 use filbertcleat_serve::CrashMark;
-use filbertcleat_serve::Fleet;
+use filbertcleat_serve::Fact;
 use filbertcleat_serve::PromptPart;
 use filbertcleat_serve::PromptVerdict;
 use filbertcleat_serve::ServerId;
-use filbertcleat_serve::crash_mark_holders;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
-use super::holders::peer_addresses;
+use super::facts::change_facts;
+use super::facts::tell_holders;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
 use super::state::Entry;
 use crate::Dialect;
 use crate::metrics::Metric;
-use crate::peer_socket::PeerUpdate;
 
 /// How long a server that broke off a response is given to accept a connection: several round trips
 /// between regions.
 const VERIFY_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// The crash evidence of an entry.
-#[derive(Debug, Default)]
-pub(super) struct CrashState {
-    pub evidence: CrashEvidence,
-    /// The parts of prompts on which servers broke off that may have ended.
-    unverified: HashMap<CrashId, Vec<PromptPart>>,
-}
+/// The parts of prompts on which servers broke off that may have ended.
+pub(super) type UnverifiedCrashes = HashMap<CrashId, Vec<PromptPart>>;
 
 /// Handles a response that broke off before it had properly begun. Its prompt may have ended the
 /// server, which then refuses connections.
@@ -48,7 +42,7 @@
     let state = &mut *entry.state.borrow_mut();
     let Some(listed) = state.fleet.server(server).map(|server| &server.listed) else { return };
     let crash = CrashId::of(server, listed.started_unix_ms);
-    let unverified = state.crashes.unverified.entry(crash).or_default();
+    let unverified = state.unverified_crashes.entry(crash).or_default();
     let is_first = unverified.is_empty();
     unverified.extend(parts);
     if is_first {
@@ -74,11 +68,11 @@
     has_ended: bool,
 ) {
     let now = entry.now();
-    let parts = entry.state.borrow_mut().crashes.unverified.remove(&crash).unwrap_or_default();
+    let parts = entry.state.borrow_mut().unverified_crashes.remove(&crash).unwrap_or_default();
     if !has_ended {
         return;
     }
-    let marks = change_evidence(entry, |evidence| {
+    let marks = change_crashes(entry, |evidence| {
         evidence.on_server_ended(now, crash, now.ms_since(broken_at), parts)
     });
     log::info!("event=server-ended server={server} marked_parts={}", marks.len());
@@ -89,7 +83,7 @@
 /// Records that a server has answered a prompt with these parts.
 pub(super) fn on_prompt_answered<D: Dialect>(entry: &Entry<D>, parts: &[PromptPart]) {
     let now = entry.now();
-    let cleared = change_evidence(entry, |evidence| evidence.on_answered(now, parts));
+    let cleared = change_crashes(entry, |evidence| evidence.on_answered(now, parts));
     tell_holders(entry, cleared);
 }
 
@@ -97,14 +91,14 @@
 pub(super) fn admit_prompt<D: Dialect>(entry: &Entry<D>, request: &CallerRequest) -> bool {
     let now = entry.now();
     let parts = &request.demand.prompt_parts;
-    let verdict = entry.state.borrow().crashes.evidence.verdict(now, parts);
+    let verdict = entry.state.borrow().fleet.facts().crashes().verdict(now, parts);
     match verdict {
         PromptVerdict::Allowed => true,
         PromptVerdict::TurnedAway { .. } => false,
         PromptVerdict::Trial => {
             log::info!("event=prompt-trial id={}", request.id);
             let seed = entry.incarnation;
-            let marks = change_evidence(entry, |evidence| evidence.on_trial(now, parts, seed));
+            let marks = change_crashes(entry, |evidence| evidence.on_trial(now, parts, seed));
             tell_holders(entry, marks);
             true
         }
@@ -116,7 +110,8 @@
     entry: &Entry<D>,
     request: &CallerRequest,
 ) -> Option<Refusal> {
-    let evidence = &entry.state.borrow().crashes.evidence;
+    let state = entry.state.borrow();
+    let evidence = state.fleet.facts().crashes();
     match evidence.verdict(entry.now(), &request.demand.prompt_parts) {
         PromptVerdict::Allowed | PromptVerdict::Trial => None,
         PromptVerdict::TurnedAway { wait_ms } => Some(Refusal::NotRun(
@@ -126,58 +121,9 @@
     }
 }
 
-/// Merges the marks of an agent. The agent gets those that its complete list lacks.
-pub(super) fn on_marks<D: Dialect>(
-    entry: &Entry<D>,
-    from: SocketAddr,
-    marks: &[CrashMark],
-    is_complete: bool,
-) {
-    let now = entry.now();
-    change_evidence(entry, |evidence| evidence.merge(now, marks));
-    if !is_complete {
-        return;
-    }
-    let missing = entry.state.borrow().crashes.evidence.marks_missing_in(now, marks);
-    if !missing.is_empty() {
-        entry.peers.send(from, &PeerUpdate::CrashMarks { marks: missing, is_complete: false });
-    }
-}
-
-/// Changes the evidence, and logs which parts are suspected or no longer are.
-fn change_evidence<D: Dialect>(
+fn change_crashes<D: Dialect>(
     entry: &Entry<D>,
     change: impl FnOnce(&mut CrashEvidence) -> Vec<CrashMark>,
-) -> Vec<CrashMark> {
-    let evidence = &mut entry.state.borrow_mut().crashes.evidence;
-    let before = evidence.suspected_parts();
-    let marks = change(evidence);
-    if marks.is_empty() {
-        return marks;
-    }
-    let after = evidence.suspected_parts();
-    for part in after.difference(&before) {
-        log::warn!("event=prompt-part-suspected part={part}");
-    }
-    for part in before.difference(&after) {
-        log::info!("event=prompt-part-cleared part={part}");
-    }
-    entry.dispatcher_wakeup.notify_one();
-    marks
-}
-
-fn tell_holders<D: Dialect>(entry: &Entry<D>, marks: Vec<CrashMark>) {
-    if marks.is_empty() {
-        return;
-    }
-    let holders = holders(&entry.state.borrow().fleet, entry.settings.peer_port);
-    let update = PeerUpdate::CrashMarks { marks, is_complete: false };
-    for holder in holders {
-        entry.peers.send(holder, &update);
-    }
-}
-
-/// Returns the addresses of the agents that hold the marks of all entries.
-pub(super) fn holders(fleet: &Fleet, port: u16) -> Vec<SocketAddr> {
-    peer_addresses(fleet, port, crash_mark_holders)
+) -> Vec<Fact> {
+    change_facts(entry, |fleet| fleet.change_crashes(change))
 }
--- a/crates/filbertcleat-gateway/src/entry/dispatch.rs
+++ b/crates/filbertcleat-gateway/src/entry/dispatch.rs
@@ -68,7 +68,7 @@
         for ticket in state.queue.paused_requests() {
             state.placements.remove(&ticket);
         }
-        let evidence = &state.crashes.evidence;
+        let evidence = state.fleet.facts().crashes();
         let is_turned_away = |demand: &RequestDemand| {
             matches!(evidence.verdict(now, &demand.prompt_parts), PromptVerdict::TurnedAway { .. })
         };
--- a/crates/filbertcleat-gateway/src/entry/notices.rs
+++ b/crates/filbertcleat-gateway/src/entry/notices.rs
@@ -5,6 +5,7 @@
 use filbertcleat_serve::Server;
 use filbertcleat_serve::ServerId;
 
+use super::facts::tell_holders;
 use super::state::Entry;
 use crate::Dialect;
 use crate::ServerNotice;
@@ -67,10 +68,21 @@
     if !notice.is_leaving {
         return;
     }
-    let is_new = entry.state.borrow_mut().fleet.on_leaving(now, server, started_unix_ms);
-    if is_new {
-        log::info!("event=leaving-announced by={by} server={server} started_ms={started_unix_ms}");
-        entry.metrics.count(Metric::LeavingAnnouncements, &[("by", by)]);
-        entry.dispatcher_wakeup.notify_one();
+    let news = entry.state.borrow_mut().fleet.on_leaving(now, server, started_unix_ms);
+    if !news.is_empty() {
+        log_leaving(entry, by, server, started_unix_ms);
+        tell_holders(entry, news);
     }
 }
+
+/// Logs and counts that a server has announced its leaving, and wakes the dispatcher.
+pub(super) fn log_leaving<D: Dialect>(
+    entry: &Entry<D>,
+    by: &str,
+    server: &ServerId,
+    started_unix_ms: u64,
+) {
+    log::info!("event=leaving-announced by={by} server={server} started_ms={started_unix_ms}");
+    entry.metrics.count(Metric::LeavingAnnouncements, &[("by", by)]);
+    entry.dispatcher_wakeup.notify_one();
+}
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -26,7 +26,7 @@
 use super::BALANCER_DELAY_MS;
 use super::agent_updates::AgentUpdateState;
 use super::connection_pool::ConnectionPool;
-use super::crashes::CrashState;
+use super::crashes::UnverifiedCrashes;
 use super::idle_timeouts::IdleTimeouts;
 use super::in_flight::InFlightAttempt;
 use super::origins::OriginState;
@@ -81,7 +81,7 @@
     pub placements: HashMap<Ticket, oneshot::Sender<InFlightAttempt<D>>>,
     pub agent_updates: AgentUpdateState,
     pub origins: OriginState,
-    pub crashes: CrashState,
+    pub unverified_crashes: UnverifiedCrashes,
     /// Recent requests by base model: a count that is halved at intervals.
     pub recent_requests: BTreeMap<ModelName, u32>,
     halved_at: MonoTime,
@@ -117,7 +117,7 @@
                 placements: HashMap::new(),
                 agent_updates: AgentUpdateState::new(incarnation),
                 origins: OriginState::default(),
-                crashes: CrashState::default(),
+                unverified_crashes: UnverifiedCrashes::default(),
                 recent_requests: BTreeMap::new(),
                 halved_at: MonoTime::ZERO,
                 budgets: HashMap::new(),
@@ -328,7 +328,7 @@
         let in_flight = state.fleet.servers().map(|server| u64::from(server.open_requests)).sum();
         metrics.gauge(Metric::InFlight, &[], in_flight);
         metrics.gauge(Metric::Queued, &[], state.queue.len() as u64);
-        let suspected = state.crashes.evidence.suspected_parts().len();
+        let suspected = state.fleet.facts().crashes().suspected_parts().len();
         metrics.gauge(Metric::SuspectedParts, &[], suspected as u64);
         metrics.gauge(Metric::DroppedLogLines, &[], dropped_log_lines());
     }
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -37,6 +37,8 @@
     LeavingAnnouncements,
     /// Pauses that backend servers asked for, by the source.
     Pauses,
+    /// Facts that the entry has learned itself or was told, by kind and source.
+    Facts,
     /// Changes of the limits that backend servers name, by the source.
     LimitChanges,
     /// Ends of backend servers that broke off requests before their first event.
@@ -64,7 +66,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 29] = [
+pub const METRICS: [Metric; 30] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -82,6 +84,7 @@
     Metric::Servers,
     Metric::LeavingAnnouncements,
     Metric::Pauses,
+    Metric::Facts,
     Metric::LimitChanges,
     Metric::ServerEnds,
     Metric::SuspectedParts,
@@ -117,6 +120,7 @@
             Self::Servers => "servers",
             Self::LeavingAnnouncements => "leaving",
             Self::Pauses => "pauses",
+            Self::Facts => "facts",
             Self::LimitChanges => "limit_changes",
             Self::ServerEnds => "server_ends",
             Self::SuspectedParts => "suspected_parts",
--- a/crates/filbertcleat-gateway/src/peer_socket/convert.rs
+++ b/crates/filbertcleat-gateway/src/peer_socket/convert.rs
@@ -10,6 +10,8 @@
 use filbertcleat_serve::CrashMark;
 use filbertcleat_serve::EngineSpec;
 use filbertcleat_serve::EntryUpdate;
+use filbertcleat_serve::Fact;
+use filbertcleat_serve::LeavingMark;
 use filbertcleat_serve::LoadedAdapter;
 use filbertcleat_serve::ModelDemand;
 use filbertcleat_serve::ModelSpec;
@@ -22,6 +24,7 @@
 use filbertcleat_serve::StreamOrigin;
 use filbertcleat_wire::v1;
 use filbertcleat_wire::v1::datagram;
+use filbertcleat_wire::v1::fact;
 
 /// An update of an entry or an agent.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,8 +39,8 @@
     OriginQuery(RequestHash),
     /// The response to an `OriginQuery`; `None` if the agent does not know the stream.
     OriginReply(RequestHash, Option<SoftwareVersion>),
-    /// Marks that crashes have left on parts of prompts: all that the sender has, or some.
-    CrashMarks { marks: Vec<CrashMark>, is_complete: bool },
+    /// Facts that all processes have to know: all that the sender has, or some.
+    Facts { facts: Vec<Fact>, is_complete: bool },
 }
 
 /// The error for a datagram without a known update, as a newer version may send.
@@ -62,12 +65,10 @@
                     software_version: version.as_ref().map(ToString::to_string),
                 })
             }
-            PeerUpdate::CrashMarks { marks, is_complete } => {
-                datagram::Update::CrashMarks(v1::CrashMarks {
-                    marks: marks.iter().map(mark_to_message).collect(),
-                    complete: *is_complete,
-                })
-            }
+            PeerUpdate::Facts { facts, is_complete } => datagram::Update::Facts(v1::Facts {
+                facts: facts.iter().map(fact_to_message).collect(),
+                complete: *is_complete,
+            }),
         };
         Self { update: Some(update) }
     }
@@ -91,32 +92,48 @@
                 let version = reply.software_version.as_deref().map(SoftwareVersion::new);
                 Ok(Self::OriginReply(RequestHash::new(reply.request), version))
             }
-            datagram::Update::CrashMarks(message) => Ok(Self::CrashMarks {
-                marks: message.marks.into_iter().map(mark_from_message).collect(),
+            datagram::Update::Facts(message) => Ok(Self::Facts {
+                facts: message.facts.into_iter().filter_map(fact_from_message).collect(),
                 is_complete: message.complete,
             }),
         }
     }
 }
 
-fn mark_to_message(mark: &CrashMark) -> v1::CrashMark {
-    v1::CrashMark {
-        part: mark.part.get(),
-        crash: mark.crash.get(),
-        age_ms: mark.age_ms,
-        cleared: mark.is_cleared,
-        was_sound: mark.was_sound,
-    }
+fn fact_to_message(fact: &Fact) -> v1::Fact {
+    let fact = match fact {
+        Fact::Crash(mark) => fact::Fact::Crash(v1::CrashMark {
+            part: mark.part.get(),
+            crash: mark.crash.get(),
+            age_ms: mark.age_ms,
+            cleared: mark.is_cleared,
+            was_sound: mark.was_sound,
+        }),
+        Fact::Leaving(mark) => fact::Fact::Leaving(v1::LeavingMark {
+            server: mark.server.to_string(),
+            started_unix_ms: mark.started_unix_ms,
+            age_ms: mark.age_ms,
+        }),
+    };
+    v1::Fact { fact: Some(fact) }
 }
 
-fn mark_from_message(message: v1::CrashMark) -> CrashMark {
-    CrashMark {
-        part: PromptPart::new(message.part),
-        crash: CrashId::new(message.crash),
-        age_ms: message.age_ms,
-        is_cleared: message.cleared,
-        was_sound: message.was_sound,
-    }
+/// Returns the fact of a message, or `None` for a kind that a newer version may send.
+fn fact_from_message(message: v1::Fact) -> Option<Fact> {
+    Some(match message.fact? {
+        fact::Fact::Crash(mark) => Fact::Crash(CrashMark {
+            part: PromptPart::new(mark.part),
+            crash: CrashId::new(mark.crash),
+            age_ms: mark.age_ms,
+            is_cleared: mark.cleared,
+            was_sound: mark.was_sound,
+        }),
+        fact::Fact::Leaving(mark) => Fact::Leaving(LeavingMark {
+            server: ServerId::new(&mark.server),
+            started_unix_ms: mark.started_unix_ms,
+            age_ms: mark.age_ms,
+        }),
+    })
 }
 
 fn entry_to_message(update: &EntryUpdate) -> v1::EntryUpdate {
@@ -146,7 +163,7 @@
         shape: update.engine_spec.as_ref().map(engine_spec_to_message),
         demand: model_demand.collect(),
         sent_tokens: update.sent_prompt_tokens,
-        crash_digest: update.crash_digest,
+        facts_digest: update.facts_digest,
     }
 }
 
@@ -173,7 +190,7 @@
         engine_spec: message.shape.map(engine_spec_from_message),
         model_demand: model_demand.collect(),
         sent_prompt_tokens: message.sent_tokens,
-        crash_digest: message.crash_digest,
+        facts_digest: message.facts_digest,
     }
 }
 
--- a/crates/filbertcleat-serve/src/crash_evidence.rs
+++ b/crates/filbertcleat-serve/src/crash_evidence.rs
@@ -24,6 +24,7 @@
 use self::suspicion::Suspicion;
 use self::suspicion::find_suspicions;
 use crate::PromptPart;
+use crate::fact_time::FactTime;
 
 /// The marks that crashes have left on parts of prompts.
 ///
@@ -40,9 +41,8 @@
 /// What is known of one part and one crash.
 #[derive(Clone, Copy, Debug)]
 struct Mark {
-    /// When the server ended, on this process's clock in milliseconds. It is negative if the server
-    /// ended before this process started.
-    at_ms: i64,
+    /// When the server ended.
+    at: FactTime,
     is_cleared: bool,
     was_sound: bool,
 }
@@ -53,7 +53,7 @@
     /// The most parts that one crash marks at one process, so that no crash displaces the others.
     pub const CRASH_MARKS_MAX: usize = 32;
     /// The time after which a mark is forgotten, which exceeds the longest interval of trials.
-    const LIFETIME_MS: i64 = 3_600_000;
+    const LIFETIME_MS: u64 = 3_600_000;
 
     /// Records that a server ended `age_ms` ago while requests with these parts had brought no
     /// event. Returns the marks that are new.
@@ -97,14 +97,14 @@
     pub fn merge(&mut self, now: MonoTime, marks: &[CrashMark]) -> Vec<CrashMark> {
         let mut news = Vec::new();
         for message in marks {
-            let at_ms = clock_ms(now).saturating_sub_unsigned(message.age_ms);
-            if clock_ms(now) - at_ms >= Self::LIFETIME_MS {
+            if message.age_ms >= Self::LIFETIME_MS {
                 continue;
             }
+            let at = FactTime::ago(now, message.age_ms);
             let CrashMark { part, crash, is_cleared, was_sound, .. } = *message;
             let known = self.marks.get(&(part, crash)).copied();
             let merged = Mark {
-                at_ms: known.map_or(at_ms, |known| known.at_ms),
+                at: known.map_or(at, |known| known.at),
                 is_cleared: is_cleared || known.is_some_and(|known| known.is_cleared),
                 was_sound: was_sound || known.is_some_and(|known| known.was_sound),
             };
@@ -127,13 +127,6 @@
         marks.map(|((part, crash), mark)| mark.message(now, *part, *crash)).collect()
     }
 
-    /// Returns the marks that tell something which `others` do not.
-    pub fn marks_missing_in(&self, now: MonoTime, others: &[CrashMark]) -> Vec<CrashMark> {
-        let mut theirs = Self::default();
-        theirs.merge(now, others);
-        theirs.merge(now, &self.marks(now))
-    }
-
     /// Returns a number that is equal for equal marks, and 0 without marks.
     pub fn digest(&self) -> u64 {
         self.digest
@@ -142,7 +135,7 @@
     /// Returns whether a prompt with these parts may be sent to a server.
     pub fn verdict(&self, now: MonoTime, parts: &[PromptPart]) -> PromptVerdict {
         let holding = self.suspicions.iter().filter(|suspicion| suspicion.applies_to(parts));
-        let wait_ms = holding.map(|suspicion| suspicion.trial_in_ms(clock_ms(now))).max();
+        let wait_ms = holding.map(|suspicion| suspicion.trial_in_ms(now)).max();
         match wait_ms {
             None => PromptVerdict::Allowed,
             Some(0) => PromptVerdict::Trial,
@@ -176,12 +169,12 @@
     /// Discards expired marks, and beyond the limit cleared ones, then the oldest, and those of
     /// suspected parts last.
     fn discard(&mut self, now: MonoTime) {
-        self.marks.retain(|_, mark| clock_ms(now) - mark.at_ms < Self::LIFETIME_MS);
+        self.marks.retain(|_, mark| mark.at.age_ms(now) < Self::LIFETIME_MS);
         let Some(excess) = self.marks.len().checked_sub(Self::MARKS_MAX) else { return };
         let mut keys: Vec<_> = self.marks.iter().map(|(key, mark)| (*mark, *key)).collect();
         let suspected = self.suspected_parts();
         keys.sort_unstable_by_key(|(mark, key)| {
-            (!mark.is_cleared, suspected.contains(&key.0), mark.at_ms, *key)
+            (!mark.is_cleared, suspected.contains(&key.0), mark.at, *key)
         });
         for (_, key) in keys.into_iter().take(excess) {
             self.marks.remove(&key);
@@ -196,9 +189,8 @@
     }
 
     fn message(self, now: MonoTime, part: PromptPart, crash: CrashId) -> CrashMark {
-        let age_ms = u64::try_from(clock_ms(now) - self.at_ms).unwrap_or(0);
-        let Self { is_cleared, was_sound, .. } = self;
-        CrashMark { part, crash, age_ms, is_cleared, was_sound }
+        let Self { at, is_cleared, was_sound } = self;
+        CrashMark { part, crash, age_ms: at.age_ms(now), is_cleared, was_sound }
     }
 }
 
@@ -209,7 +201,3 @@
     });
     hashes.fold(0, |digest, hash| digest ^ hash)
 }
-
-fn clock_ms(now: MonoTime) -> i64 {
-    i64::try_from(now.as_ms()).unwrap_or(i64::MAX)
-}
--- a/crates/filbertcleat-serve/src/crash_evidence/suspicion.rs
+++ b/crates/filbertcleat-serve/src/crash_evidence/suspicion.rs
@@ -3,16 +3,19 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
+use filbertcleat_base::MonoTime;
+
 use super::CrashId;
 use super::Mark;
 use crate::PromptPart;
+use crate::fact_time::FactTime;
 
 /// Parts of prompts under which servers have ended, and nothing tells them apart.
 #[derive(Clone, Debug)]
 pub(super) struct Suspicion {
     parts: Vec<PromptPart>,
-    /// The crashes that the parts explain, with their times in milliseconds.
-    crashes: BTreeMap<CrashId, i64>,
+    /// The crashes that the parts explain, with their times.
+    crashes: BTreeMap<CrashId, FactTime>,
     /// The number of crash moments beyond those that raised the suspicion.
     excess_moments: usize,
 }
@@ -35,10 +38,10 @@
     }
 
     /// Returns the time until the next trial in milliseconds; 0 if one is due.
-    pub fn trial_in_ms(&self, now_ms: i64) -> u64 {
+    pub fn trial_in_ms(&self, now: MonoTime) -> u64 {
         let interval_ms = Self::TRIAL_INTERVAL_MS << self.excess_moments.min(Self::DOUBLINGS_MAX);
-        let last_ms = self.crashes.values().max().copied().unwrap_or(now_ms);
-        interval_ms.saturating_sub(u64::try_from(now_ms - last_ms).unwrap_or(0))
+        let last = self.crashes.values().max();
+        interval_ms.saturating_sub(last.map_or(0, |last| last.age_ms(now)))
     }
 }
 
@@ -48,12 +51,12 @@
 /// succession while requests with a popular part are on all of them.
 const SOUND_MOMENTS_MIN: usize = 5;
 /// Crashes within this time count as one moment, as those of a failure domain have one cause.
-const MOMENT_MS: i64 = 100;
+const MOMENT_MS: u64 = 100;
 
 /// The open marks of one part.
 struct Suspect {
     part: PromptPart,
-    crashes: BTreeMap<CrashId, i64>,
+    crashes: BTreeMap<CrashId, FactTime>,
     moments: usize,
     moments_min: usize,
 }
@@ -76,7 +79,7 @@
         let is_explained =
             |crash: &CrashId| found.iter().any(|other| other.crashes.contains_key(crash));
         let unexplained = suspect.crashes.iter().filter(|(crash, _)| !is_explained(crash));
-        if moments(unexplained.map(|(_, at_ms)| *at_ms)) < suspect.moments_min {
+        if moments(unexplained.map(|(_, at)| *at)) < suspect.moments_min {
             continue;
         }
         found.push(Suspicion {
@@ -96,7 +99,7 @@
             suspects.push(Suspect { part, crashes, moments: 0, moments_min: MOMENTS_MIN });
         }
         let Some(suspect) = suspects.last_mut() else { continue };
-        suspect.crashes.insert(*crash, mark.at_ms);
+        suspect.crashes.insert(*crash, mark.at);
         if mark.was_sound {
             suspect.moments_min = SOUND_MOMENTS_MIN;
         }
@@ -108,14 +111,14 @@
 }
 
 /// Counts the moments of some crash times.
-fn moments(times_ms: impl Iterator<Item = i64>) -> usize {
-    let mut times_ms: Vec<i64> = times_ms.collect();
-    times_ms.sort_unstable();
-    let (mut count, mut since_ms) = (0, None);
-    for at_ms in times_ms {
-        if since_ms.is_none_or(|since_ms| at_ms - since_ms >= MOMENT_MS) {
+fn moments(times: impl Iterator<Item = FactTime>) -> usize {
+    let mut times: Vec<FactTime> = times.collect();
+    times.sort_unstable();
+    let (mut count, mut since) = (0, None);
+    for at in times {
+        if since.is_none_or(|since| at.ms_since(since) >= MOMENT_MS) {
             count += 1;
-            since_ms = Some(at_ms);
+            since = Some(at);
         }
     }
     count
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -4,7 +4,6 @@
 mod engine_model;
 mod engine_pace;
 mod gap_control;
-mod leaving_servers;
 mod limit_source;
 mod limit_state;
 mod named_limit;
@@ -28,7 +27,6 @@
 
 pub use self::attempt_outcome::AttemptOutcome;
 use self::engine_model::EngineModel;
-use self::leaving_servers::LeavingServers;
 pub use self::limit_source::LimitSource;
 pub use self::named_limit::NamedLimit;
 use self::paused_servers::PausedServers;
@@ -38,10 +36,15 @@
 pub use self::requested_pause::RequestedPause;
 pub use self::server::Server;
 use crate::AgentUpdate;
+use crate::CrashEvidence;
+use crate::CrashMark;
+use crate::Fact;
+use crate::LeavingMark;
 use crate::ListedServer;
 use crate::ListingChange;
 use crate::RequestDemand;
 use crate::ServerId;
+use crate::SharedFacts;
 use crate::SoftwareVersion;
 
 /// All backend servers that an entry knows from the catalogue.
@@ -52,7 +55,7 @@
     unconfirmed: BTreeSet<ServerId>,
     /// Servers that left, whose records a restored catalogue may list again.
     removed: RemovedServers,
-    leaving: LeavingServers,
+    facts: SharedFacts,
     paused: PausedServers,
     /// What the engines of each service have shown.
     models: BTreeMap<ServiceName, EngineModel>,
@@ -149,13 +152,37 @@
     }
 
     /// Records that one start of a backend server has announced that it is leaving. From then on it
-    /// gets no requests, whatever the catalogue says. Returns whether that was not known.
-    pub fn on_leaving(&mut self, now: MonoTime, id: &ServerId, started_unix_ms: u64) -> bool {
-        let is_new = self.leaving.record(now, id, started_unix_ms);
-        if let Some(server) = self.servers.get_mut(id) {
-            server.has_announced_leaving = self.leaving.contains(id, server.listed.started_unix_ms);
+    /// gets no requests, whatever the catalogue says. Returns the facts that are new.
+    pub fn on_leaving(&mut self, now: MonoTime, id: &ServerId, started_unix_ms: u64) -> Vec<Fact> {
+        let server = id.clone();
+        self.merge_facts(now, &[Fact::Leaving(LeavingMark { server, started_unix_ms, age_ms: 0 })])
+    }
+
+    /// Applies the facts of other processes. Returns those that are new.
+    pub fn merge_facts(&mut self, now: MonoTime, facts: &[Fact]) -> Vec<Fact> {
+        let news = self.facts.merge(now, facts);
+        for fact in &news {
+            let Fact::Leaving(mark) = fact else { continue };
+            if let Some(server) = self.servers.get_mut(&mark.server) {
+                let started_unix_ms = server.listed.started_unix_ms;
+                server.has_announced_leaving = self.facts.is_leaving(&mark.server, started_unix_ms);
+            }
         }
-        is_new
+        news
+    }
+
+    /// Changes the crash evidence by what this entry has seen itself. Returns the facts that are
+    /// new.
+    pub fn change_crashes(
+        &mut self,
+        change: impl FnOnce(&mut CrashEvidence) -> Vec<CrashMark>,
+    ) -> Vec<Fact> {
+        self.facts.change_crashes(change)
+    }
+
+    /// Returns what this entry has learned and told other processes, or was told.
+    pub fn facts(&self) -> &SharedFacts {
+        &self.facts
     }
 
     /// Records that a backend server asked for a pause. It gets no requests for that time, whatever
@@ -320,7 +347,7 @@
         self.unconfirmed.remove(&listed.id);
         let limits = self.removed.take_limits(&listed.id, listed.started_unix_ms);
         self.removed.forget(&listed.id);
-        let has_announced_leaving = self.leaving.contains(&listed.id, listed.started_unix_ms);
+        let has_announced_leaving = self.facts.is_leaving(&listed.id, listed.started_unix_ms);
         let paused_until = self.paused.until(&listed.id);
         let id = listed.id.clone();
         if let Some(server) = self.servers.get_mut(&id) {
--- a/crates/filbertcleat-serve/src/holders.rs
+++ b/crates/filbertcleat-serve/src/holders.rs
@@ -10,7 +10,7 @@
 
 use crate::RequestHash;
 
-/// The number of agents that hold each fact, so that the loss of two processes loses none.
+/// The number of agents that hold the same, so that the loss of two processes loses none.
 const HOLDERS: usize = 3;
 
 /// Returns the VMs whose agents hold the origin of a request's stream, the first in its rendezvous
@@ -22,9 +22,9 @@
     first_in_order(request.get(), agents)
 }
 
-/// Returns the VMs whose agents hold all crash marks.
-pub fn crash_mark_holders(agents: impl IntoIterator<Item = IpAddr>) -> Vec<IpAddr> {
-    first_in_order(stable_hash("crash-marks"), agents)
+/// Returns the VMs whose agents hold the facts that all processes have to know.
+pub fn fact_holders(agents: impl IntoIterator<Item = IpAddr>) -> Vec<IpAddr> {
+    first_in_order(stable_hash("facts"), agents)
 }
 
 fn first_in_order(key: u64, agents: impl IntoIterator<Item = IpAddr>) -> Vec<IpAddr> {
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `attempts`: decides whether a request may be sent again
 //! - `budget`: limits the retries of an entry
 //! - `crash_evidence`: finds parts of prompts that crash backend servers
+//! - `facts`: what processes learn from answers of backend servers and tell each other
 //! - `recipients`: decides when an agent sends updates to which entries
 //! - `holders`: chooses the agents that hold what entries have to know from each other
 //! - `stream_origins`: remembers which software version began a stream
@@ -22,6 +23,8 @@
 mod crash_evidence;
 mod deployment;
 mod epoch;
+mod fact_time;
+mod facts;
 mod fleet;
 mod holders;
 mod key;
@@ -58,6 +61,9 @@
 pub use deployment::Target;
 pub use epoch::CatalogueEpoch;
 pub use epoch::EpochChange;
+pub use facts::Fact;
+pub use facts::LeavingMark;
+pub use facts::SharedFacts;
 pub use fleet::AttemptOutcome;
 pub use fleet::Fleet;
 pub use fleet::LimitSource;
@@ -65,7 +71,7 @@
 pub use fleet::RequestLimit;
 pub use fleet::RequestedPause;
 pub use fleet::Server;
-pub use holders::crash_mark_holders;
+pub use holders::fact_holders;
 pub use holders::origin_holders;
 pub use key::AdapterKey;
 pub use key::ServerId;
--- a/crates/filbertcleat-serve/src/update/entry.rs
+++ b/crates/filbertcleat-serve/src/update/entry.rs
@@ -22,8 +22,8 @@
     pub sent_prompt_tokens: u64,
     /// The capacity of the service's engines, if the entry knows it.
     pub engine_spec: Option<EngineSpec>,
-    /// The digest of the entry's crash marks, which the agent compares with its own.
-    pub crash_digest: Option<u64>,
+    /// The digest of the entry's facts, which the agent compares with that of its own.
+    pub facts_digest: Option<u64>,
     /// The demand for base models as this entry sees it.
     pub model_demand: Vec<ModelDemand>,
 }
--- /dev/null
+++ b/crates/filbertcleat-serve/tests/shared_facts.rs
@@ -0,0 +1,203 @@
+//! Facts that processes learn and tell each other.
+
+use filbertcleat_base::MonoTime;
+use filbertcleat_serve::CrashEvidence;
+use filbertcleat_serve::CrashId;
+use filbertcleat_serve::CrashMark;
+use filbertcleat_serve::Fact;
+use filbertcleat_serve::LeavingMark;
+use filbertcleat_serve::PromptPart;
+use filbertcleat_serve::ServerId;
+use filbertcleat_serve::SharedFacts;
+use proptest::prelude::*;
+
+const ENTRIES: usize = 5;
+const HOLDERS: usize = 3;
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from_ms(ms)
+}
+
+/// One step of a run of entries and the agents that hold their facts.
+#[derive(Clone, Debug)]
+enum Step {
+    /// An entry learns a fact and tells the holders; the numbers are the messages that are lost.
+    Learn { entry: usize, fact: Fact, lost: u32 },
+    /// An entry starts again and knows nothing.
+    RestartEntry(usize),
+    /// A holder starts again and knows nothing.
+    RestartHolder(usize),
+    /// An entry and a holder compare their facts, unless messages are lost.
+    Compare { entry: usize, holder: usize, is_lost: bool },
+}
+
+struct Run {
+    now_ms: u64,
+    entries: Vec<SharedFacts>,
+    holders: Vec<SharedFacts>,
+}
+
+impl Run {
+    fn new() -> Self {
+        let empty = |count| (0..count).map(|_| SharedFacts::default()).collect();
+        Self { now_ms: 10_000, entries: empty(ENTRIES), holders: empty(HOLDERS) }
+    }
+
+    fn take(&mut self, step: Step) {
+        self.now_ms += 7;
+        let now = at(self.now_ms);
+        match step {
+            Step::Learn { entry, fact, lost } => {
+                let news = self.entries[entry].merge(now, &[fact]);
+                for (number, holder) in self.holders.iter_mut().enumerate() {
+                    let is_arrived = |message: usize| lost & (1 << message) == 0;
+                    if !is_arrived(number) {
+                        continue;
+                    }
+                    let news = holder.merge(now, &news);
+                    for (other, facts) in self.entries.iter_mut().enumerate() {
+                        if is_arrived(HOLDERS + number * ENTRIES + other) {
+                            facts.merge(now, &news);
+                        }
+                    }
+                }
+            }
+            Step::RestartEntry(entry) => self.entries[entry] = SharedFacts::default(),
+            Step::RestartHolder(holder) => self.holders[holder] = SharedFacts::default(),
+            Step::Compare { entry, holder, is_lost } => self.compare(entry, holder, is_lost),
+        }
+    }
+
+    fn compare(&mut self, entry: usize, holder: usize, is_lost: bool) {
+        let now = at(self.now_ms);
+        if self.entries[entry].digest() == self.holders[holder].digest() || is_lost {
+            return;
+        }
+        let all = self.holders[holder].all(now);
+        self.entries[entry].merge(now, &all);
+        let missing = self.entries[entry].missing_in(now, &all);
+        let news = self.holders[holder].merge(now, &missing);
+        for facts in &mut self.entries {
+            facts.merge(now, &news);
+        }
+    }
+
+    /// Lets all entries compare with all holders twice without a loss: a fact that only one holder
+    /// knows reaches the entries at first, and through them the other holders.
+    fn heal(&mut self) {
+        for _ in 0..2 {
+            for entry in 0..ENTRIES {
+                for holder in 0..HOLDERS {
+                    self.compare(entry, holder, false);
+                }
+            }
+        }
+    }
+}
+
+fn arbitrary_fact() -> impl Strategy<Value = Fact> {
+    let crash = (0..3_u64, 0..4_u64, any::<bool>(), any::<bool>()).prop_map(
+        |(part, crash, is_cleared, was_sound)| {
+            Fact::Crash(CrashMark {
+                part: PromptPart::new(part),
+                crash: CrashId::new(crash),
+                age_ms: crash * 250,
+                is_cleared,
+                was_sound,
+            })
+        },
+    );
+    let leaving = (0..3_u64, 0..3_u64).prop_map(|(server, started_unix_ms)| {
+        let server = ServerId::new(&server.to_string());
+        Fact::Leaving(LeavingMark { server, started_unix_ms, age_ms: 5 })
+    });
+    prop_oneof![crash, leaving]
+}
+
+fn arbitrary_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..ENTRIES, arbitrary_fact(), any::<u32>())
+            .prop_map(|(entry, fact, lost)| Step::Learn { entry, fact, lost }),
+        1 => (0..ENTRIES).prop_map(Step::RestartEntry),
+        1 => (0..HOLDERS).prop_map(Step::RestartHolder),
+        3 => (0..ENTRIES, 0..HOLDERS, any::<bool>())
+            .prop_map(|(entry, holder, is_lost)| Step::Compare { entry, holder, is_lost }),
+    ]
+}
+
+proptest! {
+    /// Whatever was lost, repeated or forgotten, all come to the same facts once they are connected.
+    #[test]
+    fn all_agree_in_the_end(steps in proptest::collection::vec(arbitrary_step(), 0..60)) {
+        let mut run = Run::new();
+        for step in steps {
+            run.take(step);
+        }
+
+        run.heal();
+
+        let digests: Vec<u64> =
+            run.entries.iter().chain(&run.holders).map(SharedFacts::digest).collect();
+        prop_assert!(digests.iter().all(|digest| *digest == digests[0]), "{:?}", digests);
+        let suspected: Vec<_> =
+            run.entries.iter().map(|facts| facts.crashes().suspected_parts()).collect();
+        prop_assert!(suspected.iter().all(|parts| *parts == suspected[0]));
+    }
+
+    /// Restarts forget only what nobody else knows.
+    #[test]
+    fn one_holder_suffices(steps in proptest::collection::vec(arbitrary_step(), 0..60)) {
+        let mut run = Run::new();
+        for step in steps {
+            let is_restart_of_first = matches!(step, Step::RestartHolder(0));
+            if !is_restart_of_first {
+                run.take(step);
+            }
+        }
+        let held = run.holders[0].clone();
+
+        run.heal();
+
+        let now = at(run.now_ms);
+        for facts in &run.entries {
+            prop_assert!(held.missing_in(now, &facts.all(now)).is_empty());
+        }
+    }
+}
+
+/// Callers and servers choose the keys of facts.
+#[test]
+fn hostile_keys_bounded() {
+    let mut facts = SharedFacts::default();
+    for number in 0..100_000 {
+        let crash = CrashMark {
+            part: PromptPart::new(number),
+            crash: CrashId::new(number / 32),
+            age_ms: 0,
+            is_cleared: false,
+            was_sound: false,
+        };
+        let server = ServerId::new(&format!("i-{number}"));
+        let leaving = LeavingMark { server, started_unix_ms: number, age_ms: 0 };
+        // Only some of them, since each change of the full list costs a pass over the list.
+        if number % 16 == 0 {
+            facts.merge(at(number), &[Fact::Crash(crash), Fact::Leaving(leaving)]);
+        }
+    }
+
+    let count = facts.all(at(100_000)).len();
+    assert!(count <= CrashEvidence::MARKS_MAX + SharedFacts::LEAVING_MAX, "{count} facts");
+}
+
+/// A server that starts again under its id is not leaving any more.
+#[test]
+fn leaving_ends_with_start() {
+    let server = ServerId::new("a");
+    let mut facts = SharedFacts::default();
+    let mark = |started_unix_ms| LeavingMark { server: server.clone(), started_unix_ms, age_ms: 0 };
+    facts.merge(at(0), &[Fact::Leaving(mark(5))]);
+
+    assert!(facts.is_leaving(&server, 5));
+    assert!(!facts.is_leaving(&server, 6));
+    assert!(facts.merge(at(1), &[Fact::Leaving(mark(4))]).is_empty());
+}
