Limit the silence of a plain service in place of its whole response

The limit now applies to the time until the head and to each pause in the body. The caller's leaving and the largest size still end a response that goes on for ever.

slow_response_completes slow, ignored until now, failed before and passes; no test is ignored any more.

--- a/crates/filbertcleat-daemon/src/agent/call.rs
+++ b/crates/filbertcleat-daemon/src/agent/call.rs
@@ -191,7 +191,7 @@
         let url = format!("{}{}", self.url.trim_end_matches('/'), call.path);
         let mut http = HttpRequest::new(Step::Call, method, url)
             .with_header("x-request-id", self.attempt.as_str())
-            .with_timeout(self.idle_timeout)
+            .with_idle_timeout(self.idle_timeout)
             .with_body(call.body);
         if !call.content_type.is_empty() {
             http = http.with_header("content-type", &call.content_type);
--- a/crates/filbertcleat-fakes/tests/slow_services.rs
+++ b/crates/filbertcleat-fakes/tests/slow_services.rs
@@ -21,7 +21,6 @@
 /// A call counts as failed after a time without data, however long its response takes in all.
 #[rstest]
 #[case::fast(Duration::ZERO)]
-#[ignore = "KNOWN-RED 8: the idle timeout of a call bounds its whole response"]
 #[case::slow(IDLE_TIMEOUT / 4)]
 #[tokio::test]
 async fn slow_response_completes(#[case] pause: Duration) -> Result<(), LoopbackError> {
--- a/crates/filbertcleat-platform/src/http.rs
+++ b/crates/filbertcleat-platform/src/http.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use filbertcleat_base::Fault;
 use filbertcleat_base::Step;
 use http::HeaderMap;
@@ -19,8 +20,10 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
+use tokio::time::timeout;
 
 pub use self::request::HttpRequest;
+use self::request::TimeLimit;
 use crate::CallError;
 
 /// An HTTP client with pooled connections.
@@ -54,18 +57,23 @@
     /// Sends a request and reads the complete response, within the request's time limit.
     pub async fn send(&self, request: HttpRequest) -> Result<HttpResponse, CallError> {
         let (step, peer) = (request.step, request.peer());
-        let timeout = request.timeout.unwrap_or(self.timeout);
-        let response_max_bytes = request.response_max_bytes.unwrap_or(Self::RESPONSE_MAX_BYTES);
-        let exchange = async {
-            let response = self.send_streaming(request).await?;
-            read_whole(response, step, &peer, response_max_bytes).await
+        let max_bytes = request.response_max_bytes.unwrap_or(Self::RESPONSE_MAX_BYTES);
+        let no_answer = |limit: Duration| {
+            let reason = format!("no answer within {} ms", limit.as_millis());
+            CallError { sent: true, fault: Fault::new(step, &peer, reason) }
         };
-
-        match tokio::time::timeout(timeout, exchange).await {
-            Ok(result) => result,
-            Err(_elapsed) => {
-                let reason = format!("no answer within {} ms", timeout.as_millis());
-                Err(CallError { sent: true, fault: Fault::new(step, peer, reason) })
+        match request.time_limit.unwrap_or(TimeLimit::Whole(self.timeout)) {
+            TimeLimit::Whole(limit) => {
+                let exchange = async {
+                    let response = self.send_streaming(request).await?;
+                    read_whole(response, step, &peer, max_bytes, Duration::MAX).await
+                };
+                timeout(limit, exchange).await.map_err(|_elapsed| no_answer(limit))?
+            }
+            TimeLimit::Idle(limit) => {
+                let response = timeout(limit, self.send_streaming(request)).await;
+                let response = response.map_err(|_elapsed| no_answer(limit))??;
+                read_whole(response, step, &peer, max_bytes, limit).await
             }
         }
     }
@@ -111,17 +119,29 @@
         .map_err(|error| CallError { sent: false, fault: Fault::new(step, peer, error) })
 }
 
+/// Reads the body of a response, which may pause for `idle_timeout` at most.
 async fn read_whole(
     response: Response<Incoming>,
     step: Step,
     peer: &str,
-    response_max_bytes: usize,
+    max_bytes: usize,
+    idle_timeout: Duration,
 ) -> Result<HttpResponse, CallError> {
+    let failure = |reason: String| CallError { sent: true, fault: Fault::new(step, peer, reason) };
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, response_max_bytes).collect().await;
-    let body =
-        body.map_err(|error| CallError { sent: true, fault: Fault::new(step, peer, error) })?;
-    Ok(HttpResponse { status: head.status, headers: head.headers, body: body.to_bytes() })
+    let mut body = Limited::new(body, max_bytes);
+    let mut bytes = BytesMut::new();
+    loop {
+        let Ok(frame) = timeout(idle_timeout, body.frame()).await else {
+            return Err(failure(format!("no data within {} ms", idle_timeout.as_millis())));
+        };
+        let Some(frame) = frame else { break };
+        let frame = frame.map_err(|error| failure(error.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(HttpResponse { status: head.status, headers: head.headers, body: bytes.freeze() })
 }
 
 /// Formats an error with all its causes, since the outermost error lacks the details.
--- a/crates/filbertcleat-platform/src/http/request.rs
+++ b/crates/filbertcleat-platform/src/http/request.rs
@@ -9,6 +9,15 @@
 use http::HeaderValue;
 use http::Method;
 
+/// What the time limit of a request applies to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum TimeLimit {
+    /// The whole exchange.
+    Whole(Duration),
+    /// The time until the head, and that between two parts of the body.
+    Idle(Duration),
+}
+
 /// An HTTP request with the processing step that errors are attributed to.
 #[derive(Clone, Debug)]
 pub struct HttpRequest {
@@ -17,7 +26,7 @@
     pub(super) url: String,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
-    pub(super) timeout: Option<Duration>,
+    pub(super) time_limit: Option<TimeLimit>,
     pub(super) response_max_bytes: Option<usize>,
 }
 
@@ -30,7 +39,7 @@
             url,
             headers: HeaderMap::new(),
             body: Bytes::new(),
-            timeout: None,
+            time_limit: None,
             response_max_bytes: None,
         }
     }
@@ -56,9 +65,15 @@
         self.with_header("content-type", "application/json").with_body(value.to_string())
     }
 
-    /// Sets the time limit, which overrides the client's default.
+    /// Sets the time limit of the whole exchange, which overrides the client's default.
     pub fn with_timeout(mut self, timeout: Duration) -> Self {
-        self.timeout = Some(timeout);
+        self.time_limit = Some(TimeLimit::Whole(timeout));
+        self
+    }
+
+    /// Limits the time without any data in place of the whole exchange.
+    pub fn with_idle_timeout(mut self, timeout: Duration) -> Self {
+        self.time_limit = Some(TimeLimit::Idle(timeout));
         self
     }
 
