Bound what agents send to entries whose facts differ

An entry whose digest differs gets all facts with each digest. If many start at once, or two processes discard different facts at the bound, that is up to 55 KB each 0.3 s to each entry. A pause of 0.1 ms a fact limits an agent to about 300 KB a second; an entry asks again with its next digest.

--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -96,6 +96,7 @@
         recipients: UpdateRecipients::default(),
         origins: StreamOrigins::default(),
         facts: SharedFacts::default(),
+        all_facts_at: MonoTime::ZERO,
         last_update: None,
         last_update_at: MonoTime::ZERO,
         id,
@@ -129,6 +130,8 @@
     recipients: UpdateRecipients,
     origins: StreamOrigins,
     facts: SharedFacts,
+    /// When the next list of all facts may be sent.
+    all_facts_at: MonoTime,
     last_update: Option<AgentUpdate>,
     last_update_at: MonoTime,
     /// The id of this incarnation of the agent.
@@ -151,6 +154,9 @@
     /// The shortest interval between updates on the prompts of other entries. A longer one lets
     /// several entries send prompts to the engine at the same time.
     const PROMPT_UPDATE_INTERVAL_MS: u64 = 1;
+    /// The pause after a list of all facts, per fact. It limits lists to about 300 KB a second,
+    /// however many entries differ.
+    const FACT_PAUSE_US: u64 = 100;
     /// The shortest interval between updates in which only the load changed.
     const LOAD_UPDATE_INTERVAL_MS: u64 = 100;
 
@@ -205,8 +211,7 @@
         match update {
             PeerUpdate::Entry(update) => {
                 if update.facts_digest.is_some_and(|digest| digest != self.facts.digest()) {
-                    let facts = self.facts.all(now);
-                    self.socket.send(from, &PeerUpdate::Facts { facts, is_complete: true });
+                    self.send_all_facts(now, from);
                 }
                 return Some(update);
             }
@@ -223,6 +228,18 @@
         None
     }
 
+    /// Sends all facts to an entry, unless lists were sent so recently that the entry has to ask
+    /// again.
+    fn send_all_facts(&mut self, now: MonoTime, to: SocketAddr) {
+        if now < self.all_facts_at {
+            return;
+        }
+        let facts = self.facts.all(now);
+        let pause_us = facts.len() as u64 * Self::FACT_PAUSE_US;
+        self.all_facts_at = now + Duration::from_micros(pause_us);
+        self.socket.send(to, &PeerUpdate::Facts { facts, is_complete: true });
+    }
+
     /// Merges the facts of an entry, and tells the other entries those that are new.
     fn pass_on(&mut self, now: MonoTime, from: SocketAddr, facts: &[Fact]) {
         let news = self.facts.merge(now, facts);
