Drop a named limit only by an answer that can tell

Whatever arrived without the header dropped a server's limit, also a late second response to another request, and a call of an agent that failed. The requests that had waited for a permit then went out at once. A limit that comes and goes goes on with its permits (flapping_limit_holds).

Callers whose prompts are turned away come back spread, like those of paused servers.

--- a/crates/filbertcleat-gateway/src/agent/engine_notices.rs
+++ b/crates/filbertcleat-gateway/src/agent/engine_notices.rs
@@ -28,8 +28,9 @@
         notice: ServerNotice,
         is_complete_report: bool,
     ) {
-        if notice.limit != NamedLimit::Unreadable {
-            self.limit = notice.limit;
+        match notice.limit {
+            NamedLimit::Untold | NamedLimit::Unreadable => {}
+            told @ (NamedLimit::Absent | NamedLimit::Named(_)) => self.limit = told,
         }
         let was_leaving = self.is_leaving;
         self.is_leaving = notice.is_leaving || (was_leaving && !is_complete_report);
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
+use filbertcleat_serve::NamedLimit;
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
@@ -176,7 +177,12 @@
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
                 let metadata = entry.dialect.parse_response(&head.headers);
-                let notice = metadata.notice.with_status(head.status);
+                let is_foreign = metadata.id.as_ref() != Some(&request.id);
+                let mut notice = metadata.notice.with_status(head.status);
+                if is_foreign && notice.limit == NamedLimit::Absent {
+                    // What is no answer to this request may lack any header.
+                    notice.limit = NamedLimit::Untold;
+                }
                 let server = metadata.server.as_ref().unwrap_or(attempt.server());
                 // The start of another server than the one asked is not known.
                 let started_unix_ms = if server == attempt.server() { started_unix_ms } else { 0 };
--- a/crates/filbertcleat-gateway/src/entry/crashes.rs
+++ b/crates/filbertcleat-gateway/src/entry/crashes.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use filbertcleat_base::MonoTime;
+use filbertcleat_base::stable_hash;
 use filbertcleat_serve::CrashEvidence;
 use filbertcleat_serve::CrashId;
 use filbertcleat_serve::CrashMark;
@@ -14,6 +15,7 @@
 use filbertcleat_serve::PromptPart;
 use filbertcleat_serve::PromptVerdict;
 use filbertcleat_serve::ServerId;
+use filbertcleat_serve::return_delay_ms;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
@@ -110,14 +112,16 @@
     entry: &Entry<D>,
     request: &CallerRequest,
 ) -> Option<Refusal> {
+    let now = entry.now();
     let state = entry.state.borrow();
     let evidence = state.fleet.facts().crashes();
-    match evidence.verdict(entry.now(), &request.demand.prompt_parts) {
+    match evidence.verdict(now, &request.demand.prompt_parts) {
         PromptVerdict::Allowed | PromptVerdict::Trial => None,
-        PromptVerdict::TurnedAway { wait_ms } => Some(Refusal::NotRun(
-            "backend servers ended under a part of the prompt",
-            Duration::from_millis(wait_ms),
-        )),
+        PromptVerdict::TurnedAway { wait_ms } => {
+            let delay_ms = return_delay_ms(now, now.plus_ms(wait_ms), stable_hash(&request.id));
+            let reason = "backend servers ended under a part of the prompt";
+            Some(Refusal::NotRun(reason, Duration::from_millis(delay_ms)))
+        }
     }
 }
 
--- a/crates/filbertcleat-gateway/src/peer_socket/convert.rs
+++ b/crates/filbertcleat-gateway/src/peer_socket/convert.rs
@@ -218,7 +218,7 @@
         leaving: update.is_leaving,
         limit_thousandths_per_s: match update.limit {
             NamedLimit::Named(limit) => Some(limit.thousandths()),
-            NamedLimit::Absent | NamedLimit::Unreadable => None,
+            NamedLimit::Untold | NamedLimit::Absent | NamedLimit::Unreadable => None,
         },
     }
 }
--- a/crates/filbertcleat-gateway/tests/named_limits.rs
+++ b/crates/filbertcleat-gateway/tests/named_limits.rs
@@ -184,3 +184,29 @@
         assert!(most as f64 <= allowed(0.5), "{most} requests in 4 s");
     });
 }
+
+/// A late second response, which names no limit, arrives in place of the answer to a request.
+#[test]
+fn foreign_answer_drops_nothing() {
+    World::run(async {
+        let limited = ("w1".to_owned(), EVENTS.with_headers(LIMIT_HALF));
+        let site = Site::start(vec![route("q", STREAM, 1)], vec![limited], 1).await;
+        let server = &site.backends[0];
+        let call = Call::new("a", "/q/1");
+        site.send(0, &call).await.expect("a response");
+        server.script_next(Script::ForeignId);
+        while server.arrivals() < 2 {
+            site.send(0, &call).await.expect("a response");
+        }
+
+        let mut answers = JoinSet::new();
+        for _ in 0..8 {
+            let mut caller = site.entries[0].caller().await;
+            let call = call.clone();
+            answers.spawn_local(async move { caller.call(&call).await });
+        }
+        answers.join_all().await;
+
+        assert_eq!(server.arrivals(), 2);
+    });
+}
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -210,8 +210,11 @@
         source: LimitSource,
         named: NamedLimit,
     ) -> bool {
-        if named == NamedLimit::Absent && !self.server(id).is_some_and(Server::is_limited) {
-            return false;
+        let is_limited = self.server(id).is_some_and(Server::is_limited);
+        match named {
+            NamedLimit::Untold => return false,
+            NamedLimit::Absent if !is_limited => return false,
+            NamedLimit::Absent | NamedLimit::Named(_) | NamedLimit::Unreadable => {}
         }
         if let Some(entries) = self.live_entries(now) {
             self.last_live_entries = Some(entries);
--- a/crates/filbertcleat-serve/src/fleet/limit_state.rs
+++ b/crates/filbertcleat-serve/src/fleet/limit_state.rs
@@ -14,6 +14,8 @@
     answer: Option<RequestLimit>,
     /// The limit that the server's last answer to its agent named.
     agent: Option<RequestLimit>,
+    /// The permits of the last limit that was named. They go on where they were if a limit is named
+    /// again.
     permits: Option<RequestPermits>,
 }
 
@@ -42,11 +44,11 @@
         match named {
             NamedLimit::Absent => *known = None,
             NamedLimit::Named(limit) => *known = Some(limit),
-            NamedLimit::Unreadable => {}
+            NamedLimit::Untold | NamedLimit::Unreadable => {}
         }
         let limit = self.limit();
         match (&mut self.permits, limit) {
-            (_, None) => self.permits = None,
+            (_, None) => {}
             (Some(permits), Some(limit)) => permits.set(now, limit, entries),
             (None, Some(limit)) => {
                 self.permits = Some(RequestPermits::new(now, limit, entries, phase));
@@ -64,6 +66,7 @@
 
     /// Returns the time until a request may be sent, in milliseconds; 0 if one may be sent now.
     pub fn wait_ms(&self, now: MonoTime) -> f64 {
-        self.permits.map_or(0.0, |permits| permits.wait_ms(now))
+        let permits = self.permits.filter(|_| self.limit().is_some());
+        permits.map_or(0.0, |permits| permits.wait_ms(now))
     }
 }
--- a/crates/filbertcleat-serve/tests/request_limits.rs
+++ b/crates/filbertcleat-serve/tests/request_limits.rs
@@ -113,6 +113,27 @@
     assert!((1..=3).contains(&sent), "{sent} requests in 9 s");
 }
 
+/// A limit that comes and goes with every other answer grants no permits beyond its own.
+#[test]
+fn flapping_limit_holds() {
+    let mut fleet = entry(7, 4);
+    let mut sent = 0;
+    for now in 0..20_000 {
+        if now % 100 == 0 {
+            fleet.on_limit(at(now), &id("a"), LimitSource::Answer, named(1.0));
+        }
+        if permits(&fleet, at(now)) {
+            fleet.on_sent(at(now), &id("a"), &demand("x", 100));
+            sent += 1;
+        }
+        if now % 100 == 99 {
+            fleet.on_limit(at(now), &id("a"), LimitSource::Answer, NamedLimit::Absent);
+        }
+    }
+
+    assert!((3..=5).contains(&sent), "{sent} requests in 20 s");
+}
+
 /// The lower one of two limits holds; an answer without a limit drops only its own.
 #[test]
 fn sources_kept_apart() {
@@ -123,7 +144,9 @@
     assert!(fleet.on_limit(at(1), &id("a"), LimitSource::Agent, named(3.0)));
     assert!(fleet.on_limit(at(2), &id("a"), LimitSource::Answer, named(2.0)));
     assert_eq!(limit(&fleet), per_second(2.0));
-    assert!(!fleet.on_limit(at(3), &id("a"), LimitSource::Answer, NamedLimit::Unreadable));
+    for silent in [NamedLimit::Unreadable, NamedLimit::Untold] {
+        assert!(!fleet.on_limit(at(3), &id("a"), LimitSource::Answer, silent));
+    }
     assert!(fleet.on_limit(at(4), &id("a"), LimitSource::Answer, NamedLimit::Absent));
     assert_eq!(limit(&fleet), per_second(3.0));
     assert!(fleet.on_limit(at(5), &id("a"), LimitSource::Agent, NamedLimit::Absent));
