Spread callers whose wait for a limited server is cut to the longest

Beyond five seconds all callers were told to come back at the same moment. Only requests without an engine at servers that all name a limit get this refusal. Also names limits_of for what it does.

--- a/crates/filbertcleat-gateway/src/entry/placement.rs
+++ b/crates/filbertcleat-gateway/src/entry/placement.rs
@@ -139,10 +139,10 @@
         return refuse_until(now, opens_at, request);
     }
     if let Some(wait_ms) = plain_permit_wait_ms(now, fleet, &request.demand, &request.avoided) {
+        let wait = Duration::from_millis(wait_ms).min(RETRY_AFTER_MAX);
         // Callers that were refused at the same time come back one after the other.
-        let spread_ms = stable_hash(&request.id) % (wait_ms + 1);
-        let retry_after = Duration::from_millis(wait_ms + spread_ms).min(RETRY_AFTER_MAX);
-        return Refusal::NotRun("every backend server named a limit", retry_after);
+        let spread = wait.mul_f64(stable_hash(&request.id) as f64 / u64::MAX as f64);
+        return Refusal::NotRun("every backend server named a limit", wait + spread);
     }
     let mut servers = fleet.servers().filter(|server| server.listed.service == request.service);
     if servers.any(|server| server.paused_until(now).is_some()) {
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -348,7 +348,7 @@
 
     fn upsert(&mut self, now: MonoTime, listed: ListedServer) {
         self.unconfirmed.remove(&listed.id);
-        let limits = self.removed.take_limits(&listed.id, listed.started_unix_ms);
+        let limits = self.removed.limits_of(&listed.id, listed.started_unix_ms);
         self.removed.forget(&listed.id);
         let has_announced_leaving = self.facts.is_leaving(&listed.id, listed.started_unix_ms);
         let paused_until = self.paused.until(&listed.id);
--- a/crates/filbertcleat-serve/src/fleet/removed_servers.rs
+++ b/crates/filbertcleat-serve/src/fleet/removed_servers.rs
@@ -57,7 +57,7 @@
     }
 
     /// Returns the limits that this start of a server had named when it was removed.
-    pub fn take_limits(&self, id: &ServerId, started_unix_ms: u64) -> Option<LimitState> {
+    pub fn limits_of(&self, id: &ServerId, started_unix_ms: u64) -> Option<LimitState> {
         let removed = self.removed.get(id);
         let same_start = removed.filter(|removed| removed.started_unix_ms == started_unix_ms);
         same_start.map(|removed| removed.limits)
