--- a/crates/filbertcleat-daemon/src/agent/role.rs
+++ b/crates/filbertcleat-daemon/src/agent/role.rs
@@ -55,7 +55,6 @@
     attempts: HashMap<AttemptId, ReceivedAttempt>,
     /// The stream to the load coordinator, while one is open.
     load_permits: Option<LoadPermitClient>,
-    last_released_grant: u64,
     /// Whether the engine's loaded adapters are known; always true for a plain backend server.
     adapters_known: bool,
     /// Whether a query of the engine's adapters is in progress.
@@ -104,7 +103,6 @@
             ownership: Ownership::None,
             attempts: HashMap::new(),
             load_permits: None,
-            last_released_grant: 0,
             adapters_known: backend.kind == BackendKind::Plain,
             listing_adapters: false,
             failed_stats_queries: 0,
--- a/crates/filbertcleat-daemon/src/agent/role/monitor.rs
+++ b/crates/filbertcleat-daemon/src/agent/role/monitor.rs
@@ -111,7 +111,6 @@
         requests: &[LoadRequest],
         released_grant: u64,
     ) {
-        self.last_released_grant = self.last_released_grant.max(released_grant);
         let sent = self
             .load_permits
             .as_ref()
--- a/crates/filbertcleat-policy/src/load_coordinator.rs
+++ b/crates/filbertcleat-policy/src/load_coordinator.rs
@@ -25,7 +25,8 @@
     /// The permit in use.
     issued: Option<IssuedPermit>,
     last_grant_id: u64,
-    /// The number of choices in a row that did not select a routine load.
+    /// The number of permits in a row that went to key-account loads while routine loads were
+    /// pending.
     key_account_streak: u32,
 }
 
@@ -112,15 +113,13 @@
             LoadPermitPolicy::Urgency => {
                 let key_account = self.most_urgent(now, Class::KeyAccount);
                 let routine = self.most_urgent(now, Class::Routine);
-                let routine_due = self.key_account_streak >= Self::KEY_ACCOUNT_STREAK_MAX
-                    || key_account.is_none();
-                if routine_due && routine.is_some() {
-                    self.key_account_streak = 0;
-                    routine
-                } else {
+                let is_routine_ahead = self.key_account_streak >= Self::KEY_ACCOUNT_STREAK_MAX;
+                if key_account.is_some() && routine.is_some() && !is_routine_ahead {
                     self.key_account_streak += 1;
-                    key_account
+                    return key_account;
                 }
+                self.key_account_streak = 0;
+                routine.or(key_account)
             }
             LoadPermitPolicy::Fifo => self
                 .all_loads()
