--- a/crates/filbertcleat-gateway/src/notice.rs
+++ b/crates/filbertcleat-gateway/src/notice.rs
@@ -13,7 +13,7 @@
     pub is_leaving: bool,
     /// The pause that the backend server asks for.
     pub pause: Option<RequestedPause>,
-    /// The limit that the backend server names.
+    /// What the answer says about the limit on requests that the backend server has.
     pub limit: NamedLimit,
 }
 
--- a/crates/filbertcleat-serve/src/budget.rs
+++ b/crates/filbertcleat-serve/src/budget.rs
@@ -23,7 +23,7 @@
     /// count fewer live entries than there are.
     const SPENT_SHARE: f64 = 0.6;
     /// The number of live entries that is assumed until an agent reports it.
-    const DEFAULT_ENTRIES: u32 = 16;
+    pub(crate) const DEFAULT_ENTRIES: u32 = 16;
 
     /// Creates a budget from the deployment's grant.
     pub fn new(ratio: f64, slack: f64, window_ms: u64) -> Self {
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -43,6 +43,7 @@
 use crate::ListedServer;
 use crate::ListingChange;
 use crate::RequestDemand;
+use crate::RetryBudget;
 use crate::ServerId;
 use crate::SharedFacts;
 use crate::SoftwareVersion;
@@ -74,9 +75,6 @@
     /// for network transit.
     const RELIST_GRACE_MS: u64 = 2_200;
 
-    /// The number of live entries that is assumed until an agent reports it.
-    const DEFAULT_ENTRIES: u32 = 16;
-
     /// Creates a fleet without servers. The seed must differ between entries.
     pub fn with_seed(seed: u64) -> Self {
         Self { seed, ..Self::default() }
@@ -219,7 +217,7 @@
         if let Some(entries) = self.live_entries(now) {
             self.last_live_entries = Some(entries);
         }
-        let entries = self.last_live_entries.unwrap_or(Self::DEFAULT_ENTRIES);
+        let entries = self.last_live_entries.unwrap_or(RetryBudget::DEFAULT_ENTRIES);
         let seed = self.seed;
         let Some(server) = self.servers.get_mut(id) else { return false };
         server.on_limit(now, source, named, entries, seed)
