--- a/crates/filbertcleat-base/src/hash.rs
+++ b/crates/filbertcleat-base/src/hash.rs
@@ -4,7 +4,12 @@
 
 /// Hashes a string; the result is the same in every process and version.
 pub fn stable_hash(text: &str) -> u64 {
-    xxh3_64(text.as_bytes())
+    stable_hash_bytes(text.as_bytes())
+}
+
+/// Hashes bytes like `stable_hash`.
+pub fn stable_hash_bytes(bytes: &[u8]) -> u64 {
+    xxh3_64(bytes)
 }
 
 /// Combines two hashes into one, such as the score of a pair in rendezvous hashing.
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -5,11 +5,14 @@
 
 use bytes::Bytes;
 use filbertcleat_base::ServiceName;
+use filbertcleat_serve::RequestContent;
 use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::Route;
+use http::HeaderValue;
 use http::Request;
 use http::header;
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -68,6 +71,7 @@
         Ok(body) => body,
         Err(refusal) => return Err(RefusedRequest { refusal, is_read: false }),
     };
+    let content = request_content(&head, &body);
     let demand = RequestDemand {
         service: service.clone(),
         model: metadata.model.clone(),
@@ -87,6 +91,7 @@
         uri: head.uri,
         headers: head.headers,
         body,
+        content,
         metadata,
         route,
         service,
@@ -102,6 +107,20 @@
     })
 }
 
+/// Returns the content of a request. Of its headers only those count that name the caller, since
+/// others differ between the times at which a request comes.
+fn request_content(head: &Parts, body: &[u8]) -> RequestContent {
+    let header = |name| head.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
+    let target = head.uri.path_and_query().map_or("", PathAndQuery::as_str);
+    RequestContent::of(&[
+        head.method.as_str().as_bytes(),
+        header(header::HOST),
+        header(header::AUTHORIZATION),
+        target.as_bytes(),
+        body,
+    ])
+}
+
 /// A request whose head has been matched to a route.
 struct RoutedRequest {
     id: String,
--- a/crates/filbertcleat-gateway/src/entry/request_log.rs
+++ b/crates/filbertcleat-gateway/src/entry/request_log.rs
@@ -35,7 +35,7 @@
     let expected_ms = (backlog_ms + server.idle_first_event_ms(demand)) as u64;
     let loaded_version = demand.adapter.as_ref().and_then(|key| server.loaded_version(key));
     log::info!(
-        "event=request-placed id={} server={} software={} resumes={} after={} adapter={} version={} held={} parts={} prompt_tokens={} \
+        "event=request-placed id={} server={} software={} resumes={} after={} adapter={} version={} held={} content={} parts={} prompt_tokens={} \
          queued_ms={} load={} expected_ms={expected_ms} token_us={:.1} gap_share={:.2} \
          chunked={} news_age_ms={} left_ms={}",
         request.id,
@@ -46,6 +46,7 @@
         demand.adapter.as_ref().map_or("-", |key| key.adapter.as_str()),
         demand.min_version,
         OrDash(loaded_version),
+        request.content,
         PartList(&demand.prompt_parts),
         demand.prompt_tokens,
         request.queued_ms,
