--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -56,6 +56,9 @@
     /// Ends the server for a time when it begins to answer a prompt with this part, and runs another
     /// script for all other prompts.
     CrashOnPart { part: &'static str, down: Duration, otherwise: Box<Script> },
+    /// Ends the server for a time when it has run a request with this target for `after`, and runs
+    /// another script for all other requests.
+    CrashOnTarget { target: &'static str, after: Duration, down: Duration, otherwise: Box<Script> },
     /// Runs another script and adds header lines, each with its line end, to its response.
     WithHeaders { lines: &'static str, script: Box<Script> },
 }
@@ -65,6 +68,40 @@
     pub fn with_headers(self, lines: &'static str) -> Self {
         Self::WithHeaders { lines, script: Box::new(self) }
     }
+
+    /// Returns how a request with this head ends the server, if it does.
+    fn crash(&self, head: &str) -> Option<Crash> {
+        match *self {
+            Self::CrashOnPart { part, down, .. } if has_part(head, part) => {
+                // The entry reads the head before the connection ends.
+                Some(Crash { sends_head: true, after: Duration::from_millis(50), down })
+            }
+            Self::CrashOnTarget { target, after, down, .. } if has_target(head, target) => {
+                Some(Crash { sends_head: false, after, down })
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns the script that runs for requests that don't end the server.
+    fn without_crash(self) -> Self {
+        match self {
+            Self::CrashOnPart { otherwise, .. } | Self::CrashOnTarget { otherwise, .. } => {
+                *otherwise
+            }
+            script => script,
+        }
+    }
+}
+
+/// How a request ends its server.
+struct Crash {
+    /// Whether the head of a response is sent before.
+    sends_head: bool,
+    /// The time from the request to the end of the server.
+    after: Duration,
+    /// The time for which the server is down.
+    down: Duration,
 }
 
 /// The bytes after which a server that sends without end gives up and falls silent.
@@ -83,6 +120,8 @@
     pub arrived_at: Rc<RefCell<Vec<Instant>>>,
     /// The number of accepted connections.
     pub connections: Rc<Cell<usize>>,
+    /// The number of connections on which a request arrived.
+    pub used_connections: Rc<Cell<usize>>,
     /// The number of requests whose connection was closed while they ran.
     pub cancelled: Rc<Cell<usize>>,
     /// The number of those whose connection was reset.
@@ -113,6 +152,7 @@
             seen: Rc::default(),
             arrived_at: Rc::default(),
             connections: Rc::default(),
+            used_connections: Rc::default(),
             cancelled: Rc::default(),
             reset: Rc::default(),
             endless_bytes: Rc::default(),
@@ -156,6 +196,11 @@
         self.seen.borrow().iter().filter(|head| has_part(head, part)).count()
     }
 
+    /// Returns how many requests with this target arrived.
+    pub fn arrivals_at(&self, target: &str) -> usize {
+        self.seen.borrow().iter().filter(|head| has_target(head, target)).count()
+    }
+
     /// Replaces the script of requests without one of their own.
     pub fn set_default(&self, script: Script) {
         *self.default_script.borrow_mut() = script;
@@ -180,7 +225,12 @@
         // Delayed acknowledgements would take real time, which paused time does not wait for.
         stream.set_nodelay(true).expect("the socket is open");
         let (mut reader, mut writer) = stream.into_split();
+        let mut is_used = false;
         while let Some(head) = read_request(&mut reader).await {
+            if !is_used {
+                is_used = true;
+                self.used_connections.set(self.used_connections.get() + 1);
+            }
             let id = header(&head, "x-id").unwrap_or_default();
             self.seen.borrow_mut().push(head.clone());
             self.arrived_at.borrow_mut().push(Instant::now());
@@ -219,19 +269,11 @@
             )
         };
         let events_head = format!("{}transfer-encoding: chunked\r\n\r\n", response_head(200));
-        let script = match script {
-            Script::CrashOnPart { part, down, .. } if has_part(head, part) => {
-                write(stream, &events_head).await;
-                // The entry reads the head before the connection ends.
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                self.crash(down);
-                return std::future::pending().await;
-            }
-            Script::CrashOnPart { otherwise, .. } => *otherwise,
-            script => script,
-        };
+        if let Some(crash) = script.crash(head) {
+            self.end_with(stream, &events_head, crash).await;
+        }
         let last_event_id = header(head, "x-after").and_then(|text| text.parse().ok()).unwrap_or(0);
-        match script {
+        match script.without_crash() {
             Script::Respond { status, body, after } => {
                 tokio::time::sleep(after).await;
                 write(stream, &response_text(&response_head(status), body)).await
@@ -301,12 +343,24 @@
                 write(stream, &chunk(&large_event(data_bytes))).await;
                 write(stream, "0\r\n\r\n").await
             }
-            Script::CrashOnPart { .. } | Script::WithHeaders { .. } => {
+            Script::CrashOnPart { .. }
+            | Script::CrashOnTarget { .. }
+            | Script::WithHeaders { .. } => {
                 panic!("only a plain script can be run by another")
             }
         }
     }
 
+    /// Ends the server, and with it the connection that waits for that.
+    async fn end_with(&self, stream: &mut OwnedWriteHalf, events_head: &str, crash: Crash) -> ! {
+        if crash.sends_head {
+            write(stream, events_head).await;
+        }
+        tokio::time::sleep(crash.after).await;
+        self.crash(crash.down);
+        std::future::pending().await
+    }
+
     /// Writes `piece` until the connection breaks, and then waits for its end to be noticed.
     async fn write_endlessly(&self, stream: &mut OwnedWriteHalf, piece: &str) -> ! {
         const BLOCK_BYTES: usize = 16 * 1024;
@@ -324,6 +378,10 @@
     header(head, "x-parts").is_some_and(|parts| parts.split(',').any(|found| found == part))
 }
 
+fn has_target(head: &str, target: &str) -> bool {
+    head.split(' ').nth(1) == Some(target)
+}
+
 /// Returns the text of an event.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: piece-{number}\n\n")
