Turn away requests whose content explains the ends of servers

Cause: the evidence of crashes knew parts of prompts only. A request without a prompt left no mark when its server ended, so no entry, not even the one that saw it, turned its next arrival away. Retries doubled the rate.

Now the content of a request is a suspect beside the parts of its prompt, carried by the same marks. A run that began after the end before counts as one more moment, so that retries 50 ms apart count and a failing rack doesn't. A part whose ends are those of one content is not blamed: the caller's sound requests share it.

The requests of crashing_prompts.rs have targets of their own now, as no two are alike. endless_bytes.rs counts the connections that requests came on, since the entry also connects to see whether a server has ended: reuse still fails the check. Plain servers of the tests list no model, since no entry updates an agent beside them. Ruled out: source address or session as the key.

--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -21,7 +21,7 @@
 use super::backend_body::BackendBody;
 use super::backend_body::BodyKind;
 use super::backend_connection::BackendConnection;
-use super::crashes::admit_prompt;
+use super::crashes::admit_request;
 use super::in_flight::InFlightAttempt;
 use super::notices::NoticeSource;
 use super::notices::apply_notice;
@@ -148,11 +148,11 @@
             ));
         }
         // A trial that finds its connection closed stays a trial.
-        is_admitted = is_admitted || admit_prompt(entry, request);
+        is_admitted = is_admitted || admit_request(entry, request);
         if !is_admitted {
             return Err(AttemptFailure::not_arrived(
                 AttemptOutcome::Left,
-                "backend servers ended under a part of the prompt",
+                "backend servers ended under such requests",
             ));
         }
         let outbound = build_request(entry, request, attempt, remaining_ms, resume_after);
--- a/crates/filbertcleat-gateway/src/entry/crashes.rs
+++ b/crates/filbertcleat-gateway/src/entry/crashes.rs
@@ -1,4 +1,4 @@
-//! Relates the ends of backend servers to prompts, and turns prompts away that crash servers.
+//! Relates the ends of backend servers to requests, and turns requests away that crash servers.
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -11,9 +11,9 @@
 use filbertcleat_serve::CrashEvidence;
 use filbertcleat_serve::CrashId;
 use filbertcleat_serve::CrashMark;
+use filbertcleat_serve::CrashSuspect;
+use filbertcleat_serve::CrashVerdict;
 use filbertcleat_serve::Fact;
-use filbertcleat_serve::PromptPart;
-use filbertcleat_serve::PromptVerdict;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::return_delay_ms;
 use tokio::net::TcpStream;
@@ -31,22 +31,24 @@
 /// between regions.
 const VERIFY_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// The parts of prompts on which servers broke off that may have ended.
-pub(super) type UnverifiedCrashes = HashMap<CrashId, Vec<PromptPart>>;
+/// The suspects in requests that servers broke off which may have ended, and how long each request
+/// had run, in milliseconds.
+pub(super) type UnverifiedCrashes = HashMap<CrashId, Vec<(CrashSuspect, u64)>>;
 
-/// Handles a response that broke off before it had properly begun. Its prompt may have ended the
+/// Handles a response that broke off before it had properly begun. Its request may have ended the
 /// server, which then refuses connections.
 pub(super) fn on_broken_early<D: Dialect>(
     entry: &Rc<Entry<D>>,
     server: &ServerId,
-    parts: &[PromptPart],
+    suspects: &[CrashSuspect],
+    run_ms: u64,
 ) {
     let state = &mut *entry.state.borrow_mut();
     let Some(listed) = state.fleet.server(server).map(|server| &server.listed) else { return };
     let crash = CrashId::of(server, listed.started_unix_ms);
     let unverified = state.unverified_crashes.entry(crash).or_default();
     let is_first = unverified.is_empty();
-    unverified.extend(parts);
+    unverified.extend(suspects.iter().map(|suspect| (*suspect, run_ms)));
     if is_first {
         let (entry, server, address) = (Rc::clone(entry), server.clone(), listed.address);
         let broken_at = entry.now();
@@ -70,56 +72,56 @@
     has_ended: bool,
 ) {
     let now = entry.now();
-    let parts = entry.state.borrow_mut().unverified_crashes.remove(&crash).unwrap_or_default();
+    let runs = entry.state.borrow_mut().unverified_crashes.remove(&crash).unwrap_or_default();
     if !has_ended {
         return;
     }
     let marks = change_crashes(entry, |evidence| {
-        evidence.on_server_ended(now, crash, now.ms_since(broken_at), parts)
+        evidence.on_server_ended(now, crash, now.ms_since(broken_at), runs)
     });
-    log::info!("event=server-ended server={server} marked_parts={}", marks.len());
+    log::info!("event=server-ended server={server} marked={}", marks.len());
     entry.metrics.count(Metric::ServerEnds, &[]);
     tell_holders(entry, marks);
 }
 
-/// Records that a server has answered a prompt with these parts.
-pub(super) fn on_prompt_answered<D: Dialect>(entry: &Entry<D>, parts: &[PromptPart]) {
+/// Records that a server has answered a request with these suspects.
+pub(super) fn on_request_answered<D: Dialect>(entry: &Entry<D>, suspects: &[CrashSuspect]) {
     let now = entry.now();
-    let cleared = change_crashes(entry, |evidence| evidence.on_answered(now, parts));
+    let cleared = change_crashes(entry, |evidence| evidence.on_answered(now, suspects));
     tell_holders(entry, cleared);
 }
 
 /// Returns whether the request may be sent now, and tells the others if it is a trial.
-pub(super) fn admit_prompt<D: Dialect>(entry: &Entry<D>, request: &CallerRequest) -> bool {
+pub(super) fn admit_request<D: Dialect>(entry: &Entry<D>, request: &CallerRequest) -> bool {
     let now = entry.now();
-    let parts = &request.demand.prompt_parts;
-    let verdict = entry.state.borrow().fleet.facts().crashes().verdict(now, parts);
+    let suspects = &request.demand.crash_suspects;
+    let verdict = entry.state.borrow().fleet.facts().crashes().verdict(now, suspects);
     match verdict {
-        PromptVerdict::Allowed => true,
-        PromptVerdict::TurnedAway { .. } => false,
-        PromptVerdict::Trial => {
-            log::info!("event=prompt-trial id={}", request.id);
+        CrashVerdict::Allowed => true,
+        CrashVerdict::TurnedAway { .. } => false,
+        CrashVerdict::Trial => {
+            log::info!("event=crash-trial id={}", request.id);
             let seed = entry.incarnation;
-            let marks = change_crashes(entry, |evidence| evidence.on_trial(now, parts, seed));
+            let marks = change_crashes(entry, |evidence| evidence.on_trial(now, suspects, seed));
             tell_holders(entry, marks);
             true
         }
     }
 }
 
-/// Returns the refusal of a request whose prompt has crashed backend servers.
-pub(super) fn prompt_refusal<D: Dialect>(
+/// Returns the refusal of a request under which backend servers have ended.
+pub(super) fn crash_refusal<D: Dialect>(
     entry: &Entry<D>,
     request: &CallerRequest,
 ) -> Option<Refusal> {
     let now = entry.now();
     let state = entry.state.borrow();
     let evidence = state.fleet.facts().crashes();
-    match evidence.verdict(now, &request.demand.prompt_parts) {
-        PromptVerdict::Allowed | PromptVerdict::Trial => None,
-        PromptVerdict::TurnedAway { wait_ms } => {
+    match evidence.verdict(now, &request.demand.crash_suspects) {
+        CrashVerdict::Allowed | CrashVerdict::Trial => None,
+        CrashVerdict::TurnedAway { wait_ms } => {
             let delay_ms = return_delay_ms(now, now.plus_ms(wait_ms), stable_hash(&request.id));
-            let reason = "backend servers ended under a part of the prompt";
+            let reason = "backend servers ended under such requests";
             Some(Refusal::NotRun(reason, Duration::from_millis(delay_ms)))
         }
     }
--- a/crates/filbertcleat-gateway/src/entry/dispatch.rs
+++ b/crates/filbertcleat-gateway/src/entry/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use filbertcleat_base::MonoTime;
-use filbertcleat_serve::PromptVerdict;
+use filbertcleat_serve::CrashVerdict;
 use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::RequestQueue;
 use filbertcleat_serve::SentRequest;
@@ -70,7 +70,7 @@
         }
         let evidence = state.fleet.facts().crashes();
         let is_turned_away = |demand: &RequestDemand| {
-            matches!(evidence.verdict(now, &demand.prompt_parts), PromptVerdict::TurnedAway { .. })
+            matches!(evidence.verdict(now, &demand.crash_suspects), CrashVerdict::TurnedAway { .. })
         };
         for ticket in state.queue.requests_where(is_turned_away) {
             state.placements.remove(&ticket);
--- a/crates/filbertcleat-gateway/src/entry/facts.rs
+++ b/crates/filbertcleat-gateway/src/entry/facts.rs
@@ -13,24 +13,24 @@
 use crate::metrics::Metric;
 use crate::peer_socket::PeerUpdate;
 
-/// Changes the facts that the entry knows, and logs which parts of prompts are suspected or no
-/// longer are. Returns the facts that are new.
+/// Changes the facts that the entry knows, and logs which requests are turned away or no longer are.
+/// Returns the facts that are new.
 pub(super) fn change_facts<D: Dialect>(
     entry: &Entry<D>,
     change: impl FnOnce(&mut Fleet) -> Vec<Fact>,
 ) -> Vec<Fact> {
     let fleet = &mut entry.state.borrow_mut().fleet;
-    let before = fleet.facts().crashes().suspected_parts();
+    let before = fleet.facts().crashes().suspected();
     let news = change(fleet);
     if news.is_empty() {
         return news;
     }
-    let after = fleet.facts().crashes().suspected_parts();
-    for part in after.difference(&before) {
-        log::warn!("event=prompt-part-suspected part={part}");
+    let after = fleet.facts().crashes().suspected();
+    for suspect in after.difference(&before) {
+        log::warn!("event=suspect-held kind={} suspect={suspect}", suspect.kind());
     }
-    for part in before.difference(&after) {
-        log::info!("event=prompt-part-cleared part={part}");
+    for suspect in before.difference(&after) {
+        log::info!("event=suspect-cleared kind={} suspect={suspect}", suspect.kind());
     }
     entry.dispatcher_wakeup.notify_one();
     news
--- a/crates/filbertcleat-gateway/src/entry/handler.rs
+++ b/crates/filbertcleat-gateway/src/entry/handler.rs
@@ -33,7 +33,7 @@
 use super::backend_body::RESPONSE_MAX_BYTES;
 use super::body::CallerBody;
 use super::connection::ActiveRequest;
-use super::crashes::prompt_refusal;
+use super::crashes::crash_refusal;
 use super::in_flight::InFlightAttempt;
 use super::origins::restrict_software;
 use super::placement::pause_refusal;
@@ -190,7 +190,7 @@
     let failed_attempt =
         FailedAttempt { may_have_run: failure.may_have_run, has_arrived: failure.has_arrived };
     // A retry that would be refused must not draw on the budget.
-    let known_refusal = prompt_refusal(entry, request).or_else(|| pause_refusal(entry, request));
+    let known_refusal = crash_refusal(entry, request).or_else(|| pause_refusal(entry, request));
     let is_allowed = match attempts.next_after(failed_attempt) {
         _ if known_refusal.is_some() => false,
         NextAttempt::Unbudgeted => true,
--- a/crates/filbertcleat-gateway/src/entry/in_flight.rs
+++ b/crates/filbertcleat-gateway/src/entry/in_flight.rs
@@ -10,7 +10,7 @@
 use filbertcleat_serve::WaitCause;
 
 use super::crashes::on_broken_early;
-use super::crashes::on_prompt_answered;
+use super::crashes::on_request_answered;
 use super::state::Entry;
 use crate::Dialect;
 use crate::metrics::Metric;
@@ -25,13 +25,13 @@
     backlog_ms: f64,
     first_bytes_at: Option<MonoTime>,
     last_bytes_at: Option<MonoTime>,
-    /// Whether the answer has shown that its prompt does not crash the server.
-    is_prompt_sound: bool,
+    /// Whether the answer has shown that its request does not crash the server.
+    is_sound: bool,
     outcome: AttemptOutcome,
 }
 
 impl<D: Dialect> InFlightAttempt<D> {
-    /// The time from the first bytes of an answer in which its prompt may still crash the server:
+    /// The time from the first bytes of an answer in which its request may still crash the server:
     /// that of several decoding steps, and of the bytes on their way.
     const CRASH_WINDOW_MS: u64 = 250;
 
@@ -52,7 +52,7 @@
             backlog_ms,
             first_bytes_at: None,
             last_bytes_at: None,
-            is_prompt_sound: false,
+            is_sound: false,
             outcome: AttemptOutcome::Left,
         }
     }
@@ -73,13 +73,13 @@
         self.record_bytes(now);
         let first_bytes_at = *self.first_bytes_at.get_or_insert(now);
         if now.ms_since(first_bytes_at) >= Self::CRASH_WINDOW_MS {
-            self.on_prompt_sound();
+            self.on_sound();
         }
     }
 
     /// Ends the attempt after a complete answer.
     pub fn end_complete(mut self) {
-        self.on_prompt_sound();
+        self.on_sound();
         self.end(AttemptOutcome::Answered);
     }
 
@@ -102,10 +102,10 @@
         }
     }
 
-    fn on_prompt_sound(&mut self) {
-        if !self.is_prompt_sound {
-            self.is_prompt_sound = true;
-            on_prompt_answered(&self.entry, &self.demand.prompt_parts);
+    fn on_sound(&mut self) {
+        if !self.is_sound {
+            self.is_sound = true;
+            on_request_answered(&self.entry, &self.demand.crash_suspects);
         }
     }
 }
@@ -113,9 +113,9 @@
 impl<D: Dialect> Drop for InFlightAttempt<D> {
     fn drop(&mut self) {
         let now = self.entry.now();
-        let parts = &self.demand.prompt_parts;
-        if self.outcome == AttemptOutcome::Broken && !self.is_prompt_sound && !parts.is_empty() {
-            on_broken_early(&self.entry, &self.server, parts);
+        if self.outcome == AttemptOutcome::Broken && !self.is_sound {
+            let run_ms = now.ms_since(self.sent_at);
+            on_broken_early(&self.entry, &self.server, &self.demand.crash_suspects, run_ms);
         }
         let fleet = &mut self.entry.state.borrow_mut().fleet;
         fleet.on_ended(now, &self.server, &self.demand, self.outcome);
--- a/crates/filbertcleat-gateway/src/entry/placement.rs
+++ b/crates/filbertcleat-gateway/src/entry/placement.rs
@@ -14,7 +14,7 @@
 use filbertcleat_serve::return_delay_ms;
 use tokio::sync::oneshot;
 
-use super::crashes::prompt_refusal;
+use super::crashes::crash_refusal;
 use super::in_flight::InFlightAttempt;
 use super::in_flight::QueueGuard;
 use super::refusal::RETRY_AFTER_FULL;
@@ -54,7 +54,7 @@
         let reason = "no backend server of the stream's software version";
         return Err(Refusal::NotRun(reason, RETRY_AFTER_UNAVAILABLE));
     }
-    if let Some(refusal) = prompt_refusal(entry, request) {
+    if let Some(refusal) = crash_refusal(entry, request) {
         return Err(refusal);
     }
     if !request.uses_engine {
@@ -97,7 +97,7 @@
         }
         return Ok(attempt);
     }
-    if let Some(refusal) = prompt_refusal(entry, request) {
+    if let Some(refusal) = crash_refusal(entry, request) {
         return Err(refusal);
     }
     let (cause, at) = wait_cause.unwrap_or((WaitCause::Pending, None));
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use filbertcleat_base::ServiceName;
+use filbertcleat_serve::CrashSuspect;
 use filbertcleat_serve::RequestContent;
 use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::Route;
@@ -72,13 +73,15 @@
         Err(refusal) => return Err(RefusedRequest { refusal, is_read: false }),
     };
     let content = request_content(&head, &body);
+    let parts = metadata.prompt_parts.iter().copied().take(PROMPT_PARTS_MAX);
+    let parts = parts.map(CrashSuspect::Part);
     let demand = RequestDemand {
         service: service.clone(),
         model: metadata.model.clone(),
         adapter: metadata.adapter.clone(),
         min_version: 0,
         software_version: None,
-        prompt_parts: metadata.prompt_parts.iter().copied().take(PROMPT_PARTS_MAX).collect(),
+        crash_suspects: [CrashSuspect::Content(content)].into_iter().chain(parts).collect(),
         prompt_tokens: metadata.prompt_tokens,
         output_tokens_max: metadata.max_tokens,
         latency_objective_ms: route.latency_objective_ms,
@@ -91,7 +94,6 @@
         uri: head.uri,
         headers: head.headers,
         body,
-        content,
         metadata,
         route,
         service,
--- a/crates/filbertcleat-gateway/src/entry/request.rs
+++ b/crates/filbertcleat-gateway/src/entry/request.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
-use filbertcleat_serve::RequestContent;
 use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::Route;
 use filbertcleat_serve::ServerId;
@@ -21,7 +20,6 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
-    pub content: RequestContent,
     pub metadata: RequestMetadata,
     pub route: Route,
     pub service: ServiceName,
--- a/crates/filbertcleat-gateway/src/entry/request_log.rs
+++ b/crates/filbertcleat-gateway/src/entry/request_log.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 
 use filbertcleat_base::MonoTime;
+use filbertcleat_serve::CrashSuspect;
 use filbertcleat_serve::Fleet;
-use filbertcleat_serve::PromptPart;
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::Server;
 use filbertcleat_serve::ServerId;
@@ -35,7 +35,7 @@
     let expected_ms = (backlog_ms + server.idle_first_event_ms(demand)) as u64;
     let loaded_version = demand.adapter.as_ref().and_then(|key| server.loaded_version(key));
     log::info!(
-        "event=request-placed id={} server={} software={} resumes={} after={} adapter={} version={} held={} content={} parts={} prompt_tokens={} \
+        "event=request-placed id={} server={} software={} resumes={} after={} adapter={} version={} held={} suspects={} prompt_tokens={} \
          queued_ms={} load={} expected_ms={expected_ms} token_us={:.1} gap_share={:.2} \
          chunked={} news_age_ms={} left_ms={}",
         request.id,
@@ -46,8 +46,7 @@
         demand.adapter.as_ref().map_or("-", |key| key.adapter.as_str()),
         demand.min_version,
         OrDash(loaded_version),
-        request.content,
-        PartList(&demand.prompt_parts),
+        SuspectList(&demand.crash_suspects),
         demand.prompt_tokens,
         request.queued_ms,
         server.request_load(now),
@@ -195,13 +194,13 @@
     }
 }
 
-/// Prompt parts, separated by commas.
-struct PartList<'a>(&'a [PromptPart]);
+/// The content of a request and the parts of its prompt, separated by commas.
+struct SuspectList<'a>(&'a [CrashSuspect]);
 
-impl fmt::Display for PartList<'_> {
+impl fmt::Display for SuspectList<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Some((first, others)) = self.0.split_first() else { return f.write_str("-") };
         write!(f, "{first}")?;
-        others.iter().try_for_each(|part| write!(f, ",{part}"))
+        others.iter().try_for_each(|suspect| write!(f, ",{suspect}"))
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -328,8 +328,8 @@
         let in_flight = state.fleet.servers().map(|server| u64::from(server.open_requests)).sum();
         metrics.gauge(Metric::InFlight, &[], in_flight);
         metrics.gauge(Metric::Queued, &[], state.queue.len() as u64);
-        let suspected = state.fleet.facts().crashes().suspected_parts().len();
-        metrics.gauge(Metric::SuspectedParts, &[], suspected as u64);
+        let suspected = state.fleet.facts().crashes().suspected().len();
+        metrics.gauge(Metric::Suspects, &[], suspected as u64);
         metrics.gauge(Metric::DroppedLogLines, &[], dropped_log_lines());
     }
 }
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -44,7 +44,7 @@
     /// Ends of backend servers that broke off requests before their first event.
     ServerEnds,
     /// Parts of prompts for which requests are turned away.
-    SuspectedParts,
+    Suspects,
     /// Attempts in flight at backend servers.
     InFlight,
     /// Requests in the queue of the entry.
@@ -87,7 +87,7 @@
     Metric::Facts,
     Metric::LimitChanges,
     Metric::ServerEnds,
-    Metric::SuspectedParts,
+    Metric::Suspects,
     Metric::InFlight,
     Metric::Queued,
     Metric::Orders,
@@ -123,7 +123,7 @@
             Self::Facts => "facts",
             Self::LimitChanges => "limit_changes",
             Self::ServerEnds => "server_ends",
-            Self::SuspectedParts => "suspected_parts",
+            Self::Suspects => "suspects",
             Self::InFlight => "open",
             Self::Queued => "waiting",
             Self::Orders => "orders",
--- a/crates/filbertcleat-gateway/src/peer_socket/convert.rs
+++ b/crates/filbertcleat-gateway/src/peer_socket/convert.rs
@@ -8,6 +8,7 @@
 use filbertcleat_serve::AgentUpdate;
 use filbertcleat_serve::CrashId;
 use filbertcleat_serve::CrashMark;
+use filbertcleat_serve::CrashSuspect;
 use filbertcleat_serve::EngineSpec;
 use filbertcleat_serve::EntryUpdate;
 use filbertcleat_serve::Fact;
@@ -17,12 +18,14 @@
 use filbertcleat_serve::ModelSpec;
 use filbertcleat_serve::NamedLimit;
 use filbertcleat_serve::PromptPart;
+use filbertcleat_serve::RequestContent;
 use filbertcleat_serve::RequestHash;
 use filbertcleat_serve::RequestLimit;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
 use filbertcleat_serve::StreamOrigin;
 use filbertcleat_wire::v1;
+use filbertcleat_wire::v1::crash_mark;
 use filbertcleat_wire::v1::datagram;
 use filbertcleat_wire::v1::fact;
 
@@ -103,9 +106,13 @@
 fn fact_to_message(fact: &Fact) -> v1::Fact {
     let fact = match fact {
         Fact::Crash(mark) => fact::Fact::Crash(v1::CrashMark {
-            part: mark.part.get(),
+            suspect: Some(match mark.suspect {
+                CrashSuspect::Part(part) => crash_mark::Suspect::Part(part.get()),
+                CrashSuspect::Content(content) => crash_mark::Suspect::Content(content.get()),
+            }),
             crash: mark.crash.get(),
             age_ms: mark.age_ms,
+            run_ms: mark.run_ms,
             cleared: mark.is_cleared,
             was_sound: mark.was_sound,
         }),
@@ -122,9 +129,15 @@
 fn fact_from_message(message: v1::Fact) -> Option<Fact> {
     Some(match message.fact? {
         fact::Fact::Crash(mark) => Fact::Crash(CrashMark {
-            part: PromptPart::new(mark.part),
+            suspect: match mark.suspect? {
+                crash_mark::Suspect::Part(part) => CrashSuspect::Part(PromptPart::new(part)),
+                crash_mark::Suspect::Content(content) => {
+                    CrashSuspect::Content(RequestContent::new(content))
+                }
+            },
             crash: CrashId::new(mark.crash),
             age_ms: mark.age_ms,
+            run_ms: mark.run_ms,
             is_cleared: mark.cleared,
             was_sound: mark.was_sound,
         }),
--- a/crates/filbertcleat-gateway/tests/crashing_prompts.rs
+++ b/crates/filbertcleat-gateway/tests/crashing_prompts.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use filbertcleat_serve::RetryPolicy;
@@ -33,6 +34,7 @@
 /// Nine servers that the part crashes, and some entries.
 struct CrashSite {
     site: Site,
+    requests: Cell<usize>,
 }
 
 impl CrashSite {
@@ -44,7 +46,7 @@
         };
         let servers = (0..9).map(|number| (format!("w{number}"), script.clone())).collect();
         let routes = vec![route("write", policy, attempts_max)];
-        Self { site: Site::start(routes, servers, entries).await }
+        Self { site: Site::start(routes, servers, entries).await, requests: Cell::default() }
     }
 
     fn crashes(&self) -> usize {
@@ -56,10 +58,12 @@
         self.site.backends.iter().map(|backend| backend.arrivals_with(CRASHING)).sum()
     }
 
-    /// Sends a request with these shared parts to an entry.
+    /// Sends a request with these shared parts and a target of its own to an entry.
     async fn send(&self, entry: usize, parts: &str) -> Option<Reply> {
+        self.requests.set(self.requests.get() + 1);
+        let target = format!("/write/{}", self.requests.get()).leak();
         let extra = format!("x-parts: {parts}\r\n").leak();
-        self.site.send(entry, &Call { extra, ..Call::new("a", "/write/1") }).await
+        self.site.send(entry, &Call { extra, ..Call::new("a", target) }).await
     }
 
     /// Sends requests with the crashing part, no two alike, until five servers have ended or 20 have
--- a/crates/filbertcleat-gateway/tests/crashing_requests.rs
+++ b/crates/filbertcleat-gateway/tests/crashing_requests.rs
@@ -51,7 +51,10 @@
         let after = Duration::from_millis(50);
         let script =
             Script::CrashOnTarget { target, after, down: DOWN, otherwise: Box::new(otherwise) };
-        let servers = (0..9).map(|number| (format!("{prefix}{number}"), script.clone())).collect();
+        let mut servers: Vec<_> =
+            (0..9).map(|number| (format!("{prefix}{number}"), script.clone())).collect();
+        // The agents beside engines pass on what entries learn.
+        servers.extend((0..2).map(|number| (format!("w1{number}"), Script::Silent)));
         let name = if is_stream { "write" } else { "cancel" };
         let routes = vec![route(name, policy, attempts_max)];
         Self { site: Site::start(routes, servers, entries).await, target, requests: 0 }
--- a/crates/filbertcleat-gateway/tests/endless_bytes.rs
+++ b/crates/filbertcleat-gateway/tests/endless_bytes.rs
@@ -120,7 +120,7 @@
     servers.iter().for_each(Backend::drop_scripts);
     let later = world.caller().await.call(&Call::new("c", "/play/2")).await.expect("a response");
     assert!(later.status == 200 && later.is_complete, "a later request failed: {later:?}");
-    let connections: usize = servers.iter().map(|server| server.connections.get()).sum();
+    let connections: usize = servers.iter().map(|server| server.used_connections.get()).sum();
     let arrivals: usize = servers.iter().map(Backend::arrivals).sum();
     assert_eq!(connections, arrivals, "a connection was used again");
     Observed { reply: reply.0.expect("a response head"), took: reply.1, servers }
--- a/crates/filbertcleat-gateway/tests/fact_lists.rs
+++ b/crates/filbertcleat-gateway/tests/fact_lists.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use filbertcleat_wire::v1;
+use filbertcleat_wire::v1::crash_mark::Suspect;
 use filbertcleat_wire::v1::datagram::Update;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -33,7 +34,10 @@
         let entry = UdpSocket::bind((Ipv4Addr::new(127, 0, 200, 2), 0)).await.expect("a port");
         entry.connect((ip, port)).await.expect("loopback works");
         let facts = (0..FACTS).map(|part| v1::Fact {
-            fact: Some(v1::fact::Fact::Crash(v1::CrashMark { part, ..v1::CrashMark::default() })),
+            fact: Some(v1::fact::Fact::Crash(v1::CrashMark {
+                suspect: Some(Suspect::Part(part)),
+                ..v1::CrashMark::default()
+            })),
         });
         let facts = v1::Facts { facts: facts.collect(), complete: false };
         entry.send(&datagram(Update::Facts(facts))).await.expect("sent");
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -203,7 +203,9 @@
 /// Returns the catalogue's entry of a backend server: of the service `writer` if its id begins with
 /// `w`, else of `desk`.
 pub fn listed(backend: &Backend) -> ListedServer {
-    let service = if backend.id.starts_with('w') { "writer" } else { "desk" };
+    let is_engine = backend.id.starts_with('w');
+    let service = if is_engine { "writer" } else { "desk" };
+    let model = ListedModel { name: ModelName::new("base"), adapters: Vec::new() };
     ListedServer {
         id: ServerId::new(&backend.id),
         service: ServiceName::new(service),
@@ -212,7 +214,7 @@
         concurrency_limit: 6,
         software_version: SoftwareVersion::new("v1"),
         is_draining: false,
-        models: vec![ListedModel { name: ModelName::new("base"), adapters: Vec::new() }],
+        models: if is_engine { vec![model] } else { Vec::new() },
         started_unix_ms: 1,
     }
 }
--- a/crates/filbertcleat-serve/src/crash_evidence/crash_mark.rs
+++ b/crates/filbertcleat-serve/src/crash_evidence/crash_mark.rs
@@ -1,19 +1,21 @@
-//! The mark of a crash on a part of a prompt.
+//! The mark that a crash leaves on a suspect.
 
 use super::CrashId;
-use crate::PromptPart;
+use super::CrashSuspect;
 
-/// The mark of a crash on a part of a prompt, as processes tell it each other.
+/// The mark that a crash leaves on a suspect, as processes tell it each other.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CrashMark {
-    /// The part, which a request held that had brought no event when the server ended.
-    pub part: PromptPart,
+    /// What a request held that had brought no event when the server ended.
+    pub suspect: CrashSuspect,
     /// The end of the server.
     pub crash: CrashId,
     /// The time since the server ended, in milliseconds.
     pub age_ms: u64,
-    /// Whether a prompt with the part has been answered since then.
+    /// How long the request had run when the server ended, in milliseconds.
+    pub run_ms: u64,
+    /// Whether a request with the suspect has been answered since then.
     pub is_cleared: bool,
-    /// Whether a prompt with the part had been answered shortly before.
+    /// Whether a request with the suspect had been answered shortly before.
     pub was_sound: bool,
 }
--- a/crates/filbertcleat-serve/src/crash_evidence/crash_verdict.rs
+++ b/crates/filbertcleat-serve/src/crash_evidence/crash_verdict.rs
@@ -1,13 +1,13 @@
-//! Whether a prompt may be sent to a backend server.
+//! Whether a request may be sent to a backend server.
 
-/// Whether a prompt may be sent to a backend server, as far as crashes tell.
+/// Whether a request may be sent to a backend server, as far as crashes tell.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum PromptVerdict {
-    /// The prompt holds no part that explains crashes.
+pub enum CrashVerdict {
+    /// The request holds nothing that explains crashes.
     Allowed,
-    /// The prompt holds such a part, and shows whether servers still end under it.
+    /// The request holds something that does, and shows whether servers still end under it.
     Trial,
-    /// The prompt is turned away.
+    /// The request is turned away.
     TurnedAway {
         /// The time until the next trial, in milliseconds.
         wait_ms: u64,
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -9,7 +9,7 @@
 //! - `queue`: orders the requests that wait at an entry and dispatches them to engines
 //! - `attempts`: decides whether a request may be sent again
 //! - `budget`: limits the retries of an entry
-//! - `crash_evidence`: finds parts of prompts that crash backend servers
+//! - `crash_evidence`: finds requests and parts of prompts that crash backend servers
 //! - `facts`: what processes learn from answers of backend servers and tell each other
 //! - `recipients`: decides when an agent sends updates to which entries
 //! - `holders`: chooses the agents that hold what entries have to know from each other
@@ -49,7 +49,8 @@
 pub use crash_evidence::CrashEvidence;
 pub use crash_evidence::CrashId;
 pub use crash_evidence::CrashMark;
-pub use crash_evidence::PromptVerdict;
+pub use crash_evidence::CrashSuspect;
+pub use crash_evidence::CrashVerdict;
 pub use deployment::CallerLimits;
 pub use deployment::CurrentDeployment;
 pub use deployment::Deployment;
--- a/crates/filbertcleat-serve/src/request.rs
+++ b/crates/filbertcleat-serve/src/request.rs
@@ -6,7 +6,7 @@
 use filbertcleat_base::ServiceName;
 
 use crate::AdapterKey;
-use crate::PromptPart;
+use crate::CrashSuspect;
 use crate::SoftwareVersion;
 
 /// The properties of a request that affect its placement.
@@ -22,8 +22,9 @@
     pub min_version: u64,
     /// The only software version that may serve the request, if it continues a stream.
     pub software_version: Option<SoftwareVersion>,
-    /// The parts of the prompt that other requests may share.
-    pub prompt_parts: Rc<[PromptPart]>,
+    /// What other requests may hold too and may crash servers: the content of the request and the
+    /// parts of the prompt.
+    pub crash_suspects: Rc<[CrashSuspect]>,
     /// The length of the prompt in tokens.
     pub prompt_tokens: u64,
     /// The largest number of tokens in the response.
--- a/crates/filbertcleat-serve/tests/crash_evidence.rs
+++ b/crates/filbertcleat-serve/tests/crash_evidence.rs
@@ -1,11 +1,13 @@
-//! Parts of prompts under which backend servers end.
+//! Parts of prompts and contents of requests under which backend servers end.
 
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::CrashEvidence;
 use filbertcleat_serve::CrashId;
 use filbertcleat_serve::CrashMark;
+use filbertcleat_serve::CrashSuspect;
+use filbertcleat_serve::CrashVerdict;
 use filbertcleat_serve::PromptPart;
-use filbertcleat_serve::PromptVerdict;
+use filbertcleat_serve::RequestContent;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -18,21 +20,36 @@
     MonoTime::from_ms(ms)
 }
 
-fn part(number: u64) -> PromptPart {
-    PromptPart::new(number)
+fn part(number: u64) -> CrashSuspect {
+    CrashSuspect::Part(PromptPart::new(number))
 }
 
-fn parts(numbers: &[u64]) -> Vec<PromptPart> {
+fn content(number: u64) -> CrashSuspect {
+    CrashSuspect::Content(RequestContent::new(number))
+}
+
+fn parts(numbers: &[u64]) -> Vec<CrashSuspect> {
     numbers.iter().copied().map(part).collect()
 }
 
 /// Records that a server ended under requests with these parts.
 fn crash(evidence: &mut CrashEvidence, ms: u64, numbers: &[u64]) -> Vec<CrashMark> {
-    evidence.on_server_ended(at(ms), CrashId::new(ms), 0, parts(numbers))
+    crash_under(evidence, ms, 30, &parts(numbers))
+}
+
+/// Records that a server ended under requests with these suspects that had run for a time.
+fn crash_under(
+    evidence: &mut CrashEvidence,
+    ms: u64,
+    run_ms: u64,
+    suspects: &[CrashSuspect],
+) -> Vec<CrashMark> {
+    let runs = suspects.iter().map(|suspect| (*suspect, run_ms));
+    evidence.on_server_ended(at(ms), CrashId::new(ms), 0, runs)
 }
 
 fn is_allowed(evidence: &CrashEvidence, ms: u64, numbers: &[u64]) -> bool {
-    evidence.verdict(at(ms), &parts(numbers)) == PromptVerdict::Allowed
+    evidence.verdict(at(ms), &parts(numbers)) == CrashVerdict::Allowed
 }
 
 /// Load pattern: requests with one part in common end one server after the other, beside sound
@@ -47,7 +64,7 @@
         evidence.on_answered(at(ms + 100), &parts(&[FIRST, 70]));
     }
 
-    assert_eq!(evidence.suspected_parts().into_iter().collect::<Vec<_>>(), parts(&[CRASHING]));
+    assert_eq!(evidence.suspected().into_iter().collect::<Vec<_>>(), parts(&[CRASHING]));
     assert!(!is_allowed(&evidence, 2_000, &[FIRST, CRASHING, 13]));
     assert!(is_allowed(&evidence, 2_000, &[FIRST, 10]));
 }
@@ -136,7 +153,7 @@
     }
     let mut trials_ms = Vec::new();
     for ms in (2_000..400_000).step_by(500) {
-        if evidence.verdict(at(ms), &parts(&[CRASHING])) == PromptVerdict::Trial {
+        if evidence.verdict(at(ms), &parts(&[CRASHING])) == CrashVerdict::Trial {
             let told = evidence.on_trial(at(ms), &parts(&[CRASHING]), 7);
             assert_eq!(told.len(), 1);
             trials_ms.push(ms);
@@ -156,13 +173,13 @@
         crash(&mut evidence, ms, &[CRASHING]);
     }
     let mut other = evidence.clone();
-    assert_eq!(other.verdict(at(40_000), &parts(&[CRASHING])), PromptVerdict::Trial);
+    assert_eq!(other.verdict(at(40_000), &parts(&[CRASHING])), CrashVerdict::Trial);
 
     let told = evidence.on_trial(at(40_000), &parts(&[CRASHING]), 7);
     other.merge(at(40_001), &told);
 
     let verdict = other.verdict(at(40_010), &parts(&[CRASHING]));
-    assert!(matches!(verdict, PromptVerdict::TurnedAway { .. }));
+    assert!(matches!(verdict, CrashVerdict::TurnedAway { .. }));
     let cleared = evidence.on_answered(at(40_200), &parts(&[CRASHING]));
     other.merge(at(40_201), &cleared);
     assert!(is_allowed(&other, 40_300, &[CRASHING]));
@@ -199,16 +216,117 @@
     assert!(!is_allowed(&evidence, 6_000, &[CRASHING]));
 }
 
+/// One request is sent to one server after the other, beside sound ones of its caller.
+#[test]
+fn content_found() {
+    let mut evidence = CrashEvidence::default();
+    // The retry of the first arrival ends its server 60 ms later.
+    for ms in [1_000, 1_060, 2_000] {
+        assert_eq!(evidence.verdict(at(ms), &[content(1)]), CrashVerdict::Allowed);
+        crash_under(&mut evidence, ms, 50, &[content(1), part(FIRST), part(ms)]);
+    }
+
+    assert_ne!(evidence.verdict(at(2_100), &[content(1), part(FIRST)]), CrashVerdict::Allowed);
+    let verdict = evidence.verdict(at(2_100), &[content(2), part(FIRST), part(1_000)]);
+    assert_eq!(verdict, CrashVerdict::Allowed);
+}
+
+/// A request that crashes servers shares its prompt with sound ones of the same caller.
+#[test]
+fn content_blamed_before_parts() {
+    let mut evidence = CrashEvidence::default();
+    for ms in [1_000, 2_000, 3_000] {
+        crash_under(&mut evidence, ms, 50, &[content(1), part(FIRST), part(CRASHING)]);
+    }
+
+    assert_ne!(evidence.verdict(at(3_100), &[content(1)]), CrashVerdict::Allowed);
+    let verdict = evidence.verdict(at(3_100), &[content(2), part(FIRST), part(CRASHING)]);
+    assert_eq!(verdict, CrashVerdict::Allowed);
+
+    crash_under(&mut evidence, 4_000, 50, &[content(2), part(FIRST), part(CRASHING)]);
+    assert!(!is_allowed(&evidence, 4_100, &[FIRST, CRASHING]));
+}
+
+/// Load pattern: a request that many callers send waits at all servers of a rack when it fails,
+/// and their ends are seen one after the other.
+#[test]
+fn content_at_once_allowed() {
+    let mut evidence = CrashEvidence::default();
+    for ms in [1_000, 1_030, 1_060, 1_090, 1_120, 1_150] {
+        crash_under(&mut evidence, ms, 400, &[content(1)]);
+    }
+
+    assert_eq!(evidence.verdict(at(1_200), &[content(1)]), CrashVerdict::Allowed);
+}
+
+/// Two requests are at the same servers when they end; either may be the cause.
+#[test]
+fn equal_contents_both_held() {
+    let mut evidence = CrashEvidence::default();
+    for ms in [1_000, 2_000, 3_000] {
+        crash_under(&mut evidence, ms, 50, &[content(1), content(2)]);
+    }
+    for number in [1, 2] {
+        assert_ne!(evidence.verdict(at(3_100), &[content(number)]), CrashVerdict::Allowed);
+    }
+    assert_eq!(evidence.verdict(at(33_100), &[content(2)]), CrashVerdict::Trial);
+
+    evidence.on_answered(at(33_200), &[content(2)]);
+
+    assert_eq!(evidence.verdict(at(33_300), &[content(2)]), CrashVerdict::Allowed);
+    assert_ne!(evidence.verdict(at(33_300), &[content(1)]), CrashVerdict::Allowed);
+}
+
+/// A sound request fails with the servers that another one ends, until that one is told apart.
+#[test]
+fn bystander_content_allowed() {
+    let mut evidence = CrashEvidence::default();
+    crash_under(&mut evidence, 1_000, 50, &[content(1)]);
+    for ms in [2_000, 3_000, 4_000] {
+        crash_under(&mut evidence, ms, 50, &[content(1), content(2)]);
+    }
+
+    assert_ne!(evidence.verdict(at(4_100), &[content(1)]), CrashVerdict::Allowed);
+    assert_eq!(evidence.verdict(at(4_100), &[content(2)]), CrashVerdict::Allowed);
+}
+
+/// A request that comes again for an hour ends three more servers at most, each as a trial.
+#[test]
+fn content_trials_end() {
+    let mut evidence = CrashEvidence::default();
+    for ms in [1_000, 1_300, 1_600] {
+        crash_under(&mut evidence, ms, 50, &[content(1)]);
+    }
+    let mut trials_ms = Vec::new();
+    for ms in (2_000..3_500_000).step_by(500) {
+        match evidence.verdict(at(ms), &[content(1)]) {
+            CrashVerdict::Allowed => panic!("the request is held"),
+            CrashVerdict::TurnedAway { .. } => {}
+            CrashVerdict::Trial => {
+                evidence.on_trial(at(ms), &[content(1)], 7);
+                trials_ms.push(ms);
+                crash_under(&mut evidence, ms + 60, 50, &[content(1)]);
+            }
+        }
+    }
+
+    assert_eq!(trials_ms.len(), 3, "{trials_ms:?}");
+    assert!(trials_ms.iter().all(|ms| *ms >= 31_600), "{trials_ms:?}");
+}
+
 fn arbitrary_marks() -> impl Strategy<Value = Vec<CrashMark>> {
-    let mark = (0..4_u64, 0..6_u64, 0..2_000_u64, any::<bool>(), any::<bool>());
-    let mark = mark.prop_map(|(number, crash, age_ms, is_cleared, was_sound)| CrashMark {
-        part: part(number),
-        // A crash has one time, wherever it is known.
-        age_ms: age_ms % 7 + crash * 250,
-        crash: CrashId::new(crash),
-        is_cleared,
-        was_sound,
-    });
+    let flags = (any::<bool>(), any::<bool>());
+    let mark = (0..6_u64, 0..6_u64, 0..2_000_u64, 0..300_u64, flags);
+    let mark =
+        mark.prop_map(|(number, crash, age_ms, run_ms, (is_cleared, was_sound))| CrashMark {
+            suspect: if number < 4 { part(number) } else { content(number) },
+            // A crash has one time, wherever it is known.
+            age_ms: age_ms % 7 + crash * 250,
+            crash: CrashId::new(crash),
+            run_ms,
+            is_cleared,
+            was_sound,
+        });
     proptest::collection::vec(mark, 0..40)
 }
 
@@ -218,7 +336,7 @@
         let mut shuffled = marks.clone();
         shuffled.extend(marks.iter().copied().take(10));
         shuffled.sort_by_key(|mark| {
-            (mark.part.get() ^ mark.crash.get().rotate_left(7) ^ mark.age_ms).wrapping_mul(seed | 1)
+            (mark.run_ms ^ mark.crash.get().rotate_left(7) ^ mark.age_ms).wrapping_mul(seed | 1)
         });
         let (mut one, mut other) = (CrashEvidence::default(), CrashEvidence::default());
 
@@ -228,6 +346,6 @@
         }
 
         prop_assert_eq!(one.digest(), other.digest());
-        prop_assert_eq!(one.suspected_parts(), other.suspected_parts());
+        prop_assert_eq!(one.suspected(), other.suspected());
     }
 }
--- a/crates/filbertcleat-serve/tests/shared_facts.rs
+++ b/crates/filbertcleat-serve/tests/shared_facts.rs
@@ -4,6 +4,7 @@
 use filbertcleat_serve::CrashEvidence;
 use filbertcleat_serve::CrashId;
 use filbertcleat_serve::CrashMark;
+use filbertcleat_serve::CrashSuspect;
 use filbertcleat_serve::Fact;
 use filbertcleat_serve::LeavingMark;
 use filbertcleat_serve::PromptPart;
@@ -99,7 +100,8 @@
     let crash = (0..3_u64, 0..4_u64, any::<bool>(), any::<bool>()).prop_map(
         |(part, crash, is_cleared, was_sound)| {
             Fact::Crash(CrashMark {
-                part: PromptPart::new(part),
+                suspect: CrashSuspect::Part(PromptPart::new(part)),
+                run_ms: 0,
                 crash: CrashId::new(crash),
                 age_ms: crash * 250,
                 is_cleared,
@@ -140,7 +142,7 @@
             run.entries.iter().chain(&run.holders).map(SharedFacts::digest).collect();
         prop_assert!(digests.iter().all(|digest| *digest == digests[0]), "{:?}", digests);
         let suspected: Vec<_> =
-            run.entries.iter().map(|facts| facts.crashes().suspected_parts()).collect();
+            run.entries.iter().map(|facts| facts.crashes().suspected()).collect();
         prop_assert!(suspected.iter().all(|parts| *parts == suspected[0]));
     }
 
@@ -171,7 +173,8 @@
     let mut facts = SharedFacts::default();
     for number in 0..100_000 {
         let crash = CrashMark {
-            part: PromptPart::new(number),
+            suspect: CrashSuspect::Part(PromptPart::new(number)),
+            run_ms: 0,
             crash: CrashId::new(number / 32),
             age_ms: 0,
             is_cleared: false,
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -106,7 +106,7 @@
         adapter: Some(key(adapter)),
         min_version: 0,
         software_version: None,
-        prompt_parts: Vec::new().into(),
+        crash_suspects: Vec::new().into(),
         prompt_tokens,
         output_tokens_max: 100,
         latency_objective_ms: 1_000,
