--- a/crates/filbertcleat-gateway/tests/crashing_requests.rs
+++ b/crates/filbertcleat-gateway/tests/crashing_requests.rs
@@ -229,3 +229,24 @@
         site.expect_turned_away(0).await;
     });
 }
+
+/// Callers leave before the servers end under their requests.
+#[test]
+fn crashes_seen_after_callers_left() {
+    World::run(async {
+        let mut site = CrashSite::start(IDEMPOTENT, 1, 1).await;
+        for _ in 0..3 {
+            let mut caller = site.site.entries[0].caller().await;
+            caller.send(&Call::new("a", CRASHING)).await.expect("the entry reads");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            drop(caller);
+            tokio::time::sleep(INTERVAL).await;
+        }
+        tokio::time::sleep(CONTACT).await;
+        assert_eq!((site.arrivals(), site.crashes()), (3, 3));
+
+        site.send_crashing(0).await;
+
+        assert_eq!(site.arrivals(), 3, "the request reached one more server");
+    });
+}
--- a/crates/filbertcleat-gateway/tests/pauses.rs
+++ b/crates/filbertcleat-gateway/tests/pauses.rs
@@ -211,3 +211,57 @@
         assert_eq!(world.metric(drawn).await, None, "no retry was drawn");
     });
 }
+
+/// The answer that asks for the pause comes after its caller has left, or after its deadline.
+#[rstest]
+#[case::caller_left("d", IDEMPOTENT, 5_000, 100)]
+#[case::caller_left_engine("w", RESUMABLE, 5_000, 100)]
+#[case::deadline_passed("d", IDEMPOTENT, 100, 400)]
+fn unread_pause_kept(
+    #[case] prefix: &str,
+    #[case] policy: RetryPolicy,
+    #[case] wait_ms: u64,
+    #[case] leaves_after_ms: u64,
+) {
+    World::run(async move {
+        let (first, second) = (format!("{prefix}1"), format!("{prefix}2"));
+        let sound = if prefix == "w" { EVENTS } else { RESPONSE };
+        let one = Backend::start(&first, sound.clone()).await;
+        let two = Backend::start(&second, sound).await;
+        let world = World::start(vec![route("cancel", policy, 2)], &[&one, &two]).await;
+        let late = Script::Respond { status: 503, body: "no", after: Duration::from_millis(300) };
+        for backend in [&one, &two] {
+            backend.script_next(late.clone().with_headers(PAUSE_3_S));
+        }
+        let mut caller = world.caller().await;
+        caller.send(&Call { wait_ms, ..Call::new("a", "/cancel/1") }).await.expect("it is sent");
+        tokio::time::sleep(Duration::from_millis(leaves_after_ms)).await;
+        drop(caller);
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        let paused = if one.arrivals() == 1 { &one } else { &two };
+        one.drop_scripts();
+        two.drop_scripts();
+        assert_eq!(world.metric("filbertcleat_servers{are=\"paused\"}").await, Some(1));
+
+        send_for(&world, Duration::from_secs(2)).await;
+
+        assert_eq!(paused.arrivals(), 1, "requests reached the server in its pause");
+    });
+}
+
+/// A server that works on for long after its caller has left is told to stop.
+#[test]
+fn left_request_cancelled() {
+    World::run(async {
+        let backend = Backend::start("d1", Script::Silent).await;
+        let world = World::start(vec![route("cancel", IDEMPOTENT, 1)], &[&backend]).await;
+        let mut caller = world.caller().await;
+        caller.send(&Call::new("a", "/cancel/1")).await.expect("it is sent");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        drop(caller);
+
+        tokio::time::sleep(Duration::from_millis(450)).await;
+
+        assert_eq!(backend.cancelled.get(), 1);
+    });
+}
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -351,13 +351,16 @@
         }
     }
 
-    /// Ends the server, and with it the connection that waits for that.
+    /// Ends the server, whether or not the caller is still there.
     async fn end_with(&self, stream: &mut OwnedWriteHalf, events_head: &str, crash: Crash) -> ! {
         if crash.sends_head {
             write(stream, events_head).await;
         }
-        tokio::time::sleep(crash.after).await;
-        self.crash(crash.down);
+        let backend = self.clone();
+        spawn_local(async move {
+            tokio::time::sleep(crash.after).await;
+            backend.crash(crash.down);
+        });
         std::future::pending().await
     }
 
