Read what servers announce after their callers have left

Operators saw a server that had asked for 3 s get 5 requests in that time.

The wait for the head belonged to the caller's request. It is a task of its own now, which reads on for 300 ms and closes the connection then. A stream's move that the silent server takes back is closed at once, as before.

--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
-use filbertcleat_serve::NamedLimit;
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
@@ -22,9 +21,10 @@
 use super::backend_body::BodyKind;
 use super::backend_connection::BackendConnection;
 use super::crashes::admit_request;
+use super::exchange::Answer;
+use super::exchange::Exchange;
+use super::exchange::ExchangeError;
 use super::in_flight::InFlightAttempt;
-use super::notices::NoticeSource;
-use super::notices::apply_notice;
 use super::request::CallerRequest;
 use super::state::Entry;
 use crate::AttemptMetadata;
@@ -124,7 +124,7 @@
     let mut is_admitted = false;
     for _ in 0..CONNECTIONS_MAX {
         let checked_out = entry.pool.checkout(address).await;
-        let mut connection = checked_out.map_err(|error| {
+        let connection = checked_out.map_err(|error| {
             log::debug!("event=connect-failed peer={address} reason=\"{error}\"");
             AttemptFailure::not_arrived(
                 AttemptOutcome::Unreachable,
@@ -157,52 +157,35 @@
         }
         let outbound = build_request(entry, request, attempt, remaining_ms, resume_after);
         let limit = Duration::from_millis(remaining_ms + RESPONSE_GRACE_MS);
-        let sent = tokio::time::timeout(limit, connection.try_send(outbound)).await;
-        match sent {
-            Err(_elapsed) => {
+        let exchange = Exchange {
+            attempt: Rc::clone(attempt.counted()),
+            request: request.id.clone(),
+            started_unix_ms,
+        };
+        let answer = match exchange.run(connection, outbound, limit).await {
+            Ok(answer) => answer,
+            Err(ExchangeError::Unsent) => continue,
+            Err(ExchangeError::Silent) => {
                 return Err(AttemptFailure::unknown(
                     AttemptOutcome::Silent,
                     "no response before the deadline",
                 ));
             }
-            Ok(Err(mut error)) => {
-                if error.take_message().is_some() {
-                    continue;
-                }
+            Err(ExchangeError::Broken) => {
                 return Err(AttemptFailure::unknown(
                     AttemptOutcome::Broken,
                     "the connection broke before a response arrived",
                 ));
             }
-            Ok(Ok(response)) => {
-                let (head, body) = response.into_parts();
-                let metadata = entry.dialect.parse_response(&head.headers);
-                let is_foreign = metadata.id.as_ref() != Some(&request.id);
-                let mut notice = metadata.notice.with_status(head.status);
-                if is_foreign && notice.limit == NamedLimit::Absent {
-                    // What is no answer to this request may lack any header.
-                    notice.limit = NamedLimit::Untold;
-                }
-                let server = metadata.server.as_ref().unwrap_or(attempt.server());
-                // The start of another server than the one asked is not known.
-                let started_unix_ms = if server == attempt.server() { started_unix_ms } else { 0 };
-                let source = NoticeSource::Answer;
-                apply_notice(entry, server, started_unix_ms, notice, source);
-                let requests_pause = notice.pause.is_some();
-                let kind = body_kind(request, head.status);
-                let body = BackendBody::new(body, connection.allowance().clone(), kind);
-                let response = BackendResponse {
-                    head,
-                    body,
-                    address,
-                    software_version,
-                    connection,
-                    requests_pause,
-                };
-                let validated = validate_response(entry, request, attempt, response, &metadata);
-                return validated.map_err(|failure| failure.with_pause(requests_pause));
-            }
-        }
+        };
+        let Answer { response, metadata, requests_pause, connection } = answer;
+        let (head, body) = response.into_parts();
+        let kind = body_kind(request, head.status);
+        let body = BackendBody::new(body, connection.allowance().clone(), kind);
+        let response =
+            BackendResponse { head, body, address, software_version, connection, requests_pause };
+        let validated = validate_response(entry, request, attempt, response, &metadata);
+        return validated.map_err(|failure| failure.with_pause(requests_pause));
     }
     Err(AttemptFailure::not_arrived(
         AttemptOutcome::Unreachable,
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/counted_attempt.rs
@@ -0,0 +1,101 @@
+//! The part of an attempt that the fleet counts.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use filbertcleat_base::MonoTime;
+use filbertcleat_serve::AttemptOutcome;
+use filbertcleat_serve::RequestDemand;
+use filbertcleat_serve::ServerId;
+
+use super::crashes::on_broken_early;
+use super::crashes::on_request_answered;
+use super::state::Entry;
+use crate::Dialect;
+use crate::metrics::Metric;
+
+/// An attempt that the fleet counts as in flight at a backend server until it has ended.
+///
+/// If its caller leaves, the attempt is in flight for as long as its answer is awaited.
+pub(super) struct CountedAttempt<D: Dialect> {
+    pub entry: Rc<Entry<D>>,
+    pub server: ServerId,
+    pub demand: RequestDemand,
+    pub sent_at: MonoTime,
+    /// Whether the answer has shown that its request does not crash the server.
+    is_sound: Cell<bool>,
+    has_ended: Cell<bool>,
+    is_cancelled: Cell<bool>,
+}
+
+impl<D: Dialect> CountedAttempt<D> {
+    /// Creates the counted part of an attempt that the fleet already counts.
+    pub fn new(entry: &Rc<Entry<D>>, server: ServerId, demand: RequestDemand) -> Self {
+        Self {
+            entry: Rc::clone(entry),
+            server,
+            demand,
+            sent_at: entry.now(),
+            is_sound: Cell::new(false),
+            has_ended: Cell::new(false),
+            is_cancelled: Cell::new(false),
+        }
+    }
+
+    /// Records that the answer shows the request to be sound.
+    pub fn on_sound(&self) {
+        if !self.is_sound.replace(true) {
+            on_request_answered(&self.entry, &self.demand.crash_suspects);
+        }
+    }
+
+    /// Records that the server broke off the request.
+    pub fn on_broken(&self) {
+        if !self.is_sound.get() {
+            let run_ms = self.entry.now().ms_since(self.sent_at);
+            on_broken_early(&self.entry, &self.server, &self.demand.crash_suspects, run_ms);
+        }
+    }
+
+    /// Records that the answer is not to be awaited once the caller of the attempt drops it.
+    pub fn cancel(&self) {
+        self.is_cancelled.set(true);
+    }
+
+    /// Returns whether the attempt was cancelled.
+    pub fn is_cancelled(&self) -> bool {
+        self.is_cancelled.get()
+    }
+
+    /// Ends the attempt with the given outcome, unless it has ended.
+    pub fn end(&self, outcome: AttemptOutcome) {
+        if self.has_ended.replace(true) {
+            return;
+        }
+        if outcome == AttemptOutcome::Broken {
+            self.on_broken();
+        }
+        let now = self.entry.now();
+        self.entry.state.borrow_mut().fleet.on_ended(now, &self.server, &self.demand, outcome);
+        let outcome = match outcome {
+            AttemptOutcome::Answered => "answered",
+            AttemptOutcome::Failed => "failed",
+            AttemptOutcome::Full => "full",
+            AttemptOutcome::Lacking => "lacking",
+            AttemptOutcome::Misdirected => "misdirected",
+            AttemptOutcome::Unreachable => "unreachable",
+            AttemptOutcome::Broken => "broken",
+            AttemptOutcome::Silent => "silent",
+            AttemptOutcome::Paused => "paused",
+            AttemptOutcome::Left => "left",
+        };
+        self.entry.metrics.count(Metric::Attempts, &[("ending", outcome)]);
+        self.entry.dispatcher_wakeup.notify_one();
+    }
+}
+
+impl<D: Dialect> Drop for CountedAttempt<D> {
+    fn drop(&mut self) {
+        self.end(AttemptOutcome::Left);
+    }
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/exchange.rs
@@ -0,0 +1,134 @@
+//! Sends a request on a connection and reads the head of the answer, also if nobody waits for it.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use filbertcleat_serve::NamedLimit;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+
+use super::backend_connection::BackendConnection;
+use super::counted_attempt::CountedAttempt;
+use super::notices::NoticeSource;
+use super::notices::apply_notice;
+use crate::Dialect;
+use crate::ResponseMetadata;
+
+/// How long the head of an answer is awaited that nobody waits for any more. What a server announces
+/// in it concerns later requests, but a server that works on is told within half a second to stop.
+const READ_ON: Duration = Duration::from_millis(300);
+
+/// The head of an answer, with the connection that the body arrives on.
+pub(super) struct Answer {
+    pub response: Response<Incoming>,
+    pub metadata: ResponseMetadata,
+    /// Whether the backend server asks for a pause.
+    pub requests_pause: bool,
+    pub connection: BackendConnection,
+}
+
+/// Why an exchange brought no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ExchangeError {
+    /// The connection was closed before the request was transmitted.
+    Unsent,
+    /// The connection broke before an answer arrived.
+    Broken,
+    /// No answer arrived in time.
+    Silent,
+}
+
+/// One request on one connection.
+pub(super) struct Exchange<D: Dialect> {
+    pub attempt: Rc<CountedAttempt<D>>,
+    /// The id of the caller's request.
+    pub request: String,
+    /// The Unix time of the server's start in milliseconds.
+    pub started_unix_ms: u64,
+}
+
+impl<D: Dialect> Exchange<D> {
+    /// Sends a request and waits for the head of the answer, at most for `limit`.
+    ///
+    /// If the time passes, or the returned future is dropped, the head is read for a while longer.
+    pub async fn run(
+        self,
+        connection: BackendConnection,
+        outbound: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Answer, ExchangeError> {
+        let (sender, receiver) = oneshot::channel();
+        spawn_local(self.read_answer(connection, outbound, sender));
+        match tokio::time::timeout(limit, receiver).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_dropped)) => Err(ExchangeError::Broken),
+            Err(_elapsed) => Err(ExchangeError::Silent),
+        }
+    }
+
+    async fn read_answer(
+        self,
+        mut connection: BackendConnection,
+        outbound: Request<Full<Bytes>>,
+        mut receiver: oneshot::Sender<Result<Answer, ExchangeError>>,
+    ) {
+        let sent = {
+            let mut sending = pin!(connection.try_send(outbound));
+            tokio::select! {
+                biased;
+                sent = &mut sending => Ok(sent),
+                () = receiver.closed() => {
+                    let read_on = if self.attempt.is_cancelled() { Duration::ZERO } else { READ_ON };
+                    tokio::time::timeout(read_on, sending).await
+                }
+            }
+        };
+        // Dropping the connection of a request without an answer tells the server to stop.
+        let Ok(sent) = sent else { return };
+        let result = match sent {
+            Ok(response) => Ok(self.apply_head(response, connection)),
+            Err(mut error) => Err(match error.take_message() {
+                Some(_returned) => ExchangeError::Unsent,
+                None => ExchangeError::Broken,
+            }),
+        };
+        if let Err(unclaimed) = receiver.send(result) {
+            self.on_unclaimed(&unclaimed);
+        }
+    }
+
+    /// Applies what the server announces in a head, whatever the answer is worth.
+    fn apply_head(&self, response: Response<Incoming>, connection: BackendConnection) -> Answer {
+        let CountedAttempt { entry, server, .. } = &*self.attempt;
+        let metadata = entry.dialect.parse_response(response.headers());
+        let is_foreign = metadata.id.as_ref() != Some(&self.request);
+        let mut notice = metadata.notice.with_status(response.status());
+        if is_foreign && notice.limit == NamedLimit::Absent {
+            // What is no answer to this request may lack any header.
+            notice.limit = NamedLimit::Untold;
+        }
+        let answering = metadata.server.as_ref().unwrap_or(server);
+        // The start of another server than the one asked is not known.
+        let started_unix_ms = if answering == server { self.started_unix_ms } else { 0 };
+        apply_notice(entry, answering, started_unix_ms, notice, NoticeSource::Answer);
+        Answer { response, metadata, requests_pause: notice.pause.is_some(), connection }
+    }
+
+    fn on_unclaimed(&self, result: &Result<Answer, ExchangeError>) {
+        let ending = match result {
+            Ok(answer) => answer.response.status().as_str().to_owned(),
+            Err(error) => format!("{error:?}"),
+        };
+        let (request, server) = (&self.request, &self.attempt.server);
+        log::info!("event=answer-unclaimed id={request} server={server} ending={ending}");
+        if matches!(result, Err(ExchangeError::Broken)) {
+            self.attempt.on_broken();
+        }
+    }
+}
--- a/crates/filbertcleat-gateway/src/entry/stream_moves.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_moves.rs
@@ -1,6 +1,7 @@
 //! Continues streams at other backend servers when their own is silent or broke off.
 
 use std::pin::pin;
+use std::rc::Rc;
 
 use filbertcleat_serve::AttemptOutcome;
 
@@ -35,7 +36,7 @@
             return Some(source);
         }
         self.request.attempts += 1;
-        let server = attempt.server().clone();
+        let (server, counted) = (attempt.server().clone(), Rc::clone(attempt.counted()));
         let mut silent = Some(source);
         let opened = {
             let mut opening = pin!(self.open_with_event(attempt));
@@ -48,6 +49,8 @@
                     source = wait_ready(&mut silent) => {
                         if !source.is_broken() {
                             self.log_not_resumed("the silent backend server goes on");
+                            // Two servers must not go on with one stream.
+                            counted.cancel();
                             return Some(source);
                         }
                         self.log_event("stream-broken", source.server(), "while the stream moves");
