--- a/crates/filbertcleat-gateway/tests/crashing_requests.rs
+++ b/crates/filbertcleat-gateway/tests/crashing_requests.rs
@@ -39,8 +39,17 @@
 }
 
 impl CrashSite {
-    /// Starts servers without engines, or with engines if the route streams.
+    /// Starts servers without engines, or with engines if the route streams, and two engines more.
     async fn start(policy: RetryPolicy, attempts_max: u32, entries: u8) -> Self {
+        Self::start_with_engines(policy, attempts_max, entries, 2).await
+    }
+
+    async fn start_with_engines(
+        policy: RetryPolicy,
+        attempts_max: u32,
+        entries: u8,
+        engines: u8,
+    ) -> Self {
         let is_stream = matches!(policy, RetryPolicy::Stream { .. });
         let (prefix, target, otherwise) = if is_stream {
             let events = Script::Events { count: 3, pause: Duration::from_millis(20) };
@@ -54,7 +63,7 @@
         let mut servers: Vec<_> =
             (0..9).map(|number| (format!("{prefix}{number}"), script.clone())).collect();
         // The agents beside engines pass on what entries learn.
-        servers.extend((0..2).map(|number| (format!("w1{number}"), Script::Silent)));
+        servers.extend((0..engines).map(|number| (format!("w1{number}"), Script::Silent)));
         let name = if is_stream { "write" } else { "cancel" };
         let routes = vec![route(name, policy, attempts_max)];
         Self { site: Site::start(routes, servers, entries).await, target, requests: 0 }
@@ -250,3 +259,19 @@
         assert_eq!(site.arrivals(), 3, "the request reached one more server");
     });
 }
+
+/// Without engines there are no agents that pass on what entries learn.
+#[test]
+#[ignore = "KNOWN-RED 10"]
+fn other_entry_warned_without_agents() {
+    World::run(async {
+        let mut site = CrashSite::start_with_engines(IDEMPOTENT, 1, 2, 0).await;
+        site.crash_three(0).await;
+        tokio::time::sleep(CONTACT).await;
+        let before = site.arrivals();
+
+        site.send_crashing(1).await;
+
+        assert_eq!(site.arrivals(), before, "the request reached one more server");
+    });
+}
