--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry process: it accepts callers and forwards their requests to backend servers.
 
 mod agent_updates;
+mod answer;
 mod attempt;
 mod backend_body;
 mod backend_connection;
@@ -16,6 +17,7 @@
 mod dispatch;
 mod events;
 mod exchange;
+mod exchange_error;
 mod facts;
 mod handler;
 mod holders;
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -17,13 +17,13 @@
 use http::response::Parts;
 use http_body_util::Full;
 
+use super::answer::Answer;
 use super::backend_body::BackendBody;
 use super::backend_body::BodyKind;
 use super::backend_connection::BackendConnection;
 use super::crashes::admit_request;
-use super::exchange::Answer;
 use super::exchange::Exchange;
-use super::exchange::ExchangeError;
+use super::exchange_error::ExchangeError;
 use super::in_flight::InFlightAttempt;
 use super::request::CallerRequest;
 use super::state::Entry;
--- a/crates/filbertcleat-gateway/src/entry/exchange.rs
+++ b/crates/filbertcleat-gateway/src/entry/exchange.rs
@@ -13,37 +13,18 @@
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
+use super::answer::Answer;
 use super::backend_connection::BackendConnection;
 use super::counted_attempt::CountedAttempt;
+use super::exchange_error::ExchangeError;
 use super::notices::NoticeSource;
 use super::notices::apply_notice;
 use crate::Dialect;
-use crate::ResponseMetadata;
 
 /// How long the head of an answer is awaited that nobody waits for any more. What a server announces
 /// in it concerns later requests, but a server that works on is told within half a second to stop.
 const READ_ON: Duration = Duration::from_millis(300);
 
-/// The head of an answer, with the connection that the body arrives on.
-pub(super) struct Answer {
-    pub response: Response<Incoming>,
-    pub metadata: ResponseMetadata,
-    /// Whether the backend server asks for a pause.
-    pub requests_pause: bool,
-    pub connection: BackendConnection,
-}
-
-/// Why an exchange brought no answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum ExchangeError {
-    /// The connection was closed before the request was transmitted.
-    Unsent,
-    /// The connection broke before an answer arrived.
-    Broken,
-    /// No answer arrived in time.
-    Silent,
-}
-
 /// One request on one connection.
 pub(super) struct Exchange<D: Dialect> {
     pub attempt: Rc<CountedAttempt<D>>,
--- a/crates/filbertcleat-serve/src/crash_evidence/suspicion.rs
+++ b/crates/filbertcleat-serve/src/crash_evidence/suspicion.rs
@@ -5,6 +5,7 @@
 
 use filbertcleat_base::MonoTime;
 
+use super::CrashEvidence;
 use super::CrashId;
 use super::CrashSuspect;
 use super::Mark;
@@ -45,7 +46,7 @@
     pub fn trial_in_ms(&self, now: MonoTime) -> u64 {
         let is_content = matches!(self.suspects[..], [CrashSuspect::Content(_)]);
         let interval_ms = if is_content && self.excess_moments >= Self::DOUBLINGS_MAX {
-            super::CrashEvidence::LIFETIME_MS
+            CrashEvidence::LIFETIME_MS
         } else {
             Self::TRIAL_INTERVAL_MS << self.excess_moments.min(Self::DOUBLINGS_MAX)
         };
@@ -88,8 +89,8 @@
         (Reverse(explanation.moments), explanation.moments_min, explanation.suspect)
     });
     let has_same_content = |explanation: &Explanation| {
-        let contents = explanations.iter().filter(|other| is_content(other.suspect));
-        contents.into_iter().any(|content| content.crashes.keys().eq(explanation.crashes.keys()))
+        let mut contents = explanations.iter().filter(|other| is_content(other.suspect));
+        contents.any(|content| content.crashes.keys().eq(explanation.crashes.keys()))
     };
     let mut found: Vec<Suspicion> = Vec::new();
     for explanation in &explanations {
