Keep rare prompt parts known as sound beside many contents

Each answered request records its content as sound since contents are suspects, and nearly all contents differ. At some 100 answers a second and entry they displaced rare prompt parts from the common bound of 4,096 within seconds, so that three ends of servers for other reasons, not five, turned away sound requests with such a part.

Each kind has its own bound now, of hashes without their kind: twice the number of suspects, each half as large as before (16 to 8 bytes).

rare_part_stays_sound failed before (a part answered 20 s and 10,000 contents ago is turned away after four ends) and passes now.

--- a/crates/filbertcleat-serve/src/crash_evidence/sound_suspects.rs
+++ b/crates/filbertcleat-serve/src/crash_evidence/sound_suspects.rs
@@ -7,23 +7,49 @@
 
 use super::CrashSuspect;
 
-/// The suspects in requests that were answered recently, in two generations.
+/// The suspects in requests that were answered recently.
+///
+/// Each kind has bounds of its own: nearly all contents differ, and would displace rare prompt parts.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SoundSuspects {
-    recent: BTreeSet<CrashSuspect>,
-    previous: BTreeSet<CrashSuspect>,
-    recent_since: MonoTime,
+    contents: Generations,
+    parts: Generations,
 }
 
 impl SoundSuspects {
+    /// Records that a request with the suspect was answered.
+    pub fn record(&mut self, now: MonoTime, suspect: CrashSuspect) {
+        match suspect {
+            CrashSuspect::Content(content) => self.contents.record(now, content.get()),
+            CrashSuspect::Part(part) => self.parts.record(now, part.get()),
+        }
+    }
+
+    /// Returns whether a request with the suspect was answered recently.
+    pub fn contains(&self, now: MonoTime, suspect: CrashSuspect) -> bool {
+        match suspect {
+            CrashSuspect::Content(content) => self.contents.contains(now, content.get()),
+            CrashSuspect::Part(part) => self.parts.contains(now, part.get()),
+        }
+    }
+}
+
+/// The hashes of the suspects of one kind, in two generations.
+#[derive(Clone, Debug, Default)]
+struct Generations {
+    recent: BTreeSet<u64>,
+    previous: BTreeSet<u64>,
+    recent_since: MonoTime,
+}
+
+impl Generations {
     /// The time for which a generation is filled. A suspect stays known for one to two of them, in
     /// which each popular part of a prompt is answered many times.
     const GENERATION_MS: u64 = 30_000;
-    /// The most suspects of a generation, about 150 KiB of them.
+    /// The most suspects of a generation, about 75 KiB of them.
     const GENERATION_MAX: usize = 4_096;
 
-    /// Records that a request with the suspect was answered.
-    pub fn record(&mut self, now: MonoTime, suspect: CrashSuspect) {
+    fn record(&mut self, now: MonoTime, hash: u64) {
         let age_ms = now.ms_since(self.recent_since);
         if age_ms >= Self::GENERATION_MS || self.recent.len() >= Self::GENERATION_MAX {
             self.previous = mem::take(&mut self.recent);
@@ -32,13 +58,12 @@
             }
             self.recent_since = now;
         }
-        self.recent.insert(suspect);
+        self.recent.insert(hash);
     }
 
-    /// Returns whether a request with the suspect was answered recently.
-    pub fn contains(&self, now: MonoTime, suspect: CrashSuspect) -> bool {
+    fn contains(&self, now: MonoTime, hash: u64) -> bool {
         let age_ms = now.ms_since(self.recent_since);
-        let is_recent = age_ms < 2 * Self::GENERATION_MS && self.recent.contains(&suspect);
-        is_recent || (age_ms < Self::GENERATION_MS && self.previous.contains(&suspect))
+        let is_recent = age_ms < 2 * Self::GENERATION_MS && self.recent.contains(&hash);
+        is_recent || (age_ms < Self::GENERATION_MS && self.previous.contains(&hash))
     }
 }
--- a/crates/filbertcleat-serve/tests/crash_evidence.rs
+++ b/crates/filbertcleat-serve/tests/crash_evidence.rs
@@ -120,6 +120,22 @@
     assert!(!is_allowed(&evidence, 4_100, &[FIRST]));
 }
 
+/// Load pattern: thousands of requests are answered, no two alike, after one with a rare part.
+#[test]
+fn rare_part_stays_sound() {
+    let mut evidence = CrashEvidence::default();
+    evidence.on_answered(at(0), &parts(&[FIRST]));
+    for number in 0..10_000 {
+        evidence.on_answered(at(number * 2), &[content(number)]);
+    }
+
+    for ms in [20_000, 20_300, 20_600, 20_900] {
+        crash(&mut evidence, ms, &[FIRST]);
+    }
+
+    assert!(is_allowed(&evidence, 21_000, &[FIRST]));
+}
+
 /// A failure domain fails, and with it all its servers within some milliseconds.
 #[test]
 fn crashes_at_once_are_one() {
