Relate ends of servers to requests that were given up before

A caller that leaves between the head of a stream and its first event ended the attempt at once, and a server that ended more than 300 ms after any caller had left was never related to the request that it went on running.

Cause: the guard of a stream's attempt is dropped with its caller, and an exchange that gives up forgets its request.

Streams are read on for the same 300 ms as heads, unless the answer has shown the request to be sound. A request that is given up stays known for 2 s, at most 256 of them; an end of its server that another request meets, by a broken answer or a refused connection, marks its suspects as well. Weighed: a connection to look for the end after each caller that leaves, which costs servers more than the rare mark is worth.

crashes_seen_after_callers_left (crashing_prompts.rs) and late_crashes_seen failed before: the fourth request reached a server.

--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to send a request to a backend server.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use super::backend_body::BodyKind;
 use super::backend_connection::BackendConnection;
 use super::crashes::admit_request;
+use super::crashes::on_connection_refused;
 use super::exchange::Exchange;
 use super::exchange_error::ExchangeError;
 use super::in_flight::InFlightAttempt;
@@ -126,6 +128,9 @@
         let checked_out = entry.pool.checkout(address).await;
         let connection = checked_out.map_err(|error| {
             log::debug!("event=connect-failed peer={address} reason=\"{error}\"");
+            if error.kind() == ErrorKind::ConnectionRefused {
+                on_connection_refused(entry, attempt.server());
+            }
             AttemptFailure::not_arrived(
                 AttemptOutcome::Unreachable,
                 "connecting to the backend server failed",
--- a/crates/filbertcleat-gateway/src/entry/counted_attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/counted_attempt.rs
@@ -8,6 +8,7 @@
 use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::ServerId;
 
+use super::crashes::on_abandoned;
 use super::crashes::on_broken_early;
 use super::crashes::on_request_answered;
 use super::state::Entry;
@@ -49,11 +50,24 @@
         }
     }
 
+    /// Returns whether the answer has shown that its request does not crash the server.
+    pub fn is_sound(&self) -> bool {
+        self.is_sound.get()
+    }
+
     /// Records that the server broke off the request.
     pub fn on_broken(&self) {
-        if !self.is_sound.get() {
-            let run_ms = self.entry.now().ms_since(self.sent_at);
-            on_broken_early(&self.entry, &self.server, &self.demand.crash_suspects, run_ms);
+        if !self.is_sound() {
+            let suspects = &self.demand.crash_suspects;
+            on_broken_early(&self.entry, &self.server, suspects, self.run_ms());
+        }
+    }
+
+    /// Records that the rest of the answer is not read any more.
+    pub fn on_abandoned(&self) {
+        if !self.is_sound() {
+            let suspects = &self.demand.crash_suspects;
+            on_abandoned(&self.entry, &self.server, suspects, self.run_ms());
         }
     }
 
@@ -67,6 +81,10 @@
         self.is_cancelled.get()
     }
 
+    fn run_ms(&self) -> u64 {
+        self.entry.now().ms_since(self.sent_at)
+    }
+
     /// Ends the attempt with the given outcome, unless it has ended.
     pub fn end(&self, outcome: AttemptOutcome) {
         if self.has_ended.replace(true) {
--- a/crates/filbertcleat-gateway/src/entry/crashes.rs
+++ b/crates/filbertcleat-gateway/src/entry/crashes.rs
@@ -45,7 +45,7 @@
 ) {
     let state = &mut *entry.state.borrow_mut();
     let Some(listed) = state.fleet.server(server).map(|server| &server.listed) else { return };
-    let crash = CrashId::of(server, listed.started_unix_ms);
+    let crash = listed.crash_id();
     let unverified = state.unverified_crashes.entry(crash).or_default();
     let is_first = unverified.is_empty();
     unverified.extend(suspects.iter().map(|suspect| (*suspect, run_ms)));
@@ -59,6 +59,28 @@
     }
 }
 
+/// Handles a request that nobody awaits any more, while its server may go on running it.
+pub(super) fn on_abandoned<D: Dialect>(
+    entry: &Entry<D>,
+    server: &ServerId,
+    suspects: &[CrashSuspect],
+    run_ms: u64,
+) {
+    let now = entry.now();
+    let state = &mut *entry.state.borrow_mut();
+    if let Some(server) = state.fleet.server(server) {
+        state.abandoned_runs.record(now, server.listed.crash_id(), suspects, run_ms);
+    }
+}
+
+/// Handles a refused connection: the server has ended.
+pub(super) fn on_connection_refused<D: Dialect>(entry: &Entry<D>, server: &ServerId) {
+    let crash = entry.state.borrow().fleet.server(server).map(|server| server.listed.crash_id());
+    if let Some(crash) = crash {
+        record_end(entry, crash, server, entry.now(), Vec::new());
+    }
+}
+
 async fn refuses_connections(address: SocketAddr) -> bool {
     let connected = tokio::time::timeout(VERIFY_TIMEOUT, TcpStream::connect(address)).await;
     matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
@@ -71,13 +93,27 @@
     broken_at: MonoTime,
     has_ended: bool,
 ) {
-    let now = entry.now();
     let runs = entry.state.borrow_mut().unverified_crashes.remove(&crash).unwrap_or_default();
-    if !has_ended {
+    if has_ended {
+        record_end(entry, crash, server, broken_at, runs);
+    }
+}
+
+/// Marks the suspects of the requests that a server ran when it ended, also of abandoned ones.
+fn record_end<D: Dialect>(
+    entry: &Entry<D>,
+    crash: CrashId,
+    server: &ServerId,
+    seen_at: MonoTime,
+    mut runs: Vec<(CrashSuspect, u64)>,
+) {
+    let now = entry.now();
+    runs.extend(entry.state.borrow_mut().abandoned_runs.take(now, crash));
+    if runs.is_empty() {
         return;
     }
     let marks = change_crashes(entry, |evidence| {
-        evidence.on_server_ended(now, crash, now.ms_since(broken_at), runs)
+        evidence.on_server_ended(now, crash, now.ms_since(seen_at), runs)
     });
     log::info!("event=server-ended server={server} marked={}", marks.len());
     entry.metrics.count(Metric::ServerEnds, &[]);
--- a/crates/filbertcleat-gateway/src/entry/exchange.rs
+++ b/crates/filbertcleat-gateway/src/entry/exchange.rs
@@ -21,9 +21,10 @@
 use super::notices::apply_notice;
 use crate::Dialect;
 
-/// How long the head of an answer is awaited that nobody waits for any more. What a server announces
-/// in it concerns later requests, but a server that works on is told within half a second to stop.
-const READ_ON: Duration = Duration::from_millis(300);
+/// How long an answer is read on that nobody waits for any more. What a server announces in its head
+/// concerns later requests, as does its end under the request, but a server that works on is told
+/// within half a second to stop.
+pub(super) const READ_ON: Duration = Duration::from_millis(300);
 
 /// One request on one connection.
 pub(super) struct Exchange<D: Dialect> {
@@ -71,7 +72,10 @@
             }
         };
         // Dropping the connection of a request without an answer tells the server to stop.
-        let Ok(sent) = sent else { return };
+        let Ok(sent) = sent else {
+            self.attempt.on_abandoned();
+            return;
+        };
         let result = match sent {
             Ok(response) => Ok(self.apply_head(response, connection)),
             Err(mut error) => Err(match error.take_message() {
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -8,6 +8,7 @@
 use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
+use filbertcleat_serve::AbandonedRuns;
 use filbertcleat_serve::AdapterKey;
 use filbertcleat_serve::CallerLimits;
 use filbertcleat_serve::CatalogueEpoch;
@@ -82,6 +83,7 @@
     pub agent_updates: AgentUpdateState,
     pub origins: OriginState,
     pub unverified_crashes: UnverifiedCrashes,
+    pub abandoned_runs: AbandonedRuns,
     /// Recent requests by base model: a count that is halved at intervals.
     pub recent_requests: BTreeMap<ModelName, u32>,
     halved_at: MonoTime,
@@ -118,6 +120,7 @@
                 agent_updates: AgentUpdateState::new(incarnation),
                 origins: OriginState::default(),
                 unverified_crashes: UnverifiedCrashes::default(),
+                abandoned_runs: AbandonedRuns::default(),
                 recent_requests: BTreeMap::new(),
                 halved_at: MonoTime::ZERO,
                 budgets: HashMap::new(),
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -112,7 +112,7 @@
                     if self.is_resumable { self.resume_for_caller().await } else { None }
                 }
                 StreamEnd::CallerGone | StreamEnd::DeadlineExceeded => {
-                    source.abandon(AttemptOutcome::Left);
+                    spawn_local(source.read_unclaimed());
                     None
                 }
             };
--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -1,5 +1,7 @@
 //! The part of a stream that one backend server sends.
 
+use std::rc::Rc;
+
 use filbertcleat_serve::AttemptOutcome;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
@@ -11,6 +13,7 @@
 use super::connection_pool::ConnectionPool;
 use super::events::Event;
 use super::events::EventSplitter;
+use super::exchange::READ_ON;
 use super::in_flight::InFlightAttempt;
 use crate::Dialect;
 
@@ -100,6 +103,27 @@
         self.attempt.end(outcome);
     }
 
+    /// Reads on for a while after the caller has left, unless the answer has shown the request to be
+    /// sound: the server may end under it.
+    pub async fn read_unclaimed(mut self) {
+        let counted = Rc::clone(self.attempt.counted());
+        let ending = tokio::time::timeout(READ_ON, async {
+            while !counted.is_sound() {
+                match self.next().await {
+                    SourceItem::Events(_) => {}
+                    SourceItem::End => return AttemptOutcome::Answered,
+                    SourceItem::Broken(_) => return AttemptOutcome::Broken,
+                }
+            }
+            AttemptOutcome::Left
+        });
+        let outcome = ending.await.unwrap_or_else(|_elapsed| {
+            counted.on_abandoned();
+            AttemptOutcome::Left
+        });
+        self.abandon(outcome);
+    }
+
     /// Receives the next item. Nothing is lost if the returned future is dropped.
     async fn receive(&mut self) -> SourceItem {
         loop {
--- a/crates/filbertcleat-gateway/tests/crashing_prompts.rs
+++ b/crates/filbertcleat-gateway/tests/crashing_prompts.rs
@@ -136,6 +136,29 @@
     });
 }
 
+/// Callers leave after the head of their stream and before its first event.
+#[test]
+fn crashes_seen_after_callers_left() {
+    World::run(async {
+        let site = CrashSite::start(STREAM, 1, 1).await;
+        for number in 0..3 {
+            let mut caller = site.site.entries[0].caller().await;
+            let extra = format!("x-parts: {FIRST},{CRASHING},{number}0\r\n").leak();
+            let call = Call { extra, ..Call::new("a", format!("/write/left/{number}").leak()) };
+            caller.send(&call).await.expect("the entry reads");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            drop(caller);
+            tokio::time::sleep(INTERVAL).await;
+        }
+        tokio::time::sleep(CONTACT).await;
+        assert_eq!((site.arrivals(), site.crashes()), (3, 3));
+
+        site.send(0, &format!("{FIRST},{CRASHING},90")).await;
+
+        assert_eq!(site.arrivals(), 3, "a request with the part reached one more server");
+    });
+}
+
 #[test]
 fn started_entry_warned() {
     World::run(async {
--- a/crates/filbertcleat-gateway/tests/crashing_requests.rs
+++ b/crates/filbertcleat-gateway/tests/crashing_requests.rs
@@ -4,6 +4,9 @@
 
 use std::time::Duration;
 
+use filbertcleat_gateway::CatalogueEvent;
+use filbertcleat_serve::ListedServer;
+use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::RetryPolicy;
 use rstest::rstest;
 
@@ -14,6 +17,7 @@
 use self::support::caller::Reply;
 use self::support::idle_agent::start_agent;
 use self::support::route;
+use self::support::world::listed;
 
 const IDEMPOTENT: RetryPolicy = RetryPolicy::Idempotent;
 const ONCE: RetryPolicy = RetryPolicy::AtMostOnce;
@@ -260,6 +264,36 @@
     });
 }
 
+/// Callers have left, and the entry has given up their requests, when the server ends under them. The
+/// next request finds that the server has ended.
+#[test]
+fn late_crashes_seen() {
+    World::run(async {
+        let after = Duration::from_millis(600);
+        let otherwise = Box::new(RESPONSE);
+        let script = Script::CrashOnTarget { target: CRASHING, after, down: DOWN, otherwise };
+        let servers = vec![("d0".to_owned(), script), ("w1".to_owned(), Script::Silent)];
+        let site = Site::start(vec![route("cancel", IDEMPOTENT, 1)], servers, 1).await;
+        let server = &site.backends[0];
+        for started_unix_ms in 101..=103 {
+            let mut caller = site.entries[0].caller().await;
+            caller.send(&Call::new("a", CRASHING)).await.expect("the entry reads");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            drop(caller);
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            site.send(0, &Call::new("b", "/cancel/1")).await;
+            let started = ListedServer { started_unix_ms, ..listed(server) };
+            site.catalogue.write(CatalogueEvent::Listing(ListingChange::Upserted(started)));
+            tokio::time::sleep(DOWN).await;
+        }
+        assert_eq!((server.arrivals_at(CRASHING), server.crashes.get()), (3, 3));
+
+        site.send(0, &Call::new("c", CRASHING)).await;
+
+        assert_eq!(server.arrivals_at(CRASHING), 3, "the request reached the server once more");
+    });
+}
+
 /// Without engines there are no agents that pass on what entries learn.
 #[test]
 #[ignore = "KNOWN-RED 10"]
--- a/crates/filbertcleat-serve/src/crash_evidence.rs
+++ b/crates/filbertcleat-serve/src/crash_evidence.rs
@@ -6,6 +6,7 @@
 //! no event when a server ended, all processes merge these marks, and requests that hold what
 //! explains the crashes are turned away.
 
+mod abandoned_runs;
 mod crash_id;
 mod crash_mark;
 mod crash_suspect;
@@ -19,6 +20,7 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::mix_hashes;
 
+pub use self::abandoned_runs::AbandonedRuns;
 pub use self::crash_id::CrashId;
 pub use self::crash_mark::CrashMark;
 pub use self::crash_suspect::CrashSuspect;
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -46,6 +46,7 @@
 pub use attempts::FailedAttempt;
 pub use attempts::NextAttempt;
 pub use budget::RetryBudget;
+pub use crash_evidence::AbandonedRuns;
 pub use crash_evidence::CrashEvidence;
 pub use crash_evidence::CrashId;
 pub use crash_evidence::CrashMark;
--- a/crates/filbertcleat-serve/src/listing.rs
+++ b/crates/filbertcleat-serve/src/listing.rs
@@ -10,6 +10,7 @@
 
 pub use self::change::ListingChange;
 pub use self::model::ListedModel;
+use crate::CrashId;
 use crate::ServerId;
 use crate::SoftwareVersion;
 
@@ -35,3 +36,10 @@
     /// The Unix time of the server's start in milliseconds; 0 if the record does not contain it.
     pub started_unix_ms: u64,
 }
+
+impl ListedServer {
+    /// Returns the id of the possible end of this start of the server.
+    pub fn crash_id(&self) -> CrashId {
+        CrashId::of(&self.id, self.started_unix_ms)
+    }
+}
--- a/crates/filbertcleat-serve/tests/crash_evidence.rs
+++ b/crates/filbertcleat-serve/tests/crash_evidence.rs
@@ -1,6 +1,7 @@
 //! Parts of prompts and contents of requests under which backend servers end.
 
 use filbertcleat_base::MonoTime;
+use filbertcleat_serve::AbandonedRuns;
 use filbertcleat_serve::CrashEvidence;
 use filbertcleat_serve::CrashId;
 use filbertcleat_serve::CrashMark;
@@ -331,6 +332,24 @@
     assert!(trials_ms.iter().all(|ms| *ms >= 31_600), "{trials_ms:?}");
 }
 
+/// Load pattern: a storm of callers that leave early.
+#[test]
+fn abandoned_runs_bounded() {
+    let (mut runs, server, other) = (AbandonedRuns::default(), CrashId::new(1), CrashId::new(2));
+    runs.record(at(0), server, &[content(0)], 50);
+    for number in 1..10_000 {
+        runs.record(at(1_000), server, &[content(number)], 50);
+    }
+    runs.record(at(1_000), other, &[content(0)], 50);
+
+    let taken = runs.take(at(1_400), server);
+
+    assert!(taken.len() < 1_000, "{} requests", taken.len());
+    assert_eq!(taken.last(), Some(&(content(9_999), 450)));
+    assert!(runs.take(at(1_400), server).is_empty());
+    assert!(runs.take(at(4_000), other).is_empty(), "the server has noticed by then");
+}
+
 fn arbitrary_marks() -> impl Strategy<Value = Vec<CrashMark>> {
     let flags = (any::<bool>(), any::<bool>());
     let mark = (0..6_u64, 0..6_u64, 0..2_000_u64, 0..300_u64, flags);
