Keep what requests are turned away for in the store

Cause: marks live in processes only, and travel through agents only.

One row of the store keeps the marks on suspects now. KeptMarks, without input and output, decides when an entry reads, writes or follows the row; a write names the version of the row, a conflict is merged. An entry that hears no holder of the facts for a second (3 s after its start) keeps all marks there and follows the row.

--- a/crates/filbertcleat-gateway/src/catalogue/event.rs
+++ b/crates/filbertcleat-gateway/src/catalogue/event.rs
@@ -2,6 +2,7 @@
 
 use filbertcleat_serve::AdapterKey;
 use filbertcleat_serve::Deployment;
+use filbertcleat_serve::KeptRow;
 use filbertcleat_serve::ListingChange;
 
 /// A current entry of the catalogue, or a change of one.
@@ -18,4 +19,6 @@
     },
     /// The list of backend servers changed.
     Listing(ListingChange),
+    /// The row that keeps marks of crashes.
+    Kept(KeptRow),
 }
--- a/crates/filbertcleat-gateway/src/catalogue/topic.rs
+++ b/crates/filbertcleat-gateway/src/catalogue/topic.rs
@@ -7,6 +7,8 @@
     Operators,
     /// The list of backend servers, which they write themselves.
     Servers,
+    /// What entries keep of what they have learned, which they write themselves.
+    Facts,
 }
 
 impl Topic {
@@ -15,6 +17,7 @@
         match self {
             Self::Operators => "operators",
             Self::Servers => "servers",
+            Self::Facts => "facts",
         }
     }
 }
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -23,6 +23,7 @@
 mod holders;
 mod idle_timeouts;
 mod in_flight;
+mod kept_facts;
 mod notices;
 mod open_connection;
 mod origins;
@@ -55,6 +56,7 @@
 use self::catalogue_watch::watch_catalogue;
 use self::connection::serve_callers;
 use self::dispatch::run_dispatcher;
+use self::kept_facts::keep_facts;
 use self::readiness::serve_readiness;
 use self::state::Entry;
 use crate::Catalogue;
@@ -126,7 +128,8 @@
     log::info!("event=start role=entry node={} peers={peer_address}", settings.name);
 
     spawn_local(watch_catalogue(Rc::clone(&entry), catalogue.clone(), Topic::Operators));
-    spawn_local(watch_catalogue(Rc::clone(&entry), catalogue, Topic::Servers));
+    spawn_local(watch_catalogue(Rc::clone(&entry), catalogue.clone(), Topic::Servers));
+    spawn_local(keep_facts(Rc::clone(&entry), catalogue));
     spawn_local(receive_agent_updates(Rc::clone(&entry)));
     spawn_local(run_dispatcher(Rc::clone(&entry)));
     spawn_local(serve_readiness(Rc::clone(&entry), listeners.readiness));
--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns the agents that hold the facts of all entries, as they were last chosen.
+    pub fn fact_holders(&self) -> &[SocketAddr] {
+        &self.digest_receivers
+    }
+
     /// Returns whether an update may be due: something may have changed since the last scan, or the
     /// scan interval has passed.
     fn is_scan_due(&mut self, scan: ScanState) -> bool {
--- a/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
+++ b/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
@@ -96,7 +96,7 @@
                 self.entry.on_topic_read(self.topic, self.cursor.is_none());
                 self.cursor = Some(cursor);
                 match self.topic {
-                    Topic::Operators => Duration::ZERO,
+                    Topic::Operators | Topic::Facts => Duration::ZERO,
                     Topic::Servers => servers_pause(self.entry.settings.catalogue_delays),
                 }
             }
@@ -143,9 +143,9 @@
 /// if the connection goes silent. Then this wait and the time limit of the call, which is as long,
 /// both pass before the next call. They must fit within the time after which a process is out of
 /// touch and the time for a configuration to come into force.
-fn wait_for(topic: Topic, delays: CatalogueDelays) -> Duration {
+pub(super) fn wait_for(topic: Topic, delays: CatalogueDelays) -> Duration {
     match topic {
-        Topic::Operators => {
+        Topic::Operators | Topic::Facts => {
             Duration::from_millis(delays.contact_ms.midpoint(delays.configuration_ms))
         }
         Topic::Servers => SERVERS_WAIT,
--- a/crates/filbertcleat-gateway/src/entry/crashes.rs
+++ b/crates/filbertcleat-gateway/src/entry/crashes.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
+use super::facts::FactSource;
 use super::facts::change_facts;
 use super::facts::tell_holders;
 use super::refusal::Refusal;
@@ -167,5 +168,5 @@
     entry: &Entry<D>,
     change: impl FnOnce(&mut CrashEvidence) -> Vec<CrashMark>,
 ) -> Vec<Fact> {
-    change_facts(entry, |fleet| fleet.change_crashes(change))
+    change_facts(entry, FactSource::Seen, |fleet| fleet.change_crashes(change))
 }
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/kept_facts.rs
@@ -0,0 +1,180 @@
+//! Keeps marks of crashes in the catalogue, and learns from there while no agent tells any.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertcleat_base::Fault;
+use filbertcleat_base::Step;
+use filbertcleat_base::mix_hashes;
+use filbertcleat_serve::EpochChange;
+use filbertcleat_serve::Fact;
+use filbertcleat_serve::KeepStep;
+use filbertcleat_serve::KeptRow;
+
+use super::catalogue_watch::wait_for;
+use super::facts::FactSource;
+use super::facts::hears_holders;
+use super::facts::merge_facts;
+use super::state::Entry;
+use crate::Catalogue;
+use crate::CatalogueData;
+use crate::CatalogueEvent;
+use crate::CatalogueResponse;
+use crate::Dialect;
+use crate::KeepOutcome;
+use crate::KeepResponse;
+use crate::Topic;
+
+/// How often the entry checks whether it still hears the agents that hold facts, besides at each
+/// change of the facts.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Keeps marks in the catalogue for as long as the process runs.
+pub(super) async fn keep_facts<C: Catalogue, D: Dialect>(entry: Rc<Entry<D>>, catalogue: C) {
+    let mut restores = entry.catalogue_restores();
+    let mut keeper = FactKeeper { entry, cursor: 0, is_lost: false };
+    loop {
+        tokio::select! {
+            biased;
+            // A call that is open has a version of an earlier epoch.
+            _ = restores.changed() => keeper.on_restored(),
+            () = keeper.take_step(&catalogue) => {}
+        }
+    }
+}
+
+struct FactKeeper<D: Dialect> {
+    entry: Rc<Entry<D>>,
+    cursor: u64,
+    is_lost: bool,
+}
+
+impl<D: Dialect> FactKeeper<D> {
+    async fn take_step<C: Catalogue>(&mut self, catalogue: &C) {
+        let now = self.entry.now();
+        let step = {
+            let state = &mut *self.entry.state.borrow_mut();
+            let is_isolated = !hears_holders(now, state);
+            state.kept.step(now, state.fleet.facts().crashes(), is_isolated)
+        };
+        match step {
+            KeepStep::Read => {
+                let response = catalogue.list(Topic::Facts).await;
+                self.apply(response, true);
+            }
+            KeepStep::Watch => {
+                let wait = wait_for(Topic::Facts, self.entry.settings.catalogue_delays);
+                let response = tokio::select! {
+                    () = self.entry.facts_changed.notified() => return,
+                    response = catalogue.watch(Topic::Facts, self.cursor, wait) => response,
+                };
+                self.apply(response, false);
+            }
+            KeepStep::Write(row) => {
+                let response = catalogue.keep(&row).await;
+                self.apply_write(row, response);
+            }
+            KeepStep::Wait { until } => {
+                let pause = until.map(|until| Duration::from_millis(until.ms_since(now).max(1)));
+                let pause = pause.unwrap_or(CHECK_INTERVAL).min(CHECK_INTERVAL);
+                // Both only end the wait.
+                let _ = tokio::time::timeout(pause, self.entry.facts_changed.notified()).await;
+            }
+        }
+    }
+
+    /// Applies the response to a list or watch call.
+    fn apply(&mut self, response: CatalogueResponse, is_list: bool) {
+        let CatalogueResponse { epoch, result } = response;
+        let data = match self.check_epoch(epoch, result) {
+            Ok(data) => data,
+            Err(fault) => return self.on_failed(&fault),
+        };
+        let CatalogueData::Events { events, cursor } = data else {
+            let now = self.entry.now();
+            return self.entry.state.borrow_mut().kept.on_outdated(now);
+        };
+        self.on_success();
+        self.cursor = cursor;
+        let mut rows = events.into_iter().filter_map(|event| match event {
+            CatalogueEvent::Kept(row) => Some(row),
+            CatalogueEvent::Deployment(_)
+            | CatalogueEvent::AdapterVersion { .. }
+            | CatalogueEvent::Listing(_) => None,
+        });
+        // A watch call without a change says nothing of the row; a list without it, that there is
+        // none.
+        let row = rows.next_back().or_else(|| is_list.then(KeptRow::default));
+        if let Some(row) = row {
+            self.merge(&row);
+            self.entry.state.borrow_mut().kept.on_read(row);
+        }
+    }
+
+    fn apply_write(&mut self, row: KeptRow, response: KeepResponse) {
+        let KeepResponse { epoch, result } = response;
+        match self.check_epoch(epoch, result) {
+            Ok(KeepOutcome::Written { version }) => {
+                self.on_success();
+                log::info!("event=facts-kept marks={} version={version}", row.marks.len());
+                self.entry.state.borrow_mut().kept.on_written(KeptRow { version, ..row });
+            }
+            Ok(KeepOutcome::Conflict(current)) => {
+                self.on_success();
+                self.merge(&current);
+                let (now, draw) = (self.entry.now(), self.draw());
+                self.entry.state.borrow_mut().kept.on_conflict(now, current, draw);
+            }
+            Err(fault) => self.on_failed(&fault),
+        }
+    }
+
+    /// Returns the result of a call, unless the response is of another epoch of the catalogue.
+    fn check_epoch<T>(&self, epoch: Option<u64>, result: Result<T, Fault>) -> Result<T, Fault> {
+        if epoch.is_none() && result.is_err() {
+            // Without a response there is no epoch to compare.
+            return result;
+        }
+        match self.entry.observe_catalogue_epoch(Topic::Facts, epoch) {
+            EpochChange::Unchanged => result,
+            EpochChange::Outdated | EpochChange::Restored => {
+                let reason = "the catalogue was restored from a copy";
+                Err(Fault::new(Step::Store, Topic::Facts.as_str(), reason))
+            }
+        }
+    }
+
+    fn merge(&self, row: &KeptRow) {
+        let facts: Vec<Fact> = row.marks.iter().copied().map(Fact::Crash).collect();
+        let news = merge_facts(&self.entry, &facts, FactSource::Catalogue);
+        if !facts.is_empty() {
+            let (marks, version) = (facts.len(), row.version);
+            log::info!("event=facts-read marks={marks} version={version} new={}", news.len());
+        }
+    }
+
+    fn on_restored(&self) {
+        let (now, draw) = (self.entry.now(), self.draw());
+        self.entry.state.borrow_mut().kept.on_restored(now, draw);
+    }
+
+    fn on_failed(&mut self, fault: &Fault) {
+        if !self.is_lost {
+            self.is_lost = true;
+            log::warn!("event=catalogue-lost topic=facts reason=\"{fault}\"");
+        }
+        let now = self.entry.now();
+        self.entry.state.borrow_mut().kept.on_failed(now);
+    }
+
+    fn on_success(&mut self) {
+        if self.is_lost {
+            self.is_lost = false;
+            log::info!("event=catalogue-regained topic=facts");
+        }
+    }
+
+    fn draw(&self) -> u64 {
+        mix_hashes(self.entry.incarnation, self.entry.now().as_us())
+    }
+}
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -16,6 +16,7 @@
 use filbertcleat_serve::DeploymentChange;
 use filbertcleat_serve::EpochChange;
 use filbertcleat_serve::Fleet;
+use filbertcleat_serve::KeptMarks;
 use filbertcleat_serve::RequestQueue;
 use filbertcleat_serve::RetryBudget;
 use filbertcleat_serve::Server;
@@ -55,6 +56,8 @@
     pub metrics: Metrics,
     /// Wakes the dispatcher when a queued request might be placed.
     pub dispatcher_wakeup: Notify,
+    /// Wakes the task that keeps facts in the catalogue.
+    pub facts_changed: Notify,
     pub state: RefCell<State<D>>,
     /// The id of this incarnation of the entry.
     pub incarnation: u64,
@@ -68,7 +71,7 @@
     /// The number of times that the catalogue was restored, for the tasks that have to list again.
     catalogue_restores: watch::Sender<u64>,
     /// When the catalogue last responded, by topic.
-    catalogue_responded_at: [Cell<MonoTime>; 2],
+    catalogue_responded_at: [Cell<MonoTime>; 3],
 }
 
 /// The state that routing decisions are based on.
@@ -84,6 +87,7 @@
     pub origins: OriginState,
     pub unverified_crashes: UnverifiedCrashes,
     pub abandoned_runs: AbandonedRuns,
+    pub kept: KeptMarks,
     /// Recent requests by base model: a count that is halved at intervals.
     pub recent_requests: BTreeMap<ModelName, u32>,
     halved_at: MonoTime,
@@ -110,6 +114,7 @@
             pool: ConnectionPool::new(clock),
             metrics: Metrics::new(),
             dispatcher_wakeup: Notify::new(),
+            facts_changed: Notify::new(),
             incarnation,
             state: RefCell::new(State {
                 deployment: CurrentDeployment::default(),
@@ -121,6 +126,7 @@
                 origins: OriginState::default(),
                 unverified_crashes: UnverifiedCrashes::default(),
                 abandoned_runs: AbandonedRuns::default(),
+                kept: KeptMarks::new(clock.now()),
                 recent_requests: BTreeMap::new(),
                 halved_at: MonoTime::ZERO,
                 budgets: HashMap::new(),
@@ -133,7 +139,7 @@
             idle_timeouts: RefCell::default(),
             catalogue_epoch: Cell::default(),
             catalogue_restores: watch::Sender::new(0),
-            catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 2],
+            catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 3],
         }
     }
 
@@ -214,6 +220,8 @@
                 *known = version.max(*known);
             }
             CatalogueEvent::Listing(change) => state.fleet.apply_listing(now, change),
+            // The task that keeps facts reads the row by itself.
+            CatalogueEvent::Kept(_) => {}
         }
         self.dispatcher_wakeup.notify_one();
     }
@@ -341,6 +349,7 @@
     match topic {
         Topic::Operators => 0,
         Topic::Servers => 1,
+        Topic::Facts => 2,
     }
 }
 
--- a/crates/filbertcleat-gateway/src/lib.rs
+++ b/crates/filbertcleat-gateway/src/lib.rs
@@ -28,6 +28,8 @@
 pub use catalogue::CatalogueData;
 pub use catalogue::CatalogueEvent;
 pub use catalogue::CatalogueResponse;
+pub use catalogue::KeepOutcome;
+pub use catalogue::KeepResponse;
 pub use catalogue::Topic;
 pub use control::EngineControl;
 pub use control::OrderResponse;
--- a/crates/filbertcleat-gateway/tests/crashing_requests.rs
+++ b/crates/filbertcleat-gateway/tests/crashing_requests.rs
@@ -11,111 +11,23 @@
 use rstest::rstest;
 
 use self::support::Call;
+use self::support::CrashSite;
 use self::support::Script;
 use self::support::Site;
 use self::support::World;
-use self::support::caller::Reply;
+use self::support::crash_site::CONTACT;
+use self::support::crash_site::CRASHING;
+use self::support::crash_site::DOWN;
+use self::support::crash_site::IDEMPOTENT;
+use self::support::crash_site::INTERVAL;
+use self::support::crash_site::LATE_ARRIVALS_MAX;
+use self::support::crash_site::ONCE;
+use self::support::crash_site::RESPONSE;
+use self::support::crash_site::STREAM;
 use self::support::idle_agent::start_agent;
 use self::support::route;
 use self::support::world::listed;
 
-const IDEMPOTENT: RetryPolicy = RetryPolicy::Idempotent;
-const ONCE: RetryPolicy = RetryPolicy::AtMostOnce;
-const STREAM: RetryPolicy = RetryPolicy::Stream { resumable: false };
-/// The target of the request that crashes servers without engines.
-const CRASHING: &str = "/cancel/bad";
-/// The time for which a server is down after a crash.
-const DOWN: Duration = Duration::from_secs(3);
-/// The time between two arrivals of the request.
-const INTERVAL: Duration = Duration::from_millis(400);
-/// The time within which all processes that are connected have to know of the crashes.
-const CONTACT: Duration = Duration::from_secs(3);
-/// The arrivals of the request at servers that are allowed after that.
-const LATE_ARRIVALS_MAX: usize = 3;
-const RESPONSE: Script =
-    Script::Respond { status: 200, body: "freed", after: Duration::from_millis(40) };
-
-/// Nine servers that a request crashes, and some entries.
-struct CrashSite {
-    site: Site,
-    target: &'static str,
-    requests: usize,
-}
-
-impl CrashSite {
-    /// Starts servers without engines, or with engines if the route streams, and two engines more.
-    async fn start(policy: RetryPolicy, attempts_max: u32, entries: u8) -> Self {
-        Self::start_with_engines(policy, attempts_max, entries, 2).await
-    }
-
-    async fn start_with_engines(
-        policy: RetryPolicy,
-        attempts_max: u32,
-        entries: u8,
-        engines: u8,
-    ) -> Self {
-        let is_stream = matches!(policy, RetryPolicy::Stream { .. });
-        let (prefix, target, otherwise) = if is_stream {
-            let events = Script::Events { count: 3, pause: Duration::from_millis(20) };
-            ("w", "/write/bad", events)
-        } else {
-            ("d", CRASHING, RESPONSE)
-        };
-        let after = Duration::from_millis(50);
-        let script =
-            Script::CrashOnTarget { target, after, down: DOWN, otherwise: Box::new(otherwise) };
-        let mut servers: Vec<_> =
-            (0..9).map(|number| (format!("{prefix}{number}"), script.clone())).collect();
-        // The agents beside engines pass on what entries learn.
-        servers.extend((0..engines).map(|number| (format!("w1{number}"), Script::Silent)));
-        let name = if is_stream { "write" } else { "cancel" };
-        let routes = vec![route(name, policy, attempts_max)];
-        Self { site: Site::start(routes, servers, entries).await, target, requests: 0 }
-    }
-
-    fn crashes(&self) -> usize {
-        self.site.backends.iter().map(|backend| backend.crashes.get()).sum()
-    }
-
-    fn arrivals(&self) -> usize {
-        self.site.backends.iter().map(|backend| backend.arrivals_at(self.target)).sum()
-    }
-
-    /// Sends the request under a new id.
-    async fn send_crashing(&mut self, entry: usize) -> Option<Reply> {
-        self.send(entry, self.target).await
-    }
-
-    /// Sends a request with a target, under a new id.
-    async fn send(&mut self, entry: usize, target: &'static str) -> Option<Reply> {
-        self.requests += 1;
-        let id = format!("q{}", self.requests).leak();
-        self.site.send(entry, &Call::new(id, target)).await
-    }
-
-    /// Sends the request until three servers have ended or ten times.
-    async fn crash_three(&mut self, entry: usize) {
-        for _ in 0..10 {
-            if self.crashes() >= 3 {
-                return;
-            }
-            self.send_crashing(entry).await;
-            tokio::time::sleep(INTERVAL).await;
-        }
-    }
-
-    /// Sends the request again and again to an entry, and asserts that few reach servers.
-    async fn expect_turned_away(&mut self, entry: usize) {
-        let before = self.arrivals();
-        for _ in 0..20 {
-            self.send_crashing(entry).await;
-            tokio::time::sleep(INTERVAL).await;
-        }
-        let arrived = self.arrivals() - before;
-        assert!(arrived <= LATE_ARRIVALS_MAX, "{arrived} requests reached servers");
-    }
-}
-
 #[rstest]
 #[case::single_attempt(IDEMPOTENT, 1)]
 #[case::retried(IDEMPOTENT, 2)]
@@ -296,7 +208,6 @@
 
 /// Without engines there are no agents that pass on what entries learn.
 #[test]
-#[ignore = "KNOWN-RED 10"]
 fn other_entry_warned_without_agents() {
     World::run(async {
         let mut site = CrashSite::start_with_engines(IDEMPOTENT, 1, 2, 0).await;
--- a/crates/filbertcleat-gateway/tests/support/catalogue.rs
+++ b/crates/filbertcleat-gateway/tests/support/catalogue.rs
@@ -11,7 +11,11 @@
 use filbertcleat_gateway::CatalogueData;
 use filbertcleat_gateway::CatalogueEvent;
 use filbertcleat_gateway::CatalogueResponse;
+use filbertcleat_gateway::KeepOutcome;
+use filbertcleat_gateway::KeepResponse;
 use filbertcleat_gateway::Topic;
+use filbertcleat_serve::CrashMark;
+use filbertcleat_serve::KeptRow;
 use filbertcleat_serve::ListedServer;
 use filbertcleat_serve::ListingChange;
 
@@ -23,6 +27,8 @@
     is_down: Rc<Cell<bool>>,
     is_expired: Rc<Cell<bool>>,
     calls: Rc<Cell<u32>>,
+    /// The number of writes of the row that keeps marks that arrived.
+    pub writes: Rc<Cell<u32>>,
     /// Calls of the topic up to this number get no answer.
     silenced: Rc<Cell<Option<(Topic, u32)>>>,
     outdated: Rc<RefCell<Option<CatalogueEvent>>>,
@@ -36,6 +42,11 @@
         catalogue
     }
 
+    /// Returns the marks that entries keep.
+    pub fn kept(&self) -> Vec<CrashMark> {
+        kept_row(&self.rows.borrow()).marks
+    }
+
     /// Publishes an event.
     pub fn write(&self, event: CatalogueEvent) {
         let topic = match event {
@@ -43,6 +54,7 @@
             CatalogueEvent::Deployment(_) | CatalogueEvent::AdapterVersion { .. } => {
                 Topic::Operators
             }
+            CatalogueEvent::Kept(_) => Topic::Facts,
         };
         self.rows.borrow_mut().push((topic, event));
     }
@@ -67,7 +79,9 @@
         let rows = self.rows.borrow();
         let mut versions = rows.iter().rev().filter_map(|(_, event)| match event {
             CatalogueEvent::Deployment(deployment) => Some(deployment.version),
-            CatalogueEvent::AdapterVersion { .. } | CatalogueEvent::Listing(_) => None,
+            CatalogueEvent::AdapterVersion { .. }
+            | CatalogueEvent::Listing(_)
+            | CatalogueEvent::Kept(_) => None,
         });
         versions.next().unwrap_or(0)
     }
@@ -156,12 +170,39 @@
             waited += CHECK_INTERVAL;
         }
     }
+
+    async fn keep(&self, row: &KeptRow) -> KeepResponse {
+        self.begin_call();
+        let epoch = self.epoch.get();
+        if self.is_down.get() {
+            let result = Err(Fault::new(Step::Store, "test", "down"));
+            return KeepResponse { epoch, result };
+        }
+        self.writes.set(self.writes.get() + 1);
+        let current = kept_row(&self.rows.borrow());
+        if current.version != row.version {
+            return KeepResponse { epoch, result: Ok(KeepOutcome::Conflict(current)) };
+        }
+        let version = self.rows.borrow().len() as u64 + 1;
+        self.write(CatalogueEvent::Kept(KeptRow { version, marks: row.marks.clone() }));
+        KeepResponse { epoch, result: Ok(KeepOutcome::Written { version }) }
+    }
+}
+
+/// Returns the row that keeps marks.
+fn kept_row(rows: &[(Topic, CatalogueEvent)]) -> KeptRow {
+    let mut kept = rows.iter().rev().filter_map(|(_, event)| match event {
+        CatalogueEvent::Kept(row) => Some(row.clone()),
+        _ => None,
+    });
+    kept.next().unwrap_or_default()
 }
 
 /// Returns the current entries of a topic: of the servers' topic, the complete list.
 fn current(topic: Topic, events: Vec<CatalogueEvent>) -> Vec<CatalogueEvent> {
     match topic {
         Topic::Operators => events,
+        Topic::Facts => events.into_iter().next_back().into_iter().collect(),
         Topic::Servers => {
             let mut list: Vec<ListedServer> = Vec::new();
             for event in events {
--- a/crates/filbertcleat-gateway/tests/support/mod.rs
+++ b/crates/filbertcleat-gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod backend;
 pub mod caller;
 mod catalogue;
+pub mod crash_site;
 mod demanding_entry;
 mod dialect;
 pub mod idle_agent;
@@ -16,6 +17,7 @@
 pub use caller::Call;
 pub use caller::Caller;
 pub use catalogue::TestCatalogue;
+pub use crash_site::CrashSite;
 pub use demanding_entry::DemandingEntry;
 pub use dialect::TestDialect;
 pub use site::Site;
--- a/crates/filbertcleat-gateway/tests/support/site.rs
+++ b/crates/filbertcleat-gateway/tests/support/site.rs
@@ -42,9 +42,18 @@
 impl Site {
     /// Starts backend servers with these ids and scripts, an agent beside each, and entries.
     pub async fn start(routes: Vec<Route>, servers: Vec<(String, Script)>, entries: u8) -> Self {
+        Self::start_with_catalogue(TestCatalogue::default(), routes, servers, entries).await
+    }
+
+    /// Starts them with a catalogue, which may keep facts.
+    pub async fn start_with_catalogue(
+        catalogue: TestCatalogue,
+        routes: Vec<Route>,
+        servers: Vec<(String, Script)>,
+        entries: u8,
+    ) -> Self {
         let subnet = SUBNETS.fetch_add(1, Ordering::Relaxed);
         let port = free_peer_port(entry_ip(subnet, 0)).await;
-        let catalogue = TestCatalogue::default();
         catalogue.write(CatalogueEvent::Deployment(deployment(1, routes)));
         let (mut backends, mut agents) = (Vec::new(), Vec::new());
         for (number, (id, script)) in (0..).zip(servers) {
--- a/crates/filbertcleat-serve/src/crash_evidence.rs
+++ b/crates/filbertcleat-serve/src/crash_evidence.rs
@@ -57,6 +57,8 @@
     pub const MARKS_MAX: usize = 1_024;
     /// The most suspects that one crash marks at one process, so that no crash displaces the others.
     pub const CRASH_MARKS_MAX: usize = 32;
+    /// The most marks in the row that keeps them, about 30 KiB of them.
+    pub const KEPT_MAX: usize = 256;
     /// The time after which a mark is forgotten, which exceeds the longest interval of trials.
     const LIFETIME_MS: u64 = 3_600_000;
 
@@ -140,6 +142,30 @@
         marks.map(|((suspect, crash), mark)| mark.message(now, *suspect, *crash)).collect()
     }
 
+    /// Returns the marks that have to outlast all processes: those on what requests are turned away
+    /// for, or all if `keeps_all`. Marks in `kept` are kept until they are cleared or expire.
+    pub fn marks_to_keep(
+        &self,
+        now: MonoTime,
+        kept: &[CrashMark],
+        keeps_all: bool,
+    ) -> Vec<CrashMark> {
+        let suspected = self.suspected();
+        let kept: BTreeSet<_> = kept.iter().map(|mark| (mark.suspect, mark.crash)).collect();
+        let is_kept = |mark: &CrashMark| kept.contains(&(mark.suspect, mark.crash));
+        let mut marks = self.marks(now);
+        marks.retain(|mark| {
+            let is_wanted = keeps_all || suspected.contains(&mark.suspect) || is_kept(mark);
+            is_wanted && !mark.is_cleared && mark.age_ms < Self::LIFETIME_MS
+        });
+        // Marks that are kept stay before others, so that processes don't displace each other's.
+        marks.sort_by_key(|mark| {
+            (!suspected.contains(&mark.suspect), !is_kept(mark), mark.age_ms, mark.crash)
+        });
+        marks.truncate(Self::KEPT_MAX);
+        marks
+    }
+
     /// Returns a number that is equal for equal marks and suspects, and 0 without marks.
     pub fn digest(&self) -> u64 {
         self.digest
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -11,6 +11,7 @@
 //! - `budget`: limits the retries of an entry
 //! - `crash_evidence`: finds requests and parts of prompts that crash backend servers
 //! - `facts`: what processes learn from answers of backend servers and tell each other
+//! - `kept_marks`: decides when marks of crashes are read from the catalogue and written there
 //! - `recipients`: decides when an agent sends updates to which entries
 //! - `holders`: chooses the agents that hold what entries have to know from each other
 //! - `stream_origins`: remembers which software version began a stream
@@ -27,6 +28,7 @@
 mod facts;
 mod fleet;
 mod holders;
+mod kept_marks;
 mod key;
 mod listing;
 mod placement;
@@ -76,6 +78,9 @@
 pub use fleet::Server;
 pub use holders::fact_holders;
 pub use holders::origin_holders;
+pub use kept_marks::KeepStep;
+pub use kept_marks::KeptMarks;
+pub use kept_marks::KeptRow;
 pub use key::AdapterKey;
 pub use key::ServerId;
 pub use listing::ListedModel;
