Read what a server answers that was asked while the silent one went on

While a stream moves because its server is silent, another server is asked.

Cause: the cancelled attempt reads on for no time. Now it does for 50 ms, a few round trips, in which a server that turns it away has answered. Ruled out: the 300 ms of other attempts, as two servers must not go on with one stream; recovered_server_keeps_stream asserts its release within 100 ms, and holds.

cancelled_pause_kept failed before (0 servers paused) and passes now.

--- a/crates/filbertcleat-gateway/src/entry/counted_attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/counted_attempt.rs
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Records that the answer is not to be awaited once the caller of the attempt drops it.
+    /// Records that the answer is to be awaited only briefly once the caller of the attempt drops it.
     pub fn cancel(&self) {
         self.is_cancelled.set(true);
     }
--- a/crates/filbertcleat-gateway/src/entry/exchange.rs
+++ b/crates/filbertcleat-gateway/src/entry/exchange.rs
@@ -25,6 +25,9 @@
 /// concerns later requests, as does its end under the request, but a server that works on is told
 /// within half a second to stop.
 pub(super) const READ_ON: Duration = Duration::from_millis(300);
+/// The same for an attempt that must stop soon, as another server goes on with its stream. A server
+/// that turns it away does so within a few round trips.
+const READ_ON_CANCELLED: Duration = Duration::from_millis(50);
 
 /// One request on one connection.
 pub(super) struct Exchange<D: Dialect> {
@@ -66,7 +69,8 @@
                 biased;
                 sent = &mut sending => Ok(sent),
                 () = receiver.closed() => {
-                    let read_on = if self.attempt.is_cancelled() { Duration::ZERO } else { READ_ON };
+                    let is_cancelled = self.attempt.is_cancelled();
+                    let read_on = if is_cancelled { READ_ON_CANCELLED } else { READ_ON };
                     tokio::time::timeout(read_on, sending).await
                 }
             }
--- a/crates/filbertcleat-gateway/tests/pauses.rs
+++ b/crates/filbertcleat-gateway/tests/pauses.rs
@@ -249,6 +249,36 @@
     });
 }
 
+/// A silent server goes on while another one is asked to continue its stream, and the other one asks
+/// for a pause just then.
+#[test]
+fn cancelled_pause_kept() {
+    World::run(async {
+        let servers = [Backend::start("w1", EVENTS).await, Backend::start("w2", EVENTS).await];
+        let world =
+            World::start(vec![route("cancel", RESUMABLE, 3)], &[&servers[0], &servers[1]]).await;
+        let silence = Duration::from_millis(1_600);
+        let late = Script::Respond { status: 503, body: "no", after: Duration::from_millis(130) };
+        for server in &servers {
+            server.script_next(Script::EventsWithSilence { count: 3, after: 1, silence });
+        }
+        let mut caller = world.caller().await;
+        caller.send(&Call::new("a", "/cancel/1")).await.expect("it is sent");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let other =
+            servers.iter().find(|server| server.arrivals() == 0).expect("one has the stream");
+        other.drop_scripts();
+        other.script_next(late.with_headers(PAUSE_3_S));
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(other.arrivals(), 1, "the other server was asked");
+        assert_eq!(world.metric("filbertcleat_servers{are=\"paused\"}").await, Some(1));
+
+        send_for(&world, Duration::from_secs(2)).await;
+
+        assert_eq!(other.arrivals(), 1, "requests reached the server in its pause");
+    });
+}
+
 /// A server that works on for long after its caller has left is told to stop.
 #[test]
 fn left_request_cancelled() {
