Tell through the kept row which marks an answer has cleared

Entries that hear no agent follow the row of kept marks. One that had cleared a mark left it out of the row, and another that still held it open wrote it again: a write each 100 ms in the model, for as long as both hear no agent, and the request stayed refused at the one and allowed at the other.

Cause: a row of open marks can't tell a cleared mark from an unknown one. Now a mark in the row stays there with its flag until it expires, behind all others. Ruled out: clearing by the version of the row, as a conflict is merged.

--- a/crates/filbertcleat-serve/src/crash_evidence.rs
+++ b/crates/filbertcleat-serve/src/crash_evidence.rs
@@ -143,7 +143,8 @@
     }
 
     /// Returns the marks that have to outlast all processes: those on what requests are turned away
-    /// for, or all if `keeps_all`. Marks in `kept` are kept until they are cleared or expire.
+    /// for, or all open ones if `keeps_all`. Marks in `kept` are kept until they expire, also cleared
+    /// ones: other processes have to learn that.
     pub fn marks_to_keep(
         &self,
         now: MonoTime,
@@ -155,12 +156,14 @@
         let is_kept = |mark: &CrashMark| kept.contains(&(mark.suspect, mark.crash));
         let mut marks = self.marks(now);
         marks.retain(|mark| {
-            let is_wanted = keeps_all || suspected.contains(&mark.suspect) || is_kept(mark);
-            is_wanted && !mark.is_cleared && mark.age_ms < Self::LIFETIME_MS
+            let is_wanted = keeps_all || suspected.contains(&mark.suspect);
+            let is_current = mark.age_ms < Self::LIFETIME_MS;
+            is_current && (is_kept(mark) || (is_wanted && !mark.is_cleared))
         });
         // Marks that are kept stay before others, so that processes don't displace each other's.
         marks.sort_by_key(|mark| {
-            (!suspected.contains(&mark.suspect), !is_kept(mark), mark.age_ms, mark.crash)
+            let is_suspected = suspected.contains(&mark.suspect);
+            (mark.is_cleared, !is_suspected, !is_kept(mark), mark.age_ms, mark.crash)
         });
         marks.truncate(Self::KEPT_MAX);
         marks
--- a/crates/filbertcleat-serve/src/kept_marks.rs
+++ b/crates/filbertcleat-serve/src/kept_marks.rs
@@ -76,7 +76,7 @@
         if self.needs_write || relies_on_row {
             self.needs_write = false;
             let marks = evidence.marks_to_keep(now, &row.marks, relies_on_row);
-            if keys(&marks) != keys(&row.marks) {
+            if contents(&marks) != contents(&row.marks) {
                 return KeepStep::Write(KeptRow { version: row.version, marks });
             }
         }
@@ -141,6 +141,7 @@
     }
 }
 
-fn keys(marks: &[CrashMark]) -> BTreeSet<(CrashSuspect, CrashId)> {
-    marks.iter().map(|mark| (mark.suspect, mark.crash)).collect()
+/// Returns what marks tell, without their times.
+fn contents(marks: &[CrashMark]) -> BTreeSet<(CrashSuspect, CrashId, bool)> {
+    marks.iter().map(|mark| (mark.suspect, mark.crash, mark.is_cleared)).collect()
 }
