Check API keys and tell backend servers the caller's workspace

Cause: deployments whose configuration has workspaces (`tenants`) were served as if they had none.

Change: workspaces and their API keys are read from the configuration, each by itself, so that an invalid one affects no other. Keys are held and looked up as keyed hashes. An unknown key gets 401, or 503 while the catalogue has not answered for longer than a configuration may take. Backend servers get the workspace's name and never the key; its priority precedes that of the route. A deployment without workspaces is served as before.

Ruled out: comparing keys as text (its time tells something about them), a 401 during an outage of the catalogue (callers do not repeat after it, though the key may be in force).

--- a/crates/filbertcleat-base/src/id.rs
+++ b/crates/filbertcleat-base/src/id.rs
@@ -103,6 +103,11 @@
     ServiceName
 }
 
+name! {
+    /// The name of a workspace: a customer whose requests share API keys, a priority and an allowance.
+    WorkspaceName
+}
+
 name! {
     /// The name of a weight store, from which engines load adapters.
     WeightStoreName
--- a/crates/filbertcleat-base/src/lib.rs
+++ b/crates/filbertcleat-base/src/lib.rs
@@ -33,6 +33,7 @@
 pub use id::RequestId;
 pub use id::ServiceName;
 pub use id::WeightStoreName;
+pub use id::WorkspaceName;
 pub use monotonic::MonoTime;
 pub use number::AdapterVersion;
 pub use number::ConfigVersion;
--- a/crates/filbertcleat-gateway/src/dialect.rs
+++ b/crates/filbertcleat-gateway/src/dialect.rs
@@ -1,12 +1,15 @@
 //! The HTTP headers of a deployment.
 
 mod attempt;
+mod caller;
 mod request;
 mod response;
 
 use http::HeaderMap;
 
 pub use self::attempt::AttemptMetadata;
+pub use self::caller::AttemptCaller;
+pub use self::request::ApiKey;
 pub use self::request::RequestMetadata;
 pub use self::response::ResponseMetadata;
 
--- a/crates/filbertcleat-gateway/src/dialect/attempt.rs
+++ b/crates/filbertcleat-gateway/src/dialect/attempt.rs
@@ -2,6 +2,8 @@
 
 use filbertcleat_serve::ServerId;
 
+use super::AttemptCaller;
+
 /// Metadata of an attempt, which is sent to the backend server in headers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AttemptMetadata {
@@ -9,6 +11,8 @@
     pub deadline_ms: u64,
     /// The incarnation of the backend server that the attempt is addressed to.
     pub server: ServerId,
+    /// For whom the attempt is made.
+    pub caller: AttemptCaller,
     /// The scheduling priority at the engine; 0 is the most urgent.
     pub priority: Option<u8>,
     /// The id of the event after which a stream is resumed.
--- a/crates/filbertcleat-gateway/src/dialect/request.rs
+++ b/crates/filbertcleat-gateway/src/dialect/request.rs
@@ -2,6 +2,7 @@
 
 use filbertcleat_base::ModelName;
 use filbertcleat_serve::AdapterKey;
+use filbertcleat_serve::KeyHash;
 use filbertcleat_serve::PromptPart;
 
 /// Metadata from the headers of a caller's request.
@@ -11,6 +12,8 @@
     pub id: Option<String>,
     /// How long the caller waits for the response, in ms.
     pub deadline_ms: Option<u64>,
+    /// The API key.
+    pub api_key: ApiKey,
     /// The requested base model.
     pub model: Option<ModelName>,
     /// The requested adapter.
@@ -26,3 +29,15 @@
     /// The id of the caller's request that brought the first event of the resumed stream.
     pub resumed_request: Option<String>,
 }
+
+/// The API key of a caller's request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ApiKey {
+    /// The request carries no key.
+    #[default]
+    Missing,
+    /// The request carries one key, which has this hash.
+    Given(KeyHash),
+    /// The request carries several keys.
+    Several,
+}
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -11,6 +11,7 @@
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
+use filbertcleat_serve::engine_priority;
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
@@ -275,7 +276,10 @@
     let metadata = AttemptMetadata {
         deadline_ms: remaining_ms,
         server: attempt.server().clone(),
-        priority: request.uses_engine.then_some(request.route.priority),
+        caller: request.caller.clone(),
+        priority: request
+            .uses_engine
+            .then(|| engine_priority(request.workspace.as_deref(), request.route.priority)),
         resume_after,
     };
     entry.dialect.write_attempt(&mut headers, &metadata);
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -9,6 +9,9 @@
 use filbertcleat_serve::RequestContent;
 use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::Route;
+use filbertcleat_serve::Workspace;
+use filbertcleat_serve::Workspaces;
+use filbertcleat_serve::entry_priority;
 use http::HeaderValue;
 use http::Request;
 use http::header;
@@ -25,6 +28,8 @@
 use super::refusal::Refusal;
 use super::request::CallerRequest;
 use super::state::Entry;
+use crate::ApiKey;
+use crate::AttemptCaller;
 use crate::Dialect;
 use crate::RequestMetadata;
 
@@ -65,14 +70,15 @@
             return Err(RefusedRequest { refusal, is_read });
         }
     };
-    let RoutedRequest { id, route, service, uses_engine } = routed;
+    let RoutedRequest { id, route, service, uses_engine, identity } = routed;
+    let Identity { caller, workspace } = identity;
     let wait_ms = metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
     let deadline = arrived_at.plus_ms(wait_ms);
     let body = match read_body(entry, body, Duration::from_millis(wait_ms)).await {
         Ok(body) => body,
         Err(refusal) => return Err(RefusedRequest { refusal, is_read: false }),
     };
-    let content = request_content(&head, &body);
+    let content = request_content(&head, &body, workspace.as_deref());
     let parts = metadata.prompt_parts.iter().copied().take(PROMPT_PARTS_MAX);
     let parts = parts.map(CrashSuspect::Part);
     let demand = RequestDemand {
@@ -86,7 +92,8 @@
         output_tokens_max: metadata.max_tokens,
         latency_objective_ms: route.latency_objective_ms,
         gap_objective_ms: route.gap_objective_ms,
-        priority: route.priority,
+        priority: entry_priority(workspace.as_deref(), route.priority),
+        workspace: workspace.as_ref().map(|workspace| workspace.name.clone()),
     };
     Ok(CallerRequest {
         id,
@@ -97,6 +104,8 @@
         metadata,
         route,
         service,
+        caller,
+        workspace,
         uses_engine,
         demand,
         arrived_at,
@@ -110,17 +119,20 @@
 }
 
 /// Returns the content of a request. Of its headers only those count that name the caller, since
-/// others differ between the times at which a request comes.
-fn request_content(head: &Parts, body: &[u8]) -> RequestContent {
+/// others differ between the times at which a request comes. The API key does not count, as a
+/// workspace may use several.
+fn request_content(head: &Parts, body: &[u8], workspace: Option<&Workspace>) -> RequestContent {
     let header = |name| head.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
     let target = head.uri.path_and_query().map_or("", PathAndQuery::as_str);
-    RequestContent::of(&[
+    let mut fields = vec![
         head.method.as_str().as_bytes(),
         header(header::HOST),
         header(header::AUTHORIZATION),
         target.as_bytes(),
         body,
-    ])
+    ];
+    fields.extend(workspace.map(|workspace| workspace.name.as_str().as_bytes()));
+    RequestContent::of(&fields)
 }
 
 /// A request whose head has been matched to a route.
@@ -129,6 +141,13 @@
     route: Route,
     service: ServiceName,
     uses_engine: bool,
+    identity: Identity,
+}
+
+/// Who sent a request.
+struct Identity {
+    caller: AttemptCaller,
+    workspace: Option<Rc<Workspace>>,
 }
 
 fn route_request<D: Dialect>(
@@ -147,11 +166,43 @@
     let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
     let route = deployment.route(host, head.uri.path()).ok_or(Refusal::NoRoute)?;
+    let identity = identify(entry, deployment.workspaces.as_ref(), route, metadata.api_key)?;
     let id = metadata.id.clone().ok_or(Refusal::BadRequest("the request has no id"))?;
     let service = route.choose_service(&id).ok_or(Refusal::NoRoute)?.clone();
     let uses_engine =
         deployment.services.get(&service).is_some_and(|service| service.engine.is_some());
-    Ok(RoutedRequest { id, route: route.clone(), service, uses_engine })
+    Ok(RoutedRequest { id, route: route.clone(), service, uses_engine, identity })
+}
+
+/// Finds the workspace that holds a request's API key.
+fn identify<D: Dialect>(
+    entry: &Entry<D>,
+    workspaces: Option<&Workspaces>,
+    route: &Route,
+    api_key: ApiKey,
+) -> Result<Identity, Refusal> {
+    let Some(workspaces) = workspaces else {
+        return Ok(Identity { caller: AttemptCaller::Unchecked, workspace: None });
+    };
+    if route.is_public {
+        return Ok(Identity { caller: AttemptCaller::Anonymous, workspace: None });
+    }
+    let key = match api_key {
+        ApiKey::Given(key) => key,
+        ApiKey::Missing => return Err(Refusal::Unauthorized("the request has no API key")),
+        ApiKey::Several => return Err(Refusal::Unauthorized("the request has several API keys")),
+    };
+    let Some(workspace) = workspaces.by_key(key) else {
+        return Err(if entry.may_lack_configuration() {
+            Refusal::NotRun("the API key is not known yet", RETRY_AFTER_UNAVAILABLE)
+        } else {
+            Refusal::Unauthorized("the API key is unknown")
+        });
+    };
+    Ok(Identity {
+        caller: AttemptCaller::Workspace(workspace.name.clone()),
+        workspace: Some(Rc::clone(workspace)),
+    })
 }
 
 async fn read_body<D: Dialect>(
--- a/crates/filbertcleat-gateway/src/entry/refusal.rs
+++ b/crates/filbertcleat-gateway/src/entry/refusal.rs
@@ -23,6 +23,8 @@
 pub(super) enum Refusal {
     /// The request is malformed or incomplete.
     BadRequest(&'static str),
+    /// The request needs an API key and has none that is valid.
+    Unauthorized(&'static str),
     /// No route matches the request, or its route has no target service.
     NoRoute,
     /// The body exceeds the size limit of the configuration.
@@ -48,6 +50,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::BadRequest(_) => StatusCode::BAD_REQUEST,
+            Self::Unauthorized(_) => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NotRun(..) => StatusCode::SERVICE_UNAVAILABLE,
@@ -62,6 +65,7 @@
             Self::NoRoute => "no route",
             Self::BodyTooLarge => "the body is too large",
             Self::BadRequest(reason)
+            | Self::Unauthorized(reason)
             | Self::OutcomeUnknown(reason)
             | Self::DeadlineExceeded(reason)
             | Self::NotRun(reason, _) => reason,
--- a/crates/filbertcleat-gateway/src/entry/request.rs
+++ b/crates/filbertcleat-gateway/src/entry/request.rs
@@ -1,15 +1,19 @@
 //! A caller's request and its measurements.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
 use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::Route;
 use filbertcleat_serve::ServerId;
+use filbertcleat_serve::Workspace;
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
 
+use crate::AttemptCaller;
 use crate::RequestMetadata;
 
 /// A caller's request that has been read and routed.
@@ -23,6 +27,10 @@
     pub metadata: RequestMetadata,
     pub route: Route,
     pub service: ServiceName,
+    /// For whom the request is sent to backend servers.
+    pub caller: AttemptCaller,
+    /// The workspace that holds the request's API key.
+    pub workspace: Option<Rc<Workspace>>,
     /// Whether the service runs engines, so that its requests wait in the queue.
     pub uses_engine: bool,
     pub demand: RequestDemand,
--- a/crates/filbertcleat-gateway/src/entry/request_log.rs
+++ b/crates/filbertcleat-gateway/src/entry/request_log.rs
@@ -35,10 +35,11 @@
     let expected_ms = (backlog_ms + server.idle_first_event_ms(demand)) as u64;
     let loaded_version = demand.adapter.as_ref().and_then(|key| server.loaded_version(key));
     log::info!(
-        "event=request-placed id={} server={} software={} resumes={} after={} adapter={} version={} held={} suspects={} prompt_tokens={} \
+        "event=request-placed id={} workspace={} server={} software={} resumes={} after={} adapter={} version={} held={} suspects={} prompt_tokens={} \
          queued_ms={} load={} expected_ms={expected_ms} token_us={:.1} gap_share={:.2} \
          chunked={} news_age_ms={} left_ms={}",
         request.id,
+        request.workspace.as_ref().map_or("-", |workspace| workspace.name.as_str()),
         server.listed.id,
         server.listed.software_version,
         request.metadata.resumed_request.as_deref().unwrap_or("-"),
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -27,6 +27,7 @@
 
 use super::BALANCER_DELAY_MS;
 use super::agent_updates::AgentUpdateState;
+use super::catalogue_watch::wait_for;
 use super::connection_pool::ConnectionPool;
 use super::crashes::UnverifiedCrashes;
 use super::idle_timeouts::IdleTimeouts;
@@ -261,6 +262,14 @@
         if let Some(deployment) = current.get() {
             let idle_timeout_ms = deployment.limits.idle_timeout_ms;
             self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
+            let workspaces = deployment.workspaces.iter();
+            for problem in workspaces.flat_map(|workspaces| workspaces.problems()) {
+                let (workspace, kind) = (&problem.workspace, &problem.kind);
+                log::warn!(
+                    "event=workspace-invalid version={version} workspace={workspace} \
+                     problem=\"{kind}\""
+                );
+            }
         }
         self.configured_at.set(now);
     }
@@ -309,6 +318,16 @@
         change
     }
 
+    /// Returns whether a configuration may be in force that this entry has not read, because the
+    /// catalogue has not responded for longer than a configuration may take to be applied.
+    pub fn may_lack_configuration(&self) -> bool {
+        let responded_at = self.catalogue_responded_at[topic_index(Topic::Operators)].get();
+        let delays = self.settings.catalogue_delays;
+        // A call without a change ends after its wait only.
+        let wait_ms = wait_for(Topic::Operators, delays).as_millis() as u64;
+        self.now().ms_since(responded_at) > delays.configuration_ms + wait_ms
+    }
+
     /// Returns a receiver that changes each time that the catalogue was restored from a copy.
     pub fn catalogue_restores(&self) -> watch::Receiver<u64> {
         self.catalogue_restores.subscribe()
--- a/crates/filbertcleat-gateway/src/lib.rs
+++ b/crates/filbertcleat-gateway/src/lib.rs
@@ -33,6 +33,8 @@
 pub use catalogue::Topic;
 pub use control::EngineControl;
 pub use control::OrderResponse;
+pub use dialect::ApiKey;
+pub use dialect::AttemptCaller;
 pub use dialect::AttemptMetadata;
 pub use dialect::Dialect;
 pub use dialect::RequestMetadata;
--- a/crates/filbertcleat-gateway/tests/support/dialect.rs
+++ b/crates/filbertcleat-gateway/tests/support/dialect.rs
@@ -1,11 +1,14 @@
 //! A dialect with short header names.
 
 use filbertcleat_base::ModelName;
+use filbertcleat_gateway::ApiKey;
+use filbertcleat_gateway::AttemptCaller;
 use filbertcleat_gateway::AttemptMetadata;
 use filbertcleat_gateway::Dialect;
 use filbertcleat_gateway::RequestMetadata;
 use filbertcleat_gateway::ResponseMetadata;
 use filbertcleat_gateway::ServerNotice;
+use filbertcleat_serve::KeyHash;
 use filbertcleat_serve::NamedLimit;
 use filbertcleat_serve::PromptPart;
 use filbertcleat_serve::RequestLimit;
@@ -23,6 +26,11 @@
         RequestMetadata {
             id: text(headers, "x-id"),
             deadline_ms: text(headers, "x-wait-ms").and_then(|text| text.parse().ok()),
+            api_key: match headers.get_all("x-key").iter().collect::<Vec<_>>()[..] {
+                [] => ApiKey::Missing,
+                [key] => ApiKey::Given(KeyHash::of(key.as_bytes())),
+                _ => ApiKey::Several,
+            },
             model: text(headers, "x-model").map(|text| ModelName::new(&text)),
             prompt_parts: text(headers, "x-parts")
                 .map(|text| text.split(',').map(part).collect())
@@ -40,6 +48,14 @@
         headers.insert("x-wait-ms", HeaderValue::from(metadata.deadline_ms));
         headers
             .insert("x-server", HeaderValue::from_str(metadata.server.as_str()).expect("plain id"));
+        if metadata.caller != AttemptCaller::Unchecked {
+            headers.remove("x-key");
+            headers.remove("x-workspace");
+        }
+        if let AttemptCaller::Workspace(name) = &metadata.caller {
+            let name = HeaderValue::from_str(name.as_str()).expect("plain name");
+            headers.insert("x-workspace", name);
+        }
         if let Some(after) = metadata.resume_after {
             headers.insert("x-after", HeaderValue::from(after));
         }
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -186,6 +186,7 @@
         gap_objective_ms: 300,
         priority: 1,
         targets: vec![Target { service: ServiceName::new(service), weight: 1 }],
+        is_public: false,
         attempts_max,
     }
 }
--- a/crates/filbertcleat-serve/src/deployment.rs
+++ b/crates/filbertcleat-serve/src/deployment.rs
@@ -24,6 +24,7 @@
 pub use self::route::Target;
 pub use self::service::EngineSpec;
 pub use self::service::ServiceSpec;
+use crate::Workspaces;
 
 /// One version of the operators' configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -36,6 +37,8 @@
     pub services: BTreeMap<ServiceName, ServiceSpec>,
     /// The limits on callers' requests and connections.
     pub limits: CallerLimits,
+    /// The workspaces. Without them requests need no API key.
+    pub workspaces: Option<Workspaces>,
 }
 
 impl Deployment {
--- a/crates/filbertcleat-serve/src/deployment/route.rs
+++ b/crates/filbertcleat-serve/src/deployment/route.rs
@@ -26,6 +26,8 @@
     pub priority: u8,
     /// The services between which the route's requests are split.
     pub targets: Vec<Target>,
+    /// Whether requests need no API key.
+    pub is_public: bool,
     /// The largest number of attempts at backend servers for one request.
     pub attempts_max: u32,
 }
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `fleet`: the state of the backend servers as an entry knows it
 //! - `return_delay`: when callers should return to paused backend servers
 //! - `placement`: selects the backend server of a request
+//! - `priority`: combines the priorities of a workspace and a route
 //! - `queue`: orders the requests that wait at an entry and dispatches them to engines
 //! - `attempts`: decides whether a request may be sent again
 //! - `budget`: limits the retries of an entry
@@ -15,6 +16,7 @@
 //! - `recipients`: decides when an agent sends updates to which entries
 //! - `holders`: chooses the agents that hold what entries have to know from each other
 //! - `stream_origins`: remembers which software version began a stream
+//! - `workspaces`: customers with API keys, priorities and allowances
 //! - `scheduler`: decides which load and unload orders an agent sends to its engine
 //!
 //! The functions in this crate get the time as an argument and do no I/O.
@@ -32,6 +34,7 @@
 mod key;
 mod listing;
 mod placement;
+mod priority;
 mod prompt_part;
 mod queue;
 mod recipients;
@@ -43,6 +46,7 @@
 mod software_version;
 mod stream_origins;
 mod update;
+mod workspaces;
 
 pub use attempts::Attempts;
 pub use attempts::FailedAttempt;
@@ -93,6 +97,8 @@
 pub use placement::place_plain;
 pub use placement::plain_pause_end;
 pub use placement::plain_permit_wait_ms;
+pub use priority::engine_priority;
+pub use priority::entry_priority;
 pub use prompt_part::PromptPart;
 pub use queue::RequestQueue;
 pub use queue::SentRequest;
@@ -116,3 +122,10 @@
 pub use update::EntryUpdate;
 pub use update::LoadedAdapter;
 pub use update::ModelDemand;
+pub use workspaces::Allowance;
+pub use workspaces::AllowanceUnit;
+pub use workspaces::KeyHash;
+pub use workspaces::Workspace;
+pub use workspaces::WorkspaceProblem;
+pub use workspaces::WorkspaceProblemKind;
+pub use workspaces::Workspaces;
--- a/crates/filbertcleat-serve/src/request.rs
+++ b/crates/filbertcleat-serve/src/request.rs
@@ -4,6 +4,7 @@
 
 use filbertcleat_base::ModelName;
 use filbertcleat_base::ServiceName;
+use filbertcleat_base::WorkspaceName;
 
 use crate::AdapterKey;
 use crate::CrashSuspect;
@@ -33,8 +34,10 @@
     pub latency_objective_ms: u64,
     /// The objective for the longest gap between two events; 0 if the response is not streamed.
     pub gap_objective_ms: u64,
-    /// The priority; 0 is the most urgent.
+    /// The priority of the workspace and, within it, of the route; 0 is the most urgent.
     pub priority: u8,
+    /// The workspace, if the deployment has any.
+    pub workspace: Option<WorkspaceName>,
 }
 
 impl RequestDemand {
--- a/crates/filbertcleat-serve/tests/restored_configuration.rs
+++ b/crates/filbertcleat-serve/tests/restored_configuration.rs
@@ -25,6 +25,7 @@
         gap_objective_ms: 0,
         priority: 1,
         targets: Vec::new(),
+        is_public: false,
         attempts_max: 1,
     };
     Deployment { version, routes: vec![route], ..Deployment::default() }
--- a/crates/filbertcleat-serve/tests/routes.rs
+++ b/crates/filbertcleat-serve/tests/routes.rs
@@ -21,6 +21,7 @@
         gap_objective_ms: 0,
         priority: 0,
         targets: targets.collect(),
+        is_public: false,
         attempts_max: 1,
     }
 }
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -112,6 +112,7 @@
         latency_objective_ms: 1_000,
         gap_objective_ms: 300,
         priority: 1,
+        workspace: None,
     }
 }
 
