--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -21,6 +21,7 @@
 use filbertcleat_serve::RetryBudget;
 use filbertcleat_serve::Server;
 use filbertcleat_serve::Ticket;
+use filbertcleat_serve::Workspaces;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -263,7 +264,7 @@
             let idle_timeout_ms = deployment.limits.idle_timeout_ms;
             self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
             let workspaces = deployment.workspaces.iter();
-            for problem in workspaces.flat_map(|workspaces| workspaces.problems()) {
+            for problem in workspaces.flat_map(Workspaces::problems) {
                 let (workspace, kind) = (&problem.workspace, &problem.kind);
                 log::warn!(
                     "event=workspace-invalid version={version} workspace={workspace} \
