Discard pooled connections on which bytes wait in the kernel

An extra response, or the end of a connection, that had arrived after the runtime last asked for readiness was not seen at checkout: the request was written on that connection, read the extra response as its own, and failed as 'the response is for another request'. A request that may not be sent twice was answered with 502 although its server was sound.

A connection is now peeked at when it is taken from the pool, as is done for callers' connections before they are closed. The id check of responses stays: it covers what arrives after the write. Ruled out: a check at the first write, where the request can't be given to another connection any more.

--- a/crates/filbertcleat-gateway/src/entry/backend_connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/backend_connection.rs
@@ -1,5 +1,9 @@
 //! A connection to a backend server.
 
+use std::io;
+use std::mem::MaybeUninit;
+use std::rc::Weak;
+
 use bytes::Bytes;
 use http::Request;
 use http::Response;
@@ -7,6 +11,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
+use socket2::SockRef;
+use tokio::net::TcpStream;
 
 use super::read_allowance::ReadAllowance;
 
@@ -14,12 +20,18 @@
 pub(super) struct BackendConnection {
     sender: SendRequest<Full<Bytes>>,
     allowance: ReadAllowance,
+    /// The stream, until the connection has ended.
+    stream: Weak<TcpStream>,
 }
 
 impl BackendConnection {
     /// Creates the connection of a sender, whose socket counts what it reads in `allowance`.
-    pub fn new(sender: SendRequest<Full<Bytes>>, allowance: ReadAllowance) -> Self {
-        Self { sender, allowance }
+    pub fn new(
+        sender: SendRequest<Full<Bytes>>,
+        allowance: ReadAllowance,
+        stream: Weak<TcpStream>,
+    ) -> Self {
+        Self { sender, allowance, stream }
     }
 
     /// Sends a request and waits for the head of the response; an error returns the request if it
@@ -46,4 +58,14 @@
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
     }
+
+    /// Returns whether the backend server has neither sent anything nor closed the connection.
+    ///
+    /// It asks the kernel, since the runtime learns of bytes only after the tasks that are due.
+    pub fn is_quiet(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else { return false };
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&*stream).peek(&mut byte);
+        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
 }
--- a/crates/filbertcleat-gateway/src/entry/connection_pool.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_pool.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use filbertcleat_base::MonoTime;
@@ -80,6 +81,8 @@
         socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_PROBES))?;
 
         let allowance = ReadAllowance::for_head();
+        let stream = Rc::new(stream);
+        let weak_stream = Rc::downgrade(&stream);
         let socket = Socket::reset_on_close(stream, allowance.clone())?;
         let handshake = http1::Builder::new().handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
@@ -88,7 +91,7 @@
                 log::debug!("event=connection-ended peer={address} reason=\"{error}\"");
             }
         });
-        Ok(BackendConnection::new(sender, allowance))
+        Ok(BackendConnection::new(sender, allowance, weak_stream))
     }
 
     /// Keeps a connection for reuse, unless the response headers `head` forbid it.
@@ -109,8 +112,14 @@
         let mut idle = self.idle.borrow_mut();
         let queue = idle.get_mut(&address)?;
         queue.retain(|idle| !idle.connection.is_closed() && idle.expires_at > now);
-        let ready = queue.iter().position(|idle| idle.connection.is_ready())?;
-        queue.remove(ready).map(|idle| idle.connection)
+        loop {
+            let position = queue.iter().position(|idle| idle.connection.is_ready())?;
+            let connection = queue.remove(position)?.connection;
+            if connection.is_quiet() {
+                return Some(connection);
+            }
+            log::info!("event=connection-discarded peer={address} reason=\"not quiet while idle\"");
+        }
     }
 }
 
--- a/crates/filbertcleat-gateway/src/entry/socket.rs
+++ b/crates/filbertcleat-gateway/src/entry/socket.rs
@@ -2,10 +2,12 @@
 
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
 
+use futures_util::ready;
 use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -17,7 +19,7 @@
 /// A TCP stream that is reset when it is closed, and that reads a limited number of bytes.
 #[derive(Debug)]
 pub(super) struct Socket {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     allowance: ReadAllowance,
 }
 
@@ -27,51 +29,64 @@
     ///
     /// Without the reset, an abandoned request could still be delivered after a network partition
     /// heals.
-    pub fn reset_on_close(stream: TcpStream, allowance: ReadAllowance) -> io::Result<Self> {
-        SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+    pub fn reset_on_close(stream: Rc<TcpStream>, allowance: ReadAllowance) -> io::Result<Self> {
+        SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
         Ok(Self { stream, allowance })
     }
 }
 
 impl AsyncRead for Socket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.allowance.is_used_up() {
             return Poll::Ready(Err(io::Error::other("the peer sends more than a response")));
         }
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.allowance.use_up(buffer.filled().len() - before);
-        read
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read_buf(buffer) {
+                Ok(length) => {
+                    self.allowance.use_up(length);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
     }
 }
 
 impl AsyncWrite for Socket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        self.poll_write_vectored(context, &[io::IoSlice::new(bytes)])
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match self.stream.try_write_vectored(slices) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
