Send a request again on a connection that has not carried it

A retry, and a caller that sends a refused request again, keep the request's id, so that the id check can't tell a late copy of the first response from the response to the second attempt. A late copy of a refusal (not run) was taken for the response to a request that the server had run by then; the caller would have sent it once more, and it would have run twice.

A pooled connection remembers the hashes of the last 32 requests that it carried and is not used for one of them again. Ruled out: a new connection for retries only, since the entry does not see that a caller's request is sent again.

--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
+use filbertcleat_serve::RequestHash;
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
@@ -126,7 +127,7 @@
     // connection may be tried.
     let mut is_admitted = false;
     for _ in 0..CONNECTIONS_MAX {
-        let checked_out = entry.pool.checkout(address).await;
+        let checked_out = entry.pool.checkout(address, RequestHash::of(&request.id)).await;
         let connection = checked_out.map_err(|error| {
             log::debug!("event=connect-failed peer={address} reason=\"{error}\"");
             if error.kind() == ErrorKind::ConnectionRefused {
--- a/crates/filbertcleat-gateway/src/entry/backend_connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/backend_connection.rs
@@ -1,10 +1,12 @@
 //! A connection to a backend server.
 
+use std::collections::VecDeque;
 use std::io;
 use std::mem::MaybeUninit;
 use std::rc::Weak;
 
 use bytes::Bytes;
+use filbertcleat_serve::RequestHash;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
@@ -22,24 +24,35 @@
     allowance: ReadAllowance,
     /// The stream, until the connection has ended.
     stream: Weak<TcpStream>,
+    /// The requests that were sent last, oldest first.
+    recent: VecDeque<RequestHash>,
 }
 
 impl BackendConnection {
+    /// The most requests that are remembered. They are those of some seconds, in which a caller
+    /// sends a refused request again.
+    const RECENT_MAX: usize = 32;
+
     /// Creates the connection of a sender, whose socket counts what it reads in `allowance`.
     pub fn new(
         sender: SendRequest<Full<Bytes>>,
         allowance: ReadAllowance,
         stream: Weak<TcpStream>,
     ) -> Self {
-        Self { sender, allowance, stream }
+        Self { sender, allowance, stream, recent: VecDeque::new() }
     }
 
     /// Sends a request and waits for the head of the response; an error returns the request if it
     /// was not transmitted.
     pub async fn try_send(
         &mut self,
+        id: RequestHash,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        if self.recent.len() >= Self::RECENT_MAX {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(id);
         self.allowance.grant_head();
         self.sender.try_send_request(request).await
     }
@@ -59,6 +72,12 @@
         self.sender.is_closed()
     }
 
+    /// Returns whether a request was sent on this connection before. A late copy of the response to
+    /// it can't be told from the response to the same request when it is sent again.
+    pub fn has_carried(&self, id: RequestHash) -> bool {
+        self.recent.contains(&id)
+    }
+
     /// Returns whether the backend server has neither sent anything nor closed the connection.
     ///
     /// It asks the kernel, since the runtime learns of bytes only after the tasks that are due.
--- a/crates/filbertcleat-gateway/src/entry/connection_pool.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_pool.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use filbertcleat_base::MonoTime;
+use filbertcleat_serve::RequestHash;
 use http::HeaderMap;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -62,9 +63,13 @@
         Self { clock, idle: RefCell::new(HashMap::new()) }
     }
 
-    /// Returns an idle connection, or connects if there is none.
-    pub async fn checkout(&self, address: SocketAddr) -> io::Result<BackendConnection> {
-        if let Some(connection) = self.take_idle(address) {
+    /// Returns an idle connection for a request, or connects if there is none.
+    pub async fn checkout(
+        &self,
+        address: SocketAddr,
+        request: RequestHash,
+    ) -> io::Result<BackendConnection> {
+        if let Some(connection) = self.take_idle(address, request) {
             return Ok(connection);
         }
         self.connect(address).await
@@ -107,13 +112,16 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<BackendConnection> {
+    fn take_idle(&self, address: SocketAddr, request: RequestHash) -> Option<BackendConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let queue = idle.get_mut(&address)?;
         queue.retain(|idle| !idle.connection.is_closed() && idle.expires_at > now);
         loop {
-            let position = queue.iter().position(|idle| idle.connection.is_ready())?;
+            let is_fit = |Idle { connection, .. }: &Idle| {
+                connection.is_ready() && !connection.has_carried(request)
+            };
+            let position = queue.iter().position(is_fit)?;
             let connection = queue.remove(position)?.connection;
             if connection.is_quiet() {
                 return Some(connection);
--- a/crates/filbertcleat-gateway/src/entry/exchange.rs
+++ b/crates/filbertcleat-gateway/src/entry/exchange.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use filbertcleat_serve::NamedLimit;
+use filbertcleat_serve::RequestHash;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
@@ -64,7 +65,7 @@
         mut receiver: oneshot::Sender<Result<Answer, ExchangeError>>,
     ) {
         let sent = {
-            let mut sending = pin!(connection.try_send(outbound));
+            let mut sending = pin!(connection.try_send(RequestHash::of(&self.request), outbound));
             tokio::select! {
                 biased;
                 sent = &mut sending => Ok(sent),
--- a/crates/filbertcleat-gateway/tests/extra_responses.rs
+++ b/crates/filbertcleat-gateway/tests/extra_responses.rs
@@ -62,6 +62,11 @@
         .into_bytes()
 }
 
+fn refusal(id: &str) -> Vec<u8> {
+    format!("HTTP/1.1 503 X\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
+        .into_bytes()
+}
+
 /// Guards against a second copy of a response, which arrives after the next request was sent on the
 /// same connection, being forwarded to the next caller.
 #[rstest]
@@ -90,6 +95,41 @@
     });
 }
 
+/// Guards against a late copy of a refusal being taken for the response to the same request, which
+/// the caller has sent again and the server runs by now: the caller would let it run twice.
+#[test]
+fn copy_of_refusal_unused() {
+    World::run(async {
+        let server = RawServer::start().await;
+        let routes = vec![route("book", RetryPolicy::AtMostOnce, 1)];
+        let world = World::start(routes, &[&server.backend]).await;
+        spawn_local(async move {
+            let mut stream = server.accept().await;
+            let id = read_id(&mut stream).await;
+            stream.write_all(&refusal(&id)).await.expect("written");
+            let mut again = tokio::select! {
+                mut other = server.accept() => {
+                    read_id(&mut other).await;
+                    other
+                }
+                id = read_id(&mut stream) => {
+                    stream.write_all(&refusal(&id)).await.expect("written");
+                    stream
+                }
+            };
+            again.write_all(&response(&id, "booked")).await.expect("written");
+            std::future::pending::<()>().await;
+        });
+
+        let mut caller = world.caller().await;
+        let refused = caller.call(&Call::new("a", "/book/1")).await.expect("a response");
+        let booked = caller.call(&Call::new("a", "/book/1")).await.expect("a response");
+
+        assert_eq!(refused.status, 503);
+        assert_eq!((booked.status, booked.body.as_str()), (200, "booked"));
+    });
+}
+
 /// Guards against the use of a connection on which bytes have arrived, or which was closed, that
 /// the runtime does not know of yet: a request that may not be sent twice would be lost with it.
 #[rstest]
