Answer open requests before a stopping entry exits

An entry that stops waits for its requests at most until 600 ms before the end of its grace period, and then exited without a word to those that had no response: requests that had been read whole, were waiting for an engine, or whose body was still arriving. Requests are accepted until 2.6 s after the signal, and their timeouts may be longer than what is left.

A request without a response 900 ms before the end of the grace period gets one: 503 with Retry-After if it has not run, else 502. Ruled out: shorter deadlines from the signal on, which would be passed on to servers and end requests that can still finish.

unfinished_requests_answered (3 cases), queued_requests_answered and unfinished_bodies_answered::never_ends failed before: the entry had exited before the response. Bodies that end in time and pipelined_requests_not_run held before; the latter fails if a stopping entry keeps the connection after the response that announces its close.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -78,6 +78,9 @@
 const BALANCER_DELAY_MS: u64 = 2_600;
 /// The part of the shutdown grace period that is reserved for the exit of the process itself.
 const EXIT_RESERVE_MS: u64 = 600;
+/// The part of the shutdown grace period, before the exit, in which callers without an answer get
+/// one and read it: several network round trips and checks of a draining entry.
+const ANSWER_RESERVE_MS: u64 = 300;
 /// How often a draining entry checks whether its requests and connections have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
--- a/crates/filbertcleat-gateway/src/entry/handler.rs
+++ b/crates/filbertcleat-gateway/src/entry/handler.rs
@@ -40,6 +40,7 @@
 use super::placement::place_request;
 use super::read_request::RefusedRequest;
 use super::read_request::read_request;
+use super::refusal::EXITING;
 use super::refusal::RETRY_AFTER_FULL;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
@@ -73,7 +74,12 @@
     };
     entry.count_request(&request.service);
 
-    let result = forward(entry, &mut request).await;
+    let forwarded = tokio::select! {
+        biased;
+        forwarded = forward(entry, &mut request) => Some(forwarded),
+        () = entry.answers_due() => None,
+    };
+    let result = forwarded.unwrap_or_else(|| Err(EXITING.after_attempts(request.may_have_run)));
     open.is_answered = true;
     match result {
         Ok(Forwarded::Complete { response, server }) => {
@@ -139,14 +145,15 @@
 ) -> Result<Forwarded<D>, Refusal> {
     restrict_software(entry, request).await?;
     let mut last_failure: Option<(Response<CallerBody>, ServerId)> = None;
-    let mut may_have_run = false;
     loop {
         let attempt = match place_request(entry, request).await {
             Ok(attempt) => attempt,
             Err(refusal) => {
-                return last_failure.map(complete).ok_or(refusal.after_attempts(may_have_run));
+                let refusal = refusal.after_attempts(request.may_have_run);
+                return last_failure.map(complete).ok_or(refusal);
             }
         };
+        let may_have_run = std::mem::replace(&mut request.may_have_run, true);
         let server = attempt.server().clone();
         let resume_after = request.metadata.last_event_id;
         let outcome = run_attempt(entry, request, attempt, resume_after).await;
@@ -162,10 +169,11 @@
             Err(failure) => failure,
         };
         request.avoided.push(server);
-        may_have_run |= failure.may_have_run;
+        request.may_have_run = may_have_run || failure.may_have_run;
         log_failed_attempt(entry, request, failure);
         if let Err(refusal) = check_retry(entry, request, failure) {
-            return last_failure.map(complete).ok_or(refusal.after_attempts(may_have_run));
+            let refusal = refusal.after_attempts(request.may_have_run);
+            return last_failure.map(complete).ok_or(refusal);
         }
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -23,7 +23,9 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 
+use super::refusal::EXITING;
 use super::refusal::RETRY_AFTER_FULL;
+use super::refusal::RETRY_AFTER_OTHER_ENTRY;
 use super::refusal::RETRY_AFTER_UNAVAILABLE;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
@@ -35,8 +37,6 @@
 
 /// The deadline of a request that carries none.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
-/// `Retry-After` for a request that another entry can take at once: about the network latency.
-const RETRY_AFTER_OTHER_ENTRY: Duration = Duration::from_millis(20);
 /// How long a refusal waits for the rest of the body: some network round trips, so that a body that
 /// follows its head keeps its connection.
 const REFUSED_BODY_WAIT: Duration = Duration::from_millis(250);
@@ -114,6 +114,7 @@
         first_byte_ms: None,
         longest_gap_ms: 0,
         attempts: 0,
+        may_have_run: false,
         avoided: Vec::new(),
     })
 }
@@ -211,7 +212,12 @@
     wait: Duration,
 ) -> Result<Bytes, Refusal> {
     let limited = Limited::new(body, entry.caller_limits().body_max_bytes);
-    match tokio::time::timeout(wait, limited.collect()).await {
+    let collected = tokio::select! {
+        biased;
+        collected = tokio::time::timeout(wait, limited.collect()) => collected,
+        () = entry.answers_due() => return Err(EXITING),
+    };
+    match collected {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
         Ok(Err(_broken)) => Err(Refusal::BadRequest("the body broke off")),
--- a/crates/filbertcleat-gateway/src/entry/refusal.rs
+++ b/crates/filbertcleat-gateway/src/entry/refusal.rs
@@ -15,6 +15,11 @@
 /// `Retry-After` after backend servers had no free capacity: some of their requests end in that
 /// time.
 pub(super) const RETRY_AFTER_FULL: Duration = Duration::from_millis(300);
+/// `Retry-After` for a request that another entry can take at once: about the network latency.
+pub(super) const RETRY_AFTER_OTHER_ENTRY: Duration = Duration::from_millis(20);
+/// The refusal of a request that has no answer when the process is about to exit.
+pub(super) const EXITING: Refusal =
+    Refusal::NotRun("the entry is about to exit", RETRY_AFTER_OTHER_ENTRY);
 
 /// The reason why the entry answers a request itself.
 ///
--- a/crates/filbertcleat-gateway/src/entry/request.rs
+++ b/crates/filbertcleat-gateway/src/entry/request.rs
@@ -45,6 +45,8 @@
     pub longest_gap_ms: u64,
     /// The attempts that reached a backend server, and all attempts to resume a stream.
     pub attempts: u32,
+    /// Whether an attempt may have run the request, one in progress included.
+    pub may_have_run: bool,
     /// The backend servers of failed attempts, in order.
     pub avoided: Vec<ServerId>,
 }
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -26,7 +26,9 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use super::ANSWER_RESERVE_MS;
 use super::BALANCER_DELAY_MS;
+use super::EXIT_RESERVE_MS;
 use super::agent_updates::AgentUpdateState;
 use super::catalogue_watch::wait_for;
 use super::connection_pool::ConnectionPool;
@@ -197,6 +199,14 @@
         self.shutdown_since.get().is_some_and(|since| now.ms_since(since) >= BALANCER_DELAY_MS)
     }
 
+    /// Waits until requests have to be answered because the process is about to exit.
+    pub async fn answers_due(&self) {
+        self.shutdown.triggered().await;
+        let since = self.shutdown_since.get().unwrap_or(self.now());
+        let wait_ms = self.settings.grace_ms.saturating_sub(EXIT_RESERVE_MS + ANSWER_RESERVE_MS);
+        tokio::time::sleep_until(self.clock.instant(since.plus_ms(wait_ms))).await;
+    }
+
     /// Records that shutdown has begun.
     pub fn begin_shutdown(&self) {
         self.shutdown_since.set(Some(self.now()));
