Measure the progress of streams by their events

Any byte of a stream's body counted as progress. A server that had stalled but sent a byte, a comment or an id now and then kept a resumable stream from moving, won it back while it moved, and held any stream until the request's deadline, long after the caller had left.

Progress is an event with data. A stream without one for as long as callers wait (2 s, four times the latency objective or eight times the gap objective, and 200 ms for what is on its way) ends; routes without objectives keep the deadline as their only limit. Comments are still forwarded at once. What has arrived is looked at before the timers, so that a pause of the entry itself ends no stream. Ruled out: shorter deadlines of the HTTP connection, which see bytes only.

--- a/crates/filbertcleat-gateway/src/entry/events.rs
+++ b/crates/filbertcleat-gateway/src/entry/events.rs
@@ -23,6 +23,8 @@
     pub bytes: Bytes,
     /// The id, if the event has one.
     pub id: Option<u64>,
+    /// Whether the event has data; a block of comments has none.
+    pub has_data: bool,
 }
 
 impl EventSplitter {
@@ -32,8 +34,8 @@
         let mut events = Vec::new();
         while let Some(length) = self.find_event_end() {
             let bytes = self.buffer.split_to(length).freeze();
-            let id = event_id(&bytes);
-            events.push(Event { bytes, id });
+            let (id, has_data) = (event_id(&bytes), has_data(&bytes));
+            events.push(Event { bytes, id, has_data });
         }
         events
     }
@@ -70,3 +72,9 @@
     let text = std::str::from_utf8(event).ok()?;
     text.lines().find_map(|line| line.strip_prefix("id:")?.trim().parse().ok())
 }
+
+fn has_data(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n' || *byte == b'\r').any(|line| {
+        line.strip_prefix(b"data").is_some_and(|rest| rest.is_empty() || rest.starts_with(b":"))
+    })
+}
--- a/crates/filbertcleat-gateway/src/entry/stream_moves.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_moves.rs
@@ -40,7 +40,9 @@
         let mut silent = Some(source);
         let opened = {
             let mut opening = pin!(self.open_with_event(attempt));
-            let deadline = self.entry.clock().instant(self.request.deadline);
+            let deadline = self.request.deadline;
+            let deadline = self.given_up_at().map_or(deadline, |at| at.min(deadline));
+            let deadline = self.entry.clock().instant(deadline);
             loop {
                 tokio::select! {
                     biased;
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -1,7 +1,6 @@
 //! Relays event streams to callers.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use filbertcleat_base::MonoTime;
@@ -11,7 +10,6 @@
 use http::Response;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::Instant;
 
 use super::attempt::BackendResponse;
 use super::attempt::strip_connection_headers;
@@ -35,7 +33,8 @@
 /// After this time without an event another backend server is sought for a resumable stream. It is
 /// many times the gap between two events, and shorter than the time that callers wait.
 pub(super) const STALL_TIMEOUT_MS: u64 = 1_500;
-/// A stream is cut at the latest this long after the deadline of its request.
+/// A stream is cut at the latest this long after the deadline of its request, or after its callers
+/// have left.
 const DEADLINE_GRACE_MS: u64 = 200;
 
 /// Returns a response whose body forwards the stream of events as it arrives.
@@ -61,6 +60,7 @@
         sender,
         is_resumable,
         last_bytes_at: None,
+        progress_at: entry.now(),
     };
     spawn_local(async move {
         relay.run(StreamSource::new(backend_response, attempt)).await;
@@ -78,6 +78,8 @@
     is_resumable: bool,
     pub(super) last_event_id: Option<u64>,
     last_bytes_at: Option<MonoTime>,
+    /// When the stream last got on, by an event with data.
+    progress_at: MonoTime,
 }
 
 /// How the stream of one backend server ended.
@@ -87,8 +89,10 @@
     Complete,
     /// The stream broke off.
     Broken,
-    /// The backend server has sent nothing for the stall timeout, and may go on.
+    /// The backend server has sent no event for the stall timeout, and may go on.
     Stalled,
+    /// The backend server has sent no event for as long as callers wait for one.
+    GivenUp,
     /// The caller disconnected.
     CallerGone,
     /// The deadline of the request has passed.
@@ -111,7 +115,7 @@
                     source.abandon(AttemptOutcome::Broken);
                     if self.is_resumable { self.resume_for_caller().await } else { None }
                 }
-                StreamEnd::CallerGone | StreamEnd::DeadlineExceeded => {
+                StreamEnd::CallerGone | StreamEnd::DeadlineExceeded | StreamEnd::GivenUp => {
                     spawn_local(source.read_unclaimed());
                     None
                 }
@@ -120,7 +124,7 @@
                 let outcome = match end {
                     StreamEnd::Complete => Outcome::Streamed,
                     StreamEnd::Broken => Outcome::Broken,
-                    StreamEnd::Stalled => Outcome::Stalled,
+                    StreamEnd::Stalled | StreamEnd::GivenUp => Outcome::Stalled,
                     StreamEnd::CallerGone => Outcome::CallerGone,
                     StreamEnd::DeadlineExceeded => Outcome::DeadlineExceeded,
                 };
@@ -161,16 +165,19 @@
     /// Forwards the events of one backend server, without those that the caller has already seen.
     async fn forward(&mut self, source: &mut StreamSource<D>) -> StreamEnd {
         let deadline = self.request.deadline.plus_ms(DEADLINE_GRACE_MS);
+        let begun_at = self.entry.now();
         loop {
-            let limit = self.next_event_limit(deadline);
+            let (limit, end) = self.next_event_limit(begun_at, deadline);
+            let limit = self.entry.clock().instant(limit);
+            // What has arrived comes first: after a pause of this process the time may have passed
+            // without the server being silent.
             let item = tokio::select! {
+                biased;
                 () = self.sender.closed() => return StreamEnd::CallerGone,
-                () = tokio::time::sleep_until(limit) => {
-                    let is_late = self.entry.now() >= deadline;
-                    return if is_late { StreamEnd::DeadlineExceeded } else { StreamEnd::Stalled };
-                }
                 item = source.next() => item,
+                () = tokio::time::sleep_until(limit) => return end,
             };
+            let is_progress = item.is_progress();
             let events = match item {
                 SourceItem::Events(events) => events,
                 SourceItem::End => return StreamEnd::Complete,
@@ -186,6 +193,9 @@
                     return end;
                 }
             }
+            if is_progress {
+                self.progress_at = self.entry.now();
+            }
         }
     }
 
@@ -229,14 +239,27 @@
         }
     }
 
-    /// Returns the instant by which the next bytes have to arrive.
-    fn next_event_limit(&self, deadline: MonoTime) -> Instant {
-        let deadline = self.entry.clock().instant(deadline);
-        if self.is_resumable && self.has_attempts_left() {
-            deadline.min(Instant::now() + Duration::from_millis(STALL_TIMEOUT_MS))
-        } else {
-            deadline
+    /// Returns the time by which the next event with data has to arrive from a backend server that
+    /// the stream came to at `begun_at`, and how the stream ends there if it does not.
+    fn next_event_limit(&self, begun_at: MonoTime, deadline: MonoTime) -> (MonoTime, StreamEnd) {
+        let mut limit = (deadline, StreamEnd::DeadlineExceeded);
+        if let Some(given_up_at) = self.given_up_at()
+            && given_up_at < limit.0
+        {
+            limit = (given_up_at, StreamEnd::GivenUp);
         }
+        let stalled_at = self.progress_at.max(begun_at).plus_ms(STALL_TIMEOUT_MS);
+        if self.is_resumable && self.has_attempts_left() && stalled_at < limit.0 {
+            limit = (stalled_at, StreamEnd::Stalled);
+        }
+        limit
+    }
+
+    /// Returns when the caller has left for certain if no event with data arrives before. `None` if
+    /// it is not known how long callers wait.
+    pub(super) fn given_up_at(&self) -> Option<MonoTime> {
+        let wait_ms = self.request.route.stream_wait_ms()?;
+        Some(self.progress_at.plus_ms(wait_ms).plus_ms(DEADLINE_GRACE_MS))
     }
 
     /// Returns whether the route allows another attempt.
--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -32,7 +32,7 @@
 
 /// What a backend server sent next.
 pub(super) enum SourceItem {
-    /// Bytes arrived, which completed these events.
+    /// Bytes arrived, which completed these events, if any.
     Events(Vec<Event>),
     /// The stream ended properly.
     End,
@@ -40,6 +40,17 @@
     Broken(String),
 }
 
+impl SourceItem {
+    /// Returns whether the stream has got on: an event with data, or an end. Comments and parts of
+    /// an event also come from a server that has stalled.
+    pub fn is_progress(&self) -> bool {
+        match self {
+            Self::Events(events) => events.iter().any(|event| event.has_data),
+            Self::End | Self::Broken(_) => true,
+        }
+    }
+}
+
 impl<D: Dialect> StreamSource<D> {
     /// Creates the source of a response whose head has been received.
     pub fn new(response: Box<BackendResponse>, attempt: InFlightAttempt<D>) -> Self {
@@ -74,9 +85,10 @@
         }
     }
 
-    /// Waits for the next item and leaves it for `next`.
+    /// Waits for the next item with which the stream gets on, and leaves it for `next`. Comments
+    /// before it are left out, since any number of them may come.
     pub async fn ready(&mut self) {
-        if self.received.is_none() {
+        while !self.received.as_ref().is_some_and(SourceItem::is_progress) {
             self.received = Some(self.receive().await);
         }
     }
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -32,6 +32,8 @@
     EventsThenCut { count: u64 },
     /// Sends `count` events, falls silent once after event `after`, and ends the stream properly.
     EventsWithSilence { count: u64, after: u64, silence: Duration },
+    /// Sends `count` events, and then `piece` after each pause until the connection is closed.
+    EventsThenPieces { count: u64, piece: &'static str, pause: Duration },
     /// Sends a body without HTTP framing, and closes the connection.
     Unframed { body: &'static str },
     /// Sends one event and half of the next, and ends the stream properly.
@@ -306,6 +308,11 @@
                 }
                 write(stream, "0\r\n\r\n").await
             }
+            Script::EventsThenPieces { count, piece, pause } => {
+                write(stream, &events_head).await;
+                write_events(stream, last_event_id + 1..=count, Duration::ZERO).await;
+                write_pieces(stream, piece, pause).await
+            }
             Script::FramedPartialEvent => {
                 write(stream, &events_head).await;
                 write(stream, &chunk(&format!("{}id: 2\nda", event(1)))).await;
@@ -405,6 +412,14 @@
     }
 }
 
+/// Writes a piece again and again with a pause before each.
+async fn write_pieces(stream: &mut OwnedWriteHalf, piece: &str, pause: Duration) -> ! {
+    loop {
+        tokio::time::sleep(pause).await;
+        write(stream, &chunk(piece)).await;
+    }
+}
+
 async fn write(stream: &mut OwnedWriteHalf, text: &str) -> bool {
     stream.write_all(text.as_bytes()).await.is_ok()
 }
--- a/crates/filbertcleat-serve/src/deployment/route.rs
+++ b/crates/filbertcleat-serve/src/deployment/route.rs
@@ -33,6 +33,20 @@
 }
 
 impl Route {
+    /// The shortest time after which callers leave a stream that has no event.
+    const STREAM_WAIT_MIN_MS: u64 = 2_000;
+
+    /// Returns how long callers wait for the next event of a stream: 2 s, four times the latency
+    /// objective or eight times the gap objective, whichever is longest. `None` if the route has no
+    /// objective.
+    pub fn stream_wait_ms(&self) -> Option<u64> {
+        let wait_ms = self
+            .latency_objective_ms
+            .saturating_mul(4)
+            .max(self.gap_objective_ms.saturating_mul(8));
+        (wait_ms > 0).then(|| wait_ms.max(Self::STREAM_WAIT_MIN_MS))
+    }
+
     /// Selects the service of a request from a hash of its id, in proportion to the targets'
     /// weights. Returns `None` if all weights are 0.
     pub fn choose_service(&self, request_id: &str) -> Option<&ServiceName> {
