Reset connections of callers that have stopped reading

Slow readers. A connection with a response that was being written counted as busy and was never closed: a caller that had stopped reading kept up to 16 MiB of a response, or 32 events of up to 1 MiB, for as long as it stayed connected. The relay of a stream that was to be cut waited for room in the caller's queue for as long.

- A caller that reads nothing of a response for 10 s is reset, with a log line (reader-stalled) that tells how much was held.
Two checks have to agree, since after a pause of the process the first one comes before the runtime knows what was read.
- The kernel's send buffer is bounded at 128 KiB.
It tells of room only when a third of it is free, so that with its default size a caller that reads slowly looks like one that has stopped.
- The queue of a stream holds at most 16 MiB, as is held of any response, besides 32 events.
- A stream ends properly only if its relay says so; the end of the relay cuts it without a place in the queue, also after a panic.
- The gauge held_bytes shows what is held for callers and for backend servers.

Ruled out: a queue of 256 KiB, which cut the stream of response_writes::waits_for_slow_callers, whose caller reads on after its deadline. Bodies for backend servers that read slowly are bounded by maxBodyBytes each, and a server that has stopped reading is disconnected by the TCP user timeout of 3 s (stalled_server_disconnected, which held).

--- a/crates/filbertcleat-gateway/src/entry/body.rs
+++ b/crates/filbertcleat-gateway/src/entry/body.rs
@@ -9,15 +9,16 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
-use tokio::sync::mpsc;
+
+use super::caller_stream::StreamBody;
 
 /// The body of a response to a caller.
 #[derive(Debug)]
 pub(super) enum CallerBody {
     /// A complete body.
     Complete(Full<Bytes>),
-    /// A body that arrives in chunks.
-    Chunks(mpsc::Receiver<Result<Bytes, StreamCut>>),
+    /// A stream of events.
+    Stream(StreamBody),
 }
 
 /// The error of a stream that is cut before its end, which closes the caller's connection.
@@ -51,23 +52,21 @@
             Self::Complete(body) => {
                 Pin::new(body).poll_frame(context).map_err(|never| match never {})
             }
-            Self::Chunks(chunks) => {
-                chunks.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            Self::Stream(body) => Pin::new(body).poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Complete(body) => body.is_end_stream(),
-            Self::Chunks(_) => false,
+            Self::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Complete(body) => body.size_hint(),
-            Self::Chunks(_) => SizeHint::default(),
+            Self::Stream(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/caller_socket.rs
+++ b/crates/filbertcleat-gateway/src/entry/caller_socket.rs
@@ -76,10 +76,18 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(context))?;
+            let Poll::Ready(ready) = self.stream.poll_write_ready(context) else {
+                self.activity.on_write_blocked();
+                return Poll::Pending;
+            };
+            ready?;
             match self.stream.try_write_vectored(slices) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                Ok(length) => {
+                    self.activity.on_written(length);
+                    return Poll::Ready(Ok(length));
+                }
+                Err(error) => return Poll::Ready(Err(error)),
             }
         }
     }
--- a/crates/filbertcleat-gateway/src/entry/close_reason.rs
+++ b/crates/filbertcleat-gateway/src/entry/close_reason.rs
@@ -7,6 +7,8 @@
     Idle,
     /// The head of a request did not arrive in time.
     HeadOverdue,
+    /// The caller has stopped reading its response.
+    ReaderStalled,
     /// The entry is shutting down.
     Leaving,
 }
@@ -17,6 +19,7 @@
         match self {
             Self::Idle => "idle",
             Self::HeadOverdue => "head-overdue",
+            Self::ReaderStalled => "reader-stalled",
             Self::Leaving => "leaving",
         }
     }
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -17,6 +17,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -45,6 +46,11 @@
 /// trips, so that the first request on a new connection, or one sent on reading a response that did
 /// not yet announce the close, is answered.
 const LEAVING_IDLE_MS: u64 = 200;
+/// The size that is asked for the kernel's buffer of a response; Linux doubles it. The kernel tells
+/// of room only once a third of the buffer is free, so that with the default size, which grows to
+/// megabytes, a caller that reads 100 kB a second would seem to have stopped for longer than a
+/// stalled one is kept.
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
 /// The smallest read buffer that hyper accepts.
 const BUFFER_MIN_BYTES: usize = 8_192;
 
@@ -68,9 +74,13 @@
         log::debug!("event=caller-gone reason=\"{error}\"");
         return;
     }
+    if let Err(error) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
+        log::debug!("event=caller-gone reason=\"{error}\"");
+        return;
+    }
     let _open = OpenConnection::new(&entry);
     let stream = Rc::new(stream);
-    let activity = Rc::new(ConnectionActivity::new(entry.clock()));
+    let activity = Rc::new(ConnectionActivity::new(entry.clock(), &entry.caller_bytes));
     let mut unread = Bytes::new();
     let has_responded = loop {
         let service = service_fn(|request| {
@@ -108,9 +118,11 @@
             while check.as_mut().poll(context).is_ready() {
                 check.as_mut().reset(Instant::now() + check_interval(&entry));
                 let Some(reason) = due_close(&entry, &activity) else { continue };
-                if !has_unread_bytes(&stream) {
+                let is_stalled = reason == CloseReason::ReaderStalled;
+                if is_stalled || !has_unread_bytes(&stream) {
                     log_close(from, reason, &activity, entry.now());
-                    return Poll::Ready(Progress::Due);
+                    let due = if is_stalled { Progress::Stalled } else { Progress::Due };
+                    return Poll::Ready(due);
                 }
             }
             Poll::Pending
@@ -123,6 +135,13 @@
                 break true;
             }
             Progress::Due => break false,
+            Progress::Stalled => {
+                // The kernel must not keep the rest of the response for the caller.
+                if let Err(error) = SockRef::from(&*stream).set_linger(Some(Duration::ZERO)) {
+                    log::debug!("event=caller-gone reason=\"{error}\"");
+                }
+                return;
+            }
             Progress::Outdated => unread = connection.into_parts().read_buf,
         }
     };
@@ -143,6 +162,8 @@
     Ended(hyper::Result<()>),
     /// The entry closes the connection.
     Due,
+    /// The entry resets the connection, as the caller has stopped reading.
+    Stalled,
     /// The connection is quiet, and its buffer has the size of an older configuration.
     Outdated,
 }
@@ -154,6 +175,8 @@
     let idle_ms = now.ms_since(idle_since);
     if activity.is_head_overdue(now, entry.caller_limits().header_timeout_ms) {
         Some(CloseReason::HeadOverdue)
+    } else if activity.check_reader_stall(now) {
+        Some(CloseReason::ReaderStalled)
     } else if !activity.is_quiet() {
         None
     } else if idle_ms > entry.idle_close_ms(idle_since) {
@@ -166,10 +189,12 @@
 
 fn log_close(from: SocketAddr, reason: CloseReason, activity: &ConnectionActivity, now: MonoTime) {
     log::info!(
-        "event=connection-closed from={from} reason={} requests={} open_ms={} idle_ms={}",
+        "event=connection-closed from={from} reason={} requests={} open_ms={} idle_ms={} \
+         unread_bytes={}",
         reason.as_str(),
         activity.requests(),
         activity.open_ms(now),
         now.ms_since(activity.idle_since()),
+        activity.buffered_bytes(),
     );
 }
--- a/crates/filbertcleat-gateway/src/entry/connection_activity.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_activity.rs
@@ -5,6 +5,8 @@
 
 use filbertcleat_base::MonoTime;
 
+use super::held_bytes::ByteCount;
+use super::held_bytes::HeldBytes;
 use crate::clock::Clock;
 
 /// The activity of a connection, which its time limits are checked against.
@@ -22,11 +24,22 @@
     head_since: Cell<Option<MonoTime>>,
     /// Whether the connection ends after the current response.
     is_ending: Cell<bool>,
+    /// What of responses is in the buffer of the connection.
+    buffered: HeldBytes,
+    /// Since when the socket has taken nothing of the buffer.
+    write_blocked_since: Cell<Option<MonoTime>>,
+    /// Whether a check has found that the caller has stopped reading.
+    is_stall_suspected: Cell<bool>,
 }
 
 impl ConnectionActivity {
-    /// Creates the activity of a connection that has just been accepted.
-    pub fn new(clock: Clock) -> Self {
+    /// A caller that has read nothing of a response for this long has stopped reading: several times
+    /// the pauses of callers that go on.
+    const READER_STALL_MS: u64 = 10_000;
+
+    /// Creates the activity of a connection that has just been accepted, whose buffer counts in
+    /// `held`.
+    pub fn new(clock: Clock, held: &ByteCount) -> Self {
         let now = clock.now();
         Self {
             clock,
@@ -37,6 +50,9 @@
             idle_since: Cell::new(now),
             head_since: Cell::new(None),
             is_ending: Cell::new(false),
+            buffered: held.hold(0),
+            write_blocked_since: Cell::new(None),
+            is_stall_suspected: Cell::new(false),
         }
     }
 
@@ -62,8 +78,42 @@
         self.end_request();
     }
 
+    /// Records that bytes of a response are in the buffer of the connection.
+    pub fn on_buffered(&self, bytes: usize) {
+        self.buffered.add(bytes);
+    }
+
+    /// Records that the socket has taken bytes from the buffer of the connection.
+    pub fn on_written(&self, bytes: usize) {
+        self.buffered.release(bytes);
+        self.write_blocked_since.set(None);
+        self.is_stall_suspected.set(false);
+    }
+
+    /// Records that the socket takes nothing, because the caller reads slowly.
+    pub fn on_write_blocked(&self) {
+        if self.write_blocked_since.get().is_none() {
+            self.write_blocked_since.set(Some(self.clock.now()));
+        }
+    }
+
+    /// Returns whether the caller has stopped reading. It takes two checks, since after a pause of
+    /// this process the first one comes before the runtime knows what the caller has read.
+    pub fn check_reader_stall(&self, now: MonoTime) -> bool {
+        let blocked_since = self.write_blocked_since.get();
+        let is_stalled =
+            blocked_since.is_some_and(|since| now.ms_since(since) > Self::READER_STALL_MS);
+        self.is_stall_suspected.replace(is_stalled) && is_stalled
+    }
+
+    /// Returns what of responses is in the buffer of the connection.
+    pub fn buffered_bytes(&self) -> u64 {
+        self.buffered.get()
+    }
+
     /// Records that the socket has taken all that was in the buffer of the connection.
     pub fn on_flush(&self) {
+        self.buffered.release_all();
         if self.is_flush_due.replace(false) {
             self.idle_since.set(self.clock.now());
         }
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -100,6 +100,7 @@
         method: head.method,
         uri: head.uri,
         headers: head.headers,
+        _held: entry.server_bytes.hold(body.len()),
         body,
         metadata,
         route,
--- a/crates/filbertcleat-gateway/src/entry/request.rs
+++ b/crates/filbertcleat-gateway/src/entry/request.rs
@@ -13,6 +13,7 @@
 use http::Method;
 use http::Uri;
 
+use super::held_bytes::HeldBytes;
 use crate::AttemptCaller;
 use crate::RequestMetadata;
 
@@ -24,6 +25,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Counts the body as held for backend servers.
+    pub _held: HeldBytes,
     pub metadata: RequestMetadata,
     pub route: Route,
     pub service: ServiceName,
--- a/crates/filbertcleat-gateway/src/entry/response_body.rs
+++ b/crates/filbertcleat-gateway/src/entry/response_body.rs
@@ -20,13 +20,13 @@
 #[derive(Debug)]
 pub(super) struct ResponseBody {
     body: CallerBody,
-    _open: OpenResponse,
+    open: OpenResponse,
 }
 
 impl ResponseBody {
     /// Wraps the body of a response.
     pub fn new(body: CallerBody, open: OpenResponse) -> Self {
-        Self { body, _open: open }
+        Self { body, open }
     }
 }
 
@@ -38,7 +38,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(Some(Ok(frame))) = &frame {
+            self.open.on_taken(frame.data_ref().map_or(0, Bytes::len));
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
@@ -62,6 +66,11 @@
         activity.begin_response();
         Self { activity: Rc::clone(activity) }
     }
+
+    /// Records that bytes of the body have been taken into the buffer of the connection.
+    fn on_taken(&self, bytes: usize) {
+        self.activity.on_buffered(bytes);
+    }
 }
 
 impl Drop for OpenResponse {
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -33,6 +33,7 @@
 use super::catalogue_watch::wait_for;
 use super::connection_pool::ConnectionPool;
 use super::crashes::UnverifiedCrashes;
+use super::held_bytes::ByteCount;
 use super::idle_timeouts::IdleTimeouts;
 use super::in_flight::InFlightAttempt;
 use super::origins::OriginState;
@@ -58,6 +59,10 @@
     pub shutdown: ShutdownSignal,
     pub pool: ConnectionPool,
     pub metrics: Metrics,
+    /// What is held of responses until callers have read it.
+    pub caller_bytes: ByteCount,
+    /// The bodies of requests, which are held until their responses have begun or ended.
+    pub server_bytes: ByteCount,
     /// Wakes the dispatcher when a queued request might be placed.
     pub dispatcher_wakeup: Notify,
     /// Wakes the task that keeps facts in the catalogue.
@@ -117,6 +122,8 @@
             shutdown,
             pool: ConnectionPool::new(clock),
             metrics: Metrics::new(),
+            caller_bytes: ByteCount::default(),
+            server_bytes: ByteCount::default(),
             dispatcher_wakeup: Notify::new(),
             facts_changed: Notify::new(),
             incarnation,
@@ -369,6 +376,9 @@
         let in_flight = state.fleet.servers().map(|server| u64::from(server.open_requests)).sum();
         metrics.gauge(Metric::InFlight, &[], in_flight);
         metrics.gauge(Metric::Queued, &[], state.queue.len() as u64);
+        for (reader, held) in [("callers", &self.caller_bytes), ("servers", &self.server_bytes)] {
+            metrics.gauge(Metric::HeldBytes, &[("for", reader)], held.get());
+        }
         let suspected = state.fleet.facts().crashes().suspected().len();
         metrics.gauge(Metric::Suspects, &[], suspected as u64);
         metrics.gauge(Metric::DroppedLogLines, &[], dropped_log_lines());
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -2,19 +2,18 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::ServerId;
 use http::Response;
-use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
 use super::attempt::BackendResponse;
 use super::attempt::strip_connection_headers;
 use super::body::CallerBody;
-use super::body::StreamCut;
+use super::caller_stream::StreamSender;
+use super::caller_stream::caller_stream;
 use super::connection::ActiveRequest;
 use super::events::Event;
 use super::handler::OpenRequest;
@@ -28,8 +27,6 @@
 use super::stream_source::StreamSource;
 use crate::Dialect;
 
-/// Chunks that are buffered for a slow caller before backpressure reaches the backend server.
-const CHUNKS_MAX: usize = 32;
 /// After this time without an event another backend server is sought for a resumable stream. It is
 /// many times the gap between two events, and shorter than the time that callers wait.
 pub(super) const STALL_TIMEOUT_MS: u64 = 1_500;
@@ -46,8 +43,8 @@
     open: OpenRequest<D>,
     active: ActiveRequest,
 ) -> Response<CallerBody> {
-    let (sender, receiver) = mpsc::channel(CHUNKS_MAX);
-    let mut response = Response::new(CallerBody::Chunks(receiver));
+    let (sender, body) = caller_stream(entry.caller_bytes.clone());
+    let mut response = Response::new(CallerBody::Stream(body));
     *response.status_mut() = backend_response.head.status;
     response.headers_mut().clone_from(&backend_response.head.headers);
     strip_connection_headers(response.headers_mut());
@@ -74,7 +71,7 @@
 pub(super) struct StreamRelay<D: Dialect> {
     pub(super) entry: Rc<Entry<D>>,
     pub(super) request: CallerRequest,
-    pub(super) sender: mpsc::Sender<Result<Bytes, StreamCut>>,
+    pub(super) sender: StreamSender,
     is_resumable: bool,
     pub(super) last_event_id: Option<u64>,
     last_bytes_at: Option<MonoTime>,
@@ -106,6 +103,7 @@
             let end = self.forward(&mut source).await;
             let next = match end {
                 StreamEnd::Complete => {
+                    self.sender.complete();
                     source.complete(&self.entry.pool);
                     self.log_end(&server, Outcome::Streamed);
                     return;
@@ -129,8 +127,6 @@
                     StreamEnd::DeadlineExceeded => Outcome::DeadlineExceeded,
                 };
                 self.log_end(&server, outcome);
-                // This fails only if the caller has disconnected, and then nobody reads the stream.
-                let _ = self.sender.send(Err(StreamCut)).await;
                 return;
             };
             source = next;
@@ -220,7 +216,7 @@
             self.last_event_id = Some(id);
         }
         let deadline = self.entry.clock().instant(deadline);
-        match tokio::time::timeout_at(deadline, self.sender.send(Ok(event.bytes))).await {
+        match tokio::time::timeout_at(deadline, self.sender.send(event.bytes)).await {
             Ok(Ok(())) => None,
             Ok(Err(_disconnected)) => Some(StreamEnd::CallerGone),
             Err(_elapsed) => Some(StreamEnd::DeadlineExceeded),
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -49,6 +49,8 @@
     InFlight,
     /// Requests in the queue of the entry.
     Queued,
+    /// Bytes that the entry holds for callers and backend servers that have not read them.
+    HeldBytes,
     /// Orders to the engine, by kind and outcome.
     Orders,
     /// Adapters on the engine, by stage.
@@ -66,7 +68,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 30] = [
+pub const METRICS: [Metric; 31] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -90,6 +92,7 @@
     Metric::Suspects,
     Metric::InFlight,
     Metric::Queued,
+    Metric::HeldBytes,
     Metric::Orders,
     Metric::Adapters,
     Metric::EngineAge,
@@ -126,6 +129,7 @@
             Self::Suspects => "suspects",
             Self::InFlight => "open",
             Self::Queued => "waiting",
+            Self::HeldBytes => "held_bytes",
             Self::Orders => "orders",
             Self::Adapters => "adapters",
             Self::EngineAge => "engine_age_ms",
