Contain a panic in the task in which it happens

The tasks of an entry run beside each other in one thread. A panic ended its task without a word in the log: an entry whose dispatcher, watch of the catalogue or receiver of updates had ended so went on, answered that it was ready, and never placed a queued request or learned of a change again. An agent whose call to the engine panicked ended as a whole.

Tasks that last as long as the process are started again after 100 ms; a panic in the task of a connection closes that connection. Both are counted (task_panics) and logged, and the place of each panic is logged (event=panic) without its message, which may quote what a caller sent. An order whose call panicked counts as one without an answer. Ruled out: the end of the process in order, which cuts off all streams for one request and repeats for as long as the message that causes it comes.

--- a/crates/filbertcleat-daemon/src/prepared.rs
+++ b/crates/filbertcleat-daemon/src/prepared.rs
@@ -13,6 +13,7 @@
 use filbertcleat_gateway::SettingsFile;
 use filbertcleat_gateway::ShutdownSignal;
 use filbertcleat_gateway::init_logging;
+use filbertcleat_gateway::log_panics;
 use filbertcleat_gateway::run_agent;
 use filbertcleat_gateway::run_entry;
 use filbertcleat_platform::HttpClient;
@@ -53,6 +54,7 @@
     }
 
     init_logging(level)?;
+    log_panics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -40,6 +40,7 @@
 use crate::metrics::Metric;
 use crate::metrics::Metrics;
 use crate::metrics::serve_metrics;
+use crate::panics::contain;
 use crate::peer_socket::PeerSocket;
 use crate::peer_socket::PeerUpdate;
 use crate::peer_socket::incarnation_id;
@@ -104,8 +105,15 @@
         is_engine_lost: false,
         notices: EngineNotices::default(),
     };
+    let metrics = agent.metrics.clone();
+    let run = async {
+        while contain("agent", &metrics, agent.run()).await.is_none() {
+            agent.on_panic();
+            tokio::time::sleep(Agent::<E>::RESTART_PAUSE).await;
+        }
+    };
     tokio::select! {
-        () = agent.run() => {}
+        () = run => {}
         () = shutdown.triggered() => {}
     }
     log::info!("event=stop role=agent node={name}");
@@ -115,6 +123,8 @@
 enum CallResult {
     Report(EngineAnswer<Result<EngineReport, Fault>>),
     Order(Order, EngineAnswer<Result<OrderResponse, CallError>>),
+    /// The call ended without a result, by a panic.
+    None,
 }
 
 struct Agent<E> {
@@ -142,6 +152,8 @@
 }
 
 impl<E: EngineControl> Agent<E> {
+    /// The pause after a panic, in which the engine can report.
+    const RESTART_PAUSE: Duration = Duration::from_millis(100);
     /// The interval between reports of the engine. The engine is on the same VM, so a call is cheap
     /// and its response current.
     const REPORT_INTERVAL: Duration = Duration::from_millis(100);
@@ -190,6 +202,10 @@
                             self.apply_notice(notice, false);
                             self.apply_response(&order, result);
                         }
+                        CallResult::None => {
+                            self.on_panic();
+                            report_at = Instant::now() + Self::REPORT_INTERVAL;
+                        }
                     }
                 }
                 () = tokio::time::sleep_until(report_due), if self.call.is_none() => {
@@ -201,6 +217,13 @@
         }
     }
 
+    /// Gives up the call in progress. An order in it may have been carried out, so the next one waits
+    /// for a report.
+    fn on_panic(&mut self) {
+        self.call = None;
+        self.needs_report = true;
+    }
+
     /// Handles what the agent holds for entries, and returns any update of an entry.
     fn handle_facts(
         &mut self,
@@ -444,7 +467,10 @@
 /// Waits for the result of the call in progress; never returns if there is none.
 async fn call_result(call: &mut Option<JoinHandle<CallResult>>) -> CallResult {
     match call {
-        Some(call) => call.await.expect("a call to the engine neither panics nor is aborted"),
+        Some(call) => call.await.unwrap_or_else(|error| {
+            log::error!("event=task-panicked task=engine-call reason=\"{error}\"");
+            CallResult::None
+        }),
         None => std::future::pending().await,
     }
 }
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -71,6 +71,7 @@
 use crate::listen::bind_if;
 use crate::metrics::Metrics;
 use crate::metrics::serve_metrics;
+use crate::panics::supervise;
 use crate::peer_socket::PeerSocket;
 
 /// How long the load balancer still sends callers after shutdown has begun.
@@ -132,13 +133,17 @@
         Rc::new(Entry::new(settings.clone(), dialect, peers, retry_budget, shutdown.clone()));
     log::info!("event=start role=entry node={} peers={peer_address}", settings.name);
 
-    spawn_local(watch_catalogue(Rc::clone(&entry), catalogue.clone(), Topic::Operators));
-    spawn_local(watch_catalogue(Rc::clone(&entry), catalogue.clone(), Topic::Servers));
-    spawn_local(keep_facts(Rc::clone(&entry), catalogue));
-    spawn_local(receive_agent_updates(Rc::clone(&entry)));
-    spawn_local(run_dispatcher(Rc::clone(&entry)));
-    spawn_local(serve_readiness(Rc::clone(&entry), listeners.readiness));
-    spawn_local(serve_callers(Rc::clone(&entry), listeners.callers));
+    for (task, topic) in [("operators-watch", Topic::Operators), ("servers-watch", Topic::Servers)]
+    {
+        let catalogue = catalogue.clone();
+        spawn_task(&entry, task, move |entry| watch_catalogue(entry, catalogue.clone(), topic));
+    }
+    spawn_task(&entry, "facts", move |entry| keep_facts(entry, catalogue.clone()));
+    spawn_task(&entry, "agent-updates", receive_agent_updates);
+    spawn_task(&entry, "dispatcher", run_dispatcher);
+    let (readiness, callers) = (Rc::new(listeners.readiness), Rc::new(listeners.callers));
+    spawn_task(&entry, "readiness", move |entry| serve_readiness(entry, Rc::clone(&readiness)));
+    spawn_task(&entry, "callers", move |entry| serve_callers(entry, Rc::clone(&callers)));
 
     if let Some(listener) = listeners.metrics {
         let source = Rc::clone(&entry);
@@ -159,6 +164,16 @@
     Ok(())
 }
 
+/// Starts a task that lasts as long as the process, whatever happens in it.
+fn spawn_task<D: Dialect, F: Future<Output = ()> + 'static>(
+    entry: &Rc<Entry<D>>,
+    task: &'static str,
+    mut start: impl FnMut(Rc<Entry<D>>) -> F + 'static,
+) {
+    let entry = Rc::clone(entry);
+    spawn_local(supervise(task, entry.metrics.clone(), move || start(Rc::clone(&entry))));
+}
+
 /// Waits until the load balancer has removed the process and its callers have read their responses,
 /// at most for the grace period.
 async fn drain<D: Dialect>(entry: &Entry<D>) {
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -37,6 +37,7 @@
 use super::stream_close::close_idle;
 use super::stream_close::has_unread_bytes;
 use crate::Dialect;
+use crate::panics::contain;
 
 /// The delay after a connection could not be accepted, for example for lack of file descriptors.
 pub(super) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -55,11 +56,15 @@
 const BUFFER_MIN_BYTES: usize = 8_192;
 
 /// Accepts connections from callers for as long as the process runs.
-pub(super) async fn serve_callers<D: Dialect>(entry: Rc<Entry<D>>, listener: TcpListener) {
+pub(super) async fn serve_callers<D: Dialect>(entry: Rc<Entry<D>>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
-                spawn_local(serve_connection(Rc::clone(&entry), stream, from));
+                let entry = Rc::clone(&entry);
+                spawn_local(async move {
+                    let metrics = entry.metrics.clone();
+                    contain("connection", &metrics, serve_connection(entry, stream, from)).await;
+                });
             }
             Err(error) => {
                 log::warn!("event=accept-failed listener=callers reason=\"{error}\"");
--- a/crates/filbertcleat-gateway/src/entry/readiness.rs
+++ b/crates/filbertcleat-gateway/src/entry/readiness.rs
@@ -17,7 +17,7 @@
 use crate::Dialect;
 
 /// Serves readiness checks for as long as the process runs: 200 if ready, else 503.
-pub(super) async fn serve_readiness<D: Dialect>(entry: Rc<Entry<D>>, listener: TcpListener) {
+pub(super) async fn serve_readiness<D: Dialect>(entry: Rc<Entry<D>>, listener: Rc<TcpListener>) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _from)) => stream,
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -63,12 +63,14 @@
     EngineWaiting,
     /// Entries that recently sent updates to the agent.
     Entries,
+    /// Panics that were contained in their task.
+    TaskPanics,
     /// Dropped log lines.
     DroppedLogLines,
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 31] = [
+pub const METRICS: [Metric; 32] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -99,6 +101,7 @@
     Metric::EngineRunning,
     Metric::EngineWaiting,
     Metric::Entries,
+    Metric::TaskPanics,
     Metric::DroppedLogLines,
 ];
 
@@ -136,6 +139,7 @@
             Self::EngineRunning => "engine_running",
             Self::EngineWaiting => "engine_waiting",
             Self::Entries => "entries",
+            Self::TaskPanics => "task_panics",
             Self::DroppedLogLines => "log_left_out",
         }
     }
--- a/crates/filbertcleat-gateway/tests/support/catalogue.rs
+++ b/crates/filbertcleat-gateway/tests/support/catalogue.rs
@@ -32,6 +32,8 @@
     /// Calls of the topic up to this number get no answer.
     silenced: Rc<Cell<Option<(Topic, u32)>>>,
     outdated: Rc<RefCell<Option<CatalogueEvent>>>,
+    /// The topic whose next call panics.
+    panics: Rc<Cell<Option<Topic>>>,
 }
 
 impl TestCatalogue {
@@ -97,6 +99,11 @@
         self.silenced.set(Some((topic, self.calls.get())));
     }
 
+    /// Makes the next call of a topic panic.
+    pub fn panic_next(&self, topic: Topic) {
+        self.panics.set(Some(topic));
+    }
+
     /// Makes the next change of the event's topic arrive from the epoch before.
     pub fn answer_outdated(&self, event: CatalogueEvent) {
         *self.outdated.borrow_mut() = Some(event);
@@ -146,6 +153,10 @@
     async fn watch(&self, topic: Topic, after: u64, wait: Duration) -> CatalogueResponse {
         const CHECK_INTERVAL: Duration = Duration::from_millis(20);
         let call = self.begin_call();
+        if self.panics.get() == Some(topic) {
+            self.panics.set(None);
+            panic!("a call that panics");
+        }
         let mut waited = Duration::ZERO;
         loop {
             let is_silent = |(silent, last)| silent == topic && call <= last;
--- a/crates/filbertcleat-gateway/tests/support/dialect.rs
+++ b/crates/filbertcleat-gateway/tests/support/dialect.rs
@@ -23,6 +23,7 @@
 
 impl Dialect for TestDialect {
     fn parse_request(&self, headers: &HeaderMap) -> RequestMetadata {
+        assert!(!headers.contains_key("x-panic"), "a request that panics");
         RequestMetadata {
             id: text(headers, "x-id"),
             deadline_ms: text(headers, "x-wait-ms").and_then(|text| text.parse().ok()),
