Keep numbers from outside within bounds

Numbers in headers, configurations, datagrams and reports were added and multiplied as they came. In builds with overflow checks each of these panicked; in release builds they wrapped, or did worse:

- One request with a huge token count made the entry expect its engine to read for ever (read_at saturated), so that the engine got no prompts from this entry again.
A prompt now counts as one token more than the engines' memory at most (4 Mi if that is not known), and the backlog of an engine is taken to be 30 s at most, whoever tells of it.
- The weights of a route's targets, the sums of demand and load that agents and entries tell each other, and times of a configuration saturate.
- A Keep-Alive timeout in a response was multiplied into milliseconds unchecked.

Ruled out: refusing such requests, since a service may name counts that the entry need not understand.

--- a/crates/filbertcleat-gateway/src/entry/connection_pool.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_pool.rs
@@ -143,7 +143,9 @@
         value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse::<u64>().ok())
     });
     match timeout_s {
-        Some(seconds) => (seconds * 1_000).checked_sub(KEEP_ALIVE_MARGIN_MS).filter(|ms| *ms > 0),
+        Some(seconds) => {
+            seconds.saturating_mul(1_000).checked_sub(KEEP_ALIVE_MARGIN_MS).filter(|ms| *ms > 0)
+        }
         None => Some(DEFAULT_KEEP_ALIVE_MS),
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/placement.rs
+++ b/crates/filbertcleat-gateway/src/entry/placement.rs
@@ -84,7 +84,10 @@
         QueueGuard { entry: Rc::clone(entry), ticket }
     };
     entry.dispatcher_wakeup.notify_one();
-    let max_wait_ms = (request.route.latency_objective_ms * MAX_WAIT_FACTOR)
+    let max_wait_ms = request
+        .route
+        .latency_objective_ms
+        .saturating_mul(MAX_WAIT_FACTOR)
         .min(request.remaining_ms(now) / 2)
         .max(1);
     let placed = wait_for_engine(&queued, receiver, Duration::from_millis(max_wait_ms)).await;
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -41,6 +41,10 @@
 /// follows its head keeps its connection.
 const REFUSED_BODY_WAIT: Duration = Duration::from_millis(250);
 
+/// The most tokens of a prompt or a response, if the engines' memory is not known: more than any
+/// model reads. With the memory known, a request of more does not fit into any engine, and counts as
+/// one that does not.
+const TOKENS_MAX: u64 = 4 * 1024 * 1024;
 /// The most parts of a prompt that are looked at: several times what prompts share.
 const PROMPT_PARTS_MAX: usize = 16;
 
@@ -70,7 +74,7 @@
             return Err(RefusedRequest { refusal, is_read });
         }
     };
-    let RoutedRequest { id, route, service, uses_engine, identity } = routed;
+    let RoutedRequest { id, route, service, uses_engine, tokens_max, identity } = routed;
     let Identity { caller, workspace } = identity;
     let wait_ms = metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
     let deadline = arrived_at.plus_ms(wait_ms);
@@ -88,8 +92,8 @@
         min_version: 0,
         software_version: None,
         crash_suspects: [CrashSuspect::Content(content)].into_iter().chain(parts).collect(),
-        prompt_tokens: metadata.prompt_tokens,
-        output_tokens_max: metadata.max_tokens,
+        prompt_tokens: metadata.prompt_tokens.min(tokens_max),
+        output_tokens_max: metadata.max_tokens.min(tokens_max),
         latency_objective_ms: route.latency_objective_ms,
         gap_objective_ms: route.gap_objective_ms,
         priority: entry_priority(workspace.as_deref(), route.priority),
@@ -143,6 +147,8 @@
     route: Route,
     service: ServiceName,
     uses_engine: bool,
+    /// The most tokens that a prompt or its response may have.
+    tokens_max: u64,
     identity: Identity,
 }
 
@@ -171,9 +177,16 @@
     let identity = identify(entry, deployment.workspaces.as_ref(), route, metadata.api_key)?;
     let id = metadata.id.clone().ok_or(Refusal::BadRequest("the request has no id"))?;
     let service = route.choose_service(&id).ok_or(Refusal::NoRoute)?.clone();
-    let uses_engine =
-        deployment.services.get(&service).is_some_and(|service| service.engine.is_some());
-    Ok(RoutedRequest { id, route: route.clone(), service, uses_engine, identity })
+    let engine = deployment.services.get(&service).and_then(|service| service.engine.as_ref());
+    let memory_tokens = engine.map(|engine| engine.memory_tokens).filter(|tokens| *tokens > 0);
+    Ok(RoutedRequest {
+        id,
+        route: route.clone(),
+        service,
+        uses_engine: engine.is_some(),
+        tokens_max: memory_tokens.map_or(TOKENS_MAX, |tokens| tokens.saturating_add(1)),
+        identity,
+    })
 }
 
 /// Finds the workspace that holds a request's API key.
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -274,7 +274,8 @@
         if let Some(crash) = script.crash(head) {
             self.end_with(stream, &events_head, crash).await;
         }
-        let last_event_id = header(head, "x-after").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let last_event_id: u64 =
+            header(head, "x-after").and_then(|text| text.parse().ok()).unwrap_or(0);
         match script.without_crash() {
             Script::Respond { status, body, after } => {
                 tokio::time::sleep(after).await;
@@ -282,7 +283,7 @@
             }
             Script::Events { count, pause } => {
                 write(stream, &events_head).await;
-                write_events(stream, last_event_id + 1..=count, pause).await;
+                write_events(stream, last_event_id.saturating_add(1)..=count, pause).await;
                 write(stream, "0\r\n\r\n").await
             }
             Script::LargeEvents { count, bytes } => {
@@ -295,12 +296,12 @@
             }
             Script::EventsThenCut { count } => {
                 write(stream, &events_head).await;
-                write_events(stream, last_event_id + 1..=count, Duration::ZERO).await;
+                write_events(stream, last_event_id.saturating_add(1)..=count, Duration::ZERO).await;
                 false
             }
             Script::EventsWithSilence { count, after, silence } => {
                 write(stream, &events_head).await;
-                for number in last_event_id + 1..=count {
+                for number in last_event_id.saturating_add(1)..=count {
                     write(stream, &chunk(&event(number))).await;
                     if number == after {
                         tokio::time::sleep(silence).await;
@@ -310,7 +311,7 @@
             }
             Script::EventsThenPieces { count, piece, pause } => {
                 write(stream, &events_head).await;
-                write_events(stream, last_event_id + 1..=count, Duration::ZERO).await;
+                write_events(stream, last_event_id.saturating_add(1)..=count, Duration::ZERO).await;
                 write_pieces(stream, piece, pause).await
             }
             Script::FramedPartialEvent => {
--- a/crates/filbertcleat-gateway/tests/support/mod.rs
+++ b/crates/filbertcleat-gateway/tests/support/mod.rs
@@ -9,6 +9,7 @@
 mod demanding_entry;
 mod dialect;
 pub mod idle_agent;
+pub mod panic_count;
 pub mod site;
 pub mod world;
 
--- a/crates/filbertcleat-serve/src/deployment/route.rs
+++ b/crates/filbertcleat-serve/src/deployment/route.rs
@@ -50,7 +50,8 @@
     /// Selects the service of a request from a hash of its id, in proportion to the targets'
     /// weights. Returns `None` if all weights are 0.
     pub fn choose_service(&self, request_id: &str) -> Option<&ServiceName> {
-        let total: u64 = self.targets.iter().map(|target| target.weight).sum();
+        let weights = self.targets.iter().map(|target| target.weight);
+        let total = weights.fold(0, u64::saturating_add);
         let mut point = stable_hash(request_id).checked_rem(total)?;
         self.targets
             .iter()
--- a/crates/filbertcleat-serve/src/fleet/prefill_pacer.rs
+++ b/crates/filbertcleat-serve/src/fleet/prefill_pacer.rs
@@ -1,6 +1,7 @@
 //! Paces the prompts sent to an engine, so that prefill does not stall its running streams.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use filbertcleat_base::MonoTime;
 
@@ -46,6 +47,11 @@
     /// for its own prompt and for the way to the caller.
     const BACKLOG_SHARE: f64 = 0.5;
 
+    /// The longest time that an engine is expected to need for what was sent: the longest timeout of
+    /// a stream on the first deployments. Without a bound one request that names a huge prompt would
+    /// keep an engine from getting any others.
+    const BACKLOG_MAX_MS: u64 = 30_000;
+
     /// Creates the pacing state of an engine to which nothing was sent yet.
     pub fn new(now: MonoTime, model: EngineModel) -> Self {
         Self {
@@ -83,7 +89,7 @@
             self.sent.pop_front();
         }
         self.sent.push_back((now, demand.prompt_tokens));
-        self.sent_tokens += demand.prompt_tokens;
+        self.sent_tokens = self.sent_tokens.saturating_add(demand.prompt_tokens);
         let backlog_ms = self.backlog_ms(now);
         self.extend_backlog(now, demand.prompt_tokens);
         if demand.gap_objective_ms > 0 {
@@ -130,8 +136,7 @@
     /// Returns the prompt tokens that all entries have sent within the window.
     pub fn recent_tokens(&self, now: MonoTime) -> u64 {
         let own = self.sent.iter().filter(|(at, _)| now.ms_since(*at) <= Self::WINDOW_MS);
-        let own: u64 = own.map(|(_, tokens)| tokens).sum();
-        own + self.others_recent_tokens(now)
+        own.fold(self.others_recent_tokens(now), |sum, (_, tokens)| sum.saturating_add(*tokens))
     }
 
     /// Estimates the time to the first event of a prompt that is sent now.
@@ -201,8 +206,9 @@
     }
 
     fn extend_backlog(&mut self, now: MonoTime, tokens: u64) {
-        let read_us = tokens as f64 * self.ms_per_token() * 1_000.0;
-        self.read_at = MonoTime::from_us(self.read_at.max(now).as_us() + read_us as u64);
+        let read_us = (tokens as f64 * self.ms_per_token() * 1_000.0) as u64;
+        let read_at = self.read_at.max(now) + Duration::from_micros(read_us);
+        self.read_at = read_at.min(now.plus_ms(Self::BACKLOG_MAX_MS));
     }
 
     /// Returns the tokens that other entries have sent within the window. They leave the window
@@ -210,7 +216,7 @@
     fn others_recent_tokens(&self, now: MonoTime) -> u64 {
         self.others_tokens.map_or(0, |(at, tokens)| {
             let left_ms = Self::WINDOW_MS.saturating_sub(now.ms_since(at));
-            tokens * left_ms / Self::WINDOW_MS
+            tokens.saturating_mul(left_ms) / Self::WINDOW_MS
         })
     }
 
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -232,8 +232,8 @@
     pub fn request_load(&self, now: MonoTime) -> u32 {
         match self.fresh_update(now) {
             Some(update) => {
-                let reported = update.running_requests + update.waiting_requests;
-                (reported + self.sent_since_update).max(self.open_requests)
+                let reported = update.running_requests.saturating_add(update.waiting_requests);
+                reported.saturating_add(self.sent_since_update).max(self.open_requests)
             }
             None => self.open_requests,
         }
@@ -246,8 +246,9 @@
             return true;
         }
         self.fresh_update(now).is_some_and(|update| {
-            let used = update.memory_used_tokens + self.memory_since_update_tokens;
-            update.memory_tokens > 0 && used + demand.memory_tokens() > update.memory_tokens
+            let used = update.memory_used_tokens.saturating_add(self.memory_since_update_tokens);
+            let needed = used.saturating_add(demand.memory_tokens());
+            update.memory_tokens > 0 && needed > update.memory_tokens
         })
     }
 
@@ -333,7 +334,8 @@
         }
         self.open_requests += 1;
         self.sent_since_update += 1;
-        self.memory_since_update_tokens += demand.memory_tokens();
+        self.memory_since_update_tokens =
+            self.memory_since_update_tokens.saturating_add(demand.memory_tokens());
         if let Some(key) = &demand.adapter {
             *self.adapters_in_use.entry(key.clone()).or_default() += 1;
         }
--- a/crates/filbertcleat-serve/src/placement.rs
+++ b/crates/filbertcleat-serve/src/placement.rs
@@ -225,7 +225,8 @@
     mut loaders: Vec<&'a Server>,
 ) -> Option<&'a Server> {
     let seed = demand.adapter.as_ref().map_or(0, |key| stable_hash(key.adapter.as_str()));
-    let total_load: u32 = loaders.iter().map(|server| server.request_load(now)).sum();
+    let loads = loaders.iter().map(|server| server.request_load(now));
+    let total_load = loads.fold(0, u32::saturating_add);
     let mean_load = f64::from(total_load) / loaders.len().max(1) as f64;
     let bound = mean_load * LOAD_BOUND_FACTOR + LOAD_BOUND_OFFSET;
     // Engines with an older version come last: requests on it would delay its replacement.
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -174,7 +174,7 @@
             let tokens = demand.adapter.as_ref().and_then(|key| adapter_tokens.get(key)).copied();
             let wait = QueueWait {
                 waited_ms: now.ms_since(request.queued_at),
-                adapter_tokens: tokens.unwrap_or(demand.prompt_tokens) * live_entries,
+                adapter_tokens: tokens.unwrap_or(demand.prompt_tokens).saturating_mul(live_entries),
                 adapter_tokens_per_ms: self.arrivals.tokens_per_ms(now, demand)
                     * live_entries as f64,
                 load_ms,
@@ -238,8 +238,9 @@
                 && other.model == demand.model
                 && other.priority <= demand.priority
         });
-        let ahead: u64 = ahead.map(|other| other.prompt_tokens).sum();
-        let tokens = ahead * u64::from(fleet.live_entries(now).unwrap_or(1)) + demand.prompt_tokens;
+        let ahead = ahead.map(|other| other.prompt_tokens).fold(0, u64::saturating_add);
+        let entries = u64::from(fleet.live_entries(now).unwrap_or(1));
+        let tokens = ahead.saturating_mul(entries).saturating_add(demand.prompt_tokens);
         let engines = fleet.servers_for(demand).filter(|server| server.is_usable(now));
         let tokens_per_ms: f64 = engines.map(|server| tokens_per_ms(server, demand)).sum();
         (tokens_per_ms > 0.0).then(|| (tokens as f64 / tokens_per_ms).ceil() as u64)
@@ -250,7 +251,8 @@
         let mut tokens = BTreeMap::new();
         for demand in self.requests.values().map(|request| &request.demand) {
             let Some(key) = &demand.adapter else { continue };
-            *tokens.entry(key.clone()).or_default() += demand.prompt_tokens;
+            let sum: &mut u64 = tokens.entry(key.clone()).or_default();
+            *sum = sum.saturating_add(demand.prompt_tokens);
         }
         tokens
     }
--- a/crates/filbertcleat-serve/src/request.rs
+++ b/crates/filbertcleat-serve/src/request.rs
@@ -48,6 +48,6 @@
 
     /// Returns the KV cache memory that the request may need, in tokens.
     pub fn memory_tokens(&self) -> u64 {
-        self.prompt_tokens + self.output_tokens_max
+        self.prompt_tokens.saturating_add(self.output_tokens_max)
     }
 }
--- a/crates/filbertcleat-serve/src/scheduler.rs
+++ b/crates/filbertcleat-serve/src/scheduler.rs
@@ -259,7 +259,7 @@
             return;
         }
         // Counts the order at once, so that the next order need not wait for the next report.
-        report.order_count += 1;
+        report.order_count = report.order_count.saturating_add(1);
         match &order.kind {
             OrderKind::LoadModel(model) => {
                 report.is_changing_model = true;
--- a/crates/filbertcleat-serve/src/scheduler/entry_updates.rs
+++ b/crates/filbertcleat-serve/src/scheduler/entry_updates.rs
@@ -67,7 +67,8 @@
         for item in self.within(now, Self::LIVE_MS).flat_map(|update| &update.model_demand) {
             match demand.iter_mut().find(|known| known.model == item.model) {
                 Some(known) => {
-                    known.recent_requests += item.recent_requests;
+                    known.recent_requests =
+                        known.recent_requests.saturating_add(item.recent_requests);
                     // An entry that has just started knows only some of the engines.
                     known.engines = known.engines.max(item.engines);
                 }
@@ -85,7 +86,8 @@
         for demand in live.flat_map(|update| &update.adapter_demand) {
             sums.entry(&demand.key)
                 .and_modify(|sum| {
-                    sum.waiting_requests += demand.waiting_requests;
+                    sum.waiting_requests =
+                        sum.waiting_requests.saturating_add(demand.waiting_requests);
                     sum.min_version = sum.min_version.max(demand.min_version);
                     sum.priority = sum.priority.min(demand.priority);
                 })
--- a/crates/filbertcleat-serve/src/scheduler/recent_prompts.rs
+++ b/crates/filbertcleat-serve/src/scheduler/recent_prompts.rs
@@ -29,8 +29,9 @@
             known.and_then(|known| total_tokens.checked_sub(known)).filter(|more| *more > 0)
         {
             self.recent.push_back((now, entry, tokens));
-            self.increases += tokens;
-            *self.increases_by_entry.entry(entry).or_default() += tokens;
+            self.increases = self.increases.saturating_add(tokens);
+            let by_entry = self.increases_by_entry.entry(entry).or_default();
+            *by_entry = by_entry.saturating_add(tokens);
         }
         while self
             .recent
@@ -49,7 +50,8 @@
 
     /// Returns the tokens that all entries except `entry` have sent since the first update.
     pub fn others_total_tokens(&self, entry: u64) -> u64 {
-        self.increases - self.increases_by_entry.get(&entry).copied().unwrap_or(0)
+        let own = self.increases_by_entry.get(&entry).copied().unwrap_or(0);
+        self.increases.saturating_sub(own)
     }
 
     /// Returns the tokens that all entries except `entry` have sent within the window.
@@ -57,6 +59,6 @@
         let recent = self.recent.iter().filter(|(at, sender, _)| {
             *sender != entry && now.ms_since(*at) <= PrefillPacer::WINDOW_MS
         });
-        recent.map(|(_, _, tokens)| tokens).sum()
+        recent.fold(0, |sum, (_, _, tokens)| sum.saturating_add(*tokens))
     }
 }
