Forget adapters that an agent was asked for long ago

An agent remembered the last use of each adapter that any entry had ever named until its engine started again. Entries name what callers name, so the memory of the agent grew with each request for an adapter that does not exist.

--- a/crates/filbertcleat-serve/src/scheduler.rs
+++ b/crates/filbertcleat-serve/src/scheduler.rs
@@ -51,6 +51,8 @@
     /// Whether the engine has stopped answering. Its last report must not be forwarded then.
     is_engine_lost: bool,
     last_used_at: BTreeMap<AdapterKey, MonoTime>,
+    /// When adapters that matter no more were last discarded from `last_used_at`.
+    forgotten_at: MonoTime,
     /// The adapters announced as unloading, with the time of the announcement.
     unloading_since: BTreeMap<AdapterKey, MonoTime>,
     /// The engine incarnation that the catalogue lists on this agent's VM.
@@ -71,6 +73,11 @@
     /// Adapter slots kept free, so that a load need not wait for an unload. Each additional spare
     /// slot would cost a loaded adapter.
     const SPARE_SLOTS: usize = 1;
+    /// The time for which the last use of an adapter is remembered that is not on the engine: several
+    /// times as long as its demand counts. Callers may name any number of adapters.
+    const USE_REMEMBERED_MS: u64 = 10_000;
+    /// The interval at which older uses are discarded.
+    const FORGET_INTERVAL_MS: u64 = 1_000;
     /// The backoff after the engine refused an order, in which a newer report arrives.
     const REFUSAL_BACKOFF_MS: u64 = 60;
 
@@ -103,6 +110,24 @@
             self.engine_spec = Some(engine_spec.clone());
         }
         self.entries.insert(now, update);
+        self.forget_unused(now);
+    }
+
+    /// Discards the uses of adapters that are neither on the engine nor in demand, once per interval.
+    fn forget_unused(&mut self, now: MonoTime) {
+        if now.ms_since(self.forgotten_at) < Self::FORGET_INTERVAL_MS {
+            return;
+        }
+        self.forgotten_at = now;
+        let report = self.report.as_ref();
+        let is_on_engine = |key: &AdapterKey| {
+            report.is_some_and(|report| {
+                let mut known = report.loaded_adapters.iter().chain(&report.loading_adapters);
+                known.any(|(known, _)| known == key)
+            })
+        };
+        self.last_used_at
+            .retain(|key, at| now.ms_since(*at) <= Self::USE_REMEMBERED_MS || is_on_engine(key));
     }
 
     /// Applies a report of the engine. Returns whether it is the first report of an engine
