--- a/crates/filbertcleat-gateway/src/entry/connection_pool.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_pool.rs
@@ -5,9 +5,11 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use filbertcleat_base::MonoTime;
+use filbertcleat_serve::RequestHash;
 use http::HeaderMap;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -61,9 +63,13 @@
         Self { clock, idle: RefCell::new(HashMap::new()) }
     }
 
-    /// Returns an idle connection, or connects if there is none.
-    pub async fn checkout(&self, address: SocketAddr) -> io::Result<BackendConnection> {
-        if let Some(connection) = self.take_idle(address) {
+    /// Returns an idle connection for a request, or connects if there is none.
+    pub async fn checkout(
+        &self,
+        address: SocketAddr,
+        request: RequestHash,
+    ) -> io::Result<BackendConnection> {
+        if let Some(connection) = self.take_idle(address, request) {
             return Ok(connection);
         }
         self.connect(address).await
@@ -80,6 +86,8 @@
         socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_PROBES))?;
 
         let allowance = ReadAllowance::for_head();
+        let stream = Rc::new(stream);
+        let weak_stream = Rc::downgrade(&stream);
         let socket = Socket::reset_on_close(stream, allowance.clone())?;
         let handshake = http1::Builder::new().handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
@@ -88,7 +96,7 @@
                 log::debug!("event=connection-ended peer={address} reason=\"{error}\"");
             }
         });
-        Ok(BackendConnection::new(sender, allowance))
+        Ok(BackendConnection::new(sender, allowance, weak_stream))
     }
 
     /// Keeps a connection for reuse, unless the response headers `head` forbid it.
@@ -104,13 +112,22 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<BackendConnection> {
+    fn take_idle(&self, address: SocketAddr, request: RequestHash) -> Option<BackendConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let queue = idle.get_mut(&address)?;
         queue.retain(|idle| !idle.connection.is_closed() && idle.expires_at > now);
-        let ready = queue.iter().position(|idle| idle.connection.is_ready())?;
-        queue.remove(ready).map(|idle| idle.connection)
+        loop {
+            let is_fit = |Idle { connection, .. }: &Idle| {
+                connection.is_ready() && !connection.has_carried(request)
+            };
+            let position = queue.iter().position(is_fit)?;
+            let connection = queue.remove(position)?.connection;
+            if connection.is_quiet() {
+                return Some(connection);
+            }
+            log::info!("event=connection-discarded peer={address} reason=\"not quiet while idle\"");
+        }
     }
 }
 
@@ -126,7 +143,9 @@
         value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse::<u64>().ok())
     });
     match timeout_s {
-        Some(seconds) => (seconds * 1_000).checked_sub(KEEP_ALIVE_MARGIN_MS).filter(|ms| *ms > 0),
+        Some(seconds) => {
+            seconds.saturating_mul(1_000).checked_sub(KEEP_ALIVE_MARGIN_MS).filter(|ms| *ms > 0)
+        }
         None => Some(DEFAULT_KEEP_ALIVE_MS),
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -23,7 +23,9 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 
+use super::refusal::EXITING;
 use super::refusal::RETRY_AFTER_FULL;
+use super::refusal::RETRY_AFTER_OTHER_ENTRY;
 use super::refusal::RETRY_AFTER_UNAVAILABLE;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
@@ -35,12 +37,14 @@
 
 /// The deadline of a request that carries none.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
-/// `Retry-After` for a request that another entry can take at once: about the network latency.
-const RETRY_AFTER_OTHER_ENTRY: Duration = Duration::from_millis(20);
 /// How long a refusal waits for the rest of the body: some network round trips, so that a body that
 /// follows its head keeps its connection.
 const REFUSED_BODY_WAIT: Duration = Duration::from_millis(250);
 
+/// The most tokens of a prompt or a response, if the engines' memory is not known: more than any
+/// model reads. With the memory known, a request of more does not fit into any engine, and counts as
+/// one that does not.
+const TOKENS_MAX: u64 = 4 * 1024 * 1024;
 /// The most parts of a prompt that are looked at: several times what prompts share.
 const PROMPT_PARTS_MAX: usize = 16;
 
@@ -70,7 +74,7 @@
             return Err(RefusedRequest { refusal, is_read });
         }
     };
-    let RoutedRequest { id, route, service, uses_engine, identity } = routed;
+    let RoutedRequest { id, route, service, uses_engine, tokens_max, identity } = routed;
     let Identity { caller, workspace } = identity;
     let wait_ms = metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
     let deadline = arrived_at.plus_ms(wait_ms);
@@ -88,8 +92,8 @@
         min_version: 0,
         software_version: None,
         crash_suspects: [CrashSuspect::Content(content)].into_iter().chain(parts).collect(),
-        prompt_tokens: metadata.prompt_tokens,
-        output_tokens_max: metadata.max_tokens,
+        prompt_tokens: metadata.prompt_tokens.min(tokens_max),
+        output_tokens_max: metadata.max_tokens.min(tokens_max),
         latency_objective_ms: route.latency_objective_ms,
         gap_objective_ms: route.gap_objective_ms,
         priority: entry_priority(workspace.as_deref(), route.priority),
@@ -100,6 +104,7 @@
         method: head.method,
         uri: head.uri,
         headers: head.headers,
+        _held: entry.server_bytes.hold(body.len()),
         body,
         metadata,
         route,
@@ -114,6 +119,7 @@
         first_byte_ms: None,
         longest_gap_ms: 0,
         attempts: 0,
+        may_have_run: false,
         avoided: Vec::new(),
     })
 }
@@ -141,6 +147,8 @@
     route: Route,
     service: ServiceName,
     uses_engine: bool,
+    /// The most tokens that a prompt or its response may have.
+    tokens_max: u64,
     identity: Identity,
 }
 
@@ -169,9 +177,16 @@
     let identity = identify(entry, deployment.workspaces.as_ref(), route, metadata.api_key)?;
     let id = metadata.id.clone().ok_or(Refusal::BadRequest("the request has no id"))?;
     let service = route.choose_service(&id).ok_or(Refusal::NoRoute)?.clone();
-    let uses_engine =
-        deployment.services.get(&service).is_some_and(|service| service.engine.is_some());
-    Ok(RoutedRequest { id, route: route.clone(), service, uses_engine, identity })
+    let engine = deployment.services.get(&service).and_then(|service| service.engine.as_ref());
+    let memory_tokens = engine.map(|engine| engine.memory_tokens).filter(|tokens| *tokens > 0);
+    Ok(RoutedRequest {
+        id,
+        route: route.clone(),
+        service,
+        uses_engine: engine.is_some(),
+        tokens_max: memory_tokens.map_or(TOKENS_MAX, |tokens| tokens.saturating_add(1)),
+        identity,
+    })
 }
 
 /// Finds the workspace that holds a request's API key.
@@ -211,7 +226,12 @@
     wait: Duration,
 ) -> Result<Bytes, Refusal> {
     let limited = Limited::new(body, entry.caller_limits().body_max_bytes);
-    match tokio::time::timeout(wait, limited.collect()).await {
+    let collected = tokio::select! {
+        biased;
+        collected = tokio::time::timeout(wait, limited.collect()) => collected,
+        () = entry.answers_due() => return Err(EXITING),
+    };
+    match collected {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
         Ok(Err(_broken)) => Err(Refusal::BadRequest("the body broke off")),
--- a/crates/filbertcleat-gateway/src/entry/request.rs
+++ b/crates/filbertcleat-gateway/src/entry/request.rs
@@ -13,6 +13,7 @@
 use http::Method;
 use http::Uri;
 
+use super::held_bytes::HeldBytes;
 use crate::AttemptCaller;
 use crate::RequestMetadata;
 
@@ -24,6 +25,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Counts the body as held for backend servers.
+    pub _held: HeldBytes,
     pub metadata: RequestMetadata,
     pub route: Route,
     pub service: ServiceName,
@@ -45,6 +48,8 @@
     pub longest_gap_ms: u64,
     /// The attempts that reached a backend server, and all attempts to resume a stream.
     pub attempts: u32,
+    /// Whether an attempt may have run the request, one in progress included.
+    pub may_have_run: bool,
     /// The backend servers of failed attempts, in order.
     pub avoided: Vec<ServerId>,
 }
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -26,11 +26,14 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use super::ANSWER_RESERVE_MS;
 use super::BALANCER_DELAY_MS;
+use super::EXIT_RESERVE_MS;
 use super::agent_updates::AgentUpdateState;
 use super::catalogue_watch::wait_for;
 use super::connection_pool::ConnectionPool;
 use super::crashes::UnverifiedCrashes;
+use super::held_bytes::ByteCount;
 use super::idle_timeouts::IdleTimeouts;
 use super::in_flight::InFlightAttempt;
 use super::origins::OriginState;
@@ -56,6 +59,10 @@
     pub shutdown: ShutdownSignal,
     pub pool: ConnectionPool,
     pub metrics: Metrics,
+    /// What is held of responses until callers have read it.
+    pub caller_bytes: ByteCount,
+    /// The bodies of requests, which are held until their responses have begun or ended.
+    pub server_bytes: ByteCount,
     /// Wakes the dispatcher when a queued request might be placed.
     pub dispatcher_wakeup: Notify,
     /// Wakes the task that keeps facts in the catalogue.
@@ -115,6 +122,8 @@
             shutdown,
             pool: ConnectionPool::new(clock),
             metrics: Metrics::new(),
+            caller_bytes: ByteCount::default(),
+            server_bytes: ByteCount::default(),
             dispatcher_wakeup: Notify::new(),
             facts_changed: Notify::new(),
             incarnation,
@@ -197,6 +206,14 @@
         self.shutdown_since.get().is_some_and(|since| now.ms_since(since) >= BALANCER_DELAY_MS)
     }
 
+    /// Waits until requests have to be answered because the process is about to exit.
+    pub async fn answers_due(&self) {
+        self.shutdown.triggered().await;
+        let since = self.shutdown_since.get().unwrap_or(self.now());
+        let wait_ms = self.settings.grace_ms.saturating_sub(EXIT_RESERVE_MS + ANSWER_RESERVE_MS);
+        tokio::time::sleep_until(self.clock.instant(since.plus_ms(wait_ms))).await;
+    }
+
     /// Records that shutdown has begun.
     pub fn begin_shutdown(&self) {
         self.shutdown_since.set(Some(self.now()));
@@ -359,6 +376,9 @@
         let in_flight = state.fleet.servers().map(|server| u64::from(server.open_requests)).sum();
         metrics.gauge(Metric::InFlight, &[], in_flight);
         metrics.gauge(Metric::Queued, &[], state.queue.len() as u64);
+        for (reader, held) in [("callers", &self.caller_bytes), ("servers", &self.server_bytes)] {
+            metrics.gauge(Metric::HeldBytes, &[("for", reader)], held.get());
+        }
         let suspected = state.fleet.facts().crashes().suspected().len();
         metrics.gauge(Metric::Suspects, &[], suspected as u64);
         metrics.gauge(Metric::DroppedLogLines, &[], dropped_log_lines());
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -49,6 +49,8 @@
     InFlight,
     /// Requests in the queue of the entry.
     Queued,
+    /// Bytes that the entry holds for callers and backend servers that have not read them.
+    HeldBytes,
     /// Orders to the engine, by kind and outcome.
     Orders,
     /// Adapters on the engine, by stage.
@@ -61,12 +63,14 @@
     EngineWaiting,
     /// Entries that recently sent updates to the agent.
     Entries,
+    /// Panics that were contained in their task.
+    TaskPanics,
     /// Dropped log lines.
     DroppedLogLines,
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 30] = [
+pub const METRICS: [Metric; 32] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -90,12 +94,14 @@
     Metric::Suspects,
     Metric::InFlight,
     Metric::Queued,
+    Metric::HeldBytes,
     Metric::Orders,
     Metric::Adapters,
     Metric::EngineAge,
     Metric::EngineRunning,
     Metric::EngineWaiting,
     Metric::Entries,
+    Metric::TaskPanics,
     Metric::DroppedLogLines,
 ];
 
@@ -126,12 +132,14 @@
             Self::Suspects => "suspects",
             Self::InFlight => "open",
             Self::Queued => "waiting",
+            Self::HeldBytes => "held_bytes",
             Self::Orders => "orders",
             Self::Adapters => "adapters",
             Self::EngineAge => "engine_age_ms",
             Self::EngineRunning => "engine_running",
             Self::EngineWaiting => "engine_waiting",
             Self::Entries => "entries",
+            Self::TaskPanics => "task_panics",
             Self::DroppedLogLines => "log_left_out",
         }
     }
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -32,6 +32,8 @@
     EventsThenCut { count: u64 },
     /// Sends `count` events, falls silent once after event `after`, and ends the stream properly.
     EventsWithSilence { count: u64, after: u64, silence: Duration },
+    /// Sends `count` events, and then `piece` after each pause until the connection is closed.
+    EventsThenPieces { count: u64, piece: &'static str, pause: Duration },
     /// Sends a body without HTTP framing, and closes the connection.
     Unframed { body: &'static str },
     /// Sends one event and half of the next, and ends the stream properly.
@@ -272,7 +274,8 @@
         if let Some(crash) = script.crash(head) {
             self.end_with(stream, &events_head, crash).await;
         }
-        let last_event_id = header(head, "x-after").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let last_event_id: u64 =
+            header(head, "x-after").and_then(|text| text.parse().ok()).unwrap_or(0);
         match script.without_crash() {
             Script::Respond { status, body, after } => {
                 tokio::time::sleep(after).await;
@@ -280,7 +283,7 @@
             }
             Script::Events { count, pause } => {
                 write(stream, &events_head).await;
-                write_events(stream, last_event_id + 1..=count, pause).await;
+                write_events(stream, last_event_id.saturating_add(1)..=count, pause).await;
                 write(stream, "0\r\n\r\n").await
             }
             Script::LargeEvents { count, bytes } => {
@@ -293,12 +296,12 @@
             }
             Script::EventsThenCut { count } => {
                 write(stream, &events_head).await;
-                write_events(stream, last_event_id + 1..=count, Duration::ZERO).await;
+                write_events(stream, last_event_id.saturating_add(1)..=count, Duration::ZERO).await;
                 false
             }
             Script::EventsWithSilence { count, after, silence } => {
                 write(stream, &events_head).await;
-                for number in last_event_id + 1..=count {
+                for number in last_event_id.saturating_add(1)..=count {
                     write(stream, &chunk(&event(number))).await;
                     if number == after {
                         tokio::time::sleep(silence).await;
@@ -306,6 +309,11 @@
                 }
                 write(stream, "0\r\n\r\n").await
             }
+            Script::EventsThenPieces { count, piece, pause } => {
+                write(stream, &events_head).await;
+                write_events(stream, last_event_id.saturating_add(1)..=count, Duration::ZERO).await;
+                write_pieces(stream, piece, pause).await
+            }
             Script::FramedPartialEvent => {
                 write(stream, &events_head).await;
                 write(stream, &chunk(&format!("{}id: 2\nda", event(1)))).await;
@@ -405,6 +413,14 @@
     }
 }
 
+/// Writes a piece again and again with a pause before each.
+async fn write_pieces(stream: &mut OwnedWriteHalf, piece: &str, pause: Duration) -> ! {
+    loop {
+        tokio::time::sleep(pause).await;
+        write(stream, &chunk(piece)).await;
+    }
+}
+
 async fn write(stream: &mut OwnedWriteHalf, text: &str) -> bool {
     stream.write_all(text.as_bytes()).await.is_ok()
 }
