Keep origins of streams in the catalogue while two versions serve

Cause: which software version began a stream was known to the entry that forwarded its first event and to three agents only. When all of them lose power, a stream that is taken up was refused while several versions were listed, and went on at the one version that was listed otherwise, even if the servers of the version that began it had just left.

Change: while several versions of a service with resumable streams have served within 60 s, each entry writes the origins of the streams that it began, and the versions that it has seen, into a row of its own (table `origins`). An entry that can't decide on a stream otherwise lists these rows, and refuses it if they don't tell and more than one version may have begun it. `Fleet` remembers the versions of removed servers for 60 s.

--- a/crates/filbertcleat-gateway/src/catalogue.rs
+++ b/crates/filbertcleat-gateway/src/catalogue.rs
@@ -8,7 +8,10 @@
 
 use std::time::Duration;
 
+use filbertcleat_base::Fault;
 use filbertcleat_serve::KeptRow;
+use filbertcleat_serve::OriginRow;
+use filbertcleat_serve::OutdatedRow;
 
 pub use self::data::CatalogueData;
 pub use self::event::CatalogueEvent;
@@ -31,5 +34,12 @@
     ) -> impl Future<Output = CatalogueResponse>;
 
     /// Replaces the row that keeps marks, if it still has the version of `row`.
-    fn keep(&self, row: &KeptRow) -> impl Future<Output = KeepResponse>;
+    fn keep(&self, row: &KeptRow) -> impl Future<Output = KeepResponse<KeptRow>>;
+
+    /// Replaces the row in which a node keeps origins of streams, if it still has the version of
+    /// `row`.
+    fn keep_origins(&self, row: &OriginRow) -> impl Future<Output = KeepResponse<OriginRow>>;
+
+    /// Removes rows of origins, if all of them still have their versions. Fails otherwise.
+    fn remove_origins(&self, rows: &[OutdatedRow]) -> impl Future<Output = Result<(), Fault>>;
 }
--- a/crates/filbertcleat-gateway/src/catalogue/event.rs
+++ b/crates/filbertcleat-gateway/src/catalogue/event.rs
@@ -4,6 +4,7 @@
 use filbertcleat_serve::Deployment;
 use filbertcleat_serve::KeptRow;
 use filbertcleat_serve::ListingChange;
+use filbertcleat_serve::OriginRow;
 
 /// A current entry of the catalogue, or a change of one.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,4 +22,6 @@
     Listing(ListingChange),
     /// The row that keeps marks of crashes.
     Kept(KeptRow),
+    /// A row in which an entry keeps origins of streams.
+    Origins(OriginRow),
 }
--- a/crates/filbertcleat-gateway/src/catalogue/topic.rs
+++ b/crates/filbertcleat-gateway/src/catalogue/topic.rs
@@ -9,6 +9,8 @@
     Servers,
     /// What entries keep of what they have learned, which they write themselves.
     Facts,
+    /// The software versions that began streams, which entries write themselves.
+    Origins,
 }
 
 impl Topic {
@@ -18,6 +20,7 @@
             Self::Operators => "operators",
             Self::Servers => "servers",
             Self::Facts => "facts",
+            Self::Origins => "origins",
         }
     }
 }
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -24,6 +24,7 @@
 mod idle_timeouts;
 mod in_flight;
 mod kept_facts;
+mod kept_origins;
 mod notices;
 mod open_connection;
 mod origins;
@@ -57,6 +58,8 @@
 use self::connection::serve_callers;
 use self::dispatch::run_dispatcher;
 use self::kept_facts::keep_facts;
+use self::kept_origins::read_origins;
+use self::kept_origins::write_origins;
 use self::readiness::serve_readiness;
 use self::state::Entry;
 use crate::Catalogue;
@@ -129,7 +132,9 @@
 
     spawn_local(watch_catalogue(Rc::clone(&entry), catalogue.clone(), Topic::Operators));
     spawn_local(watch_catalogue(Rc::clone(&entry), catalogue.clone(), Topic::Servers));
-    spawn_local(keep_facts(Rc::clone(&entry), catalogue));
+    spawn_local(keep_facts(Rc::clone(&entry), catalogue.clone()));
+    spawn_local(read_origins(Rc::clone(&entry), catalogue.clone()));
+    spawn_local(write_origins(Rc::clone(&entry), catalogue));
     spawn_local(receive_agent_updates(Rc::clone(&entry)));
     spawn_local(run_dispatcher(Rc::clone(&entry)));
     spawn_local(serve_readiness(Rc::clone(&entry), listeners.readiness));
--- a/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
+++ b/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
@@ -96,7 +96,7 @@
                 self.entry.on_topic_read(self.topic, self.cursor.is_none());
                 self.cursor = Some(cursor);
                 match self.topic {
-                    Topic::Operators | Topic::Facts => Duration::ZERO,
+                    Topic::Operators | Topic::Facts | Topic::Origins => Duration::ZERO,
                     Topic::Servers => servers_pause(self.entry.settings.catalogue_delays),
                 }
             }
@@ -145,7 +145,7 @@
 /// touch and the time for a configuration to come into force.
 pub(super) fn wait_for(topic: Topic, delays: CatalogueDelays) -> Duration {
     match topic {
-        Topic::Operators | Topic::Facts => {
+        Topic::Operators | Topic::Facts | Topic::Origins => {
             Duration::from_millis(delays.contact_ms.midpoint(delays.configuration_ms))
         }
         Topic::Servers => SERVERS_WAIT,
--- a/crates/filbertcleat-gateway/src/entry/kept_facts.rs
+++ b/crates/filbertcleat-gateway/src/entry/kept_facts.rs
@@ -100,7 +100,8 @@
             CatalogueEvent::Kept(row) => Some(row),
             CatalogueEvent::Deployment(_)
             | CatalogueEvent::AdapterVersion { .. }
-            | CatalogueEvent::Listing(_) => None,
+            | CatalogueEvent::Listing(_)
+            | CatalogueEvent::Origins(_) => None,
         });
         // A watch call without a change says nothing of the row; a list without it, that there is
         // none.
@@ -111,7 +112,7 @@
         }
     }
 
-    fn apply_write(&mut self, row: KeptRow, response: KeepResponse) {
+    fn apply_write(&mut self, row: KeptRow, response: KeepResponse<KeptRow>) {
         let KeepResponse { epoch, result } = response;
         match self.check_epoch(epoch, result) {
             Ok(KeepOutcome::Written { version }) => {
--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -6,7 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use filbertcleat_base::NodeName;
 use filbertcleat_serve::Fleet;
+use filbertcleat_serve::KeptOrigins;
+use filbertcleat_serve::OriginVerdict;
 use filbertcleat_serve::RequestHash;
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::SoftwareVersion;
@@ -16,6 +19,8 @@
 use tokio::sync::oneshot;
 
 use super::holders::peer_addresses;
+use super::kept_origins::observe_versions;
+use super::kept_origins::want_read;
 use super::refusal::RETRY_AFTER_UNAVAILABLE;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
@@ -29,12 +34,24 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 /// How often the agents are asked, since a datagram may be lost.
 const QUERIES_MAX: u32 = 2;
+/// How long a request waits for the rows of the catalogue at most: a list takes some 10 ms, and a
+/// refused caller soon comes again.
+const READ_WAIT_MAX: Duration = Duration::from_millis(500);
 
 /// The origins that the entry knows, and its open questions for others.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct OriginState {
     known: StreamOrigins,
     queries: HashMap<RequestHash, OpenQuery>,
+    pub kept: KeptOrigins,
+}
+
+impl OriginState {
+    /// Creates the state of an entry that knows no origin.
+    pub fn new(node: NodeName) -> Self {
+        let (known, queries) = (StreamOrigins::default(), HashMap::new());
+        Self { known, queries, kept: KeptOrigins::new(node) }
+    }
 }
 
 /// A question that not all agents have answered.
@@ -49,8 +66,14 @@
 /// How the origin of a stream was found.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Lookup {
+    /// The entry has recorded it.
     Known(SoftwareVersion),
+    /// An agent that was asked knows it.
     Asked(SoftwareVersion),
+    /// A row of the catalogue names it.
+    Kept(SoftwareVersion),
+    /// Only this version served in the last minute.
+    Single(SoftwareVersion),
     Unknown,
 }
 
@@ -68,13 +91,15 @@
     for holder in holders(&state.fleet, origin.request, entry.settings.peer_port) {
         entry.peers.send(holder, &PeerUpdate::Origin(origin.clone()));
     }
+    state.origins.kept.on_begun(now, &request.service, &origin);
     state.origins.known.record(now, origin);
+    entry.origins_changed.notify_one();
 }
 
 /// Limits a request that takes up a stream to the software version that began the stream.
 ///
-/// Returns a refusal if the version is unknown, unless all servers run the same one, because the
-/// parts that two versions write do not fit together.
+/// Returns a refusal if the version is unknown, unless only one has served in the last minute,
+/// because the parts that two versions write do not fit together.
 pub(super) async fn restrict_software<D: Dialect>(
     entry: &Rc<Entry<D>>,
     request: &mut CallerRequest,
@@ -83,33 +108,76 @@
     if !is_resumable || request.metadata.last_event_id.is_none() {
         return Ok(());
     }
-    let lookup = match &request.metadata.resumed_request {
-        Some(id) => find_origin(entry, RequestHash::of(id)).await,
+    let resumed = request.metadata.resumed_request.as_deref().map(RequestHash::of);
+    let lookup = match resumed {
+        Some(resumed) => find_origin(entry, resumed).await,
         None => Lookup::Unknown,
     };
-    let (outcome, version) = match lookup {
+    let lookup = match lookup {
+        Lookup::Unknown => find_kept_origin(entry, request, resumed).await,
+        found => found,
+    };
+    let (outcome, version) = match &lookup {
         Lookup::Known(version) => ("known", Some(version)),
         Lookup::Asked(version) => ("asked", Some(version)),
+        Lookup::Kept(version) => ("kept", Some(version)),
+        Lookup::Single(version) => ("single", Some(version)),
         Lookup::Unknown => ("unknown", None),
     };
     log::info!(
         "event=stream-origin id={} resumes={} outcome={outcome} software={}",
         request.id,
         request.metadata.resumed_request.as_deref().unwrap_or("-"),
-        version.as_ref().map_or("-", SoftwareVersion::as_str),
+        version.map_or("-", SoftwareVersion::as_str),
     );
     entry.metrics.count(Metric::OriginLookups, &[("outcome", outcome)]);
-    // Without a known server the versions that will serve are unknown too.
-    let is_ambiguous = version.is_none()
-        && entry.state.borrow().fleet.software_versions(&request.service).len() != 1;
-    if is_ambiguous {
+    request.has_origin = !matches!(lookup, Lookup::Single(_) | Lookup::Unknown);
+    request.demand.software_version = version.cloned();
+    if version.is_none() {
         let reason = "the software version that began the stream is unknown";
         return Err(Refusal::NotRun(reason, RETRY_AFTER_UNAVAILABLE));
     }
-    request.demand.software_version = version;
     Ok(())
 }
 
+/// Decides on a stream that neither the entry nor the agents know. If the rows of the catalogue have
+/// to be read for that, waits for the read a short time.
+async fn find_kept_origin<D: Dialect>(
+    entry: &Rc<Entry<D>>,
+    request: &CallerRequest,
+    resumed: Option<RequestHash>,
+) -> Lookup {
+    let mut reads = entry.origin_reads.subscribe();
+    let wait = Duration::from_millis(request.remaining_ms(entry.now()) / 2).min(READ_WAIT_MAX);
+    let read = async {
+        loop {
+            match decide(entry, request, resumed) {
+                OriginVerdict::Kept(version) => return Lookup::Kept(version),
+                OriginVerdict::Single(version) => return Lookup::Single(version),
+                OriginVerdict::Unknown => return Lookup::Unknown,
+                OriginVerdict::Read => {}
+            }
+            want_read(entry);
+            if reads.changed().await.is_err() {
+                return Lookup::Unknown;
+            }
+        }
+    };
+    tokio::time::timeout(wait, read).await.unwrap_or(Lookup::Unknown)
+}
+
+fn decide<D: Dialect>(
+    entry: &Entry<D>,
+    request: &CallerRequest,
+    resumed: Option<RequestHash>,
+) -> OriginVerdict {
+    observe_versions(entry);
+    let now = entry.now();
+    let state = entry.state.borrow();
+    let is_served = state.fleet.lists_service(&request.service);
+    state.origins.kept.decide(now, &request.service, resumed, is_served)
+}
+
 /// Applies an agent's response to a question.
 pub(super) fn on_origin_reply<D: Dialect>(
     entry: &Entry<D>,
--- a/crates/filbertcleat-gateway/src/entry/placement.rs
+++ b/crates/filbertcleat-gateway/src/entry/placement.rs
@@ -48,7 +48,7 @@
     request: &mut CallerRequest,
 ) -> Result<InFlightAttempt<D>, Refusal> {
     let now = entry.now();
-    let is_version_gone = request.demand.software_version.is_some()
+    let is_version_gone = request.has_origin
         && entry.state.borrow().fleet.candidates_for(&request.demand).next().is_none();
     if is_version_gone {
         let reason = "no backend server of the stream's software version";
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -108,6 +108,7 @@
         workspace,
         uses_engine,
         demand,
+        has_origin: false,
         arrived_at,
         deadline,
         queued_ms: 0,
--- a/crates/filbertcleat-gateway/src/entry/request.rs
+++ b/crates/filbertcleat-gateway/src/entry/request.rs
@@ -34,6 +34,8 @@
     /// Whether the service runs engines, so that its requests wait in the queue.
     pub uses_engine: bool,
     pub demand: RequestDemand,
+    /// Whether the software version that began the stream is known and recorded.
+    pub has_origin: bool,
     pub arrived_at: MonoTime,
     /// The earlier of the caller's deadline and the route's timeout.
     pub deadline: MonoTime,
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -21,6 +21,7 @@
 use filbertcleat_serve::RetryBudget;
 use filbertcleat_serve::Server;
 use filbertcleat_serve::Ticket;
+use filbertcleat_serve::Workspaces;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -32,6 +33,7 @@
 use super::crashes::UnverifiedCrashes;
 use super::idle_timeouts::IdleTimeouts;
 use super::in_flight::InFlightAttempt;
+use super::kept_origins::observe_versions;
 use super::origins::OriginState;
 use crate::CatalogueEvent;
 use crate::Dialect;
@@ -59,6 +61,12 @@
     pub dispatcher_wakeup: Notify,
     /// Wakes the task that keeps facts in the catalogue.
     pub facts_changed: Notify,
+    /// Wakes the task that reads origins from the catalogue.
+    pub origins_wanted: Notify,
+    /// Wakes the task that keeps origins in the catalogue.
+    pub origins_changed: Notify,
+    /// The number of reads of origins that have ended, for the requests that wait for one.
+    pub origin_reads: watch::Sender<u64>,
     pub state: RefCell<State<D>>,
     /// The id of this incarnation of the entry.
     pub incarnation: u64,
@@ -72,7 +80,7 @@
     /// The number of times that the catalogue was restored, for the tasks that have to list again.
     catalogue_restores: watch::Sender<u64>,
     /// When the catalogue last responded, by topic.
-    catalogue_responded_at: [Cell<MonoTime>; 3],
+    catalogue_responded_at: [Cell<MonoTime>; 4],
 }
 
 /// The state that routing decisions are based on.
@@ -106,6 +114,7 @@
     ) -> Self {
         let clock = Clock::start();
         let incarnation = incarnation_id();
+        let origins = OriginState::new(settings.name.clone());
         Self {
             settings,
             dialect,
@@ -116,6 +125,9 @@
             metrics: Metrics::new(),
             dispatcher_wakeup: Notify::new(),
             facts_changed: Notify::new(),
+            origins_wanted: Notify::new(),
+            origins_changed: Notify::new(),
+            origin_reads: watch::Sender::new(0),
             incarnation,
             state: RefCell::new(State {
                 deployment: CurrentDeployment::default(),
@@ -124,7 +136,7 @@
                 queue: RequestQueue::new(incarnation),
                 placements: HashMap::new(),
                 agent_updates: AgentUpdateState::new(incarnation),
-                origins: OriginState::default(),
+                origins,
                 unverified_crashes: UnverifiedCrashes::default(),
                 abandoned_runs: AbandonedRuns::default(),
                 kept: KeptMarks::new(clock.now()),
@@ -140,7 +152,7 @@
             idle_timeouts: RefCell::default(),
             catalogue_epoch: Cell::default(),
             catalogue_restores: watch::Sender::new(0),
-            catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 3],
+            catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 4],
         }
     }
 
@@ -221,8 +233,8 @@
                 *known = version.max(*known);
             }
             CatalogueEvent::Listing(change) => state.fleet.apply_listing(now, change),
-            // The task that keeps facts reads the row by itself.
-            CatalogueEvent::Kept(_) => {}
+            // The tasks that keep these read the rows by themselves.
+            CatalogueEvent::Kept(_) | CatalogueEvent::Origins(_) => {}
         }
         self.dispatcher_wakeup.notify_one();
     }
@@ -240,6 +252,11 @@
     /// Records that all changes of a topic up to now have been applied, and whether they were those
     /// of a list.
     pub fn on_topic_read(&self, topic: Topic, is_list: bool) {
+        if topic == Topic::Servers {
+            observe_versions(self);
+            self.state.borrow_mut().origins.kept.on_followed(self.now());
+            self.origins_changed.notify_one();
+        }
         if topic != Topic::Operators {
             return;
         }
@@ -263,7 +280,7 @@
             let idle_timeout_ms = deployment.limits.idle_timeout_ms;
             self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
             let workspaces = deployment.workspaces.iter();
-            for problem in workspaces.flat_map(|workspaces| workspaces.problems()) {
+            for problem in workspaces.flat_map(Workspaces::problems) {
                 let (workspace, kind) = (&problem.workspace, &problem.kind);
                 log::warn!(
                     "event=workspace-invalid version={version} workspace={workspace} \
@@ -369,6 +386,7 @@
         Topic::Operators => 0,
         Topic::Servers => 1,
         Topic::Facts => 2,
+        Topic::Origins => 3,
     }
 }
 
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -192,9 +192,10 @@
     /// Restricts the rest of a resumable stream to the software version that sends its first event,
     /// because the parts that two versions write do not fit together.
     fn keep_software_version(&mut self, source: &StreamSource<D>) {
-        if !self.is_resumable || self.request.demand.software_version.is_some() {
+        if !self.is_resumable || self.request.has_origin {
             return;
         }
+        self.request.has_origin = true;
         let version = source.software_version().clone();
         record_origin(&self.entry, &self.request, &version);
         self.request.demand.software_version = Some(version);
--- a/crates/filbertcleat-gateway/tests/support/catalogue.rs
+++ b/crates/filbertcleat-gateway/tests/support/catalogue.rs
@@ -2,10 +2,12 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use filbertcleat_base::Fault;
+use filbertcleat_base::NodeName;
 use filbertcleat_base::Step;
 use filbertcleat_gateway::Catalogue;
 use filbertcleat_gateway::CatalogueData;
@@ -18,6 +20,9 @@
 use filbertcleat_serve::KeptRow;
 use filbertcleat_serve::ListedServer;
 use filbertcleat_serve::ListingChange;
+use filbertcleat_serve::OriginRow;
+use filbertcleat_serve::OutdatedRow;
+use tokio::time::Instant;
 
 /// A catalogue in memory that tests write to.
 #[derive(Clone, Debug, Default)]
@@ -32,8 +37,20 @@
     /// Calls of the topic up to this number get no answer.
     silenced: Rc<Cell<Option<(Topic, u32)>>>,
     outdated: Rc<RefCell<Option<CatalogueEvent>>>,
+    /// The rows of origins and when they were written.
+    origins: Rc<RefCell<OriginTable>>,
+    /// The rows of origins that a restore brings back.
+    origins_copy: Rc<RefCell<OriginTable>>,
+    /// The time that each list of origins takes.
+    pub origin_delay: Rc<Cell<Duration>>,
+    /// The number of lists of origins.
+    pub origin_lists: Rc<Cell<u32>>,
+    /// When rows of origins were written, also if that failed for their version.
+    pub origin_writes: Rc<RefCell<Vec<Instant>>>,
 }
 
+type OriginTable = BTreeMap<NodeName, (OriginRow, Instant)>;
+
 impl TestCatalogue {
     /// Creates a catalogue whose responses name their epoch.
     pub fn with_epoch(epoch: u64) -> Self {
@@ -55,6 +72,10 @@
                 Topic::Operators
             }
             CatalogueEvent::Kept(_) => Topic::Facts,
+            CatalogueEvent::Origins(row) => {
+                self.origins.borrow_mut().insert(row.node.clone(), (row, Instant::now()));
+                return;
+            }
         };
         self.rows.borrow_mut().push((topic, event));
     }
@@ -81,7 +102,8 @@
             CatalogueEvent::Deployment(deployment) => Some(deployment.version),
             CatalogueEvent::AdapterVersion { .. }
             | CatalogueEvent::Listing(_)
-            | CatalogueEvent::Kept(_) => None,
+            | CatalogueEvent::Kept(_)
+            | CatalogueEvent::Origins(_) => None,
         });
         versions.next().unwrap_or(0)
     }
@@ -89,9 +111,20 @@
     /// Restores the copy of a version and begins the next epoch.
     pub fn restore(&self, version: usize) {
         self.rows.borrow_mut().truncate(version);
+        *self.origins.borrow_mut() = self.origins_copy.borrow().clone();
         self.epoch.set(self.epoch.get().map(|epoch| epoch + 1));
     }
 
+    /// Takes the copy of the rows of origins that the next restore brings back.
+    pub fn copy_origins(&self) {
+        *self.origins_copy.borrow_mut() = self.origins.borrow().clone();
+    }
+
+    /// Returns the rows of origins with their ages.
+    pub fn origin_rows(&self) -> Vec<OriginRow> {
+        self.origins.borrow().values().map(|(row, at)| aged(row, *at)).collect()
+    }
+
     /// Leaves the calls of a topic that are open now without an answer.
     pub fn silence_open_calls(&self, topic: Topic) {
         self.silenced.set(Some((topic, self.calls.get())));
@@ -133,6 +166,13 @@
 impl Catalogue for TestCatalogue {
     async fn list(&self, topic: Topic) -> CatalogueResponse {
         self.begin_call();
+        if topic == Topic::Origins {
+            self.origin_lists.set(self.origin_lists.get() + 1);
+            tokio::time::sleep(self.origin_delay.get()).await;
+            let events = self.origin_rows().into_iter().map(CatalogueEvent::Origins).collect();
+            let data = self.after(topic, 0).map(|_| CatalogueData::Events { events, cursor: 0 });
+            return self.respond(data);
+        }
         self.is_expired.set(false);
         let entries = self.after(topic, 0).map(|data| match data {
             CatalogueData::Events { events, cursor } => {
@@ -171,7 +211,40 @@
         }
     }
 
-    async fn keep(&self, row: &KeptRow) -> KeepResponse {
+    async fn keep_origins(&self, row: &OriginRow) -> KeepResponse<OriginRow> {
+        self.begin_call();
+        self.origin_writes.borrow_mut().push(Instant::now());
+        let epoch = self.epoch.get();
+        if let Err(fault) = self.after(Topic::Origins, 0) {
+            return KeepResponse { epoch, result: Err(fault) };
+        }
+        let mut origins = self.origins.borrow_mut();
+        let absent = OriginRow { node: row.node.clone(), version: 0, content: None };
+        let current = origins.get(&row.node).map_or(absent, |(row, at)| aged(row, *at));
+        if current.version != row.version {
+            return KeepResponse { epoch, result: Ok(KeepOutcome::Conflict(current)) };
+        }
+        let version = u64::from(self.calls.get());
+        let row = OriginRow { version, ..row.clone() };
+        origins.insert(row.node.clone(), (row, Instant::now()));
+        KeepResponse { epoch, result: Ok(KeepOutcome::Written { version }) }
+    }
+
+    async fn remove_origins(&self, rows: &[OutdatedRow]) -> Result<(), Fault> {
+        self.begin_call();
+        self.after(Topic::Origins, 0)?;
+        let mut origins = self.origins.borrow_mut();
+        let is_current = |row: &OutdatedRow| {
+            origins.get(&row.node).is_some_and(|(current, _)| current.version == row.version)
+        };
+        if !rows.iter().all(is_current) {
+            return Err(Fault::new(Step::Store, "test", "conflict"));
+        }
+        origins.retain(|node, _| rows.iter().all(|row| row.node != *node));
+        Ok(())
+    }
+
+    async fn keep(&self, row: &KeptRow) -> KeepResponse<KeptRow> {
         self.begin_call();
         let epoch = self.epoch.get();
         if self.is_down.get() {
@@ -189,6 +262,18 @@
     }
 }
 
+/// Returns a row of origins as it is read some time after it was written.
+fn aged(row: &OriginRow, written_at: Instant) -> OriginRow {
+    let ms = u64::try_from(written_at.elapsed().as_millis()).expect("a short test");
+    let mut row = row.clone();
+    if let Some(content) = &mut row.content {
+        content.age_ms += ms;
+        content.versions.iter_mut().for_each(|version| version.age_ms += ms);
+        content.streams.iter_mut().for_each(|stream| stream.age_ms += ms);
+    }
+    row
+}
+
 /// Returns the row that keeps marks.
 fn kept_row(rows: &[(Topic, CatalogueEvent)]) -> KeptRow {
     let mut kept = rows.iter().rev().filter_map(|(_, event)| match event {
@@ -201,7 +286,7 @@
 /// Returns the current entries of a topic: of the servers' topic, the complete list.
 fn current(topic: Topic, events: Vec<CatalogueEvent>) -> Vec<CatalogueEvent> {
     match topic {
-        Topic::Operators => events,
+        Topic::Operators | Topic::Origins => events,
         Topic::Facts => events.into_iter().next_back().into_iter().collect(),
         Topic::Servers => {
             let mut list: Vec<ListedServer> = Vec::new();
--- a/crates/filbertcleat-gateway/tests/support/mod.rs
+++ b/crates/filbertcleat-gateway/tests/support/mod.rs
@@ -9,6 +9,7 @@
 mod demanding_entry;
 mod dialect;
 pub mod idle_agent;
+pub mod power_site;
 pub mod site;
 pub mod world;
 
@@ -20,6 +21,7 @@
 pub use crash_site::CrashSite;
 pub use demanding_entry::DemandingEntry;
 pub use dialect::TestDialect;
+pub use power_site::PowerSite;
 pub use site::Site;
 pub use world::World;
 pub use world::route;
--- /dev/null
+++ b/crates/filbertcleat-gateway/tests/support/power_site.rs
@@ -0,0 +1,154 @@
+//! Entries and agents that lose power at once, beside backend servers that keep running.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::Duration;
+
+use filbertcleat_gateway::CatalogueDelays;
+use filbertcleat_gateway::CatalogueEvent;
+use filbertcleat_serve::ListedServer;
+use filbertcleat_serve::ListingChange;
+use filbertcleat_serve::RetryPolicy;
+use filbertcleat_serve::Route;
+use filbertcleat_serve::ServerId;
+use filbertcleat_serve::SoftwareVersion;
+use tokio::task::LocalSet;
+
+use super::Backend;
+use super::Call;
+use super::Script;
+use super::TestCatalogue;
+use super::World;
+use super::backend::header;
+use super::idle_agent::free_peer_port;
+use super::idle_agent::start_agent;
+use super::route;
+use super::site::LISTING_DELAY;
+use super::site::next_subnet;
+use super::world::deployment;
+use super::world::listed;
+
+const RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: true };
+/// A server sends three events of a stream, and the rest if the stream is taken up.
+const CUT_AFTER_THREE: Script = Script::EventsThenCut { count: 3 };
+const FIVE_EVENTS: Script = Script::Events { count: 5, pause: Duration::from_millis(20) };
+
+/// Entries and agents that lose power at once, beside backend servers that keep running.
+pub struct PowerSite {
+    pub subnet: u8,
+    port: u16,
+    pub catalogue: TestCatalogue,
+    pub backends: Vec<Backend>,
+}
+
+impl PowerSite {
+    /// Starts this many backend servers. They are not listed yet.
+    pub async fn start(servers: u8) -> Self {
+        Self::start_with_routes(servers, vec![route("write", RESUMABLE, 1)]).await
+    }
+
+    /// Starts backend servers and publishes a configuration with these routes.
+    pub async fn start_with_routes(servers: u8, routes: Vec<Route>) -> Self {
+        let subnet = next_subnet();
+        let port = free_peer_port(Ipv4Addr::new(127, 0, subnet, 1)).await;
+        let catalogue = TestCatalogue::with_epoch(1);
+        catalogue.write(CatalogueEvent::Deployment(deployment(1, routes)));
+        let mut backends = Vec::new();
+        for number in 0..servers {
+            let ip = Ipv4Addr::new(127, 0, subnet, 101 + number);
+            backends.push(Backend::start_at(&format!("w{number}"), ip, CUT_AFTER_THREE).await);
+        }
+        Self { subnet, port, catalogue, backends }
+    }
+
+    /// Lists a backend server with a software version.
+    pub fn list(&self, backend: usize, version: &str) {
+        let software_version = SoftwareVersion::new(version);
+        let record = ListedServer { software_version, ..listed(&self.backends[backend]) };
+        self.catalogue.write(CatalogueEvent::Listing(ListingChange::Upserted(record)));
+    }
+
+    /// Removes the record of a backend server.
+    pub fn unlist(&self, backend: usize) {
+        let id = ServerId::new(&self.backends[backend].id);
+        self.catalogue.write(CatalogueEvent::Listing(ListingChange::Removed(id)));
+    }
+
+    /// Runs a test with entries, and with an agent beside each backend server if `has_agents`. All of
+    /// them lose power when the test ends.
+    pub async fn run_vms<T>(
+        &self,
+        entries: Range<u8>,
+        has_agents: bool,
+        test: impl AsyncFnOnce(&[World]) -> T,
+    ) -> T {
+        let vms = LocalSet::new();
+        let run = async {
+            if has_agents {
+                for backend in &self.backends {
+                    start_agent(backend, self.port).await;
+                }
+            }
+            let mut worlds = Vec::new();
+            for number in entries {
+                let ip = Ipv4Addr::new(127, 0, self.subnet, 11 + number);
+                let peers = SocketAddr::from((ip, self.port));
+                let delays = CatalogueDelays {
+                    configuration_ms: 2_000,
+                    draining_ms: 2_000,
+                    contact_ms: 3_000,
+                };
+                let catalogue = self.catalogue.clone();
+                worlds.push(World::start_with_peers(catalogue, delays, peers).await);
+            }
+            tokio::time::sleep(LISTING_DELAY).await;
+            test(&worlds).await
+        };
+        vms.run_until(run).await
+    }
+
+    /// Makes the servers send streams to their ends from now on.
+    pub fn mend_streams(&self) {
+        for backend in &self.backends {
+            backend.set_default(FIVE_EVENTS);
+        }
+    }
+
+    /// Returns how many streams were taken up at the server that began them, and how many at
+    /// another one.
+    pub fn taken_up(&self) -> (usize, usize) {
+        let (mut kept, mut joined) = (0, 0);
+        for backend in &self.backends {
+            let seen = backend.seen.borrow();
+            for head in seen.iter() {
+                let Some(resumed) = header(head, "x-resumes") else { continue };
+                let is_begun = |head: &String| {
+                    header(head, "x-after").is_none()
+                        && header(head, "x-id").as_ref() == Some(&resumed)
+                };
+                *(if seen.iter().any(is_begun) { &mut kept } else { &mut joined }) += 1;
+            }
+        }
+        (kept, joined)
+    }
+}
+
+/// Begins a stream at an entry; it breaks off after its third event.
+pub async fn begin(world: &World, id: &'static str) {
+    let reply = world.caller().await.call(&Call::new(id, "/write/1")).await;
+    let reply = reply.expect("a response head");
+    assert!(!reply.is_complete && reply.body.contains("id: 3"), "{reply:?}");
+}
+
+/// Takes up a stream after event 3 and returns the status of the response.
+pub async fn take_up(world: &World, begun: &str) -> u16 {
+    let id = format!("{begun}-again").leak();
+    let extra = format!("x-after: 3\r\nx-resumes: {begun}\r\n").leak();
+    let call = Call { extra, ..Call::new(id, "/write/1") };
+    let reply = world.caller().await.call(&call).await.expect("a response");
+    if reply.status == 503 {
+        assert!(reply.header("retry-after").is_some(), "{reply:?}");
+    }
+    reply.status
+}
--- a/crates/filbertcleat-gateway/tests/support/site.rs
+++ b/crates/filbertcleat-gateway/tests/support/site.rs
@@ -52,7 +52,7 @@
         servers: Vec<(String, Script)>,
         entries: u8,
     ) -> Self {
-        let subnet = SUBNETS.fetch_add(1, Ordering::Relaxed);
+        let subnet = next_subnet();
         let port = free_peer_port(entry_ip(subnet, 0)).await;
         catalogue.write(CatalogueEvent::Deployment(deployment(1, routes)));
         let (mut backends, mut agents) = (Vec::new(), Vec::new());
@@ -85,6 +85,11 @@
     }
 }
 
+/// Returns a part of loopback that no other test of the process uses.
+pub fn next_subnet() -> u8 {
+    SUBNETS.fetch_add(1, Ordering::Relaxed)
+}
+
 fn entry_ip(subnet: u8, number: u8) -> Ipv4Addr {
     Ipv4Addr::new(127, 0, subnet, 11 + number)
 }
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -120,7 +120,7 @@
             .local_addr()
             .expect("bound");
         let settings = GatewaySettings {
-            name: NodeName::new("entry-1"),
+            name: NodeName::new(&format!("entry-{}", peers.ip())),
             failure_domain: FailureDomain::new("here"),
             role: GatewayRole::Entry { callers, readiness },
             ip: peers.ip(),
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -3,6 +3,7 @@
 mod attempt_outcome;
 mod engine_model;
 mod engine_pace;
+mod former_versions;
 mod gap_control;
 mod limit_source;
 mod limit_state;
@@ -27,6 +28,7 @@
 
 pub use self::attempt_outcome::AttemptOutcome;
 use self::engine_model::EngineModel;
+use self::former_versions::FormerVersions;
 pub use self::limit_source::LimitSource;
 pub use self::named_limit::NamedLimit;
 use self::paused_servers::PausedServers;
@@ -56,6 +58,7 @@
     unconfirmed: BTreeSet<ServerId>,
     /// Servers that left, whose records a restored catalogue may list again.
     removed: RemovedServers,
+    former_versions: FormerVersions,
     facts: SharedFacts,
     paused: PausedServers,
     /// What the engines of each service have shown.
@@ -298,10 +301,23 @@
         })
     }
 
-    /// Returns the software versions of a service's backend servers.
-    pub fn software_versions(&self, service: &ServiceName) -> BTreeSet<&SoftwareVersion> {
-        let servers = self.servers().filter(|server| server.listed.service == *service);
-        servers.map(|server| &server.listed.software_version).collect()
+    /// Returns the software versions of a service's backend servers, of those too that were removed
+    /// within the last minute, with the times in milliseconds since a server of each was listed.
+    pub fn software_versions(
+        &self,
+        now: MonoTime,
+        service: &ServiceName,
+    ) -> BTreeMap<SoftwareVersion, u64> {
+        let mut versions = self.former_versions.of(now, service);
+        for server in self.servers().filter(|server| server.listed.service == *service) {
+            versions.insert(server.listed.software_version.clone(), 0);
+        }
+        versions
+    }
+
+    /// Returns whether a backend server of a service is listed.
+    pub fn lists_service(&self, service: &ServiceName) -> bool {
+        self.servers().any(|server| server.listed.service == *service)
     }
 
     /// Returns the candidates for a request that have loaded its model.
@@ -356,6 +372,7 @@
             if is_earlier_start && self.removed.may_list_leftovers(now) {
                 return;
             }
+            self.former_versions.on_replaced(now, &server.listed, &listed);
             server.apply_listing(now, listed);
             server.has_announced_leaving = has_announced_leaving;
             server.paused_until = paused_until;
@@ -388,6 +405,7 @@
         self.removed.release(id);
         if let Some(server) = self.servers.remove(id) {
             self.removed.on_removed(now, &server);
+            self.former_versions.on_removed(now, &server.listed);
         }
     }
 }
--- /dev/null
+++ b/crates/filbertcleat-serve/src/kept_origins/verdict.rs
@@ -0,0 +1,16 @@
+//! Where a stream may go on whose origin neither the entry nor the agents know.
+
+use crate::SoftwareVersion;
+
+/// Where a stream may go on whose origin neither the entry nor the agents know.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OriginVerdict {
+    /// At the version that a row of the catalogue names.
+    Kept(SoftwareVersion),
+    /// At the only version that served in the last minute.
+    Single(SoftwareVersion),
+    /// It can be told only after the rows of the catalogue have been read.
+    Read,
+    /// Nowhere, since several versions may have begun it.
+    Unknown,
+}
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `crash_evidence`: finds requests and parts of prompts that crash backend servers
 //! - `facts`: what processes learn from answers of backend servers and tell each other
 //! - `kept_marks`: decides when marks of crashes are read from the catalogue and written there
+//! - `kept_origins`: decides when origins of streams are read from the catalogue and written there
 //! - `recipients`: decides when an agent sends updates to which entries
 //! - `holders`: chooses the agents that hold what entries have to know from each other
 //! - `stream_origins`: remembers which software version began a stream
@@ -31,12 +32,14 @@
 mod fleet;
 mod holders;
 mod kept_marks;
+mod kept_origins;
 mod key;
 mod listing;
 mod placement;
 mod priority;
 mod prompt_part;
 mod queue;
+mod recent_streams;
 mod recipients;
 mod request;
 mod request_content;
@@ -85,6 +88,14 @@
 pub use kept_marks::KeepStep;
 pub use kept_marks::KeptMarks;
 pub use kept_marks::KeptRow;
+pub use kept_origins::KeptOrigins;
+pub use kept_origins::KeptStream;
+pub use kept_origins::OriginRow;
+pub use kept_origins::OriginRowContent;
+pub use kept_origins::OriginVerdict;
+pub use kept_origins::OriginWriteStep;
+pub use kept_origins::OutdatedRow;
+pub use kept_origins::SeenVersion;
 pub use key::AdapterKey;
 pub use key::ServerId;
 pub use listing::ListedModel;
--- a/crates/filbertcleat-serve/src/stream_origins.rs
+++ b/crates/filbertcleat-serve/src/stream_origins.rs
@@ -4,13 +4,11 @@
 //! entry, so the entry that forwards its first event tells the origin to a few agents, and an entry
 //! that does not know a stream asks them.
 
-use std::collections::HashMap;
-use std::collections::VecDeque;
-
 use filbertcleat_base::MonoTime;
 
 use crate::RequestHash;
 use crate::SoftwareVersion;
+use crate::recent_streams::RecentStreams;
 
 /// The software version that began a stream.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -22,49 +20,30 @@
 }
 
 /// The origins of recent streams.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct StreamOrigins {
-    versions: HashMap<RequestHash, SoftwareVersion>,
-    /// The requests in the order in which they were recorded.
-    recorded: VecDeque<(MonoTime, RequestHash)>,
+    streams: RecentStreams<SoftwareVersion>,
 }
 
 impl StreamOrigins {
-    /// How long an origin is remembered: twice the longest time that callers wait for a stream.
-    pub const LIFETIME_MS: u64 = 60_000;
-    /// The most origins that are remembered, about a megabyte of them.
+    /// How long an origin is remembered.
+    pub const LIFETIME_MS: u64 = RecentStreams::<SoftwareVersion>::LIFETIME_MS;
+    /// The most origins that are remembered, about two megabytes of them.
     pub const COUNT_MAX: usize = 16_384;
 
     /// Records an origin. The first one recorded for a request holds.
     pub fn record(&mut self, now: MonoTime, origin: StreamOrigin) {
-        self.expire(now);
-        let StreamOrigin { request, software_version } = origin;
-        if self.versions.contains_key(&request) {
-            return;
-        }
-        if self.recorded.len() >= Self::COUNT_MAX {
-            self.remove_oldest();
-        }
-        self.versions.insert(request, software_version);
-        self.recorded.push_back((now, request));
+        self.streams.record(now, origin.request, 0, origin.software_version);
     }
 
     /// Returns the software version that began the stream of a request, if it is remembered.
     pub fn software_version(&self, request: RequestHash) -> Option<&SoftwareVersion> {
-        self.versions.get(&request)
-    }
-
-    fn expire(&mut self, now: MonoTime) {
-        while let Some((at, _)) = self.recorded.front()
-            && now.ms_since(*at) > Self::LIFETIME_MS
-        {
-            self.remove_oldest();
-        }
+        self.streams.get(request)
     }
+}
 
-    fn remove_oldest(&mut self) {
-        if let Some((_, request)) = self.recorded.pop_front() {
-            self.versions.remove(&request);
-        }
+impl Default for StreamOrigins {
+    fn default() -> Self {
+        Self { streams: RecentStreams::new(Self::COUNT_MAX) }
     }
 }
