--- a/crates/filbertcleat-gateway/tests/support/power_site.rs
+++ b/crates/filbertcleat-gateway/tests/support/power_site.rs
@@ -17,6 +17,7 @@
 
 use super::Backend;
 use super::Call;
+use super::Caller;
 use super::Script;
 use super::TestCatalogue;
 use super::World;
@@ -143,10 +144,16 @@
 
 /// Takes up a stream after event 3 and returns the status of the response.
 pub async fn take_up(world: &World, begun: &str) -> u16 {
+    take_up_at(world.callers, begun).await
+}
+
+/// Takes up a stream at the entry with this address.
+pub async fn take_up_at(entry: SocketAddr, begun: &str) -> u16 {
     let id = format!("{begun}-again").leak();
     let extra = format!("x-after: 3\r\nx-resumes: {begun}\r\n").leak();
     let call = Call { extra, ..Call::new(id, "/write/1") };
-    let reply = world.caller().await.call(&call).await.expect("a response");
+    let mut caller = Caller::connect(entry).await.expect("the entry listens");
+    let reply = caller.call(&call).await.expect("a response");
     if reply.status == 503 {
         assert!(reply.header("retry-after").is_some(), "{reply:?}");
     }
--- a/crates/filbertcleat-serve/src/kept_origins.rs
+++ b/crates/filbertcleat-serve/src/kept_origins.rs
@@ -11,6 +11,8 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::NodeName;
@@ -37,8 +39,10 @@
     node: NodeName,
     /// The streams that this entry or its node's process before began.
     begun: RecentStreams<ServiceVersion>,
-    /// The origins that rows tell.
-    kept: RecentStreams<SoftwareVersion>,
+    /// The origins that rows tell, with the times until which they count.
+    kept: HashMap<RequestHash, (MonoTime, SoftwareVersion)>,
+    /// The versions of the rows that are merged, since a list repeats most of them.
+    merged: HashMap<NodeName, u64>,
     /// Until when each version counts that a list of backend servers or a row has shown.
     seen_until: BTreeMap<ServiceVersion, MonoTime>,
     /// Since when the list of backend servers has been followed without a gap.
@@ -85,9 +89,9 @@
     pub const VERSIONS_MAX: usize = 64;
     /// The most streams of this entry that are remembered, as many as fit into a row.
     const BEGUN_MAX: usize = Self::ROW_BYTES_MAX / Self::STREAM_BYTES;
-    /// The most origins that are remembered from rows: those of 2,000 streams a second, about
+    /// The most origins that are remembered from rows: those of 4,000 streams a second, about
     /// 20 MB.
-    const KEPT_MAX: usize = 131_072;
+    const KEPT_MAX: usize = 262_144;
     /// The most rows that are removed in one call.
     const REMOVALS_MAX: usize = 32;
     /// The number of entries that remove rows after a list, as each of them may fail.
@@ -102,7 +106,8 @@
         Self {
             node,
             begun: RecentStreams::new(Self::BEGUN_MAX),
-            kept: RecentStreams::new(Self::KEPT_MAX),
+            kept: HashMap::new(),
+            merged: HashMap::new(),
             seen_until: BTreeMap::new(),
             followed_since: None,
             followed_at: None,
@@ -160,7 +165,7 @@
         request: Option<RequestHash>,
         is_served: bool,
     ) -> OriginVerdict {
-        if let Some(version) = request.and_then(|request| self.kept.get(request)) {
+        if let Some((_, version)) = request.and_then(|request| self.kept.get(&request)) {
             return OriginVerdict::Kept(version.clone());
         }
         if !is_served {
@@ -213,9 +218,15 @@
         self.read_at = rows.iter().all(|row| row.content.is_some()).then_some(began_at);
         let own = rows.iter().find(|row| row.node == self.node);
         self.row_version = Some(own.map_or(0, |row| row.version));
+        self.kept.retain(|_, (until, _)| now <= *until);
+        let mut merged = HashMap::new();
         for row in rows {
-            self.merge(now, row);
+            if self.merged.get(&row.node) != Some(&row.version) {
+                self.merge(now, row);
+            }
+            merged.insert(row.node.clone(), row.version);
         }
+        self.merged = merged;
         let is_remover = draw % u64::from(entries.max(1)) < Self::REMOVERS;
         let outdated = rows.iter().filter(|row| {
             let is_old = |content: &OriginRowContent| content.age_ms > Self::OUTDATED_MS;
@@ -285,6 +296,8 @@
     /// Records that the catalogue was restored from a copy, which may lack rows of all entries.
     pub fn on_restored(&mut self) {
         self.read_at = None;
+        // The catalogue assigns the versions after the copy's again.
+        self.merged.clear();
         self.written_versions.clear();
         self.needs_write = true;
     }
@@ -312,7 +325,7 @@
             let version = content.versions.get(usize::from(stream.version_index));
             let Some(SeenVersion { service, software_version, .. }) = version else { continue };
             let KeptStream { request, age_ms, .. } = *stream;
-            self.kept.record(now, request, age_ms, software_version.clone());
+            self.keep(now, request, age_ms, software_version);
             if row.node == self.node {
                 let version = (service.clone(), software_version.clone());
                 self.begun.record(now, request, age_ms, version);
@@ -320,6 +333,28 @@
         }
     }
 
+    /// Records the origin that a row tells. If rows differ, the older origin holds.
+    fn keep(
+        &mut self,
+        now: MonoTime,
+        request: RequestHash,
+        age_ms: u64,
+        version: &SoftwareVersion,
+    ) {
+        let Some(left_ms) = Self::WINDOW_MS.checked_sub(age_ms) else { return };
+        let until = now.plus_ms(left_ms);
+        let is_full = self.kept.len() >= Self::KEPT_MAX;
+        match self.kept.entry(request) {
+            Entry::Vacant(vacant) if !is_full => {
+                vacant.insert((until, version.clone()));
+            }
+            Entry::Occupied(mut known) if until < known.get().0 => {
+                known.insert((until, version.clone()));
+            }
+            Entry::Vacant(_) | Entry::Occupied(_) => {}
+        }
+    }
+
     /// Returns whether any version that served in the last minute is known: the entry has followed
     /// the list of backend servers for as long, or since it read what other entries had seen.
     fn knows_all_versions(&self, now: MonoTime) -> bool {
