--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -36,6 +36,7 @@
 use super::held_bytes::ByteCount;
 use super::idle_timeouts::IdleTimeouts;
 use super::in_flight::InFlightAttempt;
+use super::kept_origins::observe_versions;
 use super::origins::OriginState;
 use crate::CatalogueEvent;
 use crate::Dialect;
@@ -67,6 +68,12 @@
     pub dispatcher_wakeup: Notify,
     /// Wakes the task that keeps facts in the catalogue.
     pub facts_changed: Notify,
+    /// Wakes the task that reads origins from the catalogue.
+    pub origins_wanted: Notify,
+    /// Wakes the task that keeps origins in the catalogue.
+    pub origins_changed: Notify,
+    /// The number of reads of origins that have ended, for the requests that wait for one.
+    pub origin_reads: watch::Sender<u64>,
     pub state: RefCell<State<D>>,
     /// The id of this incarnation of the entry.
     pub incarnation: u64,
@@ -80,7 +87,7 @@
     /// The number of times that the catalogue was restored, for the tasks that have to list again.
     catalogue_restores: watch::Sender<u64>,
     /// When the catalogue last responded, by topic.
-    catalogue_responded_at: [Cell<MonoTime>; 3],
+    catalogue_responded_at: [Cell<MonoTime>; 4],
 }
 
 /// The state that routing decisions are based on.
@@ -114,6 +121,7 @@
     ) -> Self {
         let clock = Clock::start();
         let incarnation = incarnation_id();
+        let origins = OriginState::new(settings.name.clone());
         Self {
             settings,
             dialect,
@@ -126,6 +134,9 @@
             server_bytes: ByteCount::default(),
             dispatcher_wakeup: Notify::new(),
             facts_changed: Notify::new(),
+            origins_wanted: Notify::new(),
+            origins_changed: Notify::new(),
+            origin_reads: watch::Sender::new(0),
             incarnation,
             state: RefCell::new(State {
                 deployment: CurrentDeployment::default(),
@@ -134,7 +145,7 @@
                 queue: RequestQueue::new(incarnation),
                 placements: HashMap::new(),
                 agent_updates: AgentUpdateState::new(incarnation),
-                origins: OriginState::default(),
+                origins,
                 unverified_crashes: UnverifiedCrashes::default(),
                 abandoned_runs: AbandonedRuns::default(),
                 kept: KeptMarks::new(clock.now()),
@@ -150,7 +161,7 @@
             idle_timeouts: RefCell::default(),
             catalogue_epoch: Cell::default(),
             catalogue_restores: watch::Sender::new(0),
-            catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 3],
+            catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 4],
         }
     }
 
@@ -239,8 +250,8 @@
                 *known = version.max(*known);
             }
             CatalogueEvent::Listing(change) => state.fleet.apply_listing(now, change),
-            // The task that keeps facts reads the row by itself.
-            CatalogueEvent::Kept(_) => {}
+            // The tasks that keep these read the rows by themselves.
+            CatalogueEvent::Kept(_) | CatalogueEvent::Origins(_) => {}
         }
         self.dispatcher_wakeup.notify_one();
     }
@@ -258,6 +269,11 @@
     /// Records that all changes of a topic up to now have been applied, and whether they were those
     /// of a list.
     pub fn on_topic_read(&self, topic: Topic, is_list: bool) {
+        if topic == Topic::Servers {
+            observe_versions(self);
+            self.state.borrow_mut().origins.kept.on_followed(self.now());
+            self.origins_changed.notify_one();
+        }
         if topic != Topic::Operators {
             return;
         }
@@ -390,6 +406,7 @@
         Topic::Operators => 0,
         Topic::Servers => 1,
         Topic::Facts => 2,
+        Topic::Origins => 3,
     }
 }
 
