Give workspaces equal shares of engine time in the queue

Cause: the queue served requests of equal priority by arrival, so that a workspace that sends six times its usual load made all others wait and be refused in proportion to their requests.

Change: FairShares orders the requests within a priority by start-time fair queueing between workspaces, by estimated engine time. A workspace is charged when a request is sent, not when it is queued, so that refused requests cost it nothing. The virtual time is that of the workspaces that wait for capacity; idle time earns no credit, and engine time that nobody else asked for is free. Retry-After follows the order. Without workspaces the order is priority, then arrival, as before.

--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -315,6 +315,12 @@
         self.servers.get(id)
     }
 
+    /// Returns the learned prefill time per prompt token at the engines of a service.
+    pub fn ms_per_prompt_token(&self, service: &ServiceName) -> f64 {
+        let model = self.models.get(service).copied().unwrap_or_else(EngineModel::new);
+        model.line.ms_per_token()
+    }
+
     /// Returns the number of engines that have loaded a base model or are loading it.
     pub fn engines_with_model(&self, model: &ModelName) -> u32 {
         let engines = self.servers().filter(|server| {
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -7,7 +7,8 @@
 //! - `return_delay`: when callers should return to paused backend servers
 //! - `placement`: selects the backend server of a request
 //! - `priority`: combines the priorities of a workspace and a route
-//! - `queue`: orders the requests that wait at an entry and dispatches them to engines
+//! - `queue`: orders the requests that wait at an entry, with equal shares for workspaces, and
+//!   dispatches them to engines
 //! - `attempts`: decides whether a request may be sent again
 //! - `budget`: limits the retries of an entry
 //! - `crash_evidence`: finds requests and parts of prompts that crash backend servers
@@ -100,6 +101,9 @@
 pub use priority::engine_priority;
 pub use priority::entry_priority;
 pub use prompt_part::PromptPart;
+pub use queue::EngineTime;
+pub use queue::FairShares;
+pub use queue::FlowId;
 pub use queue::RequestQueue;
 pub use queue::SentRequest;
 pub use queue::Ticket;
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -2,18 +2,25 @@
 
 mod arrival_rates;
 mod cause;
+mod fair_shares;
 mod load_wait;
 mod sent_request;
 mod ticket;
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use filbertcleat_base::FailureDomain;
 use filbertcleat_base::MonoTime;
+use filbertcleat_base::ServiceName;
+use filbertcleat_base::WorkspaceName;
 use filbertcleat_base::mix_hashes;
 
 use self::arrival_rates::ArrivalRates;
 pub use self::cause::WaitCause;
+pub use self::fair_shares::EngineTime;
+pub use self::fair_shares::FairShares;
+pub use self::fair_shares::FlowId;
 use self::load_wait::LoadWait;
 pub use self::sent_request::SentRequest;
 pub use self::ticket::Ticket;
@@ -28,7 +35,8 @@
 use crate::ServerId;
 use crate::place_engine;
 
-/// The requests that wait for an engine, in the order of their priority and arrival.
+/// The requests that wait for an engine, in the order of their priority and arrival. Requests of
+/// equal priority are served so that each workspace gets an equal share of engine time.
 #[derive(Debug)]
 pub struct RequestQueue {
     seed: u64,
@@ -37,11 +45,16 @@
     requests: BTreeMap<Ticket, QueuedRequest>,
     load_wait: LoadWait,
     arrivals: ArrivalRates,
+    shares: FairShares,
 }
 
 #[derive(Debug)]
 struct QueuedRequest {
     demand: RequestDemand,
+    /// The flow in which the request takes its share.
+    flow: FlowId,
+    /// The position in the order of the last pass.
+    rank: usize,
     queued_at: MonoTime,
     avoided: Vec<ServerId>,
     /// The servers whose loads the request has given up. It may be sent to them once they have the
@@ -74,6 +87,7 @@
             requests: BTreeMap::new(),
             load_wait: LoadWait::new(),
             arrivals: ArrivalRates::default(),
+            shares: FairShares::default(),
         }
     }
 
@@ -82,10 +96,13 @@
         let ticket = Ticket { priority: demand.priority, number: self.next };
         self.next += 1;
         self.arrivals.record(now, &demand);
+        let flow = self.shares.push(ticket.number, &demand);
         self.requests.insert(
             ticket,
             QueuedRequest {
                 demand,
+                flow,
+                rank: usize::MAX,
                 queued_at: now,
                 avoided,
                 slow_loaders: Vec::new(),
@@ -107,6 +124,7 @@
         ticket: Ticket,
     ) -> Option<(WaitCause, Option<ServerId>)> {
         let request = self.requests.remove(&ticket)?;
+        self.shares.remove(request.flow, ticket.number);
         if let Some((_, since)) = request.awaited_load {
             self.load_wait.on_unfinished(now.ms_since(since));
         }
@@ -165,7 +183,10 @@
         let load_ms = self.load_wait.expected_ms();
         let span_ms = live_entries * Self::JITTER_PER_ENTRY_MS;
         let span_ms = span_ms.min(Self::JITTER_MAX_MS);
-        for (ticket, request) in &mut self.requests {
+        let times = self.engine_times(fleet, &engine_spec);
+        for (rank, ticket) in self.order(&times).into_iter().enumerate() {
+            let Some(request) = self.requests.get_mut(&ticket) else { continue };
+            request.rank = rank;
             let Some(engine_spec) = engine_spec(&request.demand) else { continue };
             if request.is_load_stuck(now, fleet) {
                 request.give_up_load();
@@ -189,7 +210,7 @@
                     if request.may_send(now, &server, jitter_ms) {
                         let backlog_ms = fleet.on_sent(now, &server, &request.demand);
                         let demand = request.demand.clone();
-                        ready.push(SentRequest { ticket: *ticket, server, demand, backlog_ms });
+                        ready.push(SentRequest { ticket, server, demand, backlog_ms });
                     } else {
                         reserved.push(server);
                     }
@@ -213,15 +234,49 @@
         }
         for sent in &ready {
             let Some(request) = self.requests.remove(&sent.ticket) else { continue };
+            if let Some(time) = times.get(&request.demand.service) {
+                self.shares.on_sent(request.flow, sent.ticket.number, *time);
+            }
             if let Some((loader, since)) = request.awaited_load
                 && loader == sent.server
             {
                 self.load_wait.on_finished(now.ms_since(since));
             }
         }
+        let waiting = self.requests.values().filter(|request| request.awaits_capacity());
+        self.shares.on_pass(waiting.map(|request| request.flow));
         ready
     }
 
+    /// Returns all requests in the order in which they should be served.
+    fn order(&self, times: &BTreeMap<ServiceName, EngineTime>) -> Vec<Ticket> {
+        let time = |service: &ServiceName| times.get(service).copied().unwrap_or_default();
+        let Some(order) = self.shares.order(time) else {
+            return self.requests.keys().copied().collect();
+        };
+        order.into_iter().map(|(priority, number)| Ticket { priority, number }).collect()
+    }
+
+    /// Returns what tokens cost at the engines of each service that has queued requests.
+    fn engine_times<'a>(
+        &self,
+        fleet: &Fleet,
+        engine_spec: impl Fn(&RequestDemand) -> Option<&'a EngineSpec>,
+    ) -> BTreeMap<ServiceName, EngineTime> {
+        let mut times = BTreeMap::new();
+        for (priority, number) in self.shares.first_requests() {
+            let Some(request) = self.requests.get(&Ticket { priority, number }) else { continue };
+            let demand = &request.demand;
+            if !times.contains_key(&demand.service) {
+                let batch_limit = engine_spec(demand).map_or(1, |spec| spec.batch_limit);
+                let ms_per_prompt_token = fleet.ms_per_prompt_token(&demand.service);
+                let time = EngineTime { ms_per_prompt_token, batch_limit };
+                times.insert(demand.service.clone(), time);
+            }
+        }
+        times
+    }
+
     /// Estimates how long a new request with this demand would wait for capacity, or returns `None`
     /// while no engine with its model is usable.
     ///
@@ -233,18 +288,36 @@
         fleet: &Fleet,
         demand: &RequestDemand,
     ) -> Option<u64> {
-        let ahead = self.requests.values().map(|request| &request.demand).filter(|other| {
-            other.service == demand.service
-                && other.model == demand.model
-                && other.priority <= demand.priority
-        });
-        let ahead: u64 = ahead.map(|other| other.prompt_tokens).sum();
+        let ahead = self.tokens_ahead(demand);
         let tokens = ahead * u64::from(fleet.live_entries(now).unwrap_or(1)) + demand.prompt_tokens;
         let engines = fleet.servers_for(demand).filter(|server| server.is_usable(now));
         let tokens_per_ms: f64 = engines.map(|server| tokens_per_ms(server, demand)).sum();
         (tokens_per_ms > 0.0).then(|| (tokens as f64 / tokens_per_ms).ceil() as u64)
     }
 
+    /// Returns the prompt tokens that are served before a new request. Within its priority these are
+    /// all of its own workspace, and of every other one as many as its own has then got.
+    fn tokens_ahead(&self, demand: &RequestDemand) -> u64 {
+        let mut urgent_tokens = 0;
+        let mut tokens: BTreeMap<Option<&WorkspaceName>, u64> = BTreeMap::new();
+        for other in self.requests.values().map(|request| &request.demand) {
+            if other.service != demand.service || other.model != demand.model {
+                continue;
+            }
+            match other.priority.cmp(&demand.priority) {
+                Ordering::Less => urgent_tokens += other.prompt_tokens,
+                Ordering::Equal => {
+                    *tokens.entry(other.workspace.as_ref()).or_default() += other.prompt_tokens;
+                }
+                Ordering::Greater => {}
+            }
+        }
+        let own_tokens = tokens.remove(&demand.workspace.as_ref()).unwrap_or(0);
+        let share_tokens = own_tokens + demand.prompt_tokens;
+        let others_tokens: u64 = tokens.values().map(|tokens| *tokens.min(&share_tokens)).sum();
+        urgent_tokens + own_tokens + others_tokens
+    }
+
     /// Returns the prompt tokens of the queued requests of each adapter.
     fn adapter_tokens(&self) -> BTreeMap<AdapterKey, u64> {
         let mut tokens = BTreeMap::new();
@@ -258,11 +331,11 @@
     /// Returns the adapters that queued requests wait for a backend server to load, in queue order.
     pub fn adapter_demand(&self, server: &ServerId) -> Vec<AdapterDemand> {
         let mut demands: Vec<AdapterDemand> = Vec::new();
-        for request in self.requests.values() {
+        let mut requests: Vec<_> =
+            self.requests.values().filter(|request| request.awaits_load(server)).collect();
+        requests.sort_by_key(|request| request.rank);
+        for request in requests {
             let Some(key) = &request.demand.adapter else { continue };
-            if request.awaited_load.as_ref().is_none_or(|(loader, _)| loader != server) {
-                continue;
-            }
             match demands.iter_mut().find(|demand| demand.key == *key) {
                 Some(demand) => {
                     demand.waiting_requests += 1;
@@ -296,6 +369,20 @@
         }
     }
 
+    /// Returns whether the request waits for capacity that others use, or has found some and waits
+    /// out its jitter.
+    fn awaits_capacity(&self) -> bool {
+        match self.cause {
+            WaitCause::Capacity => true,
+            WaitCause::AdapterLoad => self.jitter.is_some(),
+            WaitCause::Pending | WaitCause::Engine | WaitCause::Paused => false,
+        }
+    }
+
+    fn awaits_load(&self, server: &ServerId) -> bool {
+        self.awaited_load.as_ref().is_some_and(|(loader, _)| loader == server)
+    }
+
     fn is_load_stuck(&self, now: MonoTime, fleet: &Fleet) -> bool {
         self.awaited_load.as_ref().is_some_and(|(loader, since)| {
             let is_lost = fleet
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod engine;
 pub mod prefill_engine;
+pub mod share_replay;
 
 use filbertcleat_base::AdapterName;
 use filbertcleat_base::FailureDomain;
