Recognize a restored configuration that has API keys

Cause: the fingerprint of a configuration is made from its debug text, in which the map of API keys had a random order. After a restore of the catalogue, the copy's older configuration was not recognized and came into force again.

Change: the keys are held in an ordered map.

Ruled out: leaving the keys out of the fingerprint, since a configuration that differs only in keys is another one.

Measured: copy_with_keys_is_recognized fails with the hash map (the older version is applied) and passes now.

--- a/crates/filbertcleat-serve/src/workspaces.rs
+++ b/crates/filbertcleat-serve/src/workspaces.rs
@@ -5,7 +5,8 @@
 mod problem;
 mod workspace;
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::rc::Rc;
 
@@ -24,7 +25,9 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Workspaces {
     list: Vec<Rc<Workspace>>,
-    by_key: HashMap<KeyHash, Rc<Workspace>>,
+    /// Ordered, so that equal workspaces have the same debug text, from which a configuration's
+    /// fingerprint is made.
+    by_key: BTreeMap<KeyHash, Rc<Workspace>>,
     problems: Vec<WorkspaceProblem>,
 }
 
@@ -61,6 +64,15 @@
         self.by_key.get(&key)
     }
 
+    /// Returns the valid keys of each workspace that has any.
+    pub fn keys(&self) -> BTreeMap<WorkspaceName, BTreeSet<KeyHash>> {
+        let mut keys: BTreeMap<WorkspaceName, BTreeSet<KeyHash>> = BTreeMap::new();
+        for (key, workspace) in &self.by_key {
+            keys.entry(workspace.name.clone()).or_default().insert(*key);
+        }
+        keys
+    }
+
     /// Returns the valid workspaces in the operators' order.
     pub fn iter(&self) -> impl ExactSizeIterator<Item = &Rc<Workspace>> {
         self.list.iter()
--- a/crates/filbertcleat-serve/src/workspaces/key_hash.rs
+++ b/crates/filbertcleat-serve/src/workspaces/key_hash.rs
@@ -15,7 +15,7 @@
 ///
 /// Keys are looked up and compared by their hashes only, so that neither logs nor the time of a
 /// comparison tell anything about them.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct KeyHash(u128);
 
 impl KeyHash {
--- a/crates/filbertcleat-serve/tests/restored_configuration.rs
+++ b/crates/filbertcleat-serve/tests/restored_configuration.rs
@@ -4,8 +4,11 @@
 use filbertcleat_serve::CurrentDeployment;
 use filbertcleat_serve::Deployment;
 use filbertcleat_serve::DeploymentChange;
+use filbertcleat_serve::KeyHash;
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::Route;
+use filbertcleat_serve::Workspace;
+use filbertcleat_serve::Workspaces;
 
 const CONTACT_MS: u64 = 3_000;
 
@@ -165,3 +168,22 @@
 
     assert_eq!(offer(&mut current, 8, "c"), DeploymentChange::Applied);
 }
+
+/// Guards against a copy's configuration not being recognized because its API keys are in another
+/// order in memory, so that a configuration from before the one in force comes into force again.
+#[test]
+fn copy_with_keys_is_recognized() {
+    let with_keys = |version| {
+        let workspace = Workspace { name: "w".into(), priority: 0, allowance: None };
+        let keys = (0..20_u8).map(|key| KeyHash::of(&[key])).collect();
+        let workspaces = Some(Workspaces::new([(workspace, keys)]));
+        Deployment { workspaces, ..configuration(version, "a") }
+    };
+    let mut current = CurrentDeployment::default();
+    current.offer(with_keys(1));
+    current.offer(with_keys(2));
+    current.on_catalogue_restored(at(0), CONTACT_MS);
+
+    assert_eq!(current.offer(with_keys(1)), DeploymentChange::Ignored);
+    assert_eq!(in_force(&current).0, 2);
+}
