Check a deployment configuration before it is sent

Cause: mistakes in a configuration showed only as refused requests after it came into force: a route that another one hides, a service that does not exist, a version that entries ignore.

Change: `filbertcleat config check FILE [--against FILE] [--json]` reports errors and warnings with their place and a hint, and what differs from the configuration in force. The decisions are in filbertcleat_serve::deployment_check. Differences do not change the exit code, since a new version is meant to have some.

Ruled out: warnings for rates below one request per second, which are usual limits; quoting the value in a decoding error, which may be a key.

--- a/crates/filbertcleat-cli/src/command.rs
+++ b/crates/filbertcleat-cli/src/command.rs
@@ -10,7 +10,12 @@
 use filbertcleat_config::Configuration;
 use filbertcleat_config::Patch;
 use filbertcleat_config::Settings;
+use filbertcleat_gateway::CatalogueEvent;
 use filbertcleat_operate::TimelinePage;
+use filbertcleat_prepared::decode_operators_row;
+use filbertcleat_serve::Deployment;
+use filbertcleat_serve::check_deployment;
+use filbertcleat_serve::deployment_differences;
 use http::Method;
 use serde_json::Value;
 
@@ -31,6 +36,13 @@
     },
     /// Show the configuration.
     Config,
+    /// Check a deployment configuration before it is sent.
+    ConfigCheck {
+        /// The JSON file with the configuration.
+        file: PathBuf,
+        /// The JSON file with the configuration in force.
+        against: Option<PathBuf>,
+    },
     /// Show the status of all processes.
     Status,
     /// List adapters.
@@ -64,6 +76,42 @@
     Ok(())
 }
 
+/// Checks a deployment configuration before it is sent, and returns whether it has no findings.
+pub fn config_check(
+    invocation: &Invocation,
+    file: &Path,
+    against: Option<&Path>,
+) -> Result<bool, ClientError> {
+    let deployment = read_deployment(file)?;
+    let in_force = against.map(read_deployment).transpose()?;
+    let findings = check_deployment(&deployment, in_force.as_ref());
+    let differences =
+        in_force.map(|in_force| deployment_differences(&in_force, &deployment)).unwrap_or_default();
+    output::deployment_check(&findings, &differences, invocation.json);
+    Ok(findings.is_empty())
+}
+
+/// Reads a deployment configuration as it is in the store.
+fn read_deployment(file: &Path) -> Result<Deployment, ClientError> {
+    let unreadable = |reason: String| ClientError::usage(format!("{}: {reason}", file.display()));
+    let bytes = std::fs::read(file).map_err(|error| unreadable(error.to_string()))?;
+    match decode_operators_row("config", &bytes) {
+        Ok(Some(CatalogueEvent::Deployment(deployment))) => Ok(deployment),
+        Ok(_) => Err(unreadable("it is no configuration".to_owned())),
+        Err(fault) => Err(unreadable(without_values(&fault.to_string()))),
+    }
+}
+
+/// Returns a decoding error without the text that it quotes, which may be an API key.
+fn without_values(error: &str) -> String {
+    match (error.find('"'), error.rfind('"')) {
+        (Some(first), Some(last)) if first < last => {
+            format!("{}...{}", &error[..=first], &error[last..])
+        }
+        _ => error.to_owned(),
+    }
+}
+
 /// Submits the changes in a file.
 pub async fn patch(
     invocation: &Invocation,
--- a/crates/filbertcleat-cli/src/main.rs
+++ b/crates/filbertcleat-cli/src/main.rs
@@ -25,16 +25,27 @@
         Err(error) => Err(ClientError::unreachable(error)),
     };
     match outcome {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(error) => print_error(&error),
     }
 }
 
-async fn run(invocation: &Invocation) -> Result<(), ClientError> {
+/// The exit code of a check with findings.
+const FINDINGS: u8 = 1;
+
+async fn run(invocation: &Invocation) -> Result<ExitCode, ClientError> {
+    if let Command::ConfigCheck { file, against } = &invocation.command {
+        let is_clean = command::config_check(invocation, file, against.as_deref())?;
+        return Ok(if is_clean { ExitCode::SUCCESS } else { ExitCode::from(FINDINGS) });
+    }
+    run_command(invocation).await.map(|()| ExitCode::SUCCESS)
+}
+
+async fn run_command(invocation: &Invocation) -> Result<(), ClientError> {
     match &invocation.command {
         Command::Check { file } => command::check(file),
         Command::Patch { file, base } => command::patch(invocation, file, *base).await,
-        Command::Config => command::config(invocation).await,
+        Command::Config | Command::ConfigCheck { .. } => command::config(invocation).await,
         Command::Status => command::status(invocation).await,
         Command::Adapters { prefix } => command::adapters(invocation, prefix).await,
         Command::Drain { node } => command::drain(invocation, node).await,
--- a/crates/filbertcleat-cli/src/options.rs
+++ b/crates/filbertcleat-cli/src/options.rs
@@ -30,6 +30,9 @@
 Commands:
   patch FILE [--base N]     submit the changes in FILE (YAML or JSON) against version N
   config                    show the configuration in force
+  config check FILE [--against FILE]
+                            check a deployment configuration before it is sent, and
+                            compare it with the one in force
   status                    show all processes
   adapters [PREFIX]         list adapters, their versions and serving rules
   drain NODE                start a planned stop of a process
@@ -37,8 +40,8 @@
                             show the merged events of all processes
   check FILE                validate a settings file
 
-Exit codes: 0 done, 1 refused, 2 wrong command line or settings, 3 entry not reached,
-4 unknown outcome";
+Exit codes: 0 done, 1 refused or findings, 2 wrong command line, settings or configuration,
+3 entry not reached, 4 unknown outcome";
 
 impl Invocation {
     /// Parses the command line; prints the help text and returns `None` if that is requested.
@@ -52,7 +55,7 @@
         }
 
         let command = command(&matches)?;
-        let needs_entry = !matches!(command, Command::Check { .. });
+        let needs_entry = !matches!(command, Command::Check { .. } | Command::ConfigCheck { .. });
         let entry = option_or_variable(&matches, "entry", "FILBERTCLEAT_ENTRY");
         let operator = option_or_variable(&matches, "operator", "USER")
             .unwrap_or_else(|| "unnamed".to_owned());
@@ -85,6 +88,7 @@
         "version that a patch is meant for (default: the one in force)",
         "N",
     );
+    options.optopt("a", "against", "the configuration in force, to compare with", "FILE");
     options.optopt("r", "request", "only the events of this request", "ID");
     options.optopt("s", "since", "only later events: a number with ms, s, m or h", "TIME");
     options.optflag("j", "json", "write JSON");
@@ -95,7 +99,15 @@
 fn command(matches: &Matches) -> Result<Command, ClientError> {
     let mut words = matches.free.iter().map(String::as_str);
     let name = words.next().unwrap_or_default();
-    let argument = words.next();
+    let mut argument = words.next();
+    let is_config_check = name == "config" && argument == Some("check");
+    if is_config_check {
+        argument = words.next();
+    }
+    let against = matches.opt_str("against").map(PathBuf::from);
+    if against.is_some() && !is_config_check {
+        return Err(ClientError::usage(format!("{name} does not take --against")));
+    }
     if let Some(extra) = words.next() {
         return Err(ClientError::usage(format!("argument {extra:?} is not expected")));
     }
@@ -108,6 +120,9 @@
             });
             Ok(Command::Patch { file: PathBuf::from(required("a FILE")?), base: base.transpose()? })
         }
+        "config" if is_config_check => {
+            Ok(Command::ConfigCheck { file: PathBuf::from(required("check and a FILE")?), against })
+        }
         "config" => Ok(Command::Config),
         "status" => Ok(Command::Status),
         "adapters" => Ok(Command::Adapters { prefix: argument.unwrap_or_default().to_owned() }),
--- a/crates/filbertcleat-cli/src/output.rs
+++ b/crates/filbertcleat-cli/src/output.rs
@@ -7,6 +7,10 @@
 use filbertcleat_operate::ProcessStatus;
 use filbertcleat_operate::TimelinePage;
 use filbertcleat_operate::merge_pages;
+use filbertcleat_serve::Difference;
+use filbertcleat_serve::Finding;
+use filbertcleat_serve::Place;
+use filbertcleat_serve::Severity;
 use serde_json::Value;
 use serde_json::json;
 
@@ -111,6 +115,61 @@
     }
 }
 
+/// Prints a table of what is wrong with a deployment configuration and of what differs from the one
+/// in force.
+pub fn deployment_check(findings: &[Finding], differences: &[Difference], as_json: bool) {
+    if as_json {
+        let findings: Vec<_> = findings.iter().map(finding_json).collect();
+        let differences: Vec<_> = differences.iter().map(difference_json).collect();
+        println!("{}", json!({ "findings": findings, "differences": differences }));
+        return;
+    }
+    if !findings.is_empty() {
+        println!("{:<9}{:<32}PROBLEM", "SEVERITY", "PLACE");
+    }
+    for finding in findings {
+        let (severity, place) = (finding.severity.as_str(), place_text(&finding.place));
+        println!("{severity:<9}{place:<31} {}", finding.problem);
+        println!("{:<41}hint: {}", "", finding.hint);
+    }
+    if !differences.is_empty() {
+        println!("{:<9}{:<32}FIELDS", "CHANGE", "PLACE");
+    }
+    for difference in differences {
+        let (kind, place) = (difference.kind.as_str(), place_text(&difference.place));
+        println!("{kind:<9}{place:<31} {}", difference.fields.join(", "));
+    }
+    let errors = findings.iter().filter(|finding| finding.severity == Severity::Error).count();
+    println!(
+        "{errors} errors, {} warnings, {} differences",
+        findings.len() - errors,
+        differences.len()
+    );
+}
+
+fn place_text(place: &Place) -> String {
+    format!("{} {}", place.kind(), place.name()).trim_end().to_owned()
+}
+
+fn finding_json(finding: &Finding) -> Value {
+    json!({
+        "severity": finding.severity.as_str(),
+        "kind": finding.place.kind(),
+        "name": finding.place.name(),
+        "problem": finding.problem,
+        "hint": finding.hint,
+    })
+}
+
+fn difference_json(difference: &Difference) -> Value {
+    json!({
+        "change": difference.kind.as_str(),
+        "kind": difference.place.kind(),
+        "name": difference.place.name(),
+        "fields": difference.fields,
+    })
+}
+
 /// Prints the merged events, after a note for each process that has dropped some of them.
 pub fn timeline(pages: Vec<TimelinePage>, since_ms: u64, as_json: bool) {
     if as_json {
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions of the direct path, on which an entry sends requests to backend servers itself.
 //!
 //! - `deployment`: the operators' configuration of routes, services and limits
+//! - `deployment_check`: checks a configuration before it comes into force
 //! - `listing`: the catalogue's records of backend servers
 //! - `update`: the updates that entries and agents send each other
 //! - `fleet`: the state of the backend servers as an entry knows it
@@ -26,6 +27,7 @@
 mod budget;
 mod crash_evidence;
 mod deployment;
+mod deployment_check;
 mod epoch;
 mod fact_time;
 mod facts;
@@ -69,6 +71,13 @@
 pub use deployment::Route;
 pub use deployment::ServiceSpec;
 pub use deployment::Target;
+pub use deployment_check::Difference;
+pub use deployment_check::DifferenceKind;
+pub use deployment_check::Finding;
+pub use deployment_check::Place;
+pub use deployment_check::Severity;
+pub use deployment_check::check_deployment;
+pub use deployment_check::deployment_differences;
 pub use epoch::CatalogueEpoch;
 pub use epoch::EpochChange;
 pub use facts::Fact;
