Test that adapters are loaded in the order of the shares

Cause: the list of adapters that an entry asks an engine for follows the order of the queue, which no test showed.

Measured: loads_follow_share fails if the list is in the order of arrival.

--- a/crates/filbertcleat-serve/tests/fair_shares.rs
+++ b/crates/filbertcleat-serve/tests/fair_shares.rs
@@ -15,6 +15,7 @@
 use self::support::demand;
 use self::support::engine_spec;
 use self::support::fleet;
+use self::support::id;
 use self::support::local_domain;
 use self::support::share_replay::Replay;
 use self::support::share_replay::SPEED;
@@ -266,6 +267,23 @@
     assert_eq!(queued.order(), "u.a.aa");
 }
 
+/// Guards against the adapters of a workspace with many requests being loaded before all others.
+#[test]
+fn loads_follow_share() {
+    let (mut fleet, spec) = (fleet(at(0), &[("a", &[])]), engine_spec());
+    let mut queue = RequestQueue::new(7);
+    for (name, adapter) in [("a", "x"), ("a", "y"), ("a", "z"), ("b", "w")] {
+        let workspace = Some(WorkspaceName::new(name));
+        queue.push(at(0), RequestDemand { workspace, ..demand(adapter, 100) }, Vec::new());
+    }
+
+    queue.dispatch(at(0), &mut fleet, &local_domain(), |_| Some(&spec));
+
+    let demands = queue.adapter_demand(&id("a"));
+    let adapters: Vec<_> = demands.iter().map(|demand| demand.key.adapter.as_str()).collect();
+    assert_eq!(adapters, ["w", "x", "y", "z"]);
+}
+
 /// Guards against callers of a workspace within its share being told to stay away for as long as a
 /// hot one keeps the engines busy.
 #[test]
