--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -1,13 +1,15 @@
 //! Decisions of the direct path, on which an entry sends requests to backend servers itself.
 //!
 //! - `deployment`: the operators' configuration of routes, services and limits
+//! - `deployment_check`: checks a configuration before it comes into force
 //! - `listing`: the catalogue's records of backend servers
 //! - `update`: the updates that entries and agents send each other
 //! - `fleet`: the state of the backend servers as an entry knows it
 //! - `return_delay`: when callers should return to paused backend servers
 //! - `placement`: selects the backend server of a request
 //! - `priority`: combines the priorities of a workspace and a route
-//! - `queue`: orders the requests that wait at an entry and dispatches them to engines
+//! - `queue`: orders the requests that wait at an entry, with equal shares for workspaces, and
+//!   dispatches them to engines
 //! - `attempts`: decides whether a request may be sent again
 //! - `budget`: limits the retries of an entry
 //! - `crash_evidence`: finds requests and parts of prompts that crash backend servers
@@ -26,6 +28,7 @@
 mod budget;
 mod crash_evidence;
 mod deployment;
+mod deployment_check;
 mod epoch;
 mod fact_time;
 mod facts;
@@ -71,6 +74,13 @@
 pub use deployment::Route;
 pub use deployment::ServiceSpec;
 pub use deployment::Target;
+pub use deployment_check::Difference;
+pub use deployment_check::DifferenceKind;
+pub use deployment_check::Finding;
+pub use deployment_check::Place;
+pub use deployment_check::Severity;
+pub use deployment_check::check_deployment;
+pub use deployment_check::deployment_differences;
 pub use epoch::CatalogueEpoch;
 pub use epoch::EpochChange;
 pub use facts::Fact;
@@ -111,6 +121,9 @@
 pub use priority::engine_priority;
 pub use priority::entry_priority;
 pub use prompt_part::PromptPart;
+pub use queue::EngineTime;
+pub use queue::FairShares;
+pub use queue::FlowId;
 pub use queue::RequestQueue;
 pub use queue::SentRequest;
 pub use queue::Ticket;
