Let agents decide when prompts are sent where entries are many

Beyond 40 entries agents tell most entries of new prompts only every 500 ms, so that 3.9 of them sent 5,292 tokens to one engine within 300 ms (medians of streams with a long gap). Each entry learned the engines' speed alone, from delayed responses too: 83 to 120 us a token at the median, where engines took 58.

Change: an entry asks the agent beside the engine when it may send a prompt; without a reply in 12 ms it sends at once. The agent also tells which adapters need another copy. Entries tell each other their observations through three agents, and leave out delayed responses. All of it only with more than 40 entries; smaller deployments are served as before.

Ruled out: a line through the middle of the responses for all deployments (gaps_hold_in_overload failed with it), clipping in place of leaving out (300 responses did not correct a wrong start).

--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -18,8 +18,10 @@
 use filbertcleat_serve::EngineReport;
 use filbertcleat_serve::EntryUpdate;
 use filbertcleat_serve::Fact;
+use filbertcleat_serve::ObservationPool;
 use filbertcleat_serve::Order;
 use filbertcleat_serve::OrderKind;
+use filbertcleat_serve::PromptTurns;
 use filbertcleat_serve::SharedFacts;
 use filbertcleat_serve::StreamOrigins;
 use filbertcleat_serve::UpdateRecipients;
@@ -96,6 +98,8 @@
         recipients: UpdateRecipients::default(),
         origins: StreamOrigins::default(),
         facts: SharedFacts::default(),
+        observations: ObservationPool::default(),
+        prompt_turns: PromptTurns::default(),
         all_facts_at: MonoTime::ZERO,
         last_update: None,
         last_update_at: MonoTime::ZERO,
@@ -130,6 +134,8 @@
     recipients: UpdateRecipients,
     origins: StreamOrigins,
     facts: SharedFacts,
+    observations: ObservationPool,
+    prompt_turns: PromptTurns,
     /// When the next list of all facts may be sent.
     all_facts_at: MonoTime,
     last_update: Option<AgentUpdate>,
@@ -221,7 +227,18 @@
                 let version = self.origins.software_version(request).cloned();
                 self.socket.send(from, &PeerUpdate::OriginReply(request, version));
             }
-            PeerUpdate::Agent(_) | PeerUpdate::OriginReply(..) => {
+            PeerUpdate::Observations { entry, services } => {
+                self.observations.record(now, entry, services);
+                let services = self.observations.others(entry);
+                self.socket.send(from, &PeerUpdate::Observations { entry, services });
+            }
+            PeerUpdate::PromptTurn { turn, request } => {
+                let reply = self.prompt_turns.assign(now, request);
+                self.socket.send(from, &PeerUpdate::PromptTurnReply { turn, reply });
+            }
+            PeerUpdate::Agent(_)
+            | PeerUpdate::OriginReply(..)
+            | PeerUpdate::PromptTurnReply { .. } => {
                 log::debug!("event=news-unexpected peer={from}");
             }
         }
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -28,6 +28,7 @@
 mod open_connection;
 mod origins;
 mod placement;
+mod prompt_turns;
 mod read_allowance;
 mod read_request;
 mod readiness;
--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -15,12 +15,14 @@
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::ModelDemand;
 use filbertcleat_serve::ServerId;
+use filbertcleat_serve::ServiceObservations;
 
 use super::facts::holders;
 use super::facts::on_facts;
 use super::notices::NoticeSource;
 use super::notices::apply_notice;
 use super::origins::on_origin_reply;
+use super::prompt_turns::on_turn_reply;
 use super::state::Entry;
 use super::state::State;
 use crate::Dialect;
@@ -40,6 +42,8 @@
 const SCAN_INTERVAL_MS: u64 = 50;
 /// The shortest interval between two digests to an agent, which leaves time for its facts to arrive.
 const DIGEST_INTERVAL_MS: u64 = 300;
+/// The interval at which the entry tells what it has observed of the engines, to one agent each time.
+const OBSERVATIONS_INTERVAL_MS: u64 = 300;
 /// The interval at which the demand for base models is counted. Agents use it once a second.
 const MODEL_DEMAND_INTERVAL_MS: u64 = 500;
 
@@ -55,6 +59,7 @@
     /// The agents that hold the facts of all entries.
     digest_receivers: Vec<SocketAddr>,
     digest_receivers_at: Option<MonoTime>,
+    observations_at: Option<MonoTime>,
     last_scan: Option<ScanState>,
 }
 
@@ -77,6 +82,7 @@
             model_demand_at: None,
             digest_receivers: Vec::new(),
             digest_receivers_at: None,
+            observations_at: None,
             last_scan: None,
         }
     }
@@ -159,7 +165,18 @@
                 on_facts(&entry, from, &facts, is_complete);
                 continue;
             }
-            PeerUpdate::Entry(_) | PeerUpdate::Origin(_) | PeerUpdate::OriginQuery(_) => {
+            PeerUpdate::Observations { entry: of, services } => {
+                on_observations(&entry, of, &services);
+                continue;
+            }
+            PeerUpdate::PromptTurnReply { turn, reply } => {
+                on_turn_reply(&entry, turn, reply);
+                continue;
+            }
+            PeerUpdate::Entry(_)
+            | PeerUpdate::Origin(_)
+            | PeerUpdate::OriginQuery(_)
+            | PeerUpdate::PromptTurn { .. } => {
                 log::debug!("event=news-unexpected peer={from}");
                 continue;
             }
@@ -207,11 +224,46 @@
     if !state.agent_updates.is_scan_due(scan) {
         return;
     }
+    if let Some((to, update)) = due_observations(now, state) {
+        entry.peers.send(to, &update);
+    }
     for (to, update) in due_updates(now, state, entry.settings.peer_port) {
         entry.peers.send(to, &PeerUpdate::Entry(update));
     }
 }
 
+/// Returns the observations for the agent whose turn it is, if they are due. Each of the agents that
+/// hold what all entries know gets them in turn.
+fn due_observations<D: Dialect>(
+    now: MonoTime,
+    state: &mut State<D>,
+) -> Option<(SocketAddr, PeerUpdate)> {
+    let updates = &mut state.agent_updates;
+    let is_recent =
+        updates.observations_at.is_some_and(|at| now.ms_since(at) < OBSERVATIONS_INTERVAL_MS);
+    if is_recent || !state.fleet.agents_assign_turns(now) {
+        return None;
+    }
+    let turn = now.ms_since(MonoTime::ZERO) / OBSERVATIONS_INTERVAL_MS;
+    let receivers = &updates.digest_receivers;
+    let to = *receivers.get((turn % receivers.len().max(1) as u64) as usize)?;
+    updates.observations_at = Some(now);
+    let services = state.fleet.own_observations().collect();
+    Some((to, PeerUpdate::Observations { entry: updates.entry, services }))
+}
+
+/// Applies what all other entries have observed.
+fn on_observations<D: Dialect>(entry: &Entry<D>, of: u64, services: &[ServiceObservations]) {
+    let state = &mut *entry.state.borrow_mut();
+    if of != state.agent_updates.entry {
+        return;
+    }
+    for observations in services.iter().filter(|observations| observations.prefill.is_valid()) {
+        state.fleet.set_others_observations(observations);
+    }
+    entry.dispatcher_wakeup.notify_one();
+}
+
 /// Returns the updates that are due, with the addresses of their agents, and records them as sent.
 fn due_updates<D: Dialect>(
     now: MonoTime,
--- a/crates/filbertcleat-gateway/src/entry/counted_attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/counted_attempt.rs
@@ -22,7 +22,7 @@
     pub entry: Rc<Entry<D>>,
     pub server: ServerId,
     pub demand: RequestDemand,
-    pub sent_at: MonoTime,
+    pub sent_at: Cell<MonoTime>,
     /// Whether the answer has shown that its request does not crash the server.
     is_sound: Cell<bool>,
     has_ended: Cell<bool>,
@@ -36,7 +36,7 @@
             entry: Rc::clone(entry),
             server,
             demand,
-            sent_at: entry.now(),
+            sent_at: Cell::new(entry.now()),
             is_sound: Cell::new(false),
             has_ended: Cell::new(false),
             is_cancelled: Cell::new(false),
@@ -82,7 +82,7 @@
     }
 
     fn run_ms(&self) -> u64 {
-        self.entry.now().ms_since(self.sent_at)
+        self.entry.now().ms_since(self.sent_at.get())
     }
 
     /// Ends the attempt with the given outcome, unless it has ended.
--- a/crates/filbertcleat-gateway/src/entry/in_flight.rs
+++ b/crates/filbertcleat-gateway/src/entry/in_flight.rs
@@ -54,6 +54,14 @@
         self.backlog_ms
     }
 
+    /// Records that the request is sent now, after its wait for a turn. The engine has meanwhile read
+    /// some of the prompts ahead.
+    pub fn on_turn(&mut self) {
+        let now = self.counted.entry.now();
+        let waited_ms = now.ms_since(self.counted.sent_at.replace(now));
+        self.backlog_ms = (self.backlog_ms - waited_ms as f64).max(0.0);
+    }
+
     /// Records that bytes of the response have arrived.
     pub fn on_response_bytes(&mut self) {
         let now = self.counted.entry.now();
@@ -81,7 +89,7 @@
         if let Some(last) = self.last_bytes_at.replace(now) {
             fleet.on_bytes_received(now, server, demand, now.ms_since(last));
         } else {
-            let wait_ms = now.ms_since(*sent_at);
+            let wait_ms = now.ms_since(sent_at.get());
             fleet.on_response_started(now, server, demand, wait_ms, self.backlog_ms);
             if demand.prompt_tokens > 0 {
                 entry.metrics.sample(Metric::TimeFromAttemptToFirstEvent, wait_ms);
--- a/crates/filbertcleat-gateway/src/entry/placement.rs
+++ b/crates/filbertcleat-gateway/src/entry/placement.rs
@@ -17,6 +17,7 @@
 use super::crashes::crash_refusal;
 use super::in_flight::InFlightAttempt;
 use super::in_flight::QueueGuard;
+use super::prompt_turns::await_turn;
 use super::refusal::RETRY_AFTER_FULL;
 use super::refusal::RETRY_AFTER_UNAVAILABLE;
 use super::refusal::Refusal;
@@ -89,6 +90,10 @@
         .max(1);
     let placed = wait_for_engine(&queued, receiver, Duration::from_millis(max_wait_ms)).await;
     let wait_cause = queued.remove();
+    let mut placed = placed;
+    if let Some(attempt) = &mut placed {
+        await_turn(entry, request, attempt).await;
+    }
     request.queued_ms += entry.now().ms_since(now);
     if let Some(attempt) = placed {
         let now = entry.now();
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -21,6 +21,7 @@
 use filbertcleat_serve::RetryBudget;
 use filbertcleat_serve::Server;
 use filbertcleat_serve::Ticket;
+use filbertcleat_serve::Workspaces;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -33,6 +34,7 @@
 use super::idle_timeouts::IdleTimeouts;
 use super::in_flight::InFlightAttempt;
 use super::origins::OriginState;
+use super::prompt_turns::OpenTurns;
 use crate::CatalogueEvent;
 use crate::Dialect;
 use crate::GatewaySettings;
@@ -86,6 +88,7 @@
     pub placements: HashMap<Ticket, oneshot::Sender<InFlightAttempt<D>>>,
     pub agent_updates: AgentUpdateState,
     pub origins: OriginState,
+    pub turns: OpenTurns,
     pub unverified_crashes: UnverifiedCrashes,
     pub abandoned_runs: AbandonedRuns,
     pub kept: KeptMarks,
@@ -125,6 +128,7 @@
                 placements: HashMap::new(),
                 agent_updates: AgentUpdateState::new(incarnation),
                 origins: OriginState::default(),
+                turns: OpenTurns::default(),
                 unverified_crashes: UnverifiedCrashes::default(),
                 abandoned_runs: AbandonedRuns::default(),
                 kept: KeptMarks::new(clock.now()),
@@ -263,7 +267,7 @@
             let idle_timeout_ms = deployment.limits.idle_timeout_ms;
             self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
             let workspaces = deployment.workspaces.iter();
-            for problem in workspaces.flat_map(|workspaces| workspaces.problems()) {
+            for problem in workspaces.flat_map(Workspaces::problems) {
                 let (workspace, kind) = (&problem.workspace, &problem.kind);
                 log::warn!(
                     "event=workspace-invalid version={version} workspace={workspace} \
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -13,6 +13,8 @@
     Retries,
     /// Streams that callers took up, by how their software version was found.
     OriginLookups,
+    /// Questions to agents when a prompt may be sent, by outcome.
+    PromptTurns,
     /// The time that a request waited for an engine.
     QueueWait,
     /// The time from the arrival of a request to its first event.
@@ -66,12 +68,13 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 30] = [
+pub const METRICS: [Metric; 31] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
     Metric::Retries,
     Metric::OriginLookups,
+    Metric::PromptTurns,
     Metric::QueueWait,
     Metric::TimeToFirstEvent,
     Metric::ExpectedTimeToFirstEvent,
@@ -108,6 +111,7 @@
             Self::Attempts => "sends",
             Self::Retries => "repeats",
             Self::OriginLookups => "origin_lookups",
+            Self::PromptTurns => "prompt_turns",
             Self::QueueWait => "queue_wait_ms",
             Self::TimeToFirstEvent => "first_event_ms",
             Self::ExpectedTimeToFirstEvent => "first_event_expected_ms",
--- a/crates/filbertcleat-gateway/src/peer_socket/convert.rs
+++ b/crates/filbertcleat-gateway/src/peer_socket/convert.rs
@@ -2,6 +2,7 @@
 
 use filbertcleat_base::AdapterName;
 use filbertcleat_base::ModelName;
+use filbertcleat_base::ServiceName;
 use filbertcleat_serve::AdapterDemand;
 use filbertcleat_serve::AdapterKey;
 use filbertcleat_serve::AdapterStage;
@@ -17,11 +18,15 @@
 use filbertcleat_serve::ModelDemand;
 use filbertcleat_serve::ModelSpec;
 use filbertcleat_serve::NamedLimit;
+use filbertcleat_serve::PrefillObservations;
 use filbertcleat_serve::PromptPart;
+use filbertcleat_serve::PromptTurn;
+use filbertcleat_serve::PromptTurnRequest;
 use filbertcleat_serve::RequestContent;
 use filbertcleat_serve::RequestHash;
 use filbertcleat_serve::RequestLimit;
 use filbertcleat_serve::ServerId;
+use filbertcleat_serve::ServiceObservations;
 use filbertcleat_serve::SoftwareVersion;
 use filbertcleat_serve::StreamOrigin;
 use filbertcleat_wire::v1;
@@ -44,6 +49,12 @@
     OriginReply(RequestHash, Option<SoftwareVersion>),
     /// Facts that all processes have to know: all that the sender has, or some.
     Facts { facts: Vec<Fact>, is_complete: bool },
+    /// What an entry has observed of the engines, or an agent's response with what all others have.
+    Observations { entry: u64, services: Vec<ServiceObservations> },
+    /// An entry's question when it may send a prompt.
+    PromptTurn { turn: u64, request: PromptTurnRequest },
+    /// The response to a `PromptTurn`.
+    PromptTurnReply { turn: u64, reply: PromptTurn },
 }
 
 /// The error for a datagram without a known update, as a newer version may send.
@@ -72,6 +83,28 @@
                 facts: facts.iter().map(fact_to_message).collect(),
                 complete: *is_complete,
             }),
+            PeerUpdate::Observations { entry, services } => {
+                datagram::Update::Observations(v1::Observations {
+                    entry: *entry,
+                    services: services.iter().map(observations_to_message).collect(),
+                })
+            }
+            PeerUpdate::PromptTurn { turn, request } => {
+                datagram::Update::PromptTurn(v1::PromptTurnRequest {
+                    turn: *turn,
+                    prefill_ms: request.prefill_ms,
+                    budget_ms: request.budget_ms,
+                    adapter: request.adapter,
+                    delay_max_ms: request.delay_max_ms,
+                })
+            }
+            PeerUpdate::PromptTurnReply { turn, reply } => {
+                datagram::Update::PromptTurnReply(v1::PromptTurnReply {
+                    turn: *turn,
+                    delay_ms: reply.delay_ms,
+                    hot: reply.is_adapter_hot,
+                })
+            }
         };
         Self { update: Some(update) }
     }
@@ -99,10 +132,53 @@
                 facts: message.facts.into_iter().filter_map(fact_from_message).collect(),
                 is_complete: message.complete,
             }),
+            datagram::Update::Observations(message) => Ok(Self::Observations {
+                entry: message.entry,
+                services: message.services.iter().map(observations_from_message).collect(),
+            }),
+            datagram::Update::PromptTurn(message) => {
+                let v1::PromptTurnRequest { turn, prefill_ms, budget_ms, adapter, delay_max_ms } =
+                    message;
+                let request = PromptTurnRequest { prefill_ms, budget_ms, delay_max_ms, adapter };
+                Ok(Self::PromptTurn { turn, request: request.checked().ok_or(UnknownUpdate)? })
+            }
+            datagram::Update::PromptTurnReply(reply) => {
+                let v1::PromptTurnReply { turn, delay_ms, hot } = reply;
+                let reply = PromptTurn { delay_ms, is_adapter_hot: hot };
+                Ok(Self::PromptTurnReply { turn, reply })
+            }
         }
     }
 }
 
+fn observations_to_message(observations: &ServiceObservations) -> v1::ServiceObservations {
+    let PrefillObservations { weight, tokens, ms, tokens_squared, tokens_ms, distance_ms } =
+        observations.prefill;
+    v1::ServiceObservations {
+        service: observations.service.to_string(),
+        weight,
+        tokens,
+        ms,
+        tokens_squared,
+        tokens_ms,
+        distance_ms,
+    }
+}
+
+fn observations_from_message(message: &v1::ServiceObservations) -> ServiceObservations {
+    ServiceObservations {
+        service: ServiceName::new(&message.service),
+        prefill: PrefillObservations {
+            weight: message.weight,
+            tokens: message.tokens,
+            ms: message.ms,
+            tokens_squared: message.tokens_squared,
+            tokens_ms: message.tokens_ms,
+            distance_ms: message.distance_ms,
+        },
+    }
+}
+
 fn fact_to_message(fact: &Fact) -> v1::Fact {
     let fact = match fact {
         Fact::Crash(mark) => fact::Fact::Crash(v1::CrashMark {
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -9,6 +9,7 @@
 mod named_limit;
 mod paused_servers;
 mod prefill_fit;
+mod prefill_observations;
 mod prefill_pacer;
 mod removed_servers;
 mod request_limit;
@@ -30,6 +31,8 @@
 pub use self::limit_source::LimitSource;
 pub use self::named_limit::NamedLimit;
 use self::paused_servers::PausedServers;
+use self::prefill_fit::ObservationFilter;
+pub use self::prefill_observations::PrefillObservations;
 pub(crate) use self::prefill_pacer::PrefillPacer;
 use self::removed_servers::RemovedServers;
 pub use self::request_limit::RequestLimit;
@@ -45,8 +48,10 @@
 use crate::RequestDemand;
 use crate::RetryBudget;
 use crate::ServerId;
+use crate::ServiceObservations;
 use crate::SharedFacts;
 use crate::SoftwareVersion;
+use crate::UpdateRecipients;
 
 /// All backend servers that an entry knows from the catalogue.
 #[derive(Clone, Debug, Default)]
@@ -230,6 +235,20 @@
         self.servers.get_mut(id).map_or(0.0, |server| server.on_sent(now, demand))
     }
 
+    /// Returns whether the entries are so many that they do not learn of each other's prompts at once.
+    /// Then agents decide when prompts are sent, and entries tell each other what they observe.
+    pub fn agents_assign_turns(&self, now: MonoTime) -> bool {
+        self.live_entries(now)
+            .is_some_and(|entries| !UpdateRecipients::are_all_prompt(entries as usize))
+    }
+
+    /// Records that the agent of a backend server lets the next prompt be sent only after a delay.
+    pub fn on_turn_delayed(&mut self, now: MonoTime, id: &ServerId, delay_ms: u64) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.on_turn_delayed(now, delay_ms);
+        }
+    }
+
     /// Records that the response to a request began `wait_ms` after the request was sent, with
     /// `backlog_ms` of prompts ahead of it.
     pub fn on_response_started(
@@ -245,8 +264,13 @@
         if demand.prompt_tokens == 0 {
             return;
         }
+        let filter = if self.agents_assign_turns(now) {
+            ObservationFilter::Undelayed
+        } else {
+            ObservationFilter::All
+        };
         self.learn(&demand.service, |model| {
-            model.line.observe(demand.prompt_tokens, idle_wait_ms);
+            model.line.observe(demand.prompt_tokens, idle_wait_ms, filter);
         });
     }
 
@@ -278,6 +302,19 @@
         }
     }
 
+    /// Returns what this entry has observed of the engines of each service.
+    pub fn own_observations(&self) -> impl Iterator<Item = ServiceObservations> {
+        self.models.iter().map(|(service, model)| ServiceObservations {
+            service: service.clone(),
+            prefill: model.line.own_observations(),
+        })
+    }
+
+    /// Sets what the other entries have observed of a service's engines.
+    pub fn set_others_observations(&mut self, others: &ServiceObservations) {
+        self.learn(&others.service, |model| model.line.set_others(others.prefill));
+    }
+
     /// Returns the number of requests that this entry has ever sent to backend servers.
     pub fn total_attempts(&self) -> u64 {
         self.total_attempts
--- a/crates/filbertcleat-serve/src/fleet/prefill_fit.rs
+++ b/crates/filbertcleat-serve/src/fleet/prefill_fit.rs
@@ -1,5 +1,7 @@
 //! Learns how the time to the first event depends on the length of the prompt.
 
+use super::PrefillObservations;
+
 /// The expected time to the first event of a prompt on an idle engine: a line over the prompt
 /// length, fitted to the responses of all engines of a service.
 ///
@@ -14,24 +16,26 @@
 /// Load pattern: single responses are much faster than the line (their prompt was cached) or much
 /// slower (prompts of other entries were ahead). Their distance from the line is therefore clipped
 /// to a few times the usual distance.
+///
+/// Where agents decide when prompts are sent (`PromptTurns`), responses that took longer by more than
+/// the usual distance are left out: delays by other prompts grow with the prompt, and a line that
+/// includes them is a margin against prompts that collide, which the agents already keep apart. If
+/// engines turn slow, the usual distance grows until their responses count again.
+///
+/// Entries tell each other their observations. In a large fleet a single entry sees so few responses
+/// that the pessimistic assumptions would hold for tens of seconds, in which requests wait beside
+/// idle engines.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PrefillFit {
-    sums: Sums,
+    /// The assumptions and the entry's own observations.
+    own: PrefillObservations,
+    /// What the other entries have observed.
+    others: PrefillObservations,
     observations: u32,
-    /// The average distance of observations from the line.
+    /// The average distance of the entry's own observations from the line.
     distance_ms: f64,
 }
 
-/// Weighted sums over the observations.
-#[derive(Clone, Copy, Debug, Default)]
-struct Sums {
-    weight: f64,
-    tokens: f64,
-    ms: f64,
-    tokens_squared: f64,
-    tokens_ms: f64,
-}
-
 impl PrefillFit {
     /// The assumed time to the first event of an empty prompt. Like the assumed rate it is
     /// pessimistic and has the weight of a small part of one observation.
@@ -49,90 +53,102 @@
     const DISTANCES_MIN: u32 = 20;
     /// The largest distance of an observation, in average distances.
     const DISTANCE_MAX: f64 = 3.0;
+    /// The distance above the line from which a response counts as delayed, in average distances. If
+    /// the engines turn twice as slow, only long prompts exceed it, and not for long.
+    const DELAYED_DISTANCE: f64 = 1.5;
     /// The lowest slope, as a part of the slope of a line through zero.
     const SLOPE_MIN: f64 = 0.2;
 
     /// Creates a line from the pessimistic assumptions.
     pub fn new() -> Self {
-        let mut sums = Sums::default();
+        let mut own = PrefillObservations::default();
         for tokens in [0.0, Self::PRIOR_TOKENS] {
             let ms = Self::PRIOR_FIRST_MS + tokens * Self::PRIOR_MS_PER_TOKEN;
-            sums.add(Self::PRIOR_WEIGHT, tokens, ms);
+            own.add(Self::PRIOR_WEIGHT, tokens, ms);
         }
-        Self { sums, observations: 0, distance_ms: Self::PRIOR_FIRST_MS }
+        Self {
+            own,
+            others: PrefillObservations::default(),
+            observations: 0,
+            distance_ms: Self::PRIOR_FIRST_MS,
+        }
+    }
+
+    /// Returns the entry's own observations.
+    pub fn own_observations(&self) -> PrefillObservations {
+        PrefillObservations { distance_ms: self.distance_ms, ..self.own }
+    }
+
+    /// Sets what the other entries have observed.
+    pub fn set_others(&mut self, others: PrefillObservations) {
+        self.others = others;
     }
 
     /// Records that the first event of a prompt came after `wait_ms`, without the time that the
     /// engine needed for the prompts ahead.
-    pub fn observe(&mut self, prompt_tokens: u64, wait_ms: f64) {
+    pub fn observe(&mut self, prompt_tokens: u64, wait_ms: f64, filter: ObservationFilter) {
         let expected_ms = self.first_event_ms(prompt_tokens);
         let mut distance_ms = wait_ms - expected_ms;
+        let mut is_delayed = false;
         if self.is_settled() {
-            let limit_ms = self.distance_ms * Self::DISTANCE_MAX;
+            let mean_ms = self.mean_distance_ms();
+            is_delayed = distance_ms > mean_ms * Self::DELAYED_DISTANCE;
+            let limit_ms = mean_ms * Self::DISTANCE_MAX;
             distance_ms = distance_ms.clamp(-limit_ms, limit_ms);
         }
         self.observations = self.observations.saturating_add(1).min(Self::DISTANCES_MIN);
         let distance_weight = 1.0 / f64::from(self.observations);
         self.distance_ms += (distance_ms.abs() - self.distance_ms) * distance_weight;
-        self.sums.decay(Self::RETENTION);
-        self.sums.add(1.0, prompt_tokens as f64, expected_ms + distance_ms);
+        if is_delayed && filter == ObservationFilter::Undelayed {
+            return;
+        }
+        self.own.decay(Self::RETENTION);
+        self.own.add(1.0, prompt_tokens as f64, expected_ms + distance_ms);
     }
 
     /// Returns whether enough responses have replaced the assumptions.
     pub fn is_settled(&self) -> bool {
-        self.observations >= Self::DISTANCES_MIN
+        let others = self.others.weight;
+        f64::from(self.observations) + others >= f64::from(Self::DISTANCES_MIN)
     }
 
     /// Returns the expected time to the first event on an idle engine.
     pub fn first_event_ms(&self, prompt_tokens: u64) -> f64 {
-        let Sums { weight, tokens, ms, .. } = self.sums;
+        let PrefillObservations { weight, tokens, ms, .. } = self.all();
         let slope = self.fitted_slope();
         (ms / weight + (prompt_tokens as f64 - tokens / weight) * slope).max(0.0)
     }
 
     /// Returns the prefill time per token, by its standard error above the fitted one.
     pub fn ms_per_token(&self) -> f64 {
-        let error = self.distance_ms / self.sums.token_variance().sqrt();
-        (self.fitted_slope() + error).min(self.sums.slope_through_zero())
+        let all = self.all();
+        let error = self.mean_distance_ms() / all.token_variance().sqrt();
+        (self.fitted_slope() + error).min(all.slope_through_zero())
     }
 
     fn fitted_slope(&self) -> f64 {
-        let Sums { weight, tokens, ms, tokens_ms, .. } = self.sums;
-        let slope = (tokens_ms - tokens * ms / weight) / self.sums.token_variance();
-        let through_zero = self.sums.slope_through_zero();
+        let all = self.all();
+        let PrefillObservations { weight, tokens, ms, tokens_ms, .. } = all;
+        let slope = (tokens_ms - tokens * ms / weight) / all.token_variance();
+        let through_zero = all.slope_through_zero();
         slope.clamp(through_zero * Self::SLOPE_MIN, through_zero)
     }
-}
-
-impl Sums {
-    fn add(&mut self, weight: f64, tokens: f64, ms: f64) {
-        self.weight += weight;
-        self.tokens += weight * tokens;
-        self.ms += weight * ms;
-        self.tokens_squared += weight * tokens * tokens;
-        self.tokens_ms += weight * tokens * ms;
-    }
 
-    fn decay(&mut self, retention: f64) {
-        for sum in [
-            &mut self.weight,
-            &mut self.tokens,
-            &mut self.ms,
-            &mut self.tokens_squared,
-            &mut self.tokens_ms,
-        ] {
-            *sum *= retention;
-        }
+    fn all(&self) -> PrefillObservations {
+        self.own.merged(&self.others)
     }
 
-    /// Returns the weighted sum of the squared distances of the prompt lengths from their mean, at
-    /// least one token squared.
-    fn token_variance(&self) -> f64 {
-        (self.tokens_squared - self.tokens * self.tokens / self.weight).max(1.0)
+    /// Returns the average distance of all observations from the line.
+    fn mean_distance_ms(&self) -> f64 {
+        self.own_observations().merged(&self.others).distance_ms
     }
+}
 
-    /// Returns the slope of the line through zero and the means.
-    fn slope_through_zero(&self) -> f64 {
-        self.ms / self.tokens.max(1.0)
-    }
+/// Which observations determine a line.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ObservationFilter {
+    /// All of them.
+    All,
+    /// Those that other prompts did not delay.
+    Undelayed,
 }
--- a/crates/filbertcleat-serve/src/fleet/prefill_pacer.rs
+++ b/crates/filbertcleat-serve/src/fleet/prefill_pacer.rs
@@ -3,10 +3,12 @@
 use std::collections::VecDeque;
 
 use filbertcleat_base::MonoTime;
+use filbertcleat_base::stable_hash;
 
 use super::engine_model::EngineModel;
 use super::engine_pace::EnginePace;
 use super::gap_control::GapControl;
+use crate::PromptTurnRequest;
 use crate::RequestDemand;
 
 /// Paces the prompts sent to one engine.
@@ -127,6 +129,11 @@
         self.extend_backlog(now, tokens);
     }
 
+    /// Records that the agent lets the next prompt be sent only after a delay.
+    pub fn on_turn_delayed(&mut self, now: MonoTime, delay_ms: u64) {
+        self.read_at = self.read_at.max(now.plus_ms(delay_ms));
+    }
+
     /// Returns the prompt tokens that all entries have sent within the window.
     pub fn recent_tokens(&self, now: MonoTime) -> u64 {
         let own = self.sent.iter().filter(|(at, _)| now.ms_since(*at) <= Self::WINDOW_MS);
@@ -173,6 +180,17 @@
         recent_ms + prompt_ms <= budget_ms && backlog_ms <= backlog_max_ms
     }
 
+    /// Returns what an agent has to know to decide when a prompt may be sent, or `None` for a request
+    /// that is not streamed.
+    pub fn turn_request(&self, demand: &RequestDemand) -> Option<PromptTurnRequest> {
+        (demand.gap_objective_ms > 0).then(|| PromptTurnRequest {
+            prefill_ms: demand.prompt_tokens as f64 * self.ms_per_token(),
+            budget_ms: self.prefill_budget_ms(demand),
+            delay_max_ms: (demand.latency_objective_ms as f64 * Self::BACKLOG_SHARE) as u64,
+            adapter: demand.adapter.as_ref().map(|key| stable_hash(key.adapter.as_str())),
+        })
+    }
+
     /// Returns the rate at which prompts may be sent without stalling the running streams for
     /// longer than the request's gap objective, in tokens per millisecond.
     pub fn tokens_per_ms(&self, demand: &RequestDemand) -> f64 {
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -18,7 +18,9 @@
 use crate::AdapterStage;
 use crate::AgentUpdate;
 use crate::ListedServer;
+use crate::PromptTurnRequest;
 use crate::RequestDemand;
+use crate::UpdateRecipients;
 
 /// The state of one backend server as an entry knows it.
 #[derive(Clone, Debug)]
@@ -279,6 +281,19 @@
         self.prefill.tokens_per_ms(demand)
     }
 
+    /// Returns what the server's agent has to know to decide when a prompt may be sent, or `None` if
+    /// the agent need not be asked.
+    ///
+    /// It is asked only if its entries are so many that they don't learn of each other's prompts at
+    /// once.
+    pub fn turn_request(&self, now: MonoTime, demand: &RequestDemand) -> Option<PromptTurnRequest> {
+        let entries = self.fresh_update(now)?.live_entries;
+        if UpdateRecipients::are_all_prompt(entries as usize) {
+            return None;
+        }
+        self.prefill.turn_request(demand)
+    }
+
     /// Returns the learned prefill time per token, in milliseconds.
     pub fn ms_per_token(&self) -> f64 {
         self.prefill.ms_per_token()
@@ -319,6 +334,11 @@
         self.limits.record(now, source, named, entries, phase)
     }
 
+    /// Records that the server's agent lets the next prompt be sent only after a delay.
+    pub(super) fn on_turn_delayed(&mut self, now: MonoTime, delay_ms: u64) {
+        self.prefill.on_turn_delayed(now, delay_ms);
+    }
+
     /// Sets what the servers of the service have shown.
     pub(super) fn set_model(&mut self, model: EngineModel) {
         self.prefill.set_model(model);
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -3,10 +3,12 @@
 //! - `deployment`: the operators' configuration of routes, services and limits
 //! - `listing`: the catalogue's records of backend servers
 //! - `update`: the updates that entries and agents send each other
+//! - `observations`: what entries tell each other of the engines' speed
 //! - `fleet`: the state of the backend servers as an entry knows it
 //! - `return_delay`: when callers should return to paused backend servers
 //! - `placement`: selects the backend server of a request
 //! - `priority`: combines the priorities of a workspace and a route
+//! - `prompt_turns`: decides when entries may send prompts to an engine
 //! - `queue`: orders the requests that wait at an entry and dispatches them to engines
 //! - `attempts`: decides whether a request may be sent again
 //! - `budget`: limits the retries of an entry
@@ -33,9 +35,11 @@
 mod kept_marks;
 mod key;
 mod listing;
+mod observations;
 mod placement;
 mod priority;
 mod prompt_part;
+mod prompt_turns;
 mod queue;
 mod recipients;
 mod request;
@@ -77,6 +81,7 @@
 pub use fleet::Fleet;
 pub use fleet::LimitSource;
 pub use fleet::NamedLimit;
+pub use fleet::PrefillObservations;
 pub use fleet::RequestLimit;
 pub use fleet::RequestedPause;
 pub use fleet::Server;
@@ -90,9 +95,12 @@
 pub use listing::ListedModel;
 pub use listing::ListedServer;
 pub use listing::ListingChange;
+pub use observations::ObservationPool;
+pub use observations::ServiceObservations;
 pub use placement::Placement;
 pub use placement::QueueWait;
 pub use placement::engine_pause_end;
+pub use placement::place_early_copy;
 pub use placement::place_engine;
 pub use placement::place_plain;
 pub use placement::plain_pause_end;
@@ -100,6 +108,9 @@
 pub use priority::engine_priority;
 pub use priority::entry_priority;
 pub use prompt_part::PromptPart;
+pub use prompt_turns::PromptTurn;
+pub use prompt_turns::PromptTurnRequest;
+pub use prompt_turns::PromptTurns;
 pub use queue::RequestQueue;
 pub use queue::SentRequest;
 pub use queue::Ticket;
--- a/crates/filbertcleat-serve/src/placement.rs
+++ b/crates/filbertcleat-serve/src/placement.rs
@@ -183,6 +183,35 @@
     }
 }
 
+/// Selects the engine that should load another copy of a hot adapter before the engines with it are
+/// busy, or returns `None` if one is being loaded. All entries select the same one.
+///
+/// Load pattern: a fleet of so many entries that they learn late of each other's prompts. The engines
+/// with a popular adapter look free to each of them while all of them together fill those engines,
+/// and the streams there pause although most of the fleet is idle.
+pub fn place_early_copy(
+    now: MonoTime,
+    fleet: &Fleet,
+    engine_spec: &EngineSpec,
+    demand: &RequestDemand,
+) -> Option<ServerId> {
+    let key = demand.adapter.as_ref()?;
+    let usable = fleet.servers_for(demand).filter(|server| server.is_usable(now));
+    let others: Vec<&Server> =
+        usable.filter(|server| !server.has_adapter(key, demand.min_version)).collect();
+    if others.iter().any(|server| server.is_loading_adapter(now, key, demand.min_version)) {
+        return None;
+    }
+    let may_load = |server: &&Server| {
+        !server.is_limited()
+            && server.fresh_update(now).is_some()
+            && server.has_prefill_capacity(now, demand)
+            && !server.is_full(now, demand, engine_spec.batch_limit)
+    };
+    let loaders = others.into_iter().filter(may_load).collect();
+    choose_loader(now, demand, loaders).map(|server| server.listed.id.clone())
+}
+
 /// Returns the paused engine with the adapter that opens before a load elsewhere would be complete.
 ///
 /// The adapters of a paused engine would otherwise displace those of the other engines, which would
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -26,6 +26,7 @@
 use crate::RequestDemand;
 use crate::Server;
 use crate::ServerId;
+use crate::place_early_copy;
 use crate::place_engine;
 
 /// The requests that wait for an engine, in the order of their priority and arrival.
@@ -37,6 +38,16 @@
     requests: BTreeMap<Ticket, QueuedRequest>,
     load_wait: LoadWait,
     arrivals: ArrivalRates,
+    /// The copies of hot adapters that engines should load, and when they were last wanted.
+    early_copies: BTreeMap<AdapterKey, EarlyCopy>,
+}
+
+/// A copy of a hot adapter that an engine should load before the other engines with it are busy.
+#[derive(Debug)]
+struct EarlyCopy {
+    loader: ServerId,
+    demand: AdapterDemand,
+    wanted_at: MonoTime,
 }
 
 #[derive(Debug)]
@@ -62,6 +73,9 @@
     /// become free at the same moment. The random delay lets the agent announce the prompt of the
     /// first entry before the others send theirs.
     const JITTER_PER_ENTRY_MS: u64 = 8;
+    /// How long a copy of a hot adapter stays wanted after the last request that showed the need: the
+    /// time to load one while several are loaded.
+    const EARLY_COPY_WANTED_MS: u64 = 600;
     /// The longest jitter span, which is short compared with the latency objective of any stream.
     const JITTER_MAX_MS: u64 = 60;
 
@@ -74,6 +88,7 @@
             requests: BTreeMap::new(),
             load_wait: LoadWait::new(),
             arrivals: ArrivalRates::default(),
+            early_copies: BTreeMap::new(),
         }
     }
 
@@ -158,6 +173,8 @@
         local_domain: &FailureDomain,
         engine_spec: impl Fn(&RequestDemand) -> Option<&'a EngineSpec>,
     ) -> Vec<SentRequest> {
+        self.early_copies
+            .retain(|_, copy| now.ms_since(copy.wanted_at) <= Self::EARLY_COPY_WANTED_MS);
         let mut ready = Vec::new();
         let mut reserved = Vec::new();
         let live_entries = u64::from(fleet.live_entries(now).unwrap_or(1));
@@ -222,6 +239,26 @@
         ready
     }
 
+    /// Wants another copy of a request's adapter, which an agent has found to be hot.
+    pub fn want_early_copy(
+        &mut self,
+        now: MonoTime,
+        fleet: &Fleet,
+        demand: &RequestDemand,
+        engine_spec: &EngineSpec,
+    ) {
+        let Some(key) = &demand.adapter else { return };
+        let Some(loader) = place_early_copy(now, fleet, engine_spec, demand) else { return };
+        let adapter_demand = AdapterDemand {
+            key: key.clone(),
+            min_version: demand.min_version,
+            priority: demand.priority,
+            waiting_requests: 0,
+        };
+        let copy = EarlyCopy { loader, demand: adapter_demand, wanted_at: now };
+        self.early_copies.insert(key.clone(), copy);
+    }
+
     /// Estimates how long a new request with this demand would wait for capacity, or returns `None`
     /// while no engine with its model is usable.
     ///
@@ -276,6 +313,12 @@
                 }),
             }
         }
+        let copies = self.early_copies.values().filter(|copy| copy.loader == *server);
+        for EarlyCopy { demand, .. } in copies {
+            if demands.iter().all(|known| known.key != demand.key) {
+                demands.push(demand.clone());
+            }
+        }
         demands
     }
 }
--- a/crates/filbertcleat-serve/src/recipients.rs
+++ b/crates/filbertcleat-serve/src/recipients.rs
@@ -43,6 +43,11 @@
     /// The time after which a promptly sent announcement has reached its recipients.
     const PROMPT_DELAY_MS: u64 = 120;
 
+    /// Returns whether each of this number of entries learns of the others' prompts at once.
+    pub(crate) fn are_all_prompt(entries: usize) -> bool {
+        entries <= Self::PROMPT_RECIPIENTS_MAX
+    }
+
     /// Records an update of an entry, which makes the entry a recipient.
     pub fn on_entry_update(&mut self, now: MonoTime, from: SocketAddr, update: &EntryUpdate) {
         let known = self.recipients.get(&from).filter(|known| known.entry == update.entry);
@@ -67,7 +72,7 @@
     /// as sent. `has_changes` tells whether there are changes that the last update did not contain.
     pub fn due_recipients(&mut self, now: MonoTime, has_changes: bool) -> Vec<(SocketAddr, u64)> {
         self.recipients.retain(|_, recipient| now.ms_since(recipient.received_at) <= Self::LIVE_MS);
-        let is_prompt_for_all = self.recipients.len() <= Self::PROMPT_RECIPIENTS_MAX;
+        let is_prompt_for_all = Self::are_all_prompt(self.recipients.len());
         let mut due = Vec::new();
         for (address, recipient) in &mut self.recipients {
             let is_prompt = is_prompt_for_all
@@ -94,7 +99,7 @@
 
     /// Returns the time after which an announcement has reached all entries.
     pub fn announcement_delay_ms(&self) -> u64 {
-        let is_prompt_for_all = self.recipients.len() <= Self::PROMPT_RECIPIENTS_MAX;
+        let is_prompt_for_all = Self::are_all_prompt(self.recipients.len());
         if is_prompt_for_all {
             Self::PROMPT_DELAY_MS
         } else {
