--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -38,6 +38,7 @@
 use super::in_flight::InFlightAttempt;
 use super::kept_origins::observe_versions;
 use super::origins::OriginState;
+use super::prompt_turns::OpenTurns;
 use crate::CatalogueEvent;
 use crate::Dialect;
 use crate::GatewaySettings;
@@ -101,6 +102,7 @@
     pub placements: HashMap<Ticket, oneshot::Sender<InFlightAttempt<D>>>,
     pub agent_updates: AgentUpdateState,
     pub origins: OriginState,
+    pub turns: OpenTurns,
     pub unverified_crashes: UnverifiedCrashes,
     pub abandoned_runs: AbandonedRuns,
     pub kept: KeptMarks,
@@ -146,6 +148,7 @@
                 placements: HashMap::new(),
                 agent_updates: AgentUpdateState::new(incarnation),
                 origins,
+                turns: OpenTurns::default(),
                 unverified_crashes: UnverifiedCrashes::default(),
                 abandoned_runs: AbandonedRuns::default(),
                 kept: KeptMarks::new(clock.now()),
