Place plain requests by learned response times

Cause: plain services were routed by this entry's open requests alone. With 20 to 43 entries an entry has hardly any open request, so that a slow or stalled server got as many requests as the others, and requests stayed in their domain at an assumed cost of 15 ms, whatever the way took.

Change: an entry learns the median and the 99% quantile of the response times per route and service (at most 256), and per server a lasting factor (speed and way) and a recent one (stalls, requests of other entries), which decays in 0.4 s and counts open requests that take long before they end. place_plain adds the expected excess over the median, and charges 2% of the objective for another domain once a server's response times hold the way. One request of 32 goes to any server. All of this applies only to routes whose 99% quantile exceeds half of the objective; other routes, and an entry with fewer than 30 responses, are placed as before.

The number of live entries is not used: response times show the work of other entries without it, also where no agents exist.

--- a/crates/filbertcleat-gateway/src/entry/counted_attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/counted_attempt.rs
@@ -94,7 +94,11 @@
             self.on_broken();
         }
         let now = self.entry.now();
-        self.entry.state.borrow_mut().fleet.on_ended(now, &self.server, &self.demand, outcome);
+        let fleet = &mut self.entry.state.borrow_mut().fleet;
+        if outcome == AttemptOutcome::Answered {
+            fleet.on_plain_answered(now, &self.server, &self.demand, self.sent_at);
+        }
+        fleet.on_ended(now, &self.server, &self.demand, outcome);
         let outcome = match outcome {
             AttemptOutcome::Answered => "answered",
             AttemptOutcome::Failed => "failed",
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -82,6 +82,7 @@
     let parts = metadata.prompt_parts.iter().copied().take(PROMPT_PARTS_MAX);
     let parts = parts.map(CrashSuspect::Part);
     let demand = RequestDemand {
+        route: route.name.as_str().into(),
         service: service.clone(),
         model: metadata.model.clone(),
         adapter: metadata.adapter.clone(),
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -263,7 +263,7 @@
             let idle_timeout_ms = deployment.limits.idle_timeout_ms;
             self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
             let workspaces = deployment.workspaces.iter();
-            for problem in workspaces.flat_map(|workspaces| workspaces.problems()) {
+            for problem in workspaces.flat_map(filbertcleat_serve::Workspaces::problems) {
                 let (workspace, kind) = (&problem.workspace, &problem.kind);
                 log::warn!(
                     "event=workspace-invalid version={version} workspace={workspace} \
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -8,13 +8,17 @@
 mod limit_state;
 mod named_limit;
 mod paused_servers;
+mod plain_pace;
 mod prefill_fit;
 mod prefill_pacer;
+mod quantile;
 mod removed_servers;
 mod request_limit;
 mod request_permits;
 mod requested_pause;
 mod server;
+mod service_time;
+mod service_times;
 mod share_ceiling;
 
 use std::collections::BTreeMap;
@@ -24,6 +28,7 @@
 use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
+use filbertcleat_base::mix_hashes;
 
 pub use self::attempt_outcome::AttemptOutcome;
 use self::engine_model::EngineModel;
@@ -35,6 +40,8 @@
 pub use self::request_limit::RequestLimit;
 pub use self::requested_pause::RequestedPause;
 pub use self::server::Server;
+pub(crate) use self::service_time::ServiceTime;
+use self::service_times::ServiceTimes;
 use crate::AgentUpdate;
 use crate::CrashEvidence;
 use crate::CrashMark;
@@ -60,6 +67,8 @@
     paused: PausedServers,
     /// What the engines of each service have shown.
     models: BTreeMap<ServiceName, EngineModel>,
+    /// The response times of the routes to services without engines.
+    service_times: ServiceTimes,
     total_attempts: u64,
     /// The number of live entries when a server last named a limit.
     last_live_entries: Option<u32>,
@@ -227,7 +236,12 @@
     /// for the prompts ahead of it, in milliseconds.
     pub fn on_sent(&mut self, now: MonoTime, id: &ServerId, demand: &RequestDemand) -> f64 {
         self.total_attempts += 1;
-        self.servers.get_mut(id).map_or(0.0, |server| server.on_sent(now, demand))
+        let Some(server) = self.servers.get_mut(id) else { return 0.0 };
+        if demand.is_plain() {
+            let median_ms = self.service_times.get(demand).map(ServiceTime::median_ms);
+            server.plain.on_sent(now, median_ms);
+        }
+        server.on_sent(now, demand)
     }
 
     /// Records that the response to a request began `wait_ms` after the request was sent, with
@@ -250,6 +264,57 @@
         });
     }
 
+    /// Records that a server without an engine answered a request in full that was sent to it at
+    /// `sent_at`. Streams say nothing of the service time and are passed over.
+    pub fn on_plain_answered(
+        &mut self,
+        now: MonoTime,
+        id: &ServerId,
+        demand: &RequestDemand,
+        sent_at: MonoTime,
+    ) {
+        if !demand.is_plain() {
+            return;
+        }
+        let Some(server) = self.servers.get_mut(id) else { return };
+        let response_ms = now.since(sent_at).as_secs_f64() * 1_000.0;
+        let times = self.service_times.get(demand);
+        let median_ms = times.map_or(response_ms, ServiceTime::median_ms);
+        let error = server.plain.on_answered(now, sent_at, median_ms);
+        self.service_times.observe(demand, response_ms, error);
+    }
+
+    /// Returns the expected response time of a request at a server without an engine, once enough
+    /// responses of its route are known.
+    pub fn expected_response_ms(
+        &self,
+        now: MonoTime,
+        id: &ServerId,
+        demand: &RequestDemand,
+    ) -> Option<f64> {
+        let times = self.service_times.get(demand).filter(|times| times.is_settled())?;
+        Some(self.servers.get(id)?.plain.expected_ms(now, times.median_ms()))
+    }
+
+    /// Returns the response time of a request's route at servers without engines that one of a
+    /// hundred responses exceeds, and the median factor between responses and estimates.
+    pub fn response_spread(&self, demand: &RequestDemand) -> Option<(f64, f64)> {
+        let times = self.service_times.get(demand).filter(|times| times.is_settled())?;
+        Some((times.high_ms(), times.error_factor()))
+    }
+
+    /// Returns the learned response times of a request's route if slow servers may make its
+    /// responses late.
+    pub(crate) fn times_at_risk(&self, demand: &RequestDemand) -> Option<&ServiceTime> {
+        let times = self.service_times.get(demand).filter(|_| demand.is_plain())?;
+        times.is_at_risk(demand.latency_objective_ms).then_some(times)
+    }
+
+    /// Returns a number that differs between entries and between the requests of an entry.
+    pub(crate) fn draw(&self) -> u64 {
+        mix_hashes(self.seed, self.total_attempts)
+    }
+
     /// Records the outcome of a request that was sent to a backend server.
     pub fn on_ended(
         &mut self,
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -13,6 +13,7 @@
 use super::attempt_outcome::AttemptOutcome;
 use super::engine_model::EngineModel;
 use super::limit_state::LimitState;
+use super::plain_pace::PlainPace;
 use super::prefill_pacer::PrefillPacer;
 use crate::AdapterKey;
 use crate::AdapterStage;
@@ -37,6 +38,8 @@
     pub(super) paused_until: MonoTime,
     /// The limit on requests that the server names.
     pub(super) limits: LimitState,
+    /// How the responses compare with those of other servers, without an engine.
+    pub(crate) plain: PlainPace,
     address_hash: u64,
     prefill: PrefillPacer,
     memory_since_update_tokens: u64,
@@ -77,6 +80,7 @@
             has_announced_leaving: false,
             paused_until: MonoTime::ZERO,
             limits: LimitState::default(),
+            plain: PlainPace::new(now),
             prefill: PrefillPacer::new(now, model),
             memory_since_update_tokens: 0,
             update: None,
@@ -376,6 +380,7 @@
         outcome: AttemptOutcome,
     ) {
         self.open_requests = self.open_requests.saturating_sub(1);
+        self.plain.set_open(self.open_requests);
         if self.open_requests == 0 {
             self.busy_since = None;
         }
--- a/crates/filbertcleat-serve/src/placement.rs
+++ b/crates/filbertcleat-serve/src/placement.rs
@@ -10,6 +10,7 @@
 use crate::RequestDemand;
 use crate::Server;
 use crate::ServerId;
+use crate::fleet::ServiceTime;
 
 /// The decision on a request in one pass over the queue.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -43,6 +44,20 @@
 /// The cost of a server that fails every request. Lower failure rates cost proportionally less.
 const FAILURE_COST_MS: f64 = 3_000.0;
 
+/// The cost of a server whose concurrency limit this entry uses alone, without known response times.
+/// A local server is preferred until half of its limit is in use.
+const FULL_SERVER_COST_MS: f64 = CROSS_DOMAIN_COST_MS * 2.0;
+/// The same in medians of the response times, for services that take longer. Other entries use the
+/// server too, so that it queues requests well before this entry alone reaches the limit.
+const FULL_SERVER_MEDIANS: f64 = 2.0;
+/// The price of traffic between domains, as a part of the latency objective, where the delay is
+/// known from response times. A gain that is smaller than that decides hardly ever whether a
+/// response is in time.
+const CROSS_DOMAIN_PRICE_SHARE: f64 = 0.02;
+/// One request of this many is sent to any server if responses are at risk of being late. Most
+/// requests stay in the domain.
+const SAMPLE_INTERVAL: u64 = 32;
+
 /// The state of a waiting request that affects its placement.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct QueueWait<'a> {
@@ -262,14 +277,25 @@
                 && (!is_any_relieved || has_free_concurrency(server))
         })
     };
-    let cheapest = |only_usable: bool| {
-        candidates(only_usable).filter(|server| !avoided.contains(&server.listed.id)).min_by(
-            |left, right| {
-                let cost = |server| plain_cost_ms(server, local_domain);
-                cost(left).total_cmp(&cost(right))
-            },
+    let times = fleet.times_at_risk(demand);
+    let cost_ms = |server: &Server| {
+        times.map_or_else(
+            || plain_cost_ms(server, local_domain),
+            |times| learned_plain_cost_ms(now, server, demand, times, local_domain),
         )
     };
+    let cheapest = |only_usable: bool| {
+        candidates(only_usable)
+            .filter(|server| !avoided.contains(&server.listed.id))
+            .min_by(|left, right| cost_ms(left).total_cmp(&cost_ms(right)))
+    };
+    if times.is_some()
+        && let Some(other) = choose_sample(fleet, || {
+            candidates(true).filter(|server| !avoided.contains(&server.listed.id))
+        })
+    {
+        return Some(other.listed.id.clone());
+    }
     // A server in failure backoff is better than none.
     cheapest(true).or_else(|| cheapest(false)).map(|server| server.listed.id.clone())
 }
@@ -345,14 +371,55 @@
 
 /// Returns the cost of sending a request to a plain backend server, as an equivalent delay.
 fn plain_cost_ms(server: &Server, local_domain: &FailureDomain) -> f64 {
-    // A local server is preferred until half of its concurrency limit is in use.
-    let utilization =
-        f64::from(server.open_requests) / f64::from(server.listed.concurrency_limit.max(1));
-    utilization * CROSS_DOMAIN_COST_MS * 2.0
+    utilization(server) * FULL_SERVER_COST_MS
         + cross_domain_cost_ms(server, local_domain)
         + server.failure_rate() * FAILURE_COST_MS
 }
 
+/// Returns the part of a server's concurrency limit that this entry uses.
+fn utilization(server: &Server) -> f64 {
+    f64::from(server.open_requests) / f64::from(server.listed.concurrency_limit.max(1))
+}
+
+/// Returns the cost of sending a request to a plain backend server of a route whose response times
+/// are known.
+///
+/// The response times at a server include the way to it, so that only the price of traffic between
+/// domains is added for a server that has answered often enough.
+fn learned_plain_cost_ms(
+    now: MonoTime,
+    server: &Server,
+    demand: &RequestDemand,
+    times: &ServiceTime,
+    local_domain: &FailureDomain,
+) -> f64 {
+    let median_ms = times.median_ms();
+    let crossing_ms = cross_domain_cost_ms(server, local_domain);
+    let price_ms = demand.latency_objective_ms as f64 * CROSS_DOMAIN_PRICE_SHARE;
+    let crossing_ms =
+        if server.plain.is_settled() { crossing_ms.min(price_ms) } else { crossing_ms };
+    let full_ms = (median_ms * FULL_SERVER_MEDIANS).max(FULL_SERVER_COST_MS);
+    utilization(server) * full_ms
+        + crossing_ms
+        + (server.plain.expected_ms(now, median_ms) - median_ms)
+        + server.failure_rate() * FAILURE_COST_MS
+}
+
+/// Selects any server for a few requests, so that an entry also knows the response times of those
+/// that it does not use otherwise.
+fn choose_sample<'a, I: Iterator<Item = &'a Server>>(
+    fleet: &Fleet,
+    candidates: impl Fn() -> I,
+) -> Option<&'a Server> {
+    let draw = fleet.draw();
+    if !draw.is_multiple_of(SAMPLE_INTERVAL) {
+        return None;
+    }
+    let count = candidates().count().max(1);
+    let index = (draw / SAMPLE_INTERVAL) as usize % count;
+    candidates().nth(index).filter(|server| has_free_concurrency(server))
+}
+
 fn cross_domain_cost_ms(server: &Server, local_domain: &FailureDomain) -> f64 {
     if server.listed.domain == *local_domain { 0.0 } else { CROSS_DOMAIN_COST_MS }
 }
--- a/crates/filbertcleat-serve/src/request.rs
+++ b/crates/filbertcleat-serve/src/request.rs
@@ -5,6 +5,8 @@
 use filbertcleat_base::ModelName;
 use filbertcleat_base::ServiceName;
 use filbertcleat_base::WorkspaceName;
+use filbertcleat_base::mix_hashes;
+use filbertcleat_base::stable_hash;
 
 use crate::AdapterKey;
 use crate::CrashSuspect;
@@ -13,6 +15,8 @@
 /// The properties of a request that affect its placement.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestDemand {
+    /// The name of the route.
+    pub route: Rc<str>,
     /// The service that the request is routed to.
     pub service: ServiceName,
     /// The base model, if the request names one.
@@ -46,6 +50,16 @@
         self.software_version.as_ref().is_none_or(|allowed| allowed == version)
     }
 
+    /// Returns whether the request has no prompt to be read, and its response comes as a whole.
+    pub fn is_plain(&self) -> bool {
+        self.prompt_tokens == 0 && self.gap_objective_ms == 0
+    }
+
+    /// Returns the hash of the route and the service, whose requests are alike.
+    pub(crate) fn route_hash(&self) -> u64 {
+        mix_hashes(stable_hash(&self.route), stable_hash(self.service.as_str()))
+    }
+
     /// Returns the KV cache memory that the request may need, in tokens.
     pub fn memory_tokens(&self) -> u64 {
         self.prompt_tokens + self.output_tokens_max
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod agent;
 pub mod engine;
+pub mod plain_load;
 pub mod prefill_engine;
 
 use filbertcleat_base::AdapterName;
@@ -101,6 +102,7 @@
 /// Returns a request for an adapter with a prompt of the given length.
 pub fn demand(adapter: &str, prompt_tokens: u64) -> RequestDemand {
     RequestDemand {
+        route: "writer".into(),
         service: ServiceName::new("writer"),
         model: Some(ModelName::new("base")),
         adapter: Some(key(adapter)),
