Learn the output lengths of adapters and weigh engines by them

Cause: an entry knew only the largest number of tokens of an output, and each running request cost an engine the same.

Change: finished streams that were read from their first event teach the mean number of events per route and per adapter (4,096 adapters in a set-associative table of 100 KB a service, weighed with the route's mean), the error, and a 99% quantile common to the service. The tokens of an event are bounded by the streams that reach their largest number. The load of an engine in the placement cost counts this entry's own requests by their expected output; requests of other entries count as one of mean length, as do all before 200 streams are known.

Partial: the progress of running streams and the prompts not yet read by others are not part of the load, and agents do not report outputs. The memory check keeps the present rule (the largest number of tokens).

--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -57,6 +57,7 @@
     let relay = StreamRelay {
         entry: Rc::clone(entry),
         last_event_id: request.metadata.last_event_id,
+        events: request.metadata.last_event_id.is_none().then_some(0),
         request,
         sender,
         is_resumable,
@@ -78,6 +79,8 @@
     is_resumable: bool,
     pub(super) last_event_id: Option<u64>,
     last_bytes_at: Option<MonoTime>,
+    /// The events that were received, if the stream is read from its first event.
+    events: Option<u32>,
 }
 
 /// How the stream of one backend server ended.
@@ -103,6 +106,7 @@
             let next = match end {
                 StreamEnd::Complete => {
                     source.complete(&self.entry.pool);
+                    self.learn_length();
                     self.log_end(&server, Outcome::Streamed);
                     return;
                 }
@@ -130,6 +134,15 @@
                 return;
             };
             source = next;
+            self.events = None;
+        }
+    }
+
+    /// Records the length of a complete stream of one backend server.
+    fn learn_length(&self) {
+        if let Some(events) = self.events {
+            let fleet = &mut self.entry.state.borrow_mut().fleet;
+            fleet.on_stream_complete(&self.request.demand, events);
         }
     }
 
@@ -180,6 +193,8 @@
                 }
             };
             self.record_gap();
+            let count = u32::try_from(events.len()).unwrap_or(u32::MAX);
+            self.events = self.events.map(|known| known.saturating_add(count));
             for event in events {
                 self.keep_software_version(source);
                 if let Some(end) = self.pass_on(event, deadline).await {
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The state of all backend servers as an entry knows it.
 
+mod adapter_lengths;
 mod attempt_outcome;
 mod engine_model;
 mod engine_pace;
@@ -7,6 +8,8 @@
 mod limit_source;
 mod limit_state;
 mod named_limit;
+mod output_estimate;
+mod output_lengths;
 mod paused_servers;
 mod plain_pace;
 mod prefill_fit;
@@ -20,6 +23,7 @@
 mod service_time;
 mod service_times;
 mod share_ceiling;
+mod token_rate;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -34,6 +38,8 @@
 use self::engine_model::EngineModel;
 pub use self::limit_source::LimitSource;
 pub use self::named_limit::NamedLimit;
+pub use self::output_estimate::OutputEstimate;
+use self::output_lengths::OutputLengths;
 use self::paused_servers::PausedServers;
 pub(crate) use self::prefill_pacer::PrefillPacer;
 use self::removed_servers::RemovedServers;
@@ -69,6 +75,8 @@
     models: BTreeMap<ServiceName, EngineModel>,
     /// The response times of the routes to services without engines.
     service_times: ServiceTimes,
+    /// The output lengths of the streams of each service.
+    outputs: BTreeMap<ServiceName, OutputLengths>,
     total_attempts: u64,
     /// The number of live entries when a server last named a limit.
     last_live_entries: Option<u32>,
@@ -241,7 +249,8 @@
             let median_ms = self.service_times.get(demand).map(ServiceTime::median_ms);
             server.plain.on_sent(now, median_ms);
         }
-        server.on_sent(now, demand)
+        let output = self.outputs.get(&demand.service).and_then(|known| known.estimate(demand));
+        server.on_sent(now, demand, output)
     }
 
     /// Records that the response to a request began `wait_ms` after the request was sent, with
@@ -296,6 +305,23 @@
         Some(self.servers.get(id)?.plain.expected_ms(now, times.median_ms()))
     }
 
+    /// Records the number of events of a stream that was read from its first event to its end.
+    pub fn on_stream_complete(&mut self, demand: &RequestDemand, events: u32) {
+        let outputs = self.outputs.entry(demand.service.clone());
+        outputs.or_insert_with(OutputLengths::new).observe(demand, events);
+    }
+
+    /// Returns the expected output length of a request, once enough streams are known.
+    pub fn output_estimate(&self, demand: &RequestDemand) -> Option<OutputEstimate> {
+        self.outputs.get(&demand.service)?.estimate(demand)
+    }
+
+    /// Returns the factors between output lengths of a service and their estimates, in either
+    /// direction, which half and nine tenths of the streams do not exceed.
+    pub fn output_error_factors(&self, service: &ServiceName) -> Option<(f64, f64)> {
+        Some(self.outputs.get(service)?.error_factors())
+    }
+
     /// Returns the response time of a request's route at servers without engines that one of a
     /// hundred responses exceeds, and the median factor between responses and estimates.
     pub fn response_spread(&self, demand: &RequestDemand) -> Option<(f64, f64)> {
@@ -324,7 +350,8 @@
         outcome: AttemptOutcome,
     ) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.on_ended(now, demand, outcome);
+            let output = self.outputs.get(&demand.service).and_then(|known| known.estimate(demand));
+            server.on_ended(now, demand, output, outcome);
         }
     }
 
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -9,6 +9,7 @@
 
 use super::LimitSource;
 use super::NamedLimit;
+use super::OutputEstimate;
 use super::RequestLimit;
 use super::attempt_outcome::AttemptOutcome;
 use super::engine_model::EngineModel;
@@ -43,6 +44,8 @@
     address_hash: u64,
     prefill: PrefillPacer,
     memory_since_update_tokens: u64,
+    /// The sum of the expected outputs of this entry's open requests, as multiples of the mean.
+    open_outputs: f64,
     /// The latest update of the server's agent and when it arrived.
     update: Option<(MonoTime, AgentUpdate)>,
     adapters_in_use: BTreeMap<AdapterKey, u32>,
@@ -83,6 +86,7 @@
             plain: PlainPace::new(now),
             prefill: PrefillPacer::new(now, model),
             memory_since_update_tokens: 0,
+            open_outputs: 0.0,
             update: None,
             adapters_in_use: BTreeMap::new(),
             backoff_until: MonoTime::ZERO,
@@ -243,6 +247,13 @@
         }
     }
 
+    /// Returns the work that the requests in the server's batch and queue cause, in requests with
+    /// outputs of mean length. Only the outputs of this entry's own requests are known by adapter.
+    pub fn output_load(&self, now: MonoTime) -> f64 {
+        let others = self.request_load(now).saturating_sub(self.open_requests);
+        f64::from(others) + self.open_outputs
+    }
+
     /// Returns whether a request would have to wait because the batch or the KV cache has no free
     /// capacity.
     pub fn is_full(&self, now: MonoTime, demand: &RequestDemand, batch_limit: u32) -> bool {
@@ -330,7 +341,12 @@
 
     /// Records that a request is sent to the server. Returns the time that the server needs for the
     /// prompts ahead of it, in milliseconds.
-    pub(super) fn on_sent(&mut self, now: MonoTime, demand: &RequestDemand) -> f64 {
+    pub(super) fn on_sent(
+        &mut self,
+        now: MonoTime,
+        demand: &RequestDemand,
+        output: Option<OutputEstimate>,
+    ) -> f64 {
         self.limits.on_sent(now);
         if self.open_requests == 0 {
             self.busy_since = Some(now);
@@ -338,6 +354,7 @@
         self.open_requests += 1;
         self.sent_since_update += 1;
         self.memory_since_update_tokens += demand.memory_tokens();
+        self.open_outputs += relative_output(output);
         if let Some(key) = &demand.adapter {
             *self.adapters_in_use.entry(key.clone()).or_default() += 1;
         }
@@ -377,12 +394,16 @@
         &mut self,
         now: MonoTime,
         demand: &RequestDemand,
+        output: Option<OutputEstimate>,
         outcome: AttemptOutcome,
     ) {
         self.open_requests = self.open_requests.saturating_sub(1);
         self.plain.set_open(self.open_requests);
+        self.open_outputs = (self.open_outputs - relative_output(output)).max(0.0);
         if self.open_requests == 0 {
             self.busy_since = None;
+            // Estimates change while requests run, so that the sum need not return to zero.
+            self.open_outputs = 0.0;
         }
         if let Some(key) = &demand.adapter
             && let Some(count) = self.adapters_in_use.get_mut(key)
@@ -436,3 +457,8 @@
             .is_some_and(|since| now.ms_since(since.max(self.last_byte_at)) > Self::SILENCE_MS)
     }
 }
+
+/// Returns the expected output of a request as a multiple of the mean, which is 1 if it is unknown.
+fn relative_output(output: Option<OutputEstimate>) -> f64 {
+    output.map_or(1.0, |output| output.relative)
+}
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -77,6 +77,7 @@
 pub use fleet::Fleet;
 pub use fleet::LimitSource;
 pub use fleet::NamedLimit;
+pub use fleet::OutputEstimate;
 pub use fleet::RequestLimit;
 pub use fleet::RequestedPause;
 pub use fleet::Server;
--- a/crates/filbertcleat-serve/src/placement.rs
+++ b/crates/filbertcleat-serve/src/placement.rs
@@ -39,7 +39,8 @@
 const LOAD_BOUND_FACTOR: f64 = 1.3;
 /// The number of requests that the load bound adds to the scaled mean.
 const LOAD_BOUND_OFFSET: f64 = 4.0;
-/// The cost of one request in the batch to the other requests, through longer decoding steps.
+/// The cost of one request with an output of mean length in the batch to the other requests, through
+/// longer decoding steps.
 const RUNNING_REQUEST_COST_MS: f64 = 1.0;
 /// The cost of a server that fails every request. Lower failure rates cost proportionally less.
 const FAILURE_COST_MS: f64 = 3_000.0;
@@ -364,7 +365,7 @@
     local_domain: &FailureDomain,
 ) -> f64 {
     server.estimated_first_event_ms(now, demand)
-        + f64::from(server.request_load(now)) * RUNNING_REQUEST_COST_MS
+        + server.output_load(now) * RUNNING_REQUEST_COST_MS
         + cross_domain_cost_ms(server, local_domain)
         + server.failure_rate() * FAILURE_COST_MS
 }
--- a/crates/filbertcleat-serve/src/request.rs
+++ b/crates/filbertcleat-serve/src/request.rs
@@ -60,6 +60,13 @@
         mix_hashes(stable_hash(&self.route), stable_hash(self.service.as_str()))
     }
 
+    /// Returns the hash of the route and the adapter, whose outputs are alike.
+    pub(crate) fn adapter_hash(&self) -> Option<u64> {
+        let key = self.adapter.as_ref()?;
+        let names = mix_hashes(stable_hash(key.model.as_str()), stable_hash(key.adapter.as_str()));
+        Some(mix_hashes(self.route_hash(), names))
+    }
+
     /// Returns the KV cache memory that the request may need, in tokens.
     pub fn memory_tokens(&self) -> u64 {
         self.prompt_tokens + self.output_tokens_max
