--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -1,23 +1,33 @@
 //! The state of all backend servers as an entry knows it.
 
+mod adapter_lengths;
 mod attempt_outcome;
 mod engine_model;
 mod engine_pace;
 mod former_versions;
 mod gap_control;
+mod kept_prefixes;
+mod kept_share;
 mod limit_source;
 mod limit_state;
 mod named_limit;
+mod output_estimate;
+mod output_lengths;
 mod paused_servers;
+mod plain_pace;
 mod prefill_fit;
 mod prefill_observations;
 mod prefill_pacer;
+mod quantile;
 mod removed_servers;
 mod request_limit;
 mod request_permits;
 mod requested_pause;
 mod server;
+mod service_time;
+mod service_times;
 mod share_ceiling;
+mod token_rate;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -26,12 +36,15 @@
 use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
+use filbertcleat_base::mix_hashes;
 
 pub use self::attempt_outcome::AttemptOutcome;
 use self::engine_model::EngineModel;
 use self::former_versions::FormerVersions;
 pub use self::limit_source::LimitSource;
 pub use self::named_limit::NamedLimit;
+pub use self::output_estimate::OutputEstimate;
+use self::output_lengths::OutputLengths;
 use self::paused_servers::PausedServers;
 use self::prefill_fit::ObservationFilter;
 pub use self::prefill_observations::PrefillObservations;
@@ -40,6 +53,8 @@
 pub use self::request_limit::RequestLimit;
 pub use self::requested_pause::RequestedPause;
 pub use self::server::Server;
+pub(crate) use self::service_time::ServiceTime;
+use self::service_times::ServiceTimes;
 use crate::AgentUpdate;
 use crate::CrashEvidence;
 use crate::CrashMark;
@@ -68,6 +83,10 @@
     paused: PausedServers,
     /// What the engines of each service have shown.
     models: BTreeMap<ServiceName, EngineModel>,
+    /// The response times of the routes to services without engines.
+    service_times: ServiceTimes,
+    /// The output lengths of the streams of each service.
+    outputs: BTreeMap<ServiceName, OutputLengths>,
     total_attempts: u64,
     /// The number of live entries when a server last named a limit.
     last_live_entries: Option<u32>,
@@ -235,7 +254,13 @@
     /// for the prompts ahead of it, in milliseconds.
     pub fn on_sent(&mut self, now: MonoTime, id: &ServerId, demand: &RequestDemand) -> f64 {
         self.total_attempts += 1;
-        self.servers.get_mut(id).map_or(0.0, |server| server.on_sent(now, demand))
+        let Some(server) = self.servers.get_mut(id) else { return 0.0 };
+        if demand.is_plain() {
+            let median_ms = self.service_times.get(demand).map(ServiceTime::median_ms);
+            server.plain.on_sent(now, median_ms);
+        }
+        let output = self.outputs.get(&demand.service).and_then(|known| known.estimate(demand));
+        server.on_sent(now, demand, output)
     }
 
     /// Returns whether the entries are so many that they do not learn of each other's prompts at once.
@@ -263,6 +288,7 @@
         backlog_ms: f64,
     ) {
         let Some(server) = self.servers.get_mut(id) else { return };
+        let kept_tokens = server.kept_tokens(now, demand);
         let idle_wait_ms = server.on_response_started(now, demand, wait_ms, backlog_ms);
         if demand.prompt_tokens == 0 {
             return;
@@ -273,10 +299,78 @@
             ObservationFilter::All
         };
         self.learn(&demand.service, |model| {
-            model.line.observe(demand.prompt_tokens, idle_wait_ms, filter);
+            model.observe_response(demand.prompt_tokens, kept_tokens, idle_wait_ms, filter);
         });
     }
 
+    /// Records that a server without an engine answered a request in full that was sent to it at
+    /// `sent_at`. Streams say nothing of the service time and are passed over.
+    pub fn on_plain_answered(
+        &mut self,
+        now: MonoTime,
+        id: &ServerId,
+        demand: &RequestDemand,
+        sent_at: MonoTime,
+    ) {
+        if !demand.is_plain() {
+            return;
+        }
+        let Some(server) = self.servers.get_mut(id) else { return };
+        let response_ms = now.since(sent_at).as_secs_f64() * 1_000.0;
+        let times = self.service_times.get(demand);
+        let median_ms = times.map_or(response_ms, ServiceTime::median_ms);
+        let error = server.plain.on_answered(now, sent_at, median_ms);
+        self.service_times.observe(demand, response_ms, error);
+    }
+
+    /// Returns the expected response time of a request at a server without an engine, once enough
+    /// responses of its route are known.
+    pub fn expected_response_ms(
+        &self,
+        now: MonoTime,
+        id: &ServerId,
+        demand: &RequestDemand,
+    ) -> Option<f64> {
+        let times = self.service_times.get(demand).filter(|times| times.is_settled())?;
+        Some(self.servers.get(id)?.plain.expected_ms(now, times.median_ms()))
+    }
+
+    /// Records the number of events of a stream that was read from its first event to its end.
+    pub fn on_stream_complete(&mut self, demand: &RequestDemand, events: u32) {
+        let outputs = self.outputs.entry(demand.service.clone());
+        outputs.or_insert_with(OutputLengths::new).observe(demand, events);
+    }
+
+    /// Returns the expected output length of a request, once enough streams are known.
+    pub fn output_estimate(&self, demand: &RequestDemand) -> Option<OutputEstimate> {
+        self.outputs.get(&demand.service)?.estimate(demand)
+    }
+
+    /// Returns the factors between output lengths of a service and their estimates, in either
+    /// direction, which half and nine tenths of the streams do not exceed.
+    pub fn output_error_factors(&self, service: &ServiceName) -> Option<(f64, f64)> {
+        Some(self.outputs.get(service)?.error_factors())
+    }
+
+    /// Returns the response time of a request's route at servers without engines that one of a
+    /// hundred responses exceeds, and the median factor between responses and estimates.
+    pub fn response_spread(&self, demand: &RequestDemand) -> Option<(f64, f64)> {
+        let times = self.service_times.get(demand).filter(|times| times.is_settled())?;
+        Some((times.high_ms(), times.error_factor()))
+    }
+
+    /// Returns the learned response times of a request's route if slow servers may make its
+    /// responses late.
+    pub(crate) fn times_at_risk(&self, demand: &RequestDemand) -> Option<&ServiceTime> {
+        let times = self.service_times.get(demand).filter(|_| demand.is_plain())?;
+        times.is_at_risk(demand.latency_objective_ms).then_some(times)
+    }
+
+    /// Returns a number that differs between entries and between the requests of an entry.
+    pub(crate) fn draw(&self) -> u64 {
+        mix_hashes(self.seed, self.total_attempts)
+    }
+
     /// Records the outcome of a request that was sent to a backend server.
     pub fn on_ended(
         &mut self,
@@ -286,7 +380,8 @@
         outcome: AttemptOutcome,
     ) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.on_ended(now, demand, outcome);
+            let output = self.outputs.get(&demand.service).and_then(|known| known.estimate(demand));
+            server.on_ended(now, demand, output, outcome);
         }
     }
 
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -9,10 +9,13 @@
 
 use super::LimitSource;
 use super::NamedLimit;
+use super::OutputEstimate;
 use super::RequestLimit;
 use super::attempt_outcome::AttemptOutcome;
 use super::engine_model::EngineModel;
+use super::kept_prefixes::KeptPrefixes;
 use super::limit_state::LimitState;
+use super::plain_pace::PlainPace;
 use super::prefill_pacer::PrefillPacer;
 use crate::AdapterKey;
 use crate::AdapterStage;
@@ -39,12 +42,18 @@
     pub(super) paused_until: MonoTime,
     /// The limit on requests that the server names.
     pub(super) limits: LimitState,
+    /// How the responses compare with those of other servers, without an engine.
+    pub(crate) plain: PlainPace,
     address_hash: u64,
     prefill: PrefillPacer,
     memory_since_update_tokens: u64,
+    /// The sum of the expected outputs of this entry's open requests, as multiples of the mean.
+    open_outputs: f64,
     /// The latest update of the server's agent and when it arrived.
     update: Option<(MonoTime, AgentUpdate)>,
     adapters_in_use: BTreeMap<AdapterKey, u32>,
+    /// The beginnings of prompts that the engine has recently read.
+    kept: KeptPrefixes,
     backoff_until: MonoTime,
     consecutive_failures: u32,
     failure_rate: f64,
@@ -79,10 +88,13 @@
             has_announced_leaving: false,
             paused_until: MonoTime::ZERO,
             limits: LimitState::default(),
+            plain: PlainPace::new(now),
             prefill: PrefillPacer::new(now, model),
             memory_since_update_tokens: 0,
+            open_outputs: 0.0,
             update: None,
             adapters_in_use: BTreeMap::new(),
+            kept: KeptPrefixes::default(),
             backoff_until: MonoTime::ZERO,
             consecutive_failures: 0,
             failure_rate: 0.0,
@@ -241,6 +253,13 @@
         }
     }
 
+    /// Returns the work that the requests in the server's batch and queue cause, in requests with
+    /// outputs of mean length. Only the outputs of this entry's own requests are known by adapter.
+    pub fn output_load(&self, now: MonoTime) -> f64 {
+        let others = self.request_load(now).saturating_sub(self.open_requests);
+        f64::from(others) + self.open_outputs
+    }
+
     /// Returns whether a request would have to wait because the batch or the KV cache has no free
     /// capacity.
     pub fn is_full(&self, now: MonoTime, demand: &RequestDemand, batch_limit: u32) -> bool {
@@ -256,12 +275,33 @@
 
     /// Estimates the time to the first event of a request that is sent now.
     pub fn estimated_first_event_ms(&self, now: MonoTime, demand: &RequestDemand) -> f64 {
-        self.prefill.first_event_ms(now, demand)
+        self.prefill.first_event_ms(now, self.read_tokens(now, demand))
     }
 
     /// Estimates the time to the first event of a request if no other prompt is being prefilled.
     pub fn idle_first_event_ms(&self, demand: &RequestDemand) -> f64 {
-        self.prefill.idle_first_event_ms(demand)
+        self.prefill.idle_first_event_ms(demand.prompt_tokens)
+    }
+
+    /// Returns the length of the part of a prompt that the engine has recently read.
+    pub(super) fn kept_tokens(&self, now: MonoTime, demand: &RequestDemand) -> u64 {
+        // The free memory is known only from the agent.
+        self.fresh_update(now).map_or(0, |update| {
+            let free_tokens = update.memory_tokens.saturating_sub(update.memory_used_tokens);
+            self.kept.kept_tokens(self.total_prompt_tokens(), free_tokens, &demand.prefixes)
+        })
+    }
+
+    /// Returns the total of prompt tokens that all entries are known to have sent to the server.
+    fn total_prompt_tokens(&self) -> u64 {
+        let others = self.update.as_ref().map_or(0, |(_, update)| update.others_total_tokens);
+        self.sent_prompt_tokens() + others
+    }
+
+    /// Returns the tokens of a prompt that the engine is expected to read.
+    pub fn read_tokens(&self, now: MonoTime, demand: &RequestDemand) -> u64 {
+        let kept_tokens = self.kept_tokens(now, demand);
+        self.prefill.model().read_tokens(demand.prompt_tokens, kept_tokens)
     }
 
     /// Returns whether a prompt can be sent now without stalling the running streams for longer
@@ -347,7 +387,12 @@
 
     /// Records that a request is sent to the server. Returns the time that the server needs for the
     /// prompts ahead of it, in milliseconds.
-    pub(super) fn on_sent(&mut self, now: MonoTime, demand: &RequestDemand) -> f64 {
+    pub(super) fn on_sent(
+        &mut self,
+        now: MonoTime,
+        demand: &RequestDemand,
+        output: Option<OutputEstimate>,
+    ) -> f64 {
         self.limits.on_sent(now);
         if self.open_requests == 0 {
             self.busy_since = Some(now);
@@ -356,6 +401,7 @@
         self.sent_since_update += 1;
         self.memory_since_update_tokens =
             self.memory_since_update_tokens.saturating_add(demand.memory_tokens());
+        self.open_outputs += relative_output(output);
         if let Some(key) = &demand.adapter {
             *self.adapters_in_use.entry(key.clone()).or_default() += 1;
         }
@@ -375,6 +421,7 @@
         if demand.prompt_tokens == 0 {
             return wait_ms as f64;
         }
+        self.kept.record(self.total_prompt_tokens(), &demand.prefixes);
         self.prefill.on_response_started(demand, wait_ms, backlog_ms)
     }
 
@@ -395,11 +442,16 @@
         &mut self,
         now: MonoTime,
         demand: &RequestDemand,
+        output: Option<OutputEstimate>,
         outcome: AttemptOutcome,
     ) {
         self.open_requests = self.open_requests.saturating_sub(1);
+        self.plain.set_open(self.open_requests);
+        self.open_outputs = (self.open_outputs - relative_output(output)).max(0.0);
         if self.open_requests == 0 {
             self.busy_since = None;
+            // Estimates change while requests run, so that the sum need not return to zero.
+            self.open_outputs = 0.0;
         }
         if let Some(key) = &demand.adapter
             && let Some(count) = self.adapters_in_use.get_mut(key)
@@ -453,3 +505,8 @@
             .is_some_and(|since| now.ms_since(since.max(self.last_byte_at)) > Self::SILENCE_MS)
     }
 }
+
+/// Returns the expected output of a request as a multiple of the mean, which is 1 if it is unknown.
+fn relative_output(output: Option<OutputEstimate>) -> f64 {
+    output.map_or(1.0, |output| output.relative)
+}
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod agent;
 pub mod engine;
+pub mod plain_load;
 pub mod prefill_engine;
 pub mod share_replay;
 
@@ -102,12 +103,14 @@
 /// Returns a request for an adapter with a prompt of the given length.
 pub fn demand(adapter: &str, prompt_tokens: u64) -> RequestDemand {
     RequestDemand {
+        route: "writer".into(),
         service: ServiceName::new("writer"),
         model: Some(ModelName::new("base")),
         adapter: Some(key(adapter)),
         min_version: 0,
         software_version: None,
         crash_suspects: Vec::new().into(),
+        prefixes: Vec::new().into(),
         prompt_tokens,
         output_tokens_max: 100,
         latency_objective_ms: 1_000,
