Give a server that takes up a stream its own time for an event

The limit starts again with the new server; the number of attempts bounds how often.

resumed_stream_has_time failed before: cut after event 3.

--- a/crates/filbertcleat-gateway/src/entry/stream_moves.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_moves.rs
@@ -146,6 +146,8 @@
             self.request.attempts += 1;
             failure = match self.open(attempt).await {
                 Ok(source) => {
+                    // The new server has its own time for its first event.
+                    self.progress_at = self.entry.now();
                     self.log_resumed(&source);
                     return Some(source);
                 }
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -75,8 +75,8 @@
     is_resumable: bool,
     pub(super) last_event_id: Option<u64>,
     last_bytes_at: Option<MonoTime>,
-    /// When the stream last got on, by an event with data.
-    progress_at: MonoTime,
+    /// When the stream last got on, by an event with data or a new backend server.
+    pub(super) progress_at: MonoTime,
 }
 
 /// How the stream of one backend server ended.
--- a/crates/filbertcleat-gateway/tests/stalled_streams.rs
+++ b/crates/filbertcleat-gateway/tests/stalled_streams.rs
@@ -303,6 +303,23 @@
     });
 }
 
+/// Guards against the cut of a stream right after another server took it up, because the resumption
+/// took as long as callers wait for an event. This caller is still there.
+#[test]
+fn resumed_stream_has_time() {
+    World::run(async {
+        let broken: &[Step] = &[Step::Head, Step::EventsTo(3), Step::Close];
+        let broken = SteppedServer::start("w1", "here", broken).await;
+        let queued = Step::Wait(Duration::from_secs(2));
+        let reads_prompt = Step::Wait(Duration::from_secs(1));
+        let second = [queued, Step::Head, reads_prompt, Step::EventsTo(5), Step::End];
+        let second = SteppedServer::start("w2", DISTANT, second.to_vec().leak()).await;
+        let world = start_world(2, &[&broken, &second]).await;
+
+        expect_whole_stream(&world).await;
+    });
+}
+
 /// The silent server would end its stream in time, and the second one can't.
 #[test]
 fn late_move_deadline() {
