Decide on the allowances of workspaces with buckets at agents

Cause: the rate and burst of a workspace were read from the configuration and limited nothing.

Change: the decisions of allowances, without their wiring. The tokens of a workspace lie in up to six buckets at agents that all entries choose alike (`BucketAgents`). `AllowanceLedger` decides at the entry on a request, asks a bucket if too few tokens are in hand, and returns what is not spent within 200 ms of asking. `AllowanceBuckets` grants at the agent. Besides its level a bucket counts its net grants within the last window, so that the bound does not depend on returns or on requests larger than the level. A bucket whose holder changes is announced to the one before, which sends entries with older lists on, so that two agents don't grant the same tokens. Messages for all of this.

Ruled out: counting returned tokens where they arrive (tokens in circulation add up to a second burst), a common rendezvous order of all buckets of a workspace (one leaving agent moved all six), expecting requests after a clump (21 to 43 entries then held tokens that others were refused for).

--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -16,11 +16,13 @@
 //! - `recipients`: decides when an agent sends updates to which entries
 //! - `holders`: chooses the agents that hold what entries have to know from each other
 //! - `stream_origins`: remembers which software version began a stream
+//! - `allowances`: limits what the requests of a workspace cost over all entries
 //! - `workspaces`: customers with API keys, priorities and allowances
 //! - `scheduler`: decides which load and unload orders an agent sends to its engine
 //!
 //! The functions in this crate get the time as an argument and do no I/O.
 
+mod allowances;
 mod attempts;
 mod budget;
 mod crash_evidence;
@@ -48,6 +50,20 @@
 mod update;
 mod workspaces;
 
+pub use allowances::AllowanceBounds;
+pub use allowances::AllowanceBuckets;
+pub use allowances::AllowanceCharge;
+pub use allowances::AllowanceDecision;
+pub use allowances::AllowanceGrant;
+pub use allowances::AllowanceLedger;
+pub use allowances::AllowanceMessage;
+pub use allowances::AllowanceMove;
+pub use allowances::AllowanceRefusal;
+pub use allowances::AllowanceRequest;
+pub use allowances::AllowanceReturn;
+pub use allowances::AllowanceTicket;
+pub use allowances::BucketId;
+pub use allowances::BucketSpec;
 pub use attempts::Attempts;
 pub use attempts::FailedAttempt;
 pub use attempts::NextAttempt;
@@ -80,6 +96,7 @@
 pub use fleet::RequestLimit;
 pub use fleet::RequestedPause;
 pub use fleet::Server;
+pub use holders::BucketAgents;
 pub use holders::fact_holders;
 pub use holders::origin_holders;
 pub use kept_marks::KeepStep;
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only some of the builders")]
 
 pub mod agent;
+pub mod allowance_site;
 pub mod engine;
 pub mod prefill_engine;
 
