Charge requests to the allowances of their workspaces

Change: the entry charges each request of a workspace with an allowance after it has been read and before it is placed. A request over the allowance gets 429 with the time at which there are tokens; if too few agents respond to tell, it gets 503. The tokens of a request that was refused, or whose attempts have provably not run, go back. Agents hold the buckets and answer. The settings `bounds.quotaWindowS`, `quotaOverage` and `quotaSlack` state the bound; without the first, allowances are not applied and nothing is sent. Log lines of refusals and, at debug level, of grants; a counter by workspace and a gauge of levels, each with 32 labels and `other`.

Ruled out: refusing with 429 when agents do not respond (callers do not try another entry then), charging when the request is placed (a retry would count twice).

--- a/crates/filbertcleat-daemon/src/prepared.rs
+++ b/crates/filbertcleat-daemon/src/prepared.rs
@@ -91,7 +91,7 @@
             let engine = PreparedEngine::new(engine, settings.name.clone(), client);
             let peers = SocketAddr::new(settings.ip, settings.peer_port);
             let listeners = AgentListeners::bind(peers, metrics).await?;
-            run_agent(&settings.name, listeners, engine, shutdown).await;
+            run_agent(&settings.name, settings.allowance_bounds, listeners, engine, shutdown).await;
             Ok(())
         }
     }
--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -3,6 +3,7 @@
 mod engine_notices;
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +16,10 @@
 use filbertcleat_serve::AdapterScheduler;
 use filbertcleat_serve::AdapterStage;
 use filbertcleat_serve::AgentUpdate;
+use filbertcleat_serve::AllowanceBounds;
+use filbertcleat_serve::AllowanceBuckets;
+use filbertcleat_serve::AllowanceMessage;
+use filbertcleat_serve::BucketId;
 use filbertcleat_serve::EngineReport;
 use filbertcleat_serve::EntryUpdate;
 use filbertcleat_serve::Fact;
@@ -37,6 +42,7 @@
 use crate::clock::Clock;
 use crate::listen::bind_if;
 use crate::logs::dropped_log_lines;
+use crate::metrics::LabelSet;
 use crate::metrics::Metric;
 use crate::metrics::Metrics;
 use crate::metrics::serve_metrics;
@@ -64,8 +70,11 @@
 }
 
 /// Runs an agent until `shutdown` is triggered. It must run within a `LocalSet`.
+///
+/// Without bounds on allowances it holds no tokens of workspaces.
 pub async fn run_agent<E: EngineControl>(
     name: &NodeName,
+    allowance_bounds: Option<AllowanceBounds>,
     listeners: AgentListeners,
     engine: E,
     shutdown: ShutdownSignal,
@@ -75,15 +84,21 @@
     let metrics = Metrics::new();
     let clock = Clock::start();
     let engine_reported_at = Rc::new(Cell::new(MonoTime::ZERO));
+    let id = incarnation_id();
+    let allowances = allowance_bounds
+        .map(|bounds| Rc::new(RefCell::new(AllowanceBuckets::new(id as u32, bounds))));
     if let Some(listener) = metrics_listener {
+        let (held, labels) = (allowances.clone(), Rc::new(RefCell::new(LabelSet::default())));
         let reported_at = Rc::clone(&engine_reported_at);
         let refresh = move |metrics: &Metrics| {
             metrics.gauge(Metric::EngineAge, &[], clock.now().ms_since(reported_at.get()));
             metrics.gauge(Metric::DroppedLogLines, &[], dropped_log_lines());
+            if let Some(held) = &held {
+                update_level_gauges(metrics, clock.now(), &held.borrow(), &mut labels.borrow_mut());
+            }
         };
         spawn_local(serve_metrics(listener, metrics.clone(), refresh));
     }
-    let id = incarnation_id();
     let mut agent = Agent {
         clock,
         metrics,
@@ -96,6 +111,7 @@
         recipients: UpdateRecipients::default(),
         origins: StreamOrigins::default(),
         facts: SharedFacts::default(),
+        allowances,
         all_facts_at: MonoTime::ZERO,
         last_update: None,
         last_update_at: MonoTime::ZERO,
@@ -130,6 +146,8 @@
     recipients: UpdateRecipients,
     origins: StreamOrigins,
     facts: SharedFacts,
+    /// The tokens of workspaces, if the settings bound their allowances.
+    allowances: Option<Rc<RefCell<AllowanceBuckets>>>,
     /// When the next list of all facts may be sent.
     all_facts_at: MonoTime,
     last_update: Option<AgentUpdate>,
@@ -221,6 +239,7 @@
                 let version = self.origins.software_version(request).cloned();
                 self.socket.send(from, &PeerUpdate::OriginReply(request, version));
             }
+            PeerUpdate::Allowance(message) => self.handle_allowance(now, from, &message),
             PeerUpdate::Agent(_) | PeerUpdate::OriginReply(..) => {
                 log::debug!("event=news-unexpected peer={from}");
             }
@@ -228,6 +247,32 @@
         None
     }
 
+    /// Answers a request for tokens of a workspace, or takes tokens back.
+    fn handle_allowance(&self, now: MonoTime, from: SocketAddr, message: &AllowanceMessage) {
+        let Some(allowances) = &self.allowances else { return };
+        let mut allowances = allowances.borrow_mut();
+        match message {
+            AllowanceMessage::Request(request) => {
+                allowances.set_leaving(self.notices.is_leaving());
+                let grant = allowances.on_request(now, request);
+                log::debug!(
+                    "event=allowance-grant workspace={:016x} bucket={:?} peer={from} needed={} \
+                     granted={} wait_ms={}",
+                    request.workspace,
+                    request.bucket,
+                    request.needed,
+                    grant.granted,
+                    grant.wait_ms
+                );
+                let grant = PeerUpdate::Allowance(AllowanceMessage::Grant(grant));
+                self.socket.send(from, &grant);
+            }
+            AllowanceMessage::Return(given) => allowances.on_return(now, given),
+            AllowanceMessage::Move(notice) => allowances.on_moved(notice),
+            AllowanceMessage::Grant(_) => log::debug!("event=news-unexpected peer={from}"),
+        }
+    }
+
     /// Sends all facts to an entry, unless lists were sent so recently that the entry has to ask
     /// again.
     fn send_all_facts(&mut self, now: MonoTime, to: SocketAddr) {
@@ -441,6 +486,27 @@
     }
 }
 
+/// Sets the gauges of the tokens in buckets. Buckets without a label of their own share one, which
+/// shows the lowest.
+fn update_level_gauges(
+    metrics: &Metrics,
+    now: MonoTime,
+    allowances: &AllowanceBuckets,
+    labels: &mut LabelSet,
+) {
+    let mut levels: Vec<_> = allowances.levels(now).collect();
+    levels.sort_by(|(.., left), (.., right)| right.total_cmp(left));
+    for (workspace, bucket, level) in levels {
+        let bucket = match bucket {
+            BucketId::Main(number) => format!("{number}"),
+            BucketId::Standby => "standby".to_owned(),
+        };
+        let name = format!("{workspace:016x}/{bucket}");
+        let tags = [("bucket", labels.label(&name))];
+        metrics.gauge(Metric::AllowanceLevel, &tags, level.max(0.0) as u64);
+    }
+}
+
 /// Waits for the result of the call in progress; never returns if there is none.
 async fn call_result(call: &mut Option<JoinHandle<CallResult>>) -> CallResult {
     match call {
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry process: it accepts callers and forwards their requests to backend servers.
 
 mod agent_updates;
+mod allowances;
 mod answer;
 mod attempt;
 mod backend_body;
@@ -53,6 +54,7 @@
 use tokio::task::spawn_local;
 
 use self::agent_updates::receive_agent_updates;
+use self::allowances::run_allowances;
 use self::catalogue_watch::watch_catalogue;
 use self::connection::serve_callers;
 use self::dispatch::run_dispatcher;
@@ -131,6 +133,7 @@
     spawn_local(watch_catalogue(Rc::clone(&entry), catalogue.clone(), Topic::Servers));
     spawn_local(keep_facts(Rc::clone(&entry), catalogue));
     spawn_local(receive_agent_updates(Rc::clone(&entry)));
+    spawn_local(run_allowances(Rc::clone(&entry)));
     spawn_local(run_dispatcher(Rc::clone(&entry)));
     spawn_local(serve_readiness(Rc::clone(&entry), listeners.readiness));
     spawn_local(serve_callers(Rc::clone(&entry), listeners.callers));
--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -16,6 +16,7 @@
 use filbertcleat_serve::ModelDemand;
 use filbertcleat_serve::ServerId;
 
+use super::allowances::on_allowance_message;
 use super::facts::holders;
 use super::facts::on_facts;
 use super::notices::NoticeSource;
@@ -159,6 +160,10 @@
                 on_facts(&entry, from, &facts, is_complete);
                 continue;
             }
+            PeerUpdate::Allowance(message) => {
+                on_allowance_message(&entry, from, &message);
+                continue;
+            }
             PeerUpdate::Entry(_) | PeerUpdate::Origin(_) | PeerUpdate::OriginQuery(_) => {
                 log::debug!("event=news-unexpected peer={from}");
                 continue;
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -107,6 +107,25 @@
     request: &CallerRequest,
     attempt: &InFlightAttempt<D>,
     resume_after: Option<u64>,
+) -> Result<BackendResponse, AttemptFailure> {
+    // If the caller leaves meanwhile, the request may have run.
+    if let Some(charge) = &request.charge {
+        charge.begin_run();
+    }
+    let result = send_to_server(entry, request, attempt, resume_after).await;
+    if let Some(charge) = &request.charge
+        && result.as_ref().is_err_and(|failure| !failure.may_have_run)
+    {
+        charge.end_without_run();
+    }
+    result
+}
+
+async fn send_to_server<D: Dialect>(
+    entry: &Rc<Entry<D>>,
+    request: &CallerRequest,
+    attempt: &InFlightAttempt<D>,
+    resume_after: Option<u64>,
 ) -> Result<BackendResponse, AttemptFailure> {
     let listed = {
         let state = entry.state.borrow();
--- a/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
+++ b/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
@@ -94,6 +94,9 @@
                     self.entry.apply_event(event);
                 }
                 self.entry.on_topic_read(self.topic, self.cursor.is_none());
+                if self.topic == Topic::Servers {
+                    self.entry.on_listing_read(cursor);
+                }
                 self.cursor = Some(cursor);
                 match self.topic {
                     Topic::Operators | Topic::Facts => Duration::ZERO,
--- a/crates/filbertcleat-gateway/src/entry/handler.rs
+++ b/crates/filbertcleat-gateway/src/entry/handler.rs
@@ -22,6 +22,7 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 
+use super::allowances::charge_request;
 use super::attempt::AttemptFailure;
 use super::attempt::BackendResponse;
 use super::attempt::RESPONSE_GRACE_MS;
@@ -71,9 +72,14 @@
             return response;
         }
     };
-    entry.count_request(&request.service);
-
-    let result = forward(entry, &mut request).await;
+    let result = match charge_request(entry, &request).await {
+        Ok(charge) => {
+            request.charge = charge;
+            entry.count_request(&request.service);
+            forward(entry, &mut request).await
+        }
+        Err(refusal) => Err(refusal),
+    };
     open.is_answered = true;
     match result {
         Ok(Forwarded::Complete { response, server }) => {
--- a/crates/filbertcleat-gateway/src/entry/holders.rs
+++ b/crates/filbertcleat-gateway/src/entry/holders.rs
@@ -11,7 +11,11 @@
     port: u16,
     choose: impl FnOnce(Vec<IpAddr>) -> Vec<IpAddr>,
 ) -> Vec<SocketAddr> {
+    choose(agent_ips(fleet).collect()).into_iter().map(|ip| SocketAddr::new(ip, port)).collect()
+}
+
+/// Returns the VMs of all engines.
+pub(super) fn agent_ips(fleet: &Fleet) -> impl Iterator<Item = IpAddr> {
     let engines = fleet.servers().filter(|server| !server.listed.models.is_empty());
-    let agents = engines.map(|server| server.listed.address.ip()).collect();
-    choose(agents).into_iter().map(|ip| SocketAddr::new(ip, port)).collect()
+    engines.map(|server| server.listed.address.ip())
 }
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -106,6 +106,7 @@
         service,
         caller,
         workspace,
+        charge: None,
         uses_engine,
         demand,
         arrived_at,
--- a/crates/filbertcleat-gateway/src/entry/refusal.rs
+++ b/crates/filbertcleat-gateway/src/entry/refusal.rs
@@ -29,6 +29,9 @@
     NoRoute,
     /// The body exceeds the size limit of the configuration.
     BodyTooLarge,
+    /// The workspace has used its allowance up; the request was not run and will not be. A retry
+    /// after the given time finds tokens.
+    AllowanceExceeded(Duration),
     /// The request was not run and will not be; the caller may retry it after the given time.
     NotRun(&'static str, Duration),
     /// The request may have run, and its response is lost.
@@ -53,6 +56,7 @@
             Self::Unauthorized(_) => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::AllowanceExceeded(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NotRun(..) => StatusCode::SERVICE_UNAVAILABLE,
             Self::OutcomeUnknown(_) => StatusCode::BAD_GATEWAY,
             Self::DeadlineExceeded(_) => StatusCode::GATEWAY_TIMEOUT,
@@ -64,6 +68,7 @@
         match self {
             Self::NoRoute => "no route",
             Self::BodyTooLarge => "the body is too large",
+            Self::AllowanceExceeded(_) => "the workspace has used its allowance up",
             Self::BadRequest(reason)
             | Self::Unauthorized(reason)
             | Self::OutcomeUnknown(reason)
@@ -76,7 +81,7 @@
     pub fn response(self) -> Response<CallerBody> {
         let mut response = Response::new(CallerBody::text(self.reason()));
         *response.status_mut() = self.status();
-        if let Self::NotRun(_, retry_after) = self {
+        if let Self::NotRun(_, retry_after) | Self::AllowanceExceeded(retry_after) = self {
             let seconds = format!("{:.3}", retry_after.as_secs_f64());
             if let Ok(value) = HeaderValue::try_from(seconds) {
                 response.headers_mut().insert(RETRY_AFTER, value);
--- a/crates/filbertcleat-gateway/src/entry/request.rs
+++ b/crates/filbertcleat-gateway/src/entry/request.rs
@@ -13,6 +13,7 @@
 use http::Method;
 use http::Uri;
 
+use super::allowances::RequestCharge;
 use crate::AttemptCaller;
 use crate::RequestMetadata;
 
@@ -31,6 +32,8 @@
     pub caller: AttemptCaller,
     /// The workspace that holds the request's API key.
     pub workspace: Option<Rc<Workspace>>,
+    /// What the request has been charged, if its workspace has an allowance.
+    pub charge: Option<RequestCharge>,
     /// Whether the service runs engines, so that its requests wait in the queue.
     pub uses_engine: bool,
     pub demand: RequestDemand,
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::rc::Rc;
 
 use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
@@ -21,12 +22,14 @@
 use filbertcleat_serve::RetryBudget;
 use filbertcleat_serve::Server;
 use filbertcleat_serve::Ticket;
+use filbertcleat_serve::Workspaces;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 use super::BALANCER_DELAY_MS;
 use super::agent_updates::AgentUpdateState;
+use super::allowances::Allowances;
 use super::catalogue_watch::wait_for;
 use super::connection_pool::ConnectionPool;
 use super::crashes::UnverifiedCrashes;
@@ -55,6 +58,8 @@
     pub shutdown: ShutdownSignal,
     pub pool: ConnectionPool,
     pub metrics: Metrics,
+    /// The allowances of workspaces, unless the settings do not bound them.
+    pub allowances: Option<Rc<Allowances>>,
     /// Wakes the dispatcher when a queued request might be placed.
     pub dispatcher_wakeup: Notify,
     /// Wakes the task that keeps facts in the catalogue.
@@ -69,6 +74,8 @@
     configured_at: Cell<MonoTime>,
     idle_timeouts: RefCell<IdleTimeouts>,
     catalogue_epoch: Cell<CatalogueEpoch>,
+    /// The version of the list of backend servers, which increases also with a restore.
+    listing_version: Cell<u64>,
     /// The number of times that the catalogue was restored, for the tasks that have to list again.
     catalogue_restores: watch::Sender<u64>,
     /// When the catalogue last responded, by topic.
@@ -106,6 +113,9 @@
     ) -> Self {
         let clock = Clock::start();
         let incarnation = incarnation_id();
+        let allowances = settings.allowance_bounds.as_ref();
+        let allowances =
+            allowances.map(|bounds| Rc::new(Allowances::new(clock, incarnation, bounds)));
         Self {
             settings,
             dialect,
@@ -114,6 +124,7 @@
             shutdown,
             pool: ConnectionPool::new(clock),
             metrics: Metrics::new(),
+            allowances,
             dispatcher_wakeup: Notify::new(),
             facts_changed: Notify::new(),
             incarnation,
@@ -139,6 +150,7 @@
             configured_at: Cell::new(MonoTime::ZERO),
             idle_timeouts: RefCell::default(),
             catalogue_epoch: Cell::default(),
+            listing_version: Cell::new(0),
             catalogue_restores: watch::Sender::new(0),
             catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 3],
         }
@@ -263,7 +275,7 @@
             let idle_timeout_ms = deployment.limits.idle_timeout_ms;
             self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
             let workspaces = deployment.workspaces.iter();
-            for problem in workspaces.flat_map(|workspaces| workspaces.problems()) {
+            for problem in workspaces.flat_map(Workspaces::problems) {
                 let (workspace, kind) = (&problem.workspace, &problem.kind);
                 log::warn!(
                     "event=workspace-invalid version={version} workspace={workspace} \
@@ -318,6 +330,20 @@
         change
     }
 
+    /// Records the version of the catalogue up to which the list of backend servers is known.
+    pub fn on_listing_read(&self, cursor: u64) {
+        let epoch = match self.catalogue_epoch.get() {
+            CatalogueEpoch::Unknown | CatalogueEpoch::Unnumbered => 0,
+            CatalogueEpoch::Numbered(epoch) => epoch,
+        };
+        self.listing_version.set((epoch << EPOCH_SHIFT) + cursor);
+    }
+
+    /// Returns the version of the list of backend servers.
+    pub fn listing_version(&self) -> u64 {
+        self.listing_version.get()
+    }
+
     /// Returns whether a configuration may be in force that this entry has not read, because the
     /// catalogue has not responded for longer than a configuration may take to be applied.
     pub fn may_lack_configuration(&self) -> bool {
@@ -364,6 +390,9 @@
     }
 }
 
+/// The bits of a listing's version that the version of the catalogue within its epoch may take.
+const EPOCH_SHIFT: u32 = 36;
+
 fn topic_index(topic: Topic) -> usize {
     match topic {
         Topic::Operators => 0,
--- a/crates/filbertcleat-gateway/src/metrics.rs
+++ b/crates/filbertcleat-gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms, served as text.
 
+mod label_set;
 mod metric;
 mod registry;
 mod serve;
@@ -14,6 +15,7 @@
 use cadence::MetricSink;
 use cadence::StatsdClient;
 
+pub(crate) use self::label_set::LabelSet;
 pub use self::metric::METRICS;
 pub use self::metric::Metric;
 pub use self::registry::MetricsRegistry;
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -61,12 +61,16 @@
     EngineWaiting,
     /// Entries that recently sent updates to the agent.
     Entries,
+    /// Requests of workspaces with an allowance, by workspace and outcome.
+    AllowanceRequests,
+    /// The tokens in a bucket that the agent holds, by the hash of the workspace's name and bucket.
+    AllowanceLevel,
     /// Dropped log lines.
     DroppedLogLines,
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 30] = [
+pub const METRICS: [Metric; 32] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -96,6 +100,8 @@
     Metric::EngineRunning,
     Metric::EngineWaiting,
     Metric::Entries,
+    Metric::AllowanceRequests,
+    Metric::AllowanceLevel,
     Metric::DroppedLogLines,
 ];
 
@@ -132,6 +138,8 @@
             Self::EngineRunning => "engine_running",
             Self::EngineWaiting => "engine_waiting",
             Self::Entries => "entries",
+            Self::AllowanceRequests => "allowance_requests",
+            Self::AllowanceLevel => "allowance_level",
             Self::DroppedLogLines => "log_left_out",
         }
     }
--- a/crates/filbertcleat-gateway/src/peer_socket/convert.rs
+++ b/crates/filbertcleat-gateway/src/peer_socket/convert.rs
@@ -1,11 +1,19 @@
 //! Converts updates between entries and agents to protobuf messages and back.
 
+use std::net::IpAddr;
+
 use filbertcleat_base::AdapterName;
 use filbertcleat_base::ModelName;
 use filbertcleat_serve::AdapterDemand;
 use filbertcleat_serve::AdapterKey;
 use filbertcleat_serve::AdapterStage;
 use filbertcleat_serve::AgentUpdate;
+use filbertcleat_serve::AllowanceGrant;
+use filbertcleat_serve::AllowanceMessage;
+use filbertcleat_serve::AllowanceMove;
+use filbertcleat_serve::AllowanceRequest;
+use filbertcleat_serve::AllowanceReturn;
+use filbertcleat_serve::BucketId;
 use filbertcleat_serve::CrashId;
 use filbertcleat_serve::CrashMark;
 use filbertcleat_serve::CrashSuspect;
@@ -44,6 +52,8 @@
     OriginReply(RequestHash, Option<SoftwareVersion>),
     /// Facts that all processes have to know: all that the sender has, or some.
     Facts { facts: Vec<Fact>, is_complete: bool },
+    /// A message about the allowance of a workspace.
+    Allowance(AllowanceMessage),
 }
 
 /// The error for a datagram without a known update, as a newer version may send.
@@ -72,6 +82,7 @@
                 facts: facts.iter().map(fact_to_message).collect(),
                 complete: *is_complete,
             }),
+            PeerUpdate::Allowance(message) => allowance_to_update(message),
         };
         Self { update: Some(update) }
     }
@@ -99,6 +110,133 @@
                 facts: message.facts.into_iter().filter_map(fact_from_message).collect(),
                 is_complete: message.complete,
             }),
+            datagram::Update::AllowanceRequest(message) => {
+                Ok(Self::Allowance(AllowanceMessage::Request(allowance_request(&message)?)))
+            }
+            datagram::Update::AllowanceGrant(message) => {
+                Ok(Self::Allowance(AllowanceMessage::Grant(allowance_grant(&message)?)))
+            }
+            datagram::Update::AllowanceReturn(message) => {
+                Ok(Self::Allowance(AllowanceMessage::Return(AllowanceReturn {
+                    workspace: message.workspace,
+                    bucket: bucket_from_message(message.bucket)?,
+                    entry: message.entry,
+                    agent: message.agent,
+                    sequence: message.sequence,
+                    returned: message.returned,
+                })))
+            }
+            datagram::Update::AllowanceMove(message) => {
+                Ok(Self::Allowance(AllowanceMessage::Move(AllowanceMove {
+                    workspace: message.workspace,
+                    bucket: bucket_from_message(message.bucket)?,
+                    list_version: message.list_version,
+                    holder: message.holder.parse().map_err(|_not_an_address| UnknownUpdate)?,
+                })))
+            }
+        }
+    }
+}
+
+fn allowance_to_update(message: &AllowanceMessage) -> datagram::Update {
+    match message {
+        AllowanceMessage::Request(request) => {
+            datagram::Update::AllowanceRequest(v1::AllowanceRequest {
+                workspace: request.workspace,
+                bucket: bucket_to_message(request.bucket),
+                entry: request.entry,
+                sequence: request.sequence,
+                needed: request.needed,
+                first_cost: request.first_cost,
+                expected: request.expected,
+                refused: request.refused,
+                rate_per_s: request.rate_per_s,
+                burst: request.burst,
+                config_version: request.config_version,
+                known_ms: request.known_ms,
+                list_version: request.list_version,
+            })
+        }
+        AllowanceMessage::Grant(grant) => datagram::Update::AllowanceGrant(v1::AllowanceGrant {
+            workspace: grant.workspace,
+            bucket: bucket_to_message(grant.bucket),
+            sequence: grant.sequence,
+            agent: grant.agent,
+            granted: grant.granted,
+            wait_ms: grant.wait_ms,
+            retry_after_ms: grant.retry_after_ms,
+            leaving: grant.is_leaving,
+            moved_to: grant.moved_to.map(|holder| holder.to_string()).unwrap_or_default(),
+        }),
+        AllowanceMessage::Return(given) => datagram::Update::AllowanceReturn(v1::AllowanceReturn {
+            workspace: given.workspace,
+            bucket: bucket_to_message(given.bucket),
+            entry: given.entry,
+            agent: given.agent,
+            sequence: given.sequence,
+            returned: given.returned,
+        }),
+        AllowanceMessage::Move(notice) => datagram::Update::AllowanceMove(v1::AllowanceMove {
+            workspace: notice.workspace,
+            bucket: bucket_to_message(notice.bucket),
+            list_version: notice.list_version,
+            holder: notice.holder.to_string(),
+        }),
+    }
+}
+
+fn allowance_request(message: &v1::AllowanceRequest) -> Result<AllowanceRequest, UnknownUpdate> {
+    let is_valid = |number: f64| number.is_finite() && number >= 0.0;
+    if !is_valid(message.rate_per_s) || !is_valid(message.burst) {
+        return Err(UnknownUpdate);
+    }
+    Ok(AllowanceRequest {
+        workspace: message.workspace,
+        bucket: bucket_from_message(message.bucket)?,
+        entry: message.entry,
+        sequence: message.sequence,
+        needed: message.needed,
+        first_cost: message.first_cost,
+        expected: message.expected,
+        refused: message.refused,
+        rate_per_s: message.rate_per_s,
+        burst: message.burst,
+        config_version: message.config_version,
+        known_ms: message.known_ms,
+        list_version: message.list_version,
+    })
+}
+
+fn allowance_grant(message: &v1::AllowanceGrant) -> Result<AllowanceGrant, UnknownUpdate> {
+    let moved_to: Option<IpAddr> = match message.moved_to.as_str() {
+        "" => None,
+        holder => Some(holder.parse().map_err(|_not_an_address| UnknownUpdate)?),
+    };
+    Ok(AllowanceGrant {
+        workspace: message.workspace,
+        bucket: bucket_from_message(message.bucket)?,
+        sequence: message.sequence,
+        agent: message.agent,
+        granted: message.granted,
+        wait_ms: message.wait_ms,
+        retry_after_ms: message.retry_after_ms,
+        is_leaving: message.leaving,
+        moved_to,
+    })
+}
+
+fn bucket_to_message(bucket: BucketId) -> u32 {
+    match bucket {
+        BucketId::Standby => 0,
+        BucketId::Main(number) => u32::from(number) + 1,
+    }
+}
+
+fn bucket_from_message(number: u32) -> Result<BucketId, UnknownUpdate> {
+    match number.checked_sub(1) {
+        None => Ok(BucketId::Standby),
+        Some(number) => {
+            u8::try_from(number).map(BucketId::Main).map_err(|_too_large| UnknownUpdate)
         }
     }
 }
--- a/crates/filbertcleat-gateway/src/settings.rs
+++ b/crates/filbertcleat-gateway/src/settings.rs
@@ -10,6 +10,7 @@
 
 use filbertcleat_base::FailureDomain;
 use filbertcleat_base::NodeName;
+use filbertcleat_serve::AllowanceBounds;
 
 pub use self::catalogue_delays::CatalogueDelays;
 pub use self::retry_budget::RetryBudgetSettings;
@@ -39,4 +40,6 @@
     pub catalogue_delays: CatalogueDelays,
     /// The retry budget that all entries share.
     pub retry_budget: RetryBudgetSettings,
+    /// The bound on what workspaces may cost. Without it their allowances are not applied.
+    pub allowance_bounds: Option<AllowanceBounds>,
 }
--- a/crates/filbertcleat-gateway/tests/support/idle_agent.rs
+++ b/crates/filbertcleat-gateway/tests/support/idle_agent.rs
@@ -21,6 +21,7 @@
 use tokio::task::spawn_local;
 
 use super::Backend;
+use super::world::ALLOWANCE_BOUNDS;
 
 /// Returns a port for updates between processes that is free at an address.
 pub async fn free_peer_port(ip: Ipv4Addr) -> u16 {
@@ -36,7 +37,8 @@
     let shutdown = ShutdownSignal::default();
     let signal = shutdown.clone();
     spawn_local(async move {
-        run_agent(&NodeName::new("agent"), listeners, engine, signal).await;
+        let bounds = Some(ALLOWANCE_BOUNDS);
+        run_agent(&NodeName::new("agent"), bounds, listeners, engine, signal).await;
     });
     shutdown
 }
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -18,6 +18,7 @@
 use filbertcleat_gateway::RetryBudgetSettings;
 use filbertcleat_gateway::ShutdownSignal;
 use filbertcleat_gateway::run_entry;
+use filbertcleat_serve::AllowanceBounds;
 use filbertcleat_serve::Deployment;
 use filbertcleat_serve::EngineSpec;
 use filbertcleat_serve::ListedModel;
@@ -42,6 +43,10 @@
 use super::TestCatalogue;
 use super::TestDialect;
 
+/// The bound on what workspaces may cost.
+pub const ALLOWANCE_BOUNDS: AllowanceBounds =
+    AllowanceBounds { window_ms: 8_000, overage: 0.1, slack: 11_000.0 };
+
 /// A running entry with its fake environment.
 #[derive(Debug)]
 pub struct World {
@@ -129,6 +134,7 @@
             catalogue_delays,
             grace_ms: 8_000,
             retry_budget: RetryBudgetSettings { ratio: 0.2, slack: 160.0, window_ms: 10_000 },
+            allowance_bounds: Some(ALLOWANCE_BOUNDS),
         };
         let shutdown = ShutdownSignal::default();
         let retry_budget = watch::Sender::new(settings.retry_budget);
--- a/crates/filbertcleat-serve/src/workspaces/allowance.rs
+++ b/crates/filbertcleat-serve/src/workspaces/allowance.rs
@@ -17,10 +17,12 @@
     pub fn cost(&self, prompt_tokens: u64, output_tokens_max: u64) -> u64 {
         match self.unit {
             AllowanceUnit::Requests => 1,
-            AllowanceUnit::Tokens { default } => match prompt_tokens + output_tokens_max {
-                0 => default,
-                tokens => tokens,
-            },
+            AllowanceUnit::Tokens { default } => {
+                match prompt_tokens.saturating_add(output_tokens_max) {
+                    0 => default,
+                    tokens => tokens,
+                }
+            }
         }
     }
 }
