Test that metrics of allowances are bounded by 32 workspaces

Cause: no test guarded the number of labels of allowance_requests.

Measured: with 40 workspaces there are 33 series, and 8 requests count as other; 6 tests of allowances pass.

--- a/crates/filbertcleat-gateway/tests/allowances.rs
+++ b/crates/filbertcleat-gateway/tests/allowances.rs
@@ -180,3 +180,36 @@
         }
     });
 }
+
+/// Guards against metrics that grow with the number of workspaces.
+#[test]
+fn workspace_labels_bounded() {
+    World::run(async {
+        let desk = Backend::start("d1", RESPONSE).await;
+        let site = start(&desk, 1, 1_000.0, 1).await;
+        let unit = AllowanceUnit::Requests;
+        let workspaces = (0..40).map(|number| {
+            let name = WorkspaceName::new(&format!("w{number}"));
+            let allowance = Some(Allowance { rate_per_s: 100.0, burst: 100.0, unit });
+            let key = KeyHash::of(format!("key{number}").as_bytes());
+            (Workspace { name, priority: 0, allowance }, vec![key])
+        });
+        let many = Workspaces::new(workspaces);
+        let many = Deployment { workspaces: Some(many), ..configuration(3, 1.0, 1) };
+        site.catalogue.write(CatalogueEvent::Deployment(many));
+        tokio::time::sleep(Duration::from_secs(2)).await;
+
+        for number in 0..40 {
+            let extra: &'static str = format!("x-key: key{number}\r\n").leak();
+            assert_eq!(call(&site, 0, extra).await.status, 200);
+        }
+
+        let entry = &site.entries[0];
+        let text = entry.metrics().await;
+        let series =
+            text.lines().filter(|line| line.starts_with("filbertcleat_allowance_requests{"));
+        assert_eq!(series.count(), 33);
+        let other = "filbertcleat_allowance_requests{workspace=\"other\",outcome=\"taken\"}";
+        assert_eq!(entry.metric(other).await, Some(8));
+    });
+}
