--- a/crates/filbertcleat-gateway/tests/allowances.rs
+++ b/crates/filbertcleat-gateway/tests/allowances.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use filbertcleat_base::WorkspaceName;
@@ -15,6 +18,14 @@
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::Workspace;
 use filbertcleat_serve::Workspaces;
+use filbertcleat_wire::v1;
+use filbertcleat_wire::v1::datagram::Update;
+use prost::Message;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
 
 use self::support::Backend;
 use self::support::Call;
@@ -22,6 +33,8 @@
 use self::support::Site;
 use self::support::World;
 use self::support::caller::Reply;
+use self::support::idle_agent::free_peer_port;
+use self::support::idle_agent::start_agent_with_metrics;
 use self::support::route;
 use self::support::world::deployment;
 use self::support::world::listed;
@@ -213,3 +226,50 @@
         assert_eq!(entry.metric(other).await, Some(8));
     });
 }
+
+/// Guards against buckets that operators cannot look at, and against fields that get lost on the
+/// way to an agent and back.
+#[test]
+fn agent_shows_levels() {
+    World::run(async {
+        let engine = Backend::start("w-1", RESPONSE).await;
+        let port = free_peer_port(Ipv4Addr::LOCALHOST).await;
+        let loopback = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        let probe = TcpListener::bind(loopback).await.expect("loopback has a port");
+        let metrics = probe.local_addr().expect("bound");
+        drop(probe);
+        start_agent_with_metrics(&engine, port, Some(metrics)).await;
+        tokio::time::sleep(FILLED).await;
+        let request = v1::AllowanceRequest {
+            workspace: 0xabc,
+            bucket: 1,
+            entry: 7,
+            sequence: 3,
+            needed: 400,
+            first_cost: 400,
+            rate_per_s: 1_000.0,
+            burst: 1_000.0,
+            known_ms: 60_000,
+            ..v1::AllowanceRequest::default()
+        };
+        let datagram = v1::Datagram { update: Some(Update::AllowanceRequest(request)) };
+        let socket = UdpSocket::bind(loopback).await.expect("loopback has a port");
+        let agent = SocketAddr::new(engine.address.ip(), port);
+        socket.send_to(&datagram.encode_to_vec(), agent).await.expect("loopback accepts it");
+
+        let mut buffer = [0; 500];
+        let length = socket.recv(&mut buffer).await.expect("the agent responds");
+        let datagram = v1::Datagram::decode(&buffer[..length]).expect("it is valid");
+        let Some(Update::AllowanceGrant(grant)) = datagram.update else { panic!("{datagram:?}") };
+        assert_eq!((grant.workspace, grant.bucket, grant.sequence), (0xabc, 1, 3));
+        assert_eq!((grant.granted, grant.wait_ms), (400, 0));
+
+        let mut stream = TcpStream::connect(metrics).await.expect("metrics are served");
+        let get = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        stream.write_all(get.as_bytes()).await.expect("written");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.expect("read");
+        let series = "filbertcleat_allowance_level{bucket=\"0000000000000abc/0\"} ";
+        assert!(text.contains(series), "{text}");
+    });
+}
--- a/crates/filbertcleat-gateway/tests/support/idle_agent.rs
+++ b/crates/filbertcleat-gateway/tests/support/idle_agent.rs
@@ -31,8 +31,17 @@
 
 /// Starts the agent beside a backend server and returns its shutdown signal.
 pub async fn start_agent(backend: &Backend, port: u16) -> ShutdownSignal {
+    start_agent_with_metrics(backend, port, None).await
+}
+
+/// Starts an agent that serves metrics at an address.
+pub async fn start_agent_with_metrics(
+    backend: &Backend,
+    port: u16,
+    metrics: Option<SocketAddr>,
+) -> ShutdownSignal {
     let peers = SocketAddr::new(backend.address.ip(), port);
-    let listeners = AgentListeners::bind(peers, None).await.expect("the port is free");
+    let listeners = AgentListeners::bind(peers, metrics).await.expect("the ports are free");
     let engine = IdleEngine { server: ServerId::new(&backend.id) };
     let shutdown = ShutdownSignal::default();
     let signal = shutdown.clone();
