--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry process: it accepts callers and forwards their requests to backend servers.
 
 mod agent_updates;
+mod allowances;
 mod answer;
 mod attempt;
 mod backend_body;
@@ -57,6 +58,7 @@
 use tokio::task::spawn_local;
 
 use self::agent_updates::receive_agent_updates;
+use self::allowances::run_allowances;
 use self::catalogue_watch::watch_catalogue;
 use self::connection::serve_callers;
 use self::dispatch::run_dispatcher;
@@ -148,6 +150,7 @@
     spawn_task(&entry, "origin-lists", move |entry| read_origins(entry, listed.clone()));
     spawn_task(&entry, "origin-rows", move |entry| write_origins(entry, catalogue.clone()));
     spawn_task(&entry, "agent-updates", receive_agent_updates);
+    spawn_task(&entry, "allowances", run_allowances);
     spawn_task(&entry, "dispatcher", run_dispatcher);
     let (readiness, callers) = (Rc::new(listeners.readiness), Rc::new(listeners.callers));
     spawn_task(&entry, "readiness", move |entry| serve_readiness(entry, Rc::clone(&readiness)));
--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -17,6 +17,7 @@
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::ServiceObservations;
 
+use super::allowances::on_allowance_message;
 use super::facts::holders;
 use super::facts::on_facts;
 use super::notices::NoticeSource;
@@ -165,6 +166,10 @@
                 on_facts(&entry, from, &facts, is_complete);
                 continue;
             }
+            PeerUpdate::Allowance(message) => {
+                on_allowance_message(&entry, from, &message);
+                continue;
+            }
             PeerUpdate::Observations { entry: of, services } => {
                 on_observations(&entry, of, &services);
                 continue;
--- a/crates/filbertcleat-gateway/src/entry/handler.rs
+++ b/crates/filbertcleat-gateway/src/entry/handler.rs
@@ -22,6 +22,7 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 
+use super::allowances::charge_request;
 use super::attempt::AttemptFailure;
 use super::attempt::BackendResponse;
 use super::attempt::RESPONSE_GRACE_MS;
@@ -72,11 +73,9 @@
             return response;
         }
     };
-    entry.count_request(&request.service);
-
     let forwarded = tokio::select! {
         biased;
-        forwarded = forward(entry, &mut request) => Some(forwarded),
+        forwarded = charge_and_forward(entry, &mut request) => Some(forwarded),
         () = entry.answers_due() => None,
     };
     let result = forwarded.unwrap_or_else(|| Err(EXITING.after_attempts(request.may_have_run)));
@@ -136,6 +135,16 @@
     Streaming { response: Box<BackendResponse>, attempt: InFlightAttempt<D> },
 }
 
+/// Charges a request to the allowance of its workspace and forwards it.
+async fn charge_and_forward<D: Dialect>(
+    entry: &Rc<Entry<D>>,
+    request: &mut CallerRequest,
+) -> Result<Forwarded<D>, Refusal> {
+    request.charge = charge_request(entry, request).await?;
+    entry.count_request(&request.service);
+    forward(entry, request).await
+}
+
 /// Sends a request to backend servers until one responds or no further attempt is allowed.
 ///
 /// If every attempt fails, returns the last failure response of a backend server, else a refusal.
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -114,6 +114,7 @@
         service,
         caller,
         workspace,
+        charge: None,
         uses_engine,
         demand,
         has_origin: false,
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::rc::Rc;
 
 use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
@@ -30,6 +31,7 @@
 use super::BALANCER_DELAY_MS;
 use super::EXIT_RESERVE_MS;
 use super::agent_updates::AgentUpdateState;
+use super::allowances::Allowances;
 use super::catalogue_watch::wait_for;
 use super::connection_pool::ConnectionPool;
 use super::crashes::UnverifiedCrashes;
@@ -65,6 +67,8 @@
     pub caller_bytes: ByteCount,
     /// The bodies of requests, which are held until their responses have begun or ended.
     pub server_bytes: ByteCount,
+    /// The allowances of workspaces, unless the settings do not bound them.
+    pub allowances: Option<Rc<Allowances>>,
     /// Wakes the dispatcher when a queued request might be placed.
     pub dispatcher_wakeup: Notify,
     /// Wakes the task that keeps facts in the catalogue.
@@ -85,6 +89,8 @@
     configured_at: Cell<MonoTime>,
     idle_timeouts: RefCell<IdleTimeouts>,
     catalogue_epoch: Cell<CatalogueEpoch>,
+    /// The version of the list of backend servers, which increases also with a restore.
+    listing_version: Cell<u64>,
     /// The number of times that the catalogue was restored, for the tasks that have to list again.
     catalogue_restores: watch::Sender<u64>,
     /// When the catalogue last responded, by topic.
@@ -124,6 +130,9 @@
         let clock = Clock::start();
         let incarnation = incarnation_id();
         let origins = OriginState::new(settings.name.clone());
+        let allowances = settings.allowance_bounds.as_ref();
+        let allowances =
+            allowances.map(|bounds| Rc::new(Allowances::new(clock, incarnation, bounds)));
         Self {
             settings,
             dialect,
@@ -134,6 +143,7 @@
             metrics: Metrics::new(),
             caller_bytes: ByteCount::default(),
             server_bytes: ByteCount::default(),
+            allowances,
             dispatcher_wakeup: Notify::new(),
             facts_changed: Notify::new(),
             origins_wanted: Notify::new(),
@@ -163,6 +173,7 @@
             configured_at: Cell::new(MonoTime::ZERO),
             idle_timeouts: RefCell::default(),
             catalogue_epoch: Cell::default(),
+            listing_version: Cell::new(0),
             catalogue_restores: watch::Sender::new(0),
             catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 4],
         }
@@ -355,6 +366,20 @@
         change
     }
 
+    /// Records the version of the catalogue up to which the list of backend servers is known.
+    pub fn on_listing_read(&self, cursor: u64) {
+        let epoch = match self.catalogue_epoch.get() {
+            CatalogueEpoch::Unknown | CatalogueEpoch::Unnumbered => 0,
+            CatalogueEpoch::Numbered(epoch) => epoch,
+        };
+        self.listing_version.set((epoch << EPOCH_SHIFT) + cursor);
+    }
+
+    /// Returns the version of the list of backend servers.
+    pub fn listing_version(&self) -> u64 {
+        self.listing_version.get()
+    }
+
     /// Returns whether a configuration may be in force that this entry has not read, because the
     /// catalogue has not responded for longer than a configuration may take to be applied.
     pub fn may_lack_configuration(&self) -> bool {
@@ -404,6 +429,9 @@
     }
 }
 
+/// The bits of a listing's version that the version of the catalogue within its epoch may take.
+const EPOCH_SHIFT: u32 = 36;
+
 fn topic_index(topic: Topic) -> usize {
     match topic {
         Topic::Operators => 0,
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -67,12 +67,16 @@
     Entries,
     /// Panics that were contained in their task.
     TaskPanics,
+    /// Requests of workspaces with an allowance, by workspace and outcome.
+    AllowanceRequests,
+    /// The tokens in a bucket that the agent holds, by the hash of the workspace's name and bucket.
+    AllowanceLevel,
     /// Dropped log lines.
     DroppedLogLines,
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 33] = [
+pub const METRICS: [Metric; 35] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -105,6 +109,8 @@
     Metric::EngineWaiting,
     Metric::Entries,
     Metric::TaskPanics,
+    Metric::AllowanceRequests,
+    Metric::AllowanceLevel,
     Metric::DroppedLogLines,
 ];
 
@@ -144,6 +150,8 @@
             Self::EngineWaiting => "engine_waiting",
             Self::Entries => "entries",
             Self::TaskPanics => "task_panics",
+            Self::AllowanceRequests => "allowance_requests",
+            Self::AllowanceLevel => "allowance_level",
             Self::DroppedLogLines => "log_left_out",
         }
     }
--- a/crates/filbertcleat-gateway/tests/support/idle_agent.rs
+++ b/crates/filbertcleat-gateway/tests/support/idle_agent.rs
@@ -21,6 +21,7 @@
 use tokio::task::spawn_local;
 
 use super::Backend;
+use super::world::ALLOWANCE_BOUNDS;
 
 /// Returns a port for updates between processes that is free at an address.
 pub async fn free_peer_port(ip: Ipv4Addr) -> u16 {
@@ -30,13 +31,23 @@
 
 /// Starts the agent beside a backend server and returns its shutdown signal.
 pub async fn start_agent(backend: &Backend, port: u16) -> ShutdownSignal {
+    start_agent_with_metrics(backend, port, None).await
+}
+
+/// Starts an agent that serves metrics at an address.
+pub async fn start_agent_with_metrics(
+    backend: &Backend,
+    port: u16,
+    metrics: Option<SocketAddr>,
+) -> ShutdownSignal {
     let peers = SocketAddr::new(backend.address.ip(), port);
-    let listeners = AgentListeners::bind(peers, None).await.expect("the port is free");
+    let listeners = AgentListeners::bind(peers, metrics).await.expect("the ports are free");
     let engine = IdleEngine { server: ServerId::new(&backend.id) };
     let shutdown = ShutdownSignal::default();
     let signal = shutdown.clone();
     spawn_local(async move {
-        run_agent(&NodeName::new("agent"), listeners, engine, signal).await;
+        let bounds = Some(ALLOWANCE_BOUNDS);
+        run_agent(&NodeName::new("agent"), bounds, listeners, engine, signal).await;
     });
     shutdown
 }
