Keep the distance of observations once, and match each command once

Cause, found on reading the change: PrefillFit kept the average distance beside the observations that have a field for it, and merged its sums up to four times per estimate; Fleet wrote output_estimate out twice more; the client's second match had an arm that would have run `config` for `config check`, reached by no command.

Behaviour is unchanged. Ruled out: one predicate for turns at the server and the fleet (they differ without a fresh update).

--- a/crates/filbertcleat-cli/src/main.rs
+++ b/crates/filbertcleat-cli/src/main.rs
@@ -34,25 +34,22 @@
 const FINDINGS: u8 = 1;
 
 async fn run(invocation: &Invocation) -> Result<ExitCode, ClientError> {
-    if let Command::ConfigCheck { file, against } = &invocation.command {
-        let is_clean = command::config_check(invocation, file, against.as_deref())?;
-        return Ok(if is_clean { ExitCode::SUCCESS } else { ExitCode::from(FINDINGS) });
-    }
-    run_command(invocation).await.map(|()| ExitCode::SUCCESS)
-}
-
-async fn run_command(invocation: &Invocation) -> Result<(), ClientError> {
     match &invocation.command {
-        Command::Check { file } => command::check(file),
-        Command::Patch { file, base } => command::patch(invocation, file, *base).await,
-        Command::Config | Command::ConfigCheck { .. } => command::config(invocation).await,
-        Command::Status => command::status(invocation).await,
-        Command::Adapters { prefix } => command::adapters(invocation, prefix).await,
-        Command::Drain { node } => command::drain(invocation, node).await,
+        Command::Check { file } => command::check(file)?,
+        Command::ConfigCheck { file, against } => {
+            let is_clean = command::config_check(invocation, file, against.as_deref())?;
+            return Ok(if is_clean { ExitCode::SUCCESS } else { ExitCode::from(FINDINGS) });
+        }
+        Command::Patch { file, base } => command::patch(invocation, file, *base).await?,
+        Command::Config => command::config(invocation).await?,
+        Command::Status => command::status(invocation).await?,
+        Command::Adapters { prefix } => command::adapters(invocation, prefix).await?,
+        Command::Drain { node } => command::drain(invocation, node).await?,
         Command::Timeline { request, max_age_ms } => {
-            command::timeline(invocation, request, *max_age_ms).await
+            command::timeline(invocation, request, *max_age_ms).await?;
         }
     }
+    Ok(ExitCode::SUCCESS)
 }
 
 fn print_error(error: &ClientError) -> ExitCode {
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -254,12 +254,12 @@
     /// for the prompts ahead of it, in milliseconds.
     pub fn on_sent(&mut self, now: MonoTime, id: &ServerId, demand: &RequestDemand) -> f64 {
         self.total_attempts += 1;
+        let output = self.output_estimate(demand);
         let Some(server) = self.servers.get_mut(id) else { return 0.0 };
         if demand.is_plain() {
             let median_ms = self.service_times.get(demand).map(ServiceTime::median_ms);
             server.plain.on_sent(now, median_ms);
         }
-        let output = self.outputs.get(&demand.service).and_then(|known| known.estimate(demand));
         server.on_sent(now, demand, output)
     }
 
@@ -379,8 +379,8 @@
         demand: &RequestDemand,
         outcome: AttemptOutcome,
     ) {
+        let output = self.output_estimate(demand);
         if let Some(server) = self.servers.get_mut(id) {
-            let output = self.outputs.get(&demand.service).and_then(|known| known.estimate(demand));
             server.on_ended(now, demand, output, outcome);
         }
     }
--- a/crates/filbertcleat-serve/src/fleet/prefill_fit.rs
+++ b/crates/filbertcleat-serve/src/fleet/prefill_fit.rs
@@ -32,8 +32,6 @@
     /// What the other entries have observed.
     others: PrefillObservations,
     observations: u32,
-    /// The average distance of the entry's own observations from the line.
-    distance_ms: f64,
 }
 
 impl PrefillFit {
@@ -61,22 +59,20 @@
 
     /// Creates a line from the pessimistic assumptions.
     pub fn new() -> Self {
-        let mut own = PrefillObservations::default();
+        let mut own = PrefillObservations {
+            distance_ms: Self::PRIOR_FIRST_MS,
+            ..PrefillObservations::default()
+        };
         for tokens in [0.0, Self::PRIOR_TOKENS] {
             let ms = Self::PRIOR_FIRST_MS + tokens * Self::PRIOR_MS_PER_TOKEN;
             own.add(Self::PRIOR_WEIGHT, tokens, ms);
         }
-        Self {
-            own,
-            others: PrefillObservations::default(),
-            observations: 0,
-            distance_ms: Self::PRIOR_FIRST_MS,
-        }
+        Self { own, others: PrefillObservations::default(), observations: 0 }
     }
 
     /// Returns the entry's own observations.
     pub fn own_observations(&self) -> PrefillObservations {
-        PrefillObservations { distance_ms: self.distance_ms, ..self.own }
+        self.own
     }
 
     /// Sets what the other entries have observed.
@@ -91,14 +87,14 @@
         let mut distance_ms = wait_ms - expected_ms;
         let mut is_delayed = false;
         if self.is_settled() {
-            let mean_ms = self.mean_distance_ms();
+            let mean_ms = self.all().distance_ms;
             is_delayed = distance_ms > mean_ms * Self::DELAYED_DISTANCE;
             let limit_ms = mean_ms * Self::DISTANCE_MAX;
             distance_ms = distance_ms.clamp(-limit_ms, limit_ms);
         }
         self.observations = self.observations.saturating_add(1).min(Self::DISTANCES_MIN);
         let distance_weight = 1.0 / f64::from(self.observations);
-        self.distance_ms += (distance_ms.abs() - self.distance_ms) * distance_weight;
+        self.own.distance_ms += (distance_ms.abs() - self.own.distance_ms) * distance_weight;
         if is_delayed && filter == ObservationFilter::Undelayed {
             return;
         }
@@ -114,34 +110,29 @@
 
     /// Returns the expected time to the first event on an idle engine.
     pub fn first_event_ms(&self, prompt_tokens: u64) -> f64 {
-        let PrefillObservations { weight, tokens, ms, .. } = self.all();
-        let slope = self.fitted_slope();
+        let all = self.all();
+        let PrefillObservations { weight, tokens, ms, .. } = all;
+        let slope = fitted_slope(&all);
         (ms / weight + (prompt_tokens as f64 - tokens / weight) * slope).max(0.0)
     }
 
     /// Returns the prefill time per token, by its standard error above the fitted one.
     pub fn ms_per_token(&self) -> f64 {
         let all = self.all();
-        let error = self.mean_distance_ms() / all.token_variance().sqrt();
-        (self.fitted_slope() + error).min(all.slope_through_zero())
-    }
-
-    fn fitted_slope(&self) -> f64 {
-        let all = self.all();
-        let PrefillObservations { weight, tokens, ms, tokens_ms, .. } = all;
-        let slope = (tokens_ms - tokens * ms / weight) / all.token_variance();
-        let through_zero = all.slope_through_zero();
-        slope.clamp(through_zero * Self::SLOPE_MIN, through_zero)
+        let error = all.distance_ms / all.token_variance().sqrt();
+        (fitted_slope(&all) + error).min(all.slope_through_zero())
     }
 
     fn all(&self) -> PrefillObservations {
         self.own.merged(&self.others)
     }
+}
 
-    /// Returns the average distance of all observations from the line.
-    fn mean_distance_ms(&self) -> f64 {
-        self.own_observations().merged(&self.others).distance_ms
-    }
+fn fitted_slope(observations: &PrefillObservations) -> f64 {
+    let PrefillObservations { weight, tokens, ms, tokens_ms, .. } = *observations;
+    let slope = (tokens_ms - tokens * ms / weight) / observations.token_variance();
+    let through_zero = observations.slope_through_zero();
+    slope.clamp(through_zero * PrefillFit::SLOPE_MIN, through_zero)
 }
 
 /// Which observations determine a line.
