Bound what slow readers hold over all connections

Cause: what is held of responses was bounded for each connection (16 MiB), so that 80 slow callers could exceed the memory of a small VM.

Change: with limits.memoryMb in the settings, CallerMemory bounds the sum to a quarter of it (at least one response of 16 MiB). An event waits unless its stream holds less than what is left of half of the bound, so that the longest queues stop first; streams whose callers have read everything, and whole responses, may use all of it. 16 KiB of each response never wait. One whole response at a time may exceed the bound, so that partly read ones do not wait for each other. The time in which a response waits for memory does not count towards its deadline.

--- a/crates/filbertcleat-gateway/src/entry/body.rs
+++ b/crates/filbertcleat-gateway/src/entry/body.rs
@@ -11,12 +11,13 @@
 use hyper::body::SizeHint;
 
 use super::caller_stream::StreamBody;
+use super::held_bytes::HeldBytes;
 
 /// The body of a response to a caller.
 #[derive(Debug)]
 pub(super) enum CallerBody {
-    /// A complete body.
-    Complete(Full<Bytes>),
+    /// A complete body, which counts as held until the connection takes it.
+    Complete { body: Full<Bytes>, held: Option<HeldBytes> },
     /// A stream of events.
     Stream(StreamBody),
 }
@@ -36,7 +37,8 @@
 impl CallerBody {
     /// Creates a body from a text.
     pub fn text(text: &'static str) -> Self {
-        Self::Complete(Full::new(Bytes::from_static(text.as_bytes())))
+        let body = Full::new(Bytes::from_static(text.as_bytes()));
+        Self::Complete { body, held: None }
     }
 }
 
@@ -49,7 +51,8 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
         match self.get_mut() {
-            Self::Complete(body) => {
+            Self::Complete { body, held } => {
+                *held = None;
                 Pin::new(body).poll_frame(context).map_err(|never| match never {})
             }
             Self::Stream(body) => Pin::new(body).poll_frame(context),
@@ -58,14 +61,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Complete(body) => body.is_end_stream(),
+            Self::Complete { body, .. } => body.is_end_stream(),
             Self::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Complete(body) => body.size_hint(),
+            Self::Complete { body, .. } => body.size_hint(),
             Self::Stream(_) => SizeHint::default(),
         }
     }
--- a/crates/filbertcleat-gateway/src/entry/caller_stream.rs
+++ b/crates/filbertcleat-gateway/src/entry/caller_stream.rs
@@ -17,7 +17,8 @@
 
 use super::backend_body::RESPONSE_MAX_BYTES;
 use super::body::StreamCut;
-use super::held_bytes::ByteCount;
+use super::caller_memory::CallerMemory;
+use super::connection_activity::ConnectionActivity;
 use super::held_bytes::HeldBytes;
 
 /// Events that are queued for a slow caller before backpressure reaches the backend server.
@@ -26,13 +27,18 @@
 /// A caller that reads nothing for some seconds still gets a stream whose server has ended.
 const QUEUE_MAX_BYTES: usize = RESPONSE_MAX_BYTES;
 
-/// Returns both sides of a stream to a caller, whose queued bytes count in `held`.
-pub(super) fn caller_stream(held: ByteCount) -> (StreamSender, StreamBody) {
+/// Returns both sides of a stream to the caller of a connection, whose queued bytes count in
+/// `memory`.
+pub(super) fn caller_stream(
+    memory: CallerMemory,
+    activity: &Rc<ConnectionActivity>,
+) -> (StreamSender, StreamBody) {
     let (sender, chunks) = mpsc::channel(EVENTS_MAX);
     let is_complete = Rc::new(Cell::new(false));
     let room = Arc::new(Semaphore::new(QUEUE_MAX_BYTES));
     let body = StreamBody { chunks, is_complete: Rc::clone(&is_complete) };
-    (StreamSender { chunks: sender, room, held, is_complete }, body)
+    let activity = Rc::clone(activity);
+    (StreamSender { chunks: sender, room, memory, activity, is_complete }, body)
 }
 
 /// The side to which the events are sent.
@@ -43,7 +49,8 @@
 pub(super) struct StreamSender {
     chunks: mpsc::Sender<QueuedChunk>,
     room: Arc<Semaphore>,
-    held: ByteCount,
+    memory: CallerMemory,
+    activity: Rc<ConnectionActivity>,
     is_complete: Rc<Cell<bool>>,
 }
 
@@ -57,11 +64,17 @@
         let permits = u32::try_from(bytes.len().min(QUEUE_MAX_BYTES)).unwrap_or(u32::MAX);
         let room = Arc::clone(&self.room).acquire_many_owned(permits).await;
         let room = room.map_err(|_closed| CallerGone)?;
-        let held = self.held.hold(bytes.len());
+        let held = self.memory.hold_event(bytes.len(), || self.unread_bytes(permits)).await;
         let chunk = QueuedChunk { bytes, _room: room, _held: held };
         self.chunks.send(chunk).await.map_err(|_disconnected| CallerGone)
     }
 
+    /// Returns what the caller has not read, without an event that has taken `permits` of the room.
+    fn unread_bytes(&self, permits: u32) -> u64 {
+        let used = QUEUE_MAX_BYTES.saturating_sub(self.room.available_permits());
+        (used as u64).saturating_sub(u64::from(permits)) + self.activity.buffered_bytes()
+    }
+
     /// Waits until the caller has disconnected.
     pub async fn closed(&self) {
         self.chunks.closed().await;
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -85,7 +85,7 @@
     }
     let _open = OpenConnection::new(&entry);
     let stream = Rc::new(stream);
-    let activity = Rc::new(ConnectionActivity::new(entry.clock(), &entry.caller_bytes));
+    let activity = Rc::new(ConnectionActivity::new(entry.clock(), entry.caller_memory.held()));
     let mut unread = Bytes::new();
     let has_responded = loop {
         let service = service_fn(|request| {
--- a/crates/filbertcleat-gateway/src/entry/connection_activity.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_activity.rs
@@ -176,6 +176,11 @@
         activity.begin_request();
         Self { activity: Rc::clone(activity) }
     }
+
+    /// Returns the activity of the request's connection.
+    pub fn activity(&self) -> &Rc<ConnectionActivity> {
+        &self.activity
+    }
 }
 
 impl Drop for ActiveRequest {
--- a/crates/filbertcleat-gateway/src/entry/handler.rs
+++ b/crates/filbertcleat-gateway/src/entry/handler.rs
@@ -1,10 +1,8 @@
 //! Handles a caller's request: reads it, forwards it and retries failed attempts.
 
-use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use bytes::BytesMut;
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
@@ -21,6 +19,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use super::allowances::charge_request;
 use super::attempt::AttemptFailure;
@@ -33,6 +32,7 @@
 use super::backend_body::BodyKind;
 use super::backend_body::RESPONSE_MAX_BYTES;
 use super::body::CallerBody;
+use super::caller_memory::BodyBytes;
 use super::connection::ActiveRequest;
 use super::crashes::crash_refusal;
 use super::in_flight::InFlightAttempt;
@@ -255,17 +255,10 @@
     }
     let BackendResponse { mut head, body, address, connection, .. } = backend_response;
     let limit = Duration::from_millis(request.remaining_ms(entry.now()) + RESPONSE_GRACE_MS);
-    let body = match tokio::time::timeout(limit, read_whole(body)).await {
-        Ok(Ok(body)) => body,
-        failed => {
-            let failure = if failed.is_err() {
-                AttemptFailure::unknown(
-                    AttemptOutcome::Silent,
-                    "the response did not end before the deadline",
-                )
-            } else {
-                AttemptFailure::unknown(AttemptOutcome::Broken, "the response body broke off")
-            };
+    let held = entry.caller_memory.begin_body();
+    let body = match read_whole(body, held, Instant::now() + limit).await {
+        Ok(body) => body,
+        Err(failure) => {
             attempt.end(failure.outcome);
             return Err(failure);
         }
@@ -281,24 +274,46 @@
 }
 
 /// Reads a body to its end, into one buffer: many small chunks, each kept with the bytes that it
-/// was read with, would take many times the memory.
-async fn read_whole(body: BackendBody) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+/// was read with, would take many times the memory. The time in which the body waits for memory
+/// does not count towards the deadline, since the backend server does not cause it.
+async fn read_whole(
+    body: BackendBody,
+    mut held: BodyBytes,
+    mut deadline: Instant,
+) -> Result<CallerBody, AttemptFailure> {
     let mut body = Limited::new(body, RESPONSE_MAX_BYTES);
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
+    loop {
+        let Ok(frame) = tokio::time::timeout_at(deadline, body.frame()).await else {
+            return Err(AttemptFailure::unknown(
+                AttemptOutcome::Silent,
+                "the response did not end before the deadline",
+            ));
+        };
+        let Some(frame) = frame else { break };
+        let Ok(frame) = frame else {
+            return Err(AttemptFailure::unknown(
+                AttemptOutcome::Broken,
+                "the response body broke off",
+            ));
+        };
+        if let Ok(data) = frame.into_data() {
+            let waits_since = Instant::now();
+            held.hold(data.len()).await;
+            deadline += waits_since.elapsed();
             bytes.extend_from_slice(&data);
         }
     }
-    Ok(bytes.freeze())
+    let body = Full::new(bytes.freeze());
+    Ok(CallerBody::Complete { body, held: Some(held.finish()) })
 }
 
 fn build_response(
     status: StatusCode,
     headers: http::HeaderMap,
-    body: Bytes,
+    body: CallerBody,
 ) -> Response<CallerBody> {
-    let mut response = Response::new(CallerBody::Complete(Full::new(body)));
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/crates/filbertcleat-gateway/src/entry/held_bytes.rs
+++ b/crates/filbertcleat-gateway/src/entry/held_bytes.rs
@@ -3,16 +3,35 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
+
 /// The bytes that an entry holds for its callers or for backend servers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ByteCount {
-    bytes: Rc<Cell<u64>>,
+    shared: Rc<SharedCount>,
+}
+
+#[derive(Debug, Default)]
+struct SharedCount {
+    bytes: Cell<u64>,
+    released: Notify,
 }
 
 impl ByteCount {
     /// Returns the number of bytes.
     pub fn get(&self) -> u64 {
-        self.bytes.get()
+        self.shared.bytes.get()
+    }
+
+    /// Returns a future that ends when bytes are released or `notify_waiters` is called.
+    pub fn released(&self) -> Notified<'_> {
+        self.shared.released.notified()
+    }
+
+    /// Wakes those who wait for bytes to be released.
+    pub fn notify_waiters(&self) {
+        self.shared.released.notify_waiters();
     }
 
     /// Counts bytes until the returned guard is dropped.
@@ -53,8 +72,12 @@
 
     fn set(&self, bytes: u64) {
         let before = self.bytes.replace(bytes);
-        let others = self.count.bytes.get().saturating_sub(before);
-        self.count.bytes.set(others.saturating_add(bytes));
+        let shared = &self.count.shared;
+        let others = shared.bytes.get().saturating_sub(before);
+        shared.bytes.set(others.saturating_add(bytes));
+        if bytes < before {
+            shared.released.notify_waiters();
+        }
     }
 }
 
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -32,6 +32,7 @@
 use super::EXIT_RESERVE_MS;
 use super::agent_updates::AgentUpdateState;
 use super::allowances::Allowances;
+use super::caller_memory::CallerMemory;
 use super::catalogue_watch::wait_for;
 use super::connection_pool::ConnectionPool;
 use super::crashes::UnverifiedCrashes;
@@ -63,8 +64,8 @@
     pub shutdown: ShutdownSignal,
     pub pool: ConnectionPool,
     pub metrics: Metrics,
-    /// What is held of responses until callers have read it.
-    pub caller_bytes: ByteCount,
+    /// Bounds what is held of responses until callers have read it.
+    pub caller_memory: CallerMemory,
     /// The bodies of requests, which are held until their responses have begun or ended.
     pub server_bytes: ByteCount,
     /// The allowances of workspaces, unless the settings do not bound them.
@@ -130,6 +131,7 @@
         let clock = Clock::start();
         let incarnation = incarnation_id();
         let origins = OriginState::new(settings.name.clone());
+        let caller_memory = CallerMemory::new(settings.memory_max_mb);
         let allowances = settings.allowance_bounds.as_ref();
         let allowances =
             allowances.map(|bounds| Rc::new(Allowances::new(clock, incarnation, bounds)));
@@ -141,7 +143,7 @@
             shutdown,
             pool: ConnectionPool::new(clock),
             metrics: Metrics::new(),
-            caller_bytes: ByteCount::default(),
+            caller_memory,
             server_bytes: ByteCount::default(),
             allowances,
             dispatcher_wakeup: Notify::new(),
@@ -420,7 +422,9 @@
         let in_flight = state.fleet.servers().map(|server| u64::from(server.open_requests)).sum();
         metrics.gauge(Metric::InFlight, &[], in_flight);
         metrics.gauge(Metric::Queued, &[], state.queue.len() as u64);
-        for (reader, held) in [("callers", &self.caller_bytes), ("servers", &self.server_bytes)] {
+        for (reader, held) in
+            [("callers", self.caller_memory.held()), ("servers", &self.server_bytes)]
+        {
             metrics.gauge(Metric::HeldBytes, &[("for", reader)], held.get());
         }
         let suspected = state.fleet.facts().crashes().suspected().len();
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -43,7 +43,7 @@
     open: OpenRequest<D>,
     active: ActiveRequest,
 ) -> Response<CallerBody> {
-    let (sender, body) = caller_stream(entry.caller_bytes.clone());
+    let (sender, body) = caller_stream(entry.caller_memory.clone(), active.activity());
     let mut response = Response::new(CallerBody::Stream(body));
     *response.status_mut() = backend_response.head.status;
     response.headers_mut().clone_from(&backend_response.head.headers);
--- a/crates/filbertcleat-gateway/src/settings.rs
+++ b/crates/filbertcleat-gateway/src/settings.rs
@@ -42,4 +42,7 @@
     pub retry_budget: RetryBudgetSettings,
     /// The bound on what workspaces may cost. Without it their allowances are not applied.
     pub allowance_bounds: Option<AllowanceBounds>,
+    /// The memory of the process in MB. Without it, what all slow readers together hold is not
+    /// bounded.
+    pub memory_max_mb: Option<u64>,
 }
--- a/crates/filbertcleat-gateway/tests/slow_readers.rs
+++ b/crates/filbertcleat-gateway/tests/slow_readers.rs
@@ -4,8 +4,11 @@
 
 use std::time::Duration;
 
+use filbertcleat_base::ServiceName;
 use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::Route;
+use filbertcleat_serve::Target;
+use futures_util::future::join_all;
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -34,6 +37,9 @@
 /// A stream that exceeds this bound within the number of events that are queued.
 const HUGE_EVENTS: Script = Script::LargeEvents { count: 32, bytes: 900_000 };
 const WAIT_MS: u64 = 120_000;
+/// The memory of the smallest VMs, and a number of slow callers that exceeds it.
+const MEMORY_MB: u64 = 112;
+const SLOW_CALLERS: usize = 80;
 
 /// How the backend server responds.
 #[derive(Clone, Copy, Debug)]
@@ -44,6 +50,14 @@
 
 /// Starts an entry and sends a request with a large response.
 async fn start_response(kind: Kind) -> (World, Backend, TcpStream) {
+    let (backend, route) = large_response(kind).await;
+    let world = World::start(vec![route], &[&backend]).await;
+    let caller = send_request(&world).await;
+    (world, backend, caller)
+}
+
+/// Returns a backend server that sends large responses, and the route to it.
+async fn large_response(kind: Kind) -> (Backend, Route) {
     let (id, script, policy) = match kind {
         Kind::Complete => {
             let body: &'static str = "x".repeat(LARGE_BYTES).leak();
@@ -56,21 +70,24 @@
         }
     };
     let backend = Backend::start(id, script).await;
-    let route = Route { timeout_ms: WAIT_MS, ..route("read", policy, 1) };
-    let world = World::start(vec![route], &[&backend]).await;
-    let caller = send_request(&world).await;
-    (world, backend, caller)
+    (backend, Route { timeout_ms: WAIT_MS, ..route("read", policy, 1) })
 }
 
-/// Sends a request on a connection with a small window.
+/// Sends a request on a connection with a small window, and lets its response arrive.
 async fn send_request(world: &World) -> TcpStream {
+    let caller = open_request(world).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    caller
+}
+
+/// Sends a request on a connection with a small window.
+async fn open_request(world: &World) -> TcpStream {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.set_recv_buffer_size(16 * 1024).expect("the size is valid");
     let mut caller = socket.connect(world.callers).await.expect("the entry listens");
     caller.set_nodelay(true).expect("the connection is open");
     let call = Call { wait_ms: WAIT_MS, ..Call::new("a", "/read/1") };
     caller.write_all(call.text().as_bytes()).await.expect("the entry reads the request");
-    tokio::time::sleep(Duration::from_millis(200)).await;
     caller
 }
 
@@ -131,6 +148,45 @@
     });
 }
 
+/// Guards against slow callers who together exceed the memory of a small VM, and against the bound
+/// cutting them or delaying short responses. The kernel's timers run in real time, so this test does
+/// too.
+#[rstest]
+fn slow_readers_bounded_together(#[values(Kind::Complete, Kind::Stream)] kind: Kind) {
+    World::run_in_real_time(async move {
+        let (mut backend, mut route) = large_response(kind).await;
+        // A plain service, which takes as many streams at once.
+        backend.id = "d1".to_owned();
+        route.targets = vec![Target { service: ServiceName::new("desk"), weight: 1 }];
+        let world = World::start_with_memory(MEMORY_MB, vec![route], &[&backend]).await;
+        let mut callers = Vec::new();
+        for _ in 0..SLOW_CALLERS {
+            callers.push(open_request(&world).await);
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            let held = held(&world, "callers").await;
+            assert!(held <= MEMORY_MB * 1_000_000 / 2, "{held} bytes are held");
+        }
+
+        backend.set_default(match kind {
+            Kind::Complete => Script::Respond { status: 200, body: "ok", after: Duration::ZERO },
+            Kind::Stream => Script::Events { count: 5, pause: Duration::ZERO },
+        });
+        let reply = world.caller().await.call(&Call::new("short", "/read/1")).await;
+        assert!(reply.is_some_and(|reply| reply.status == 200 && reply.is_complete));
+
+        let reads = callers.into_iter().map(|mut caller| async move {
+            let mut total = 0;
+            let mut piece = vec![0; PIECE_BYTES];
+            while total < LARGE_BYTES {
+                let length = caller.read(&mut piece).await.expect("the caller is not cut");
+                assert!(length > 0, "the response ends after {total} bytes");
+                total += length;
+            }
+        });
+        join_all(reads).await;
+    });
+}
+
 /// Guards against bodies that are held for a backend server which has stopped reading, and against
 /// a count of them that does not go down. The kernel's timers run in real time, so this test does
 /// too.
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -80,15 +80,18 @@
     pub async fn start(routes: Vec<Route>, backends: &[&Backend]) -> Self {
         let catalogue = TestCatalogue::default();
         let world = Self::start_with_catalogue(catalogue).await;
-        world.catalogue.write(CatalogueEvent::Deployment(deployment(1, routes)));
+        world.configure(routes, backends).await;
+        world
+    }
+
+    /// Writes the routes and backend servers, and waits until the entry knows them.
+    async fn configure(&self, routes: Vec<Route>, backends: &[&Backend]) {
+        self.catalogue.write(CatalogueEvent::Deployment(deployment(1, routes)));
         for backend in backends {
-            world
-                .catalogue
-                .write(CatalogueEvent::Listing(ListingChange::Upserted(listed(backend))));
+            self.catalogue.write(CatalogueEvent::Listing(ListingChange::Upserted(listed(backend))));
         }
         // The entry needs up to one more call per topic to learn of them.
         tokio::time::sleep(Duration::from_secs(2)).await;
-        world
     }
 
     /// Starts an entry with a catalogue.
@@ -107,11 +110,35 @@
         Self::start_with_peers(catalogue, catalogue_delays, peers).await
     }
 
+    /// Starts an entry with a memory limit, and waits until it knows the routes and backend servers.
+    pub async fn start_with_memory(
+        memory_max_mb: u64,
+        routes: Vec<Route>,
+        backends: &[&Backend],
+    ) -> Self {
+        let delays =
+            CatalogueDelays { configuration_ms: 2_000, draining_ms: 2_000, contact_ms: 3_000 };
+        let peers = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        let catalogue = TestCatalogue::default();
+        let world = Self::start_entry(catalogue, delays, peers, Some(memory_max_mb)).await;
+        world.configure(routes, backends).await;
+        world
+    }
+
     /// Starts an entry that exchanges updates with agents, at an address of its own.
     pub async fn start_with_peers(
         catalogue: TestCatalogue,
         catalogue_delays: CatalogueDelays,
         peers: SocketAddr,
+    ) -> Self {
+        Self::start_entry(catalogue, catalogue_delays, peers, None).await
+    }
+
+    async fn start_entry(
+        catalogue: TestCatalogue,
+        catalogue_delays: CatalogueDelays,
+        peers: SocketAddr,
+        memory_max_mb: Option<u64>,
     ) -> Self {
         let loopback = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
         let listeners =
@@ -135,6 +162,7 @@
             grace_ms: 8_000,
             retry_budget: RetryBudgetSettings { ratio: 0.2, slack: 160.0, window_ms: 10_000 },
             allowance_bounds: Some(ALLOWANCE_BOUNDS),
+            memory_max_mb,
         };
         let shutdown = ShutdownSignal::default();
         let retry_budget = watch::Sender::new(settings.retry_budget);
