Label metrics by the workspaces with the most use

The first 32 workspaces that an entry saw kept their labels for the life of the process, so that a busy workspace seen later was hidden in 'other'. Entries now rank workspaces by the cost of the requests charged in the last 10 s, when the metrics are read. One without a label replaces the lowest with twice its use, so that similar workspaces don't alternate. Counts only increase: a workspace that loses its label adds its counts to 'other', and one that gets a label begins at 0.

The gauges allowance_rate, allowance_burst and allowance_use are new; they carry the hash by which agents name buckets. Agents label the 32 buckets that have granted most instead of the first 32.

--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -44,9 +44,9 @@
 use crate::clock::Clock;
 use crate::listen::bind_if;
 use crate::logs::dropped_log_lines;
-use crate::metrics::LabelSet;
 use crate::metrics::Metric;
 use crate::metrics::Metrics;
+use crate::metrics::WorkspaceUse;
 use crate::metrics::serve_metrics;
 use crate::panics::contain;
 use crate::peer_socket::PeerSocket;
@@ -91,13 +91,13 @@
     let allowances = allowance_bounds
         .map(|bounds| Rc::new(RefCell::new(AllowanceBuckets::new(id as u32, bounds))));
     if let Some(listener) = metrics_listener {
-        let (held, labels) = (allowances.clone(), Rc::new(RefCell::new(LabelSet::default())));
+        let held = allowances.clone();
         let reported_at = Rc::clone(&engine_reported_at);
         let refresh = move |metrics: &Metrics| {
             metrics.gauge(Metric::EngineAge, &[], clock.now().ms_since(reported_at.get()));
             metrics.gauge(Metric::DroppedLogLines, &[], dropped_log_lines());
             if let Some(held) = &held {
-                update_level_gauges(metrics, clock.now(), &held.borrow(), &mut labels.borrow_mut());
+                update_level_gauges(metrics, clock.now(), &held.borrow());
             }
         };
         spawn_local(serve_metrics(listener, metrics.clone(), refresh));
@@ -526,24 +526,24 @@
     }
 }
 
-/// Sets the gauges of the tokens in buckets. Buckets without a label of their own share one, which
-/// shows the lowest.
-fn update_level_gauges(
-    metrics: &Metrics,
-    now: MonoTime,
-    allowances: &AllowanceBuckets,
-    labels: &mut LabelSet,
-) {
+/// Sets the gauges of the tokens in buckets. Those that have granted most have one of their own; the
+/// others share one, which shows the lowest.
+fn update_level_gauges(metrics: &Metrics, now: MonoTime, allowances: &AllowanceBuckets) {
+    metrics.clear(Metric::AllowanceLevel);
     let mut levels: Vec<_> = allowances.levels(now).collect();
-    levels.sort_by(|(.., left), (.., right)| right.total_cmp(left));
-    for (workspace, bucket, level) in levels {
-        let bucket = match bucket {
-            BucketId::Main(number) => format!("{number}"),
-            BucketId::Standby => "standby".to_owned(),
+    levels.sort_by(|left, right| right.granted.total_cmp(&left.granted));
+    let others = levels.split_off(levels.len().min(WorkspaceUse::ROWS_MAX));
+    for level in levels {
+        let bucket = match level.bucket {
+            BucketId::Main(number) => format!("{:016x}/{number}", level.workspace),
+            BucketId::Standby => format!("{:016x}/standby", level.workspace),
         };
-        let name = format!("{workspace:016x}/{bucket}");
-        let tags = [("bucket", labels.label(&name))];
-        metrics.gauge(Metric::AllowanceLevel, &tags, level.max(0.0) as u64);
+        let tags = [("bucket", bucket.as_str())];
+        metrics.gauge(Metric::AllowanceLevel, &tags, level.tokens.max(0.0) as u64);
+    }
+    if let Some(lowest) = others.iter().map(|level| level.tokens).min_by(f64::total_cmp) {
+        let tags = [("bucket", "other")];
+        metrics.gauge(Metric::AllowanceLevel, &tags, lowest.max(0.0) as u64);
     }
 }
 
--- a/crates/filbertcleat-gateway/src/entry/allowances.rs
+++ b/crates/filbertcleat-gateway/src/entry/allowances.rs
@@ -29,8 +29,10 @@
 use super::state::Entry;
 use crate::Dialect;
 use crate::clock::Clock;
-use crate::metrics::LabelSet;
+use crate::metrics::AllowanceOutcome;
 use crate::metrics::Metric;
+use crate::metrics::Metrics;
+use crate::metrics::WorkspaceUse;
 use crate::peer_socket::PeerUpdate;
 
 /// The interval at which agents are chosen anew, which goes over all backend servers.
@@ -50,7 +52,7 @@
     changed: Notify,
     /// When that task is due.
     timer: Cell<Option<MonoTime>>,
-    labels: RefCell<LabelSet>,
+    use_by_workspace: RefCell<WorkspaceUse>,
 }
 
 impl Allowances {
@@ -63,7 +65,37 @@
             agents_at: Cell::new(None),
             changed: Notify::new(),
             timer: Cell::new(None),
-            labels: RefCell::default(),
+            use_by_workspace: RefCell::default(),
+        }
+    }
+
+    /// Sets the gauges of the workspaces with the most use, and of the others together.
+    pub fn update_gauges(&self, metrics: &Metrics) {
+        let now = self.clock.now();
+        let mut use_by_workspace = self.use_by_workspace.borrow_mut();
+        use_by_workspace.select(now);
+        for metric in [
+            Metric::AllowanceRequests,
+            Metric::AllowanceRate,
+            Metric::AllowanceBurst,
+            Metric::AllowanceUse,
+        ] {
+            metrics.clear(metric);
+        }
+        let rows = use_by_workspace.rows(now);
+        let counts = rows.iter().map(|row| (row.label, row.counts));
+        for (label, counts) in counts.chain([("other", use_by_workspace.others())]) {
+            for (outcome, count) in counts.by_name().into_iter().filter(|(_, count)| *count > 0) {
+                let tags = [("workspace", label), ("outcome", outcome)];
+                metrics.gauge(Metric::AllowanceRequests, &tags, count);
+            }
+        }
+        for row in rows {
+            let hash = format!("{:016x}", row.hash);
+            let tags = [("workspace", row.label), ("hash", hash.as_str())];
+            metrics.gauge(Metric::AllowanceRate, &tags, row.allowance.rate_per_s as u64);
+            metrics.gauge(Metric::AllowanceBurst, &tags, row.allowance.burst as u64);
+            metrics.gauge(Metric::AllowanceUse, &tags, row.use_per_s as u64);
         }
     }
 
@@ -210,10 +242,11 @@
         return;
     };
     let (id, name) = (&request.id, &workspace.name);
+    let Some(allowance) = &workspace.allowance else { return };
     let outcome = match decided {
         Ok(_) => {
             log::debug!("event=allowance-taken id={id} workspace={name} cost={cost} left={left}");
-            "taken"
+            AllowanceOutcome::Taken
         }
         Err(refusal) => {
             let (in_hand, holder, retry_after_ms) = match refusal {
@@ -228,12 +261,11 @@
                  holder={holder} retry_after_ms={retry_after_ms}"
             );
             match refusal {
-                AllowanceRefusal::Exceeded { .. } => "refused",
-                AllowanceRefusal::Unreachable => "unknown",
+                AllowanceRefusal::Exceeded { .. } => AllowanceOutcome::Refused,
+                AllowanceRefusal::Unreachable => AllowanceOutcome::Unknown,
             }
         }
     };
-    let mut labels = allowances.labels.borrow_mut();
-    let tags = [("workspace", labels.label(name.as_str())), ("outcome", outcome)];
-    entry.metrics.count(Metric::AllowanceRequests, &tags);
+    let mut use_by_workspace = allowances.use_by_workspace.borrow_mut();
+    use_by_workspace.count(entry.now(), name.as_str(), allowance, cost, outcome);
 }
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -426,6 +426,9 @@
         let suspected = state.fleet.facts().crashes().suspected().len();
         metrics.gauge(Metric::Suspects, &[], suspected as u64);
         metrics.gauge(Metric::DroppedLogLines, &[], dropped_log_lines());
+        if let Some(allowances) = &self.allowances {
+            allowances.update_gauges(metrics);
+        }
     }
 }
 
--- a/crates/filbertcleat-gateway/src/metrics.rs
+++ b/crates/filbertcleat-gateway/src/metrics.rs
@@ -1,9 +1,9 @@
 //! Counters, gauges and histograms, served as text.
 
-mod label_set;
 mod metric;
 mod registry;
 mod serve;
+mod workspace_use;
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -15,11 +15,14 @@
 use cadence::MetricSink;
 use cadence::StatsdClient;
 
-pub(crate) use self::label_set::LabelSet;
 pub use self::metric::METRICS;
 pub use self::metric::Metric;
 pub use self::registry::MetricsRegistry;
 pub(crate) use self::serve::serve_metrics;
+pub use self::workspace_use::AllowanceOutcome;
+pub use self::workspace_use::OutcomeCounts;
+pub use self::workspace_use::WorkspaceRow;
+pub use self::workspace_use::WorkspaceUse;
 
 /// The metrics of a process.
 #[derive(Clone, Debug)]
@@ -59,6 +62,12 @@
         builder.send();
     }
 
+    /// Removes all series of a gauge, before those that still exist are set again.
+    pub fn clear(&self, metric: Metric) {
+        let name = format!("filbertcleat.{}", metric.name());
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner).clear_gauge(&name);
+    }
+
     /// Returns all metrics in the text exposition format.
     pub fn render_text(&self) -> String {
         self.registry.lock().unwrap_or_else(PoisonError::into_inner).render_text()
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -69,6 +69,12 @@
     TaskPanics,
     /// Requests of workspaces with an allowance, by workspace and outcome.
     AllowanceRequests,
+    /// The rate of a workspace's allowance.
+    AllowanceRate,
+    /// The burst of a workspace's allowance.
+    AllowanceBurst,
+    /// What a workspace has recently used at the entry.
+    AllowanceUse,
     /// The tokens in a bucket that the agent holds, by the hash of the workspace's name and bucket.
     AllowanceLevel,
     /// Dropped log lines.
@@ -76,7 +82,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 35] = [
+pub const METRICS: [Metric; 38] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -110,6 +116,9 @@
     Metric::Entries,
     Metric::TaskPanics,
     Metric::AllowanceRequests,
+    Metric::AllowanceRate,
+    Metric::AllowanceBurst,
+    Metric::AllowanceUse,
     Metric::AllowanceLevel,
     Metric::DroppedLogLines,
 ];
@@ -151,6 +160,9 @@
             Self::Entries => "entries",
             Self::TaskPanics => "task_panics",
             Self::AllowanceRequests => "allowance_requests",
+            Self::AllowanceRate => "allowance_rate",
+            Self::AllowanceBurst => "allowance_burst",
+            Self::AllowanceUse => "allowance_use",
             Self::AllowanceLevel => "allowance_level",
             Self::DroppedLogLines => "log_left_out",
         }
--- a/crates/filbertcleat-gateway/src/metrics/registry.rs
+++ b/crates/filbertcleat-gateway/src/metrics/registry.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Removes all series of a gauge, given by its name in the statsd format.
+    pub fn clear_gauge(&mut self, name: &str) {
+        let name = series_name(name, None);
+        self.gauges.retain(|series, _| series.split('{').next() != Some(name.as_str()));
+    }
+
     /// Returns all values as text, one per line, sorted by name within each type.
     pub fn render_text(&self) -> String {
         let mut text = String::new();
--- a/crates/filbertcleat-serve/src/allowances.rs
+++ b/crates/filbertcleat-serve/src/allowances.rs
@@ -22,6 +22,7 @@
 pub use self::bucket_spec::BucketId;
 pub use self::bucket_spec::BucketSpec;
 pub use self::buckets::AllowanceBuckets;
+pub use self::buckets::BucketLevel;
 pub use self::charge::AllowanceCharge;
 pub use self::charge::AllowanceDecision;
 pub use self::charge::AllowanceRefusal;
--- a/crates/filbertcleat-serve/src/allowances/bucket.rs
+++ b/crates/filbertcleat-serve/src/allowances/bucket.rs
@@ -181,6 +181,11 @@
         (self.level + filled).min(self.spec.depth)
     }
 
+    /// Returns the tokens granted in the window before the last grant.
+    pub fn recently_granted(&self) -> f64 {
+        self.window.total()
+    }
+
     /// Returns the tokens that come in per second.
     fn rate_per_s(&self, now: MonoTime) -> f64 {
         if now < self.full_rate_from { self.spec.start_rate_per_s } else { self.spec.rate_per_s }
--- a/crates/filbertcleat-serve/src/allowances/buckets.rs
+++ b/crates/filbertcleat-serve/src/allowances/buckets.rs
@@ -25,6 +25,19 @@
     is_leaving: bool,
 }
 
+/// The level of one bucket.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BucketLevel {
+    /// The hash of the workspace's name.
+    pub workspace: u64,
+    /// The bucket.
+    pub bucket: BucketId,
+    /// The tokens in the bucket, negative while a request larger than the level is made up for.
+    pub tokens: f64,
+    /// The tokens that it granted in the window before its last grant.
+    pub granted: f64,
+}
+
 impl AllowanceBuckets {
     /// The interval at which unused buckets are removed.
     const EXPIRY_INTERVAL_MS: u64 = 1_000;
@@ -81,11 +94,14 @@
         }
     }
 
-    /// Returns the level of each bucket, by the hash of the workspace's name.
-    pub fn levels(&self, now: MonoTime) -> impl Iterator<Item = (u64, BucketId, f64)> {
-        self.buckets
-            .iter()
-            .map(move |((workspace, bucket), state)| (*workspace, *bucket, state.level(now)))
+    /// Returns the level of each bucket.
+    pub fn levels(&self, now: MonoTime) -> impl Iterator<Item = BucketLevel> {
+        self.buckets.iter().map(move |((workspace, bucket), state)| BucketLevel {
+            workspace: *workspace,
+            bucket: *bucket,
+            tokens: state.level(now),
+            granted: state.recently_granted(),
+        })
     }
 
     fn bucket(&mut self, now: MonoTime, request: &AllowanceRequest) -> &mut Bucket {
--- a/crates/filbertcleat-serve/src/allowances/grant_window.rs
+++ b/crates/filbertcleat-serve/src/allowances/grant_window.rs
@@ -41,13 +41,18 @@
         self.slots.iter_mut().for_each(|(_, sum)| *sum *= factor);
     }
 
+    /// Returns what the remembered slots granted.
+    pub fn total(&self) -> f64 {
+        self.slots.iter().map(|(_, sum)| sum).sum()
+    }
+
     /// Returns what was granted within the last `span_ms`, or slightly before.
     pub fn sum(&mut self, now: MonoTime, span_ms: u64) -> f64 {
         let oldest = slot_of(now).saturating_sub(span_ms.div_ceil(Self::SLOT_MS));
         while self.slots.front().is_some_and(|(slot, _)| *slot < oldest) {
             self.slots.pop_front();
         }
-        self.slots.iter().map(|(_, sum)| sum).sum()
+        self.total()
     }
 
     /// Returns the time until `sum` has fallen by `amount`.
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -74,6 +74,7 @@
 pub use allowances::AllowanceReturn;
 pub use allowances::AllowanceTicket;
 pub use allowances::BucketId;
+pub use allowances::BucketLevel;
 pub use allowances::BucketSpec;
 pub use attempts::Attempts;
 pub use attempts::FailedAttempt;
--- a/crates/filbertcleat-serve/tests/allowance_buckets.rs
+++ b/crates/filbertcleat-serve/tests/allowance_buckets.rs
@@ -47,7 +47,7 @@
 }
 
 fn level(buckets: &AllowanceBuckets, now: MonoTime) -> i64 {
-    buckets.levels(now).next().expect("the bucket exists").2.floor() as i64
+    buckets.levels(now).next().expect("the bucket exists").tokens.floor() as i64
 }
 
 fn depth() -> i64 {
