Add the command allowances

Operators had to add up the metrics of all entries and agents to see why requests get 429. A process without a response is named and the rest is shown; the command fails only if none responds. It needs no entry and no token.

--- a/crates/filbertcleat-cli/src/command.rs
+++ b/crates/filbertcleat-cli/src/command.rs
@@ -19,6 +19,7 @@
 use http::Method;
 use serde_json::Value;
 
+use crate::allowances::Allowances;
 use crate::client;
 use crate::error::ClientError;
 use crate::options::Invocation;
@@ -50,6 +51,11 @@
         /// The prefix of the adapters' names.
         prefix: String,
     },
+    /// Show the allowances of workspaces.
+    Allowances {
+        /// The metrics addresses of entries and agents.
+        addresses: Vec<String>,
+    },
     /// Drain and stop a process.
     Drain {
         /// The name of the process.
@@ -173,6 +179,13 @@
     Ok(())
 }
 
+/// Shows the allowances of workspaces over all processes whose metrics addresses are given.
+pub async fn allowances(invocation: &Invocation, addresses: &[String]) -> Result<(), ClientError> {
+    let allowances = Allowances::query(addresses).await?;
+    output::allowances(&allowances, invocation.json);
+    Ok(())
+}
+
 /// Drains and stops a process.
 pub async fn drain(invocation: &Invocation, node: &NodeName) -> Result<(), ClientError> {
     let path = format!("/operator/drain/{node}");
--- a/crates/filbertcleat-cli/src/error.rs
+++ b/crates/filbertcleat-cli/src/error.rs
@@ -25,6 +25,14 @@
         /// The failure.
         reason: String,
     },
+    /// No process returned its metrics.
+    #[error(
+        "no process returned its metrics: {reason}\nhint: name metrics addresses, such as 10.0.0.1:9102"
+    )]
+    NoMetrics {
+        /// The processes and what failed at each of them.
+        reason: String,
+    },
     /// It is unknown whether the request took effect.
     #[error("unknown outcome: {reason}\nhint: look for the patch id with filbertcleat timeline")]
     Unknown {
@@ -49,7 +57,7 @@
         match self {
             Self::Refused { .. } => 1,
             Self::Usage { .. } => 2,
-            Self::Unreachable { .. } => 3,
+            Self::NoMetrics { .. } | Self::Unreachable { .. } => 3,
             Self::Unknown { .. } => 4,
         }
     }
--- a/crates/filbertcleat-cli/src/main.rs
+++ b/crates/filbertcleat-cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The operators' command-line client filbertcleat.
 
+mod allowances;
 mod client;
 mod command;
 mod error;
@@ -43,6 +44,7 @@
         Command::Patch { file, base } => command::patch(invocation, file, *base).await?,
         Command::Config => command::config(invocation).await?,
         Command::Status => command::status(invocation).await?,
+        Command::Allowances { addresses } => command::allowances(invocation, addresses).await?,
         Command::Adapters { prefix } => command::adapters(invocation, prefix).await?,
         Command::Drain { node } => command::drain(invocation, node).await?,
         Command::Timeline { request, max_age_ms } => {
--- a/crates/filbertcleat-cli/src/options.rs
+++ b/crates/filbertcleat-cli/src/options.rs
@@ -35,13 +35,15 @@
                             compare it with the one in force
   status                    show all processes
   adapters [PREFIX]         list adapters, their versions and serving rules
+  allowances ADDRESS...     show the allowances of workspaces, from the metrics addresses of
+                            entries and agents
   drain NODE                start a planned stop of a process
   timeline [--request ID] [--since 10m]
                             show the merged events of all processes
   check FILE                validate a settings file
 
 Exit codes: 0 done, 1 refused or findings, 2 wrong command line, settings or configuration,
-3 entry not reached, 4 unknown outcome";
+3 nothing reached, 4 unknown outcome";
 
 impl Invocation {
     /// Parses the command line; prints the help text and returns `None` if that is requested.
@@ -55,7 +57,10 @@
         }
 
         let command = command(&matches)?;
-        let needs_entry = !matches!(command, Command::Check { .. } | Command::ConfigCheck { .. });
+        let needs_entry = !matches!(
+            command,
+            Command::Allowances { .. } | Command::Check { .. } | Command::ConfigCheck { .. }
+        );
         let entry = option_or_variable(&matches, "entry", "FILBERTCLEAT_ENTRY");
         let operator = option_or_variable(&matches, "operator", "USER")
             .unwrap_or_else(|| "unnamed".to_owned());
@@ -100,6 +105,13 @@
     let mut words = matches.free.iter().map(String::as_str);
     let name = words.next().unwrap_or_default();
     let mut argument = words.next();
+    if name == "allowances" {
+        let addresses: Vec<_> = matches.free[1..].to_vec();
+        if addresses.is_empty() {
+            return Err(ClientError::usage("allowances needs metrics addresses (IP:PORT)"));
+        }
+        return Ok(Command::Allowances { addresses });
+    }
     let is_config_check = name == "config" && argument == Some("check");
     if is_config_check {
         argument = words.next();
--- a/crates/filbertcleat-cli/src/output.rs
+++ b/crates/filbertcleat-cli/src/output.rs
@@ -14,6 +14,9 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::allowances::Allowances;
+use crate::allowances::OTHERS;
+
 /// Prints the configuration, with only the number of its adapters.
 pub fn configuration(configuration: &Configuration) {
     let limits = &configuration.limits;
@@ -115,6 +118,60 @@
     }
 }
 
+/// Prints a table of workspaces with an allowance, and the processes that did not respond.
+pub fn allowances(allowances: &Allowances, as_json: bool) {
+    if as_json {
+        println!("{}", allowances_json(allowances));
+        return;
+    }
+    println!(
+        "{:<32}{:>12}{:>12}{:>12}{:>12}{:>9}{:>10}{:>10}",
+        "WORKSPACE", "RATE/S", "BURST", "USE/S", "LEFT", "BUCKETS", "REFUSED", "UNKNOWN"
+    );
+    for (name, workspace) in &allowances.workspaces {
+        let (rate, burst, used) = if name == OTHERS {
+            ("-".to_owned(), "-".to_owned(), "-".to_owned())
+        } else {
+            (
+                workspace.rate_per_s.to_string(),
+                workspace.burst.to_string(),
+                workspace.use_per_s.to_string(),
+            )
+        };
+        let left = workspace.tokens_left.map_or_else(|| "-".to_owned(), |left| left.to_string());
+        println!(
+            "{name:<31} {rate:>12}{burst:>12}{used:>12}{left:>12}{:>9}{:>10}{:>10}",
+            workspace.buckets, workspace.refused, workspace.unknown
+        );
+    }
+    for (address, reason) in &allowances.silent {
+        println!("no answer from {address}: {reason}");
+    }
+}
+
+fn allowances_json(allowances: &Allowances) -> Value {
+    let workspaces: Vec<_> = allowances
+        .workspaces
+        .iter()
+        .map(|(name, workspace)| {
+            json!({
+                "workspace": name,
+                "ratePerS": workspace.rate_per_s,
+                "burst": workspace.burst,
+                "usePerS": workspace.use_per_s,
+                "tokensLeft": workspace.tokens_left,
+                "buckets": workspace.buckets,
+                "refused": workspace.refused,
+                "unknown": workspace.unknown,
+            })
+        })
+        .collect();
+    let silent = allowances.silent.iter();
+    let silent: Vec<_> =
+        silent.map(|(address, reason)| json!({ "address": address, "reason": reason })).collect();
+    json!({ "workspaces": workspaces, "silent": silent })
+}
+
 /// Prints a table of what is wrong with a deployment configuration and of what differs from the one
 /// in force.
 pub fn deployment_check(findings: &[Finding], differences: &[Difference], as_json: bool) {
