Leave out single invalid routes, services and limits

Cause: routes, services and limits of op/config were decoded together, so that one field of a wrong type took the whole configuration out of force.

Change: they are decoded one by one, as tenants are. An invalid item is left out (an invalid limit has its default), logged as configuration-item-invalid, and reported as an error by 'config check'.

--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -312,6 +312,15 @@
         if let Some(deployment) = current.get() {
             let idle_timeout_ms = deployment.limits.idle_timeout_ms;
             self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
+            for problem in &deployment.problems {
+                let (place, reason) = (&problem.place, &problem.reason);
+                log::warn!(
+                    "event=configuration-item-invalid version={version} kind={} name=\"{}\" \
+                     reason=\"{reason}\"",
+                    place.kind(),
+                    place.name()
+                );
+            }
             let workspaces = deployment.workspaces.iter();
             for problem in workspaces.flat_map(Workspaces::problems) {
                 let (workspace, kind) = (&problem.workspace, &problem.kind);
--- a/crates/filbertcleat-serve/src/deployment.rs
+++ b/crates/filbertcleat-serve/src/deployment.rs
@@ -5,6 +5,7 @@
 mod fingerprint;
 mod limits;
 mod model;
+mod problem;
 mod retry_policy;
 mod route;
 mod service;
@@ -19,6 +20,7 @@
 use self::fingerprint::FingerprintWriter;
 pub use self::limits::CallerLimits;
 pub use self::model::ModelSpec;
+pub use self::problem::DeploymentProblem;
 pub use self::retry_policy::RetryPolicy;
 pub use self::route::Route;
 pub use self::route::Target;
@@ -39,6 +41,8 @@
     pub limits: CallerLimits,
     /// The workspaces. Without them requests need no API key.
     pub workspaces: Option<Workspaces>,
+    /// The items that were left out because they could not be decoded.
+    pub problems: Vec<DeploymentProblem>,
 }
 
 impl Deployment {
--- a/crates/filbertcleat-serve/src/deployment_check.rs
+++ b/crates/filbertcleat-serve/src/deployment_check.rs
@@ -36,6 +36,13 @@
             "entries ignore it: use a version above the one in force",
         ));
     }
+    for problem in &deployment.problems {
+        findings.push(Finding::error(
+            problem.place.clone(),
+            problem.reason.clone(),
+            "entries ignore this item: correct it",
+        ));
+    }
     check_hidden_routes(&deployment.routes, &mut findings);
     for route in &deployment.routes {
         check_route(route, deployment, &mut findings);
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -89,6 +89,7 @@
 pub use deployment::CurrentDeployment;
 pub use deployment::Deployment;
 pub use deployment::DeploymentChange;
+pub use deployment::DeploymentProblem;
 pub use deployment::EngineSpec;
 pub use deployment::ModelSpec;
 pub use deployment::RetryPolicy;
