Believe no start of a server far in the future

Cause: a well-formed datagram that reported a server as leaving, with a start time far in the future, was believed for all later starts of that id.

Agents, which do not read the catalogue, use the clock alone.

--- a/crates/filbertcleat-daemon/src/prepared.rs
+++ b/crates/filbertcleat-daemon/src/prepared.rs
@@ -93,7 +93,16 @@
             let engine = PreparedEngine::new(engine, settings.name.clone(), client);
             let peers = SocketAddr::new(settings.ip, settings.peer_port);
             let listeners = AgentListeners::bind(peers, metrics).await?;
-            run_agent(&settings.name, settings.allowance_bounds, listeners, engine, shutdown).await;
+            let GatewaySettings { allowance_bounds, clock_difference_ms, .. } = *settings;
+            run_agent(
+                &settings.name,
+                allowance_bounds,
+                clock_difference_ms,
+                listeners,
+                engine,
+                shutdown,
+            )
+            .await;
             Ok(())
         }
     }
--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -42,6 +42,7 @@
 use crate::ServerNotice;
 use crate::ShutdownSignal;
 use crate::clock::Clock;
+use crate::clock::unix_ms;
 use crate::listen::bind_if;
 use crate::logs::dropped_log_lines;
 use crate::metrics::LabelSet;
@@ -74,10 +75,12 @@
 
 /// Runs an agent until `shutdown` is triggered. It must run within a `LocalSet`.
 ///
-/// Without bounds on allowances it holds no tokens of workspaces.
+/// Without bounds on allowances it holds no tokens of workspaces. It believes no start of a server
+/// that lies further in the future than the clocks of two machines may differ.
 pub async fn run_agent<E: EngineControl>(
     name: &NodeName,
     allowance_bounds: Option<AllowanceBounds>,
+    clock_difference_ms: u64,
     listeners: AgentListeners,
     engine: E,
     shutdown: ShutdownSignal,
@@ -114,6 +117,7 @@
         recipients: UpdateRecipients::default(),
         origins: StreamOrigins::default(),
         facts: SharedFacts::default(),
+        clock_difference_ms,
         observations: ObservationPool::default(),
         prompt_turns: PromptTurns::default(),
         allowances,
@@ -160,6 +164,7 @@
     recipients: UpdateRecipients,
     origins: StreamOrigins,
     facts: SharedFacts,
+    clock_difference_ms: u64,
     observations: ObservationPool,
     prompt_turns: PromptTurns,
     /// The tokens of workspaces, if the settings bound their allowances.
@@ -327,7 +332,9 @@
 
     /// Merges the facts of an entry, and tells the other entries those that are new.
     fn pass_on(&mut self, now: MonoTime, from: SocketAddr, facts: &[Fact]) {
-        let news = self.facts.merge(now, facts);
+        let start_max_unix_ms = unix_ms().saturating_add(self.clock_difference_ms);
+        let believed = facts.iter().filter(|fact| fact.is_believable(start_max_unix_ms));
+        let news = self.facts.merge(now, &believed.cloned().collect::<Vec<_>>());
         if news.is_empty() {
             return;
         }
--- a/crates/filbertcleat-gateway/src/clock.rs
+++ b/crates/filbertcleat-gateway/src/clock.rs
@@ -1,5 +1,8 @@
 //! The monotonic clock of the process.
 
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
 use filbertcleat_base::MonoTime;
 use tokio::time::Instant;
 
@@ -25,3 +28,9 @@
         self.start + std::time::Duration::from_micros(time.as_us())
     }
 }
+
+/// Returns the Unix time in milliseconds, by the clock of this machine.
+pub(crate) fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/filbertcleat-gateway/src/entry/facts.rs
+++ b/crates/filbertcleat-gateway/src/entry/facts.rs
@@ -99,8 +99,9 @@
     facts: &[Fact],
     source: FactSource,
 ) -> Vec<Fact> {
-    let now = entry.now();
-    let news = change_facts(entry, source, |fleet| fleet.merge_facts(now, facts));
+    let (now, start_max_unix_ms) = (entry.now(), entry.settings.start_max_unix_ms());
+    let merge = |fleet: &mut Fleet| fleet.merge_facts(now, facts, start_max_unix_ms);
+    let news = change_facts(entry, source, merge);
     count_facts(entry, source, &news);
     for fact in &news {
         if let Fact::Leaving(mark) = fact {
--- a/crates/filbertcleat-gateway/src/settings.rs
+++ b/crates/filbertcleat-gateway/src/settings.rs
@@ -17,6 +17,7 @@
 pub use self::role::GatewayRole;
 pub use self::settings_file::ParseSettings;
 pub use self::settings_file::SettingsFile;
+use crate::clock::unix_ms;
 
 /// The settings of a process of the direct path.
 #[derive(Clone, Debug, PartialEq)]
@@ -42,7 +43,17 @@
     pub retry_budget: RetryBudgetSettings,
     /// The bound on what workspaces may cost. Without it their allowances are not applied.
     pub allowance_bounds: Option<AllowanceBounds>,
+    /// The most that the clocks of two machines may differ. A start of a server that lies further in
+    /// the future is not believed.
+    pub clock_difference_ms: u64,
     /// The memory of the process in MB. Without it, what all slow readers together hold is not
     /// bounded.
     pub memory_max_mb: Option<u64>,
 }
+
+impl GatewaySettings {
+    /// Returns the latest time at which a server may have started, by the clock of this machine.
+    pub(crate) fn start_max_unix_ms(&self) -> u64 {
+        unix_ms().saturating_add(self.clock_difference_ms)
+    }
+}
--- a/crates/filbertcleat-gateway/tests/support/demanding_entry.rs
+++ b/crates/filbertcleat-gateway/tests/support/demanding_entry.rs
@@ -30,7 +30,7 @@
         let agent = listeners.peer_address;
         spawn_local(async move {
             let name = NodeName::new("agent-1");
-            run_agent(&name, None, listeners, engine, ShutdownSignal::default()).await;
+            run_agent(&name, None, 60_000, listeners, engine, ShutdownSignal::default()).await;
         });
         Self { socket, agent, sequence: 0 }
     }
--- a/crates/filbertcleat-gateway/tests/support/idle_agent.rs
+++ b/crates/filbertcleat-gateway/tests/support/idle_agent.rs
@@ -47,7 +47,7 @@
     let signal = shutdown.clone();
     spawn_local(async move {
         let bounds = Some(ALLOWANCE_BOUNDS);
-        run_agent(&NodeName::new("agent"), bounds, listeners, engine, signal).await;
+        run_agent(&NodeName::new("agent"), bounds, 60_000, listeners, engine, signal).await;
     });
     shutdown
 }
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -180,11 +180,30 @@
     /// gets no requests, whatever the catalogue says. Returns the facts that are new.
     pub fn on_leaving(&mut self, now: MonoTime, id: &ServerId, started_unix_ms: u64) -> Vec<Fact> {
         let server = id.clone();
-        self.merge_facts(now, &[Fact::Leaving(LeavingMark { server, started_unix_ms, age_ms: 0 })])
+        self.merge_believed(
+            now,
+            &[Fact::Leaving(LeavingMark { server, started_unix_ms, age_ms: 0 })],
+        )
     }
 
-    /// Applies the facts of other processes. Returns those that are new.
-    pub fn merge_facts(&mut self, now: MonoTime, facts: &[Fact]) -> Vec<Fact> {
+    /// Applies the facts of other processes, except those about starts of servers after
+    /// `start_max_unix_ms` that the catalogue has not listed. Returns those that are new.
+    pub fn merge_facts(
+        &mut self,
+        now: MonoTime,
+        facts: &[Fact],
+        start_max_unix_ms: u64,
+    ) -> Vec<Fact> {
+        let is_believed = |fact: &&Fact| {
+            let server = fact.server().and_then(|id| self.servers.get(id));
+            let listed_unix_ms = server.map_or(0, |server| server.listed.started_unix_ms);
+            fact.is_believable(start_max_unix_ms.max(listed_unix_ms))
+        };
+        let believed: Vec<Fact> = facts.iter().filter(is_believed).cloned().collect();
+        self.merge_believed(now, &believed)
+    }
+
+    fn merge_believed(&mut self, now: MonoTime, facts: &[Fact]) -> Vec<Fact> {
         let news = self.facts.merge(now, facts);
         for fact in &news {
             let Fact::Leaving(mark) = fact else { continue };
--- a/crates/filbertcleat-serve/tests/leaving.rs
+++ b/crates/filbertcleat-serve/tests/leaving.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use filbertcleat_serve::AgentUpdate;
+use filbertcleat_serve::Fact;
 use filbertcleat_serve::Fleet;
+use filbertcleat_serve::LeavingMark;
 use filbertcleat_serve::ListedServer;
 use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::Placement;
@@ -50,6 +52,30 @@
     assert_eq!(place_plain(at(0), &fleet, &demand("x", 500), &local_domain(), &[]), None);
 }
 
+/// Guards against a damaged or forged datagram that makes all later starts of a server leave.
+#[rstest]
+#[case::far_future(&[1], u64::MAX, false)]
+#[case::after_bound(&[1], 101, false)]
+#[case::within_bound(&[1], 100, true)]
+#[case::listed(&[200], 200, true)]
+#[case::replaced_later(&[1, 140], 150, false)]
+fn start_believed(#[case] starts: &[u64], #[case] announced: u64, #[case] is_leaving: bool) {
+    let mut fleet = Fleet::default();
+    let list = |fleet: &mut Fleet, started_unix_ms| {
+        let listed = ListedServer { started_unix_ms, ..listed("a") };
+        fleet.apply_listing(at(0), ListingChange::Upserted(listed));
+    };
+    list(&mut fleet, starts[0]);
+    let mark = LeavingMark { server: id("a"), started_unix_ms: announced, age_ms: 0 };
+
+    fleet.merge_facts(at(1), &[Fact::Leaving(mark)], 100);
+
+    for start in &starts[1..] {
+        list(&mut fleet, *start);
+    }
+    assert_eq!(fleet.server(&id("a")).expect("listed").is_leaving(), is_leaving);
+}
+
 /// A server that another process lists or that an older copy of the catalogue lists again.
 #[test]
 fn announced_before_listed() {
