--- a/crates/filbertcleat-serve/tests/allowance_use.rs
+++ b/crates/filbertcleat-serve/tests/allowance_use.rs
@@ -248,31 +248,34 @@
 /// told are refused again, as others were told the same time.
 #[test]
 fn refused_callers_served_on_return() {
-    callers_return(2_700.0, 30);
+    callers_return(7, 2_700.0, 30);
 }
 
-/// The same while others come for the first time, who may take the tokens of those who come back.
-#[test]
+/// The same while others come for the first time, who may take the tokens of those who come back. A
+/// single seed may pass by chance, as about one caller in 200 is refused again.
+#[rstest]
 #[ignore = "KNOWN-RED 18"]
-fn refused_callers_served_beside_new_ones() {
-    callers_return(248_590.0, 600);
+fn refused_callers_served_beside_new_ones(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)] seed: u64,
+) {
+    callers_return(seed, 248_590.0, 600);
 }
 
 /// Lets requests of 1,000 tokens come within 200 ms, and all refused ones come back when they were
 /// told.
-fn callers_return(rate: f64, requests: u64) {
-    let mut site = AllowanceSite::new(7, 24, 24);
-    let mut rng = SmallRng::seed_from_u64(7);
+fn callers_return(seed: u64, rate: f64, requests: u64) {
+    let mut site = AllowanceSite::new(seed, 24, 24);
+    let mut rng = SmallRng::seed_from_u64(seed);
     site.set_allowance(5, allowance(rate, rate), 1);
     for number in 0..requests {
         let ms = number * 200 / requests;
         site.arrive(READY_MS + ms, rng.random_range(0..24), 5, 1_000);
     }
-    let (mut seen, mut refused, mut again) = (0, 0, 0);
+    let (mut next, mut refused, mut again) = (0, 0, 0);
     for ms in READY_MS..READY_MS + 40_000 {
         site.run_until(ms);
-        while seen < site.decided.len() {
-            let one = site.decided[seen];
+        while next < site.decided.len() {
+            let one = site.decided[next];
             let is_return = one.arrived_ms > READY_MS + 200;
             match one.refusal {
                 None => {}
@@ -283,7 +286,7 @@
                 }
                 Some(AllowanceRefusal::Unreachable) => panic!("all agents respond"),
             }
-            seen += 1;
+            next += 1;
         }
     }
 
