Close pooled connections to servers that were removed

Cause: the connection pool kept a queue for each address, with closed or idle connections, until the process ended.

Change: each read of the list of servers drops the queues of addresses that no listed server has. The gauge pooled_servers counts the addresses.

--- a/crates/filbertcleat-gateway/src/entry/connection_pool.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_pool.rs
@@ -112,6 +112,16 @@
         }
     }
 
+    /// Closes the idle connections to addresses that no backend server has any more.
+    pub fn retain_addresses(&self, is_listed: impl Fn(SocketAddr) -> bool) {
+        self.idle.borrow_mut().retain(|address, _| is_listed(*address));
+    }
+
+    /// Returns the number of addresses to which connections are kept.
+    pub fn addresses(&self) -> usize {
+        self.idle.borrow().len()
+    }
+
     fn take_idle(&self, address: SocketAddr, request: RequestHash) -> Option<BackendConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -4,6 +4,8 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use filbertcleat_base::ModelName;
@@ -289,6 +291,10 @@
             observe_versions(self);
             self.state.borrow_mut().origins.kept.on_followed(self.now());
             self.origins_changed.notify_one();
+            let state = self.state.borrow();
+            let servers = state.fleet.servers();
+            let listed: HashSet<SocketAddr> = servers.map(|server| server.listed.address).collect();
+            self.pool.retain_addresses(|address| listed.contains(&address));
         }
         if topic != Topic::Operators {
             return;
@@ -436,6 +442,7 @@
         {
             metrics.gauge(Metric::HeldBytes, &[("for", reader)], held.get());
         }
+        metrics.gauge(Metric::PooledServers, &[], self.pool.addresses() as u64);
         let suspected = state.fleet.facts().crashes().suspected().len();
         metrics.gauge(Metric::Suspects, &[], suspected as u64);
         metrics.gauge(Metric::DroppedLogLines, &[], dropped_log_lines());
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -53,6 +53,8 @@
     Queued,
     /// Bytes that the entry holds for callers and backend servers that have not read them.
     HeldBytes,
+    /// Backend servers to which the pool keeps connections.
+    PooledServers,
     /// Orders to the engine, by kind and outcome.
     Orders,
     /// Adapters on the engine, by stage.
@@ -76,7 +78,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 35] = [
+pub const METRICS: [Metric; 36] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -102,6 +104,7 @@
     Metric::InFlight,
     Metric::Queued,
     Metric::HeldBytes,
+    Metric::PooledServers,
     Metric::Orders,
     Metric::Adapters,
     Metric::EngineAge,
@@ -143,6 +146,7 @@
             Self::InFlight => "open",
             Self::Queued => "waiting",
             Self::HeldBytes => "held_bytes",
+            Self::PooledServers => "pooled_servers",
             Self::Orders => "orders",
             Self::Adapters => "adapters",
             Self::EngineAge => "engine_age_ms",
