--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -53,6 +53,8 @@
     Queued,
     /// Bytes that the entry holds for callers and backend servers that have not read them.
     HeldBytes,
+    /// Backend servers to which the pool keeps connections.
+    PooledServers,
     /// Orders to the engine, by kind and outcome.
     Orders,
     /// Adapters on the engine, by stage.
@@ -82,7 +84,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 38] = [
+pub const METRICS: [Metric; 39] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -108,6 +110,7 @@
     Metric::InFlight,
     Metric::Queued,
     Metric::HeldBytes,
+    Metric::PooledServers,
     Metric::Orders,
     Metric::Adapters,
     Metric::EngineAge,
@@ -152,6 +155,7 @@
             Self::InFlight => "open",
             Self::Queued => "waiting",
             Self::HeldBytes => "held_bytes",
+            Self::PooledServers => "pooled_servers",
             Self::Orders => "orders",
             Self::Adapters => "adapters",
             Self::EngineAge => "engine_age_ms",
