--- a/crates/filbertcleat-gateway/tests/allowances.rs
+++ b/crates/filbertcleat-gateway/tests/allowances.rs
@@ -11,6 +11,7 @@
 use filbertcleat_gateway::CatalogueEvent;
 use filbertcleat_gateway::ShutdownSignal;
 use filbertcleat_serve::Allowance;
+use filbertcleat_serve::AllowanceLedger;
 use filbertcleat_serve::AllowanceUnit;
 use filbertcleat_serve::Deployment;
 use filbertcleat_serve::KeyHash;
@@ -112,6 +113,15 @@
             counted += entry.metric(series).await.unwrap_or(0);
         }
         assert_eq!(counted, refused.len() as u64);
+        // `filbertcleat allowances` reads these names and tags.
+        let hash = AllowanceLedger::workspace_hash("w1");
+        let tags = format!("{{workspace=\"w1\",hash=\"{hash:016x}\"}}");
+        for name in ["rate", "burst"] {
+            let series = format!("filbertcleat_allowance_{name}{tags}");
+            assert_eq!(site.entries[0].metric(&series).await, Some(1_000), "{series}");
+        }
+        let series = format!("filbertcleat_allowance_use{tags}");
+        assert!(site.entries[0].metric(&series).await.is_some_and(|used| used > 0));
     });
 }
 
