Mark requests whose response breaks off after the caller left

Cause: a response that is read whole was read by the future of its caller. When the caller left, the end of the server under the request was not seen, and no crash mark was left.

An end marks the request; an unfinished response counts as an abandoned run.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -47,6 +47,7 @@
 mod stream_moves;
 mod stream_relay;
 mod stream_source;
+mod whole_body;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/filbertcleat-gateway/src/entry/handler.rs
+++ b/crates/filbertcleat-gateway/src/entry/handler.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
 use filbertcleat_serve::Attempts;
@@ -15,9 +14,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header::CONNECTION;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -28,11 +24,8 @@
 use super::attempt::body_kind;
 use super::attempt::send_attempt;
 use super::attempt::strip_connection_headers;
-use super::backend_body::BackendBody;
 use super::backend_body::BodyKind;
-use super::backend_body::RESPONSE_MAX_BYTES;
 use super::body::CallerBody;
-use super::caller_memory::BodyBytes;
 use super::connection::ActiveRequest;
 use super::crashes::crash_refusal;
 use super::in_flight::InFlightAttempt;
@@ -50,6 +43,7 @@
 use super::request_log::log_refusal;
 use super::state::Entry;
 use super::stream_relay::relay_stream;
+use super::whole_body::WholeBody;
 use crate::Dialect;
 
 /// Handles a caller's request and returns the response.
@@ -256,8 +250,10 @@
     let BackendResponse { mut head, body, address, connection, .. } = backend_response;
     let limit = Duration::from_millis(request.remaining_ms(entry.now()) + RESPONSE_GRACE_MS);
     let held = entry.caller_memory.begin_body();
-    let body = match read_whole(body, held, Instant::now() + limit).await {
-        Ok(body) => body,
+    let body = WholeBody { body, connection, held, outcome };
+    let read = body.read(attempt.counted(), Instant::now() + limit).await;
+    let (body, connection) = match read {
+        Ok(read) => read,
         Err(failure) => {
             attempt.end(failure.outcome);
             return Err(failure);
@@ -273,41 +269,6 @@
     Ok(Forwarded::Complete { response: build_response(head.status, head.headers, body), server })
 }
 
-/// Reads a body to its end, into one buffer: many small chunks, each kept with the bytes that it
-/// was read with, would take many times the memory. The time in which the body waits for memory
-/// does not count towards the deadline, since the backend server does not cause it.
-async fn read_whole(
-    body: BackendBody,
-    mut held: BodyBytes,
-    mut deadline: Instant,
-) -> Result<CallerBody, AttemptFailure> {
-    let mut body = Limited::new(body, RESPONSE_MAX_BYTES);
-    let mut bytes = BytesMut::new();
-    loop {
-        let Ok(frame) = tokio::time::timeout_at(deadline, body.frame()).await else {
-            return Err(AttemptFailure::unknown(
-                AttemptOutcome::Silent,
-                "the response did not end before the deadline",
-            ));
-        };
-        let Some(frame) = frame else { break };
-        let Ok(frame) = frame else {
-            return Err(AttemptFailure::unknown(
-                AttemptOutcome::Broken,
-                "the response body broke off",
-            ));
-        };
-        if let Ok(data) = frame.into_data() {
-            let waits_since = Instant::now();
-            held.hold(data.len()).await;
-            deadline += waits_since.elapsed();
-            bytes.extend_from_slice(&data);
-        }
-    }
-    let body = Full::new(bytes.freeze());
-    Ok(CallerBody::Complete { body, held: Some(held.finish()) })
-}
-
 fn build_response(
     status: StatusCode,
     headers: http::HeaderMap,
--- a/crates/filbertcleat-gateway/tests/crashing_requests.rs
+++ b/crates/filbertcleat-gateway/tests/crashing_requests.rs
@@ -176,6 +176,33 @@
     });
 }
 
+/// Guards against servers that end under a request, after the head of their response, for which
+/// nobody holds the request responsible because its caller has left.
+#[test]
+fn body_broken_after_caller_left() {
+    World::run(async {
+        let script = Script::CrashOnPart { part: "bad", down: DOWN, otherwise: Box::new(RESPONSE) };
+        let servers = (0..4).map(|number| (format!("d{number}"), script.clone())).collect();
+        let site = Site::start(vec![route("cancel", ONCE, 1)], servers, 1).await;
+        let crashes = || site.backends.iter().map(|server| server.crashes.get()).sum::<usize>();
+        let call = Call { extra: "x-parts: bad\r\n", ..Call::new("a", CRASHING) };
+        for _ in 0..3 {
+            let mut caller = site.entries[0].caller().await;
+            caller.send(&call).await.expect("the entry reads");
+            // The head of the response arrives, and its body is awaited.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            drop(caller);
+            tokio::time::sleep(INTERVAL).await;
+        }
+        assert_eq!(crashes(), 3);
+
+        site.send(0, &call).await;
+        tokio::time::sleep(INTERVAL).await;
+
+        assert_eq!(crashes(), 3, "the request ended one more server");
+    });
+}
+
 /// Callers have left, and the entry has given up their requests, when the server ends under them. The
 /// next request finds that the server has ended.
 #[test]
