Serve requests that can meet their objective before late ones

Cause: under overload a queue in the order of arrival serves each request when its objective has just passed.

Change: within a priority and workspace, requests that cannot meet their objective any more (by the learned time from dispatch to the first event) come last, the earliest deadline first. Nothing changes while no request is late.

--- a/crates/filbertcleat-gateway/src/entry/in_flight.rs
+++ b/crates/filbertcleat-gateway/src/entry/in_flight.rs
@@ -11,6 +11,7 @@
 
 use super::counted_attempt::CountedAttempt;
 use super::state::Entry;
+use super::state::State;
 use crate::Dialect;
 use crate::metrics::Metric;
 
@@ -19,6 +20,8 @@
     counted: Rc<CountedAttempt<D>>,
     /// The time that the server needs for the prompts ahead of this one.
     backlog_ms: f64,
+    /// When the request left the queue, before its wait for a turn.
+    dispatched_at: MonoTime,
     first_bytes_at: Option<MonoTime>,
     last_bytes_at: Option<MonoTime>,
 }
@@ -35,8 +38,9 @@
         demand: RequestDemand,
         backlog_ms: f64,
     ) -> Self {
+        let dispatched_at = entry.now();
         let counted = Rc::new(CountedAttempt::new(entry, server, demand));
-        Self { counted, backlog_ms, first_bytes_at: None, last_bytes_at: None }
+        Self { counted, backlog_ms, dispatched_at, first_bytes_at: None, last_bytes_at: None }
     }
 
     /// Returns the backend server that the attempt was sent to.
@@ -85,12 +89,13 @@
 
     fn record_bytes(&mut self, now: MonoTime) {
         let CountedAttempt { entry, server, demand, sent_at, .. } = &*self.counted;
-        let fleet = &mut entry.state.borrow_mut().fleet;
+        let State { fleet, queue, .. } = &mut *entry.state.borrow_mut();
         if let Some(last) = self.last_bytes_at.replace(now) {
             fleet.on_bytes_received(now, server, demand, now.ms_since(last));
         } else {
             let wait_ms = now.ms_since(sent_at.get());
             fleet.on_response_started(now, server, demand, wait_ms, self.backlog_ms);
+            queue.on_response_started(fleet, demand, now.ms_since(self.dispatched_at));
             if demand.prompt_tokens > 0 {
                 entry.metrics.sample(Metric::TimeFromAttemptToFirstEvent, wait_ms);
             }
--- a/crates/filbertcleat-gateway/src/entry/placement.rs
+++ b/crates/filbertcleat-gateway/src/entry/placement.rs
@@ -6,6 +6,7 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::stable_hash;
 use filbertcleat_serve::Fleet;
+use filbertcleat_serve::RequestTimes;
 use filbertcleat_serve::WaitCause;
 use filbertcleat_serve::engine_pause_end;
 use filbertcleat_serve::place_plain;
@@ -80,7 +81,9 @@
         if let Some(model) = &request.demand.model {
             state.count_model_request(now, model);
         }
-        let ticket = state.queue.push(now, request.demand.clone(), request.avoided.clone());
+        let times = RequestTimes { arrived_at: request.arrived_at, deadline: request.deadline };
+        let (demand, avoided) = (request.demand.clone(), request.avoided.clone());
+        let ticket = state.queue.push_with_times(now, demand, avoided, times);
         state.placements.insert(ticket, sender);
         QueueGuard { entry: Rc::clone(entry), ticket }
     };
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -49,6 +49,7 @@
 use self::prefill_fit::ObservationFilter;
 pub use self::prefill_observations::PrefillObservations;
 pub(crate) use self::prefill_pacer::PrefillPacer;
+pub(crate) use self::quantile::Quantile;
 use self::removed_servers::RemovedServers;
 pub use self::request_limit::RequestLimit;
 pub use self::requested_pause::RequestedPause;
--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -3,7 +3,9 @@
 mod arrival_rates;
 mod cause;
 mod fair_shares;
+mod first_event_margins;
 mod load_wait;
+mod request_times;
 mod sent_request;
 mod ticket;
 
@@ -21,7 +23,10 @@
 pub use self::fair_shares::EngineTime;
 pub use self::fair_shares::FairShares;
 pub use self::fair_shares::FlowId;
+pub use self::fair_shares::LateRequests;
+use self::first_event_margins::FirstEventMargins;
 use self::load_wait::LoadWait;
+pub use self::request_times::RequestTimes;
 pub use self::sent_request::SentRequest;
 pub use self::ticket::Ticket;
 use crate::AdapterDemand;
@@ -37,7 +42,8 @@
 use crate::place_engine;
 
 /// The requests that wait for an engine, in the order of their priority and arrival. Requests of
-/// equal priority are served so that each workspace gets an equal share of engine time.
+/// equal priority are served so that each workspace gets an equal share of engine time. Within it,
+/// those that can still meet their latency objective precede those that cannot.
 #[derive(Debug)]
 pub struct RequestQueue {
     seed: u64,
@@ -47,6 +53,7 @@
     load_wait: LoadWait,
     arrivals: ArrivalRates,
     shares: FairShares,
+    margins: FirstEventMargins,
     /// The copies of hot adapters that engines should load, and when they were last wanted.
     early_copies: BTreeMap<AdapterKey, EarlyCopy>,
 }
@@ -67,6 +74,7 @@
     /// The position in the order of the last pass.
     rank: usize,
     queued_at: MonoTime,
+    times: RequestTimes,
     avoided: Vec<ServerId>,
     /// The servers whose loads the request has given up. It may be sent to them once they have the
     /// adapter.
@@ -89,6 +97,9 @@
     /// How long a copy of a hot adapter stays wanted after the last request that showed the need: the
     /// time to load one while several are loaded.
     const EARLY_COPY_WANTED_MS: u64 = 600;
+    /// A flow with at most this many late requests serves them in the order of arrival. A workspace
+    /// within its share has so few after a clump, and would lose them to the requests that follow.
+    const LATE_IN_ORDER_MAX: usize = 2;
     /// The longest jitter span, which is short compared with the latency objective of any stream.
     const JITTER_MAX_MS: u64 = 60;
 
@@ -102,12 +113,25 @@
             load_wait: LoadWait::new(),
             arrivals: ArrivalRates::default(),
             shares: FairShares::default(),
+            margins: FirstEventMargins::default(),
             early_copies: BTreeMap::new(),
         }
     }
 
-    /// Adds a request that must not be sent to the servers in `avoided`.
+    /// Adds a request that has just arrived, as [`Self::push_with_times`] does.
     pub fn push(&mut self, now: MonoTime, demand: RequestDemand, avoided: Vec<ServerId>) -> Ticket {
+        let deadline = now.plus_ms(demand.latency_objective_ms.saturating_mul(2));
+        self.push_with_times(now, demand, avoided, RequestTimes { arrived_at: now, deadline })
+    }
+
+    /// Adds a request that must not be sent to the servers in `avoided`.
+    pub fn push_with_times(
+        &mut self,
+        now: MonoTime,
+        demand: RequestDemand,
+        avoided: Vec<ServerId>,
+        times: RequestTimes,
+    ) -> Ticket {
         let ticket = Ticket { priority: demand.priority, number: self.next };
         self.next += 1;
         self.arrivals.record(now, &demand);
@@ -119,6 +143,7 @@
                 flow,
                 rank: usize::MAX,
                 queued_at: now,
+                times,
                 avoided,
                 slow_loaders: Vec::new(),
                 awaited_load: None,
@@ -201,7 +226,7 @@
         let span_ms = live_entries * Self::JITTER_PER_ENTRY_MS;
         let span_ms = span_ms.min(Self::JITTER_MAX_MS);
         let times = self.engine_times(fleet, &engine_spec);
-        for (rank, ticket) in self.order(&times).into_iter().enumerate() {
+        for (rank, ticket) in self.order(now, &times).into_iter().enumerate() {
             let Some(request) = self.requests.get_mut(&ticket) else { continue };
             request.rank = rank;
             let Some(engine_spec) = engine_spec(&request.demand) else { continue };
@@ -265,13 +290,55 @@
         ready
     }
 
+    /// Records the time from the dispatch of a request to its first event.
+    pub fn on_response_started(&mut self, fleet: &Fleet, demand: &RequestDemand, wait_ms: u64) {
+        if demand.prompt_tokens > 0 {
+            let ms_per_prompt_token = fleet.ms_per_prompt_token(&demand.service);
+            self.margins.observe(demand, wait_ms, ms_per_prompt_token);
+        }
+    }
+
     /// Returns all requests in the order in which they should be served.
-    fn order(&self, times: &BTreeMap<ServiceName, EngineTime>) -> Vec<Ticket> {
+    fn order(&self, now: MonoTime, times: &BTreeMap<ServiceName, EngineTime>) -> Vec<Ticket> {
         let time = |service: &ServiceName| times.get(service).copied().unwrap_or_default();
-        let Some(order) = self.shares.order(time) else {
-            return self.requests.keys().copied().collect();
+        let late = self.late_requests(now, time);
+        if let Some(order) = self.shares.order(time, &late) {
+            return order
+                .into_iter()
+                .map(|(priority, number)| Ticket { priority, number })
+                .collect();
+        }
+        let mut order: Vec<Ticket> = self.requests.keys().copied().collect();
+        if !late.is_empty() {
+            order.sort_by_key(|ticket| (ticket.priority, late.get(&ticket.number)));
+        }
+        order
+    }
+
+    /// Returns the deadlines of the requests that should be served after the others of their flow,
+    /// because they cannot meet their objective any more.
+    fn late_requests(
+        &self,
+        now: MonoTime,
+        time: impl Fn(&ServiceName) -> EngineTime,
+    ) -> LateRequests {
+        let is_late = |request: &QueuedRequest| {
+            let ms_per_prompt_token = time(&request.demand.service).ms_per_prompt_token;
+            let wait_max_ms = self.margins.wait_max_ms(&request.demand, ms_per_prompt_token);
+            now.ms_since(request.times.arrived_at) > wait_max_ms
         };
-        order.into_iter().map(|(priority, number)| Ticket { priority, number }).collect()
+        let late = self.requests.iter().filter(|(_, request)| is_late(request));
+        let mut late: BTreeMap<&Ticket, &QueuedRequest> = late.collect();
+        if !late.is_empty() {
+            let mut counts: BTreeMap<FlowId, usize> = BTreeMap::new();
+            for request in late.values() {
+                *counts.entry(request.flow).or_default() += 1;
+            }
+            let causes = self.shares.causes_of_wait(time);
+            counts.retain(|flow, count| *count > Self::LATE_IN_ORDER_MAX && causes.contains(flow));
+            late.retain(|_, request| counts.contains_key(&request.flow));
+        }
+        late.into_iter().map(|(ticket, it)| (ticket.number, it.times.deadline)).collect()
     }
 
     /// Returns what tokens cost at the engines of each service that has queued requests.
--- a/crates/filbertcleat-serve/src/queue/fair_shares.rs
+++ b/crates/filbertcleat-serve/src/queue/fair_shares.rs
@@ -5,9 +5,11 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::binary_heap::PeekMut;
 
+use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
 use filbertcleat_base::WorkspaceName;
 
@@ -35,6 +37,9 @@
     workspace_requests: usize,
 }
 
+/// The numbers of the requests that their flows serve after all others, with their deadlines.
+pub type LateRequests = BTreeMap<u64, MonoTime>;
+
 /// Identifies a flow while it has queued requests or engine time to account for.
 pub type FlowId = u64;
 
@@ -67,6 +72,9 @@
     /// A flow gets ahead on engines that the others do not ask for, such as those with its adapter.
     /// It must not wait for that longer than callers do, whose latency objectives are 500 ms or more.
     const LEAD_MAX_MS: f64 = 500.0;
+    /// The part of the largest flow's queued engine time from which a flow causes the wait too. With a
+    /// half, requests of workspaces within their shares were given up beside hot ones.
+    const CAUSE_SHARE: f64 = 0.75;
 
     /// Adds a request, whose number is higher than that of any before, and returns its flow.
     pub fn push(&mut self, number: u64, demand: &RequestDemand) -> FlowId {
@@ -117,10 +125,12 @@
     }
 
     /// Returns the numbers of all requests in the order in which they should be served, with their
-    /// priorities, or `None` if that is the order of priority and arrival.
+    /// priorities, or `None` if no request has a workspace: that is the order of priority and
+    /// arrival. Each flow serves those in `late` last, the earliest deadline first.
     pub fn order(
         &self,
         engine_time: impl Fn(&ServiceName) -> EngineTime,
+        late: &LateRequests,
     ) -> Option<Vec<(u8, u64)>> {
         if self.workspace_requests == 0 {
             return None;
@@ -129,7 +139,7 @@
         for flow in self.flows.values() {
             let virtual_ms = flow.key.virtual_ms(&self.virtual_ms);
             let time = engine_time(&flow.key.service);
-            heads.extend(FlowHead::first(flow, virtual_ms, time).map(Reverse));
+            heads.extend(FlowHead::first(flow, virtual_ms, time, late).map(Reverse));
         }
         let mut order = Vec::new();
         while let Some(mut head) = heads.peek_mut() {
@@ -141,6 +151,30 @@
         Some(order)
     }
 
+    /// Returns the flows whose queued requests take at least a part of the engine time that those of the
+    /// largest flow of their service and priority take.
+    ///
+    /// A smaller flow is not the reason for the wait. It serves its requests in the order of arrival,
+    /// because a workspace within its share would otherwise lose its late ones to those that follow.
+    pub fn causes_of_wait(
+        &self,
+        engine_time: impl Fn(&ServiceName) -> EngineTime,
+    ) -> BTreeSet<FlowId> {
+        let mut largest_ms: BTreeMap<(u8, ServiceName), f64> = BTreeMap::new();
+        let mut queued = Vec::new();
+        for (id, flow) in &self.flows {
+            let queued_ms = flow.queued_ms(engine_time(&flow.key.service));
+            let pool_ms = largest_ms.entry(flow.key.pool()).or_default();
+            *pool_ms = pool_ms.max(queued_ms);
+            queued.push((*id, flow.key.pool(), queued_ms));
+        }
+        let is_cause = |pool: &(u8, ServiceName), queued_ms: f64| {
+            queued_ms >= largest_ms.get(pool).copied().unwrap_or(0.0) * Self::CAUSE_SHARE
+        };
+        let causes = queued.into_iter().filter(|(_, pool, queued_ms)| is_cause(pool, *queued_ms));
+        causes.map(|(id, ..)| id).collect()
+    }
+
     /// Returns the priority and the number of the first request of each flow.
     pub fn first_requests(&self) -> impl Iterator<Item = (u8, u64)> {
         let first = |flow: &Flow| Some((flow.key.priority, *flow.queued.first_key_value()?.0));
--- a/crates/filbertcleat-serve/src/queue/fair_shares/flow.rs
+++ b/crates/filbertcleat-serve/src/queue/fair_shares/flow.rs
@@ -2,10 +2,11 @@
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
-use std::collections::btree_map;
+use std::vec;
 
 use super::EngineTime;
 use super::FlowKey;
+use super::LateRequests;
 use super::VirtualTimes;
 
 /// The requests of a workspace for a service at a priority.
@@ -26,6 +27,11 @@
         Self { key, queued: BTreeMap::new(), used_ms: 0.0, last_ms: 0.0 }
     }
 
+    /// Returns the engine time of the queued requests.
+    pub fn queued_ms(&self, time: EngineTime) -> f64 {
+        self.queued.values().map(|(prompt, output)| time.of(*prompt, *output)).sum()
+    }
+
     /// Returns whether the flow has nothing queued and is not ahead of the others.
     pub fn is_settled(&self, times: &VirtualTimes) -> bool {
         self.queued.is_empty() && self.used_ms <= self.key.virtual_ms(times)
@@ -34,7 +40,7 @@
 
 /// The next request of a flow, while the order of all requests is determined.
 #[derive(Debug)]
-pub(super) struct FlowHead<'a> {
+pub(super) struct FlowHead {
     pub priority: u8,
     pub number: u64,
     /// The virtual time at which the request starts, relative to that of the service.
@@ -44,20 +50,31 @@
     left: usize,
     /// The engine time of the request.
     time_ms: f64,
-    queued: btree_map::Iter<'a, u64, (u64, u64)>,
+    /// The requests after this one.
+    queued: vec::IntoIter<(u64, (u64, u64))>,
     time: EngineTime,
 }
 
-impl<'a> FlowHead<'a> {
+impl FlowHead {
     /// Returns the first request of a flow, or `None` if none is queued.
-    pub fn first(flow: &'a Flow, virtual_ms: f64, time: EngineTime) -> Option<Self> {
+    pub fn first(
+        flow: &Flow,
+        virtual_ms: f64,
+        time: EngineTime,
+        late: &LateRequests,
+    ) -> Option<Self> {
+        let queued = flow.queued.iter().map(|(number, tokens)| (*number, *tokens));
+        let mut queued: Vec<_> = queued.collect();
+        if !late.is_empty() {
+            queued.sort_by_key(|(number, _)| late.get(number));
+        }
         let mut head = Self {
             priority: flow.key.priority,
             number: 0,
             start_ms: (flow.used_ms - virtual_ms).max(0.0),
             left: flow.queued.len() + 1,
             time_ms: 0.0,
-            queued: flow.queued.iter(),
+            queued: queued.into_iter(),
             time,
         };
         head.advance().then_some(head)
@@ -68,15 +85,15 @@
         let Some((number, (prompt_tokens, output_tokens))) = self.queued.next() else {
             return false;
         };
-        self.number = *number;
+        self.number = number;
         self.start_ms += self.time_ms;
-        self.time_ms = self.time.of(*prompt_tokens, *output_tokens);
+        self.time_ms = self.time.of(prompt_tokens, output_tokens);
         self.left -= 1;
         true
     }
 }
 
-impl Ord for FlowHead<'_> {
+impl Ord for FlowHead {
     fn cmp(&self, other: &Self) -> Ordering {
         let by_start = || self.start_ms.total_cmp(&other.start_ms);
         let by_rest = || (self.left, self.number).cmp(&(other.left, other.number));
@@ -84,16 +101,16 @@
     }
 }
 
-impl PartialOrd for FlowHead<'_> {
+impl PartialOrd for FlowHead {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
 
-impl PartialEq for FlowHead<'_> {
+impl PartialEq for FlowHead {
     fn eq(&self, other: &Self) -> bool {
         self.cmp(other).is_eq()
     }
 }
 
-impl Eq for FlowHead<'_> {}
+impl Eq for FlowHead {}
--- a/crates/filbertcleat-serve/tests/fair_shares.rs
+++ b/crates/filbertcleat-serve/tests/fair_shares.rs
@@ -7,6 +7,7 @@
 use filbertcleat_serve::EngineTime;
 use filbertcleat_serve::FairShares;
 use filbertcleat_serve::FlowId;
+use filbertcleat_serve::LateRequests;
 use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::RequestQueue;
 use rstest::rstest;
@@ -167,7 +168,7 @@
     }
 
     fn numbers(&self) -> Option<Vec<u64>> {
-        let order = self.shares.order(|_: &ServiceName| Self::TIME)?;
+        let order = self.shares.order(|_: &ServiceName| Self::TIME, &LateRequests::new())?;
         Some(order.into_iter().map(|(_, number)| number).collect())
     }
 
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod allowance_site;
 pub mod engine;
+pub mod overload_replay;
 pub mod plain_load;
 pub mod prefill_engine;
 pub mod share_replay;
