Draw a new jitter after a time without an engine

Cause: RequestQueue::dispatch kept the jitter of a request for which no engine was usable any more. When one came back, the jitter had run out, and the requests of all entries were sent at once.

Change: the arm NoEngine drops the jitter, as the other waits do.

Figures: jitter_ends_without_engine (tests/queue.rs) failed before; all 13 tests of queue.rs pass.

--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -246,7 +246,10 @@
                     request.cause = WaitCause::Paused;
                     request.jitter = None;
                 }
-                Placement::NoEngine => request.cause = WaitCause::Engine,
+                Placement::NoEngine => {
+                    request.cause = WaitCause::Engine;
+                    request.jitter = None;
+                }
             }
         }
         for sent in &ready {
--- a/crates/filbertcleat-serve/tests/queue.rs
+++ b/crates/filbertcleat-serve/tests/queue.rs
@@ -178,6 +178,27 @@
 
 /// After a burst, the estimated wait must cover the prefill of the whole queue, at all entries. An
 /// unknown engine is assumed to need 0.2 ms a token, of which gaps leave it 0.6 of the time.
+/// Guards against a jitter that has run out while no engine was usable, after which requests of all
+/// entries are sent at once.
+#[test]
+fn jitter_ends_without_engine() {
+    let mut fleet = fleet(at(0), &[("a", &["x"])]);
+    let mut queue = RequestQueue::new(7);
+    queue.push(at(0), demand("x", 3_000), Vec::new());
+    queue.push(at(0), demand("x", 3_000), Vec::new());
+    let mut now = 1;
+    while !queue.has_jittered_requests() {
+        dispatch(&mut queue, &mut fleet, now);
+        now += 1;
+        assert!(!queue.is_empty(), "the request was sent without a jitter");
+    }
+
+    fleet.on_leaving(at(now), &id("a"), 1);
+    dispatch(&mut queue, &mut fleet, now);
+
+    assert!(!queue.has_jittered_requests());
+}
+
 #[rstest]
 #[case::empty(0, 1, 1, 67)]
 #[case::burst(40, 1, 1, 2_734)]
