Refuse turns for which an engine has no room

Cause: after the load of a popular adapter a dozen entries ask its agent for turns within 50 ms. Prompts without room were all moved to the end of their longest delay and sent together. Besides, expected backlogs exceed what engines read after delayed turns and made engines look faster (44 to 51 ms for 1,460 tokens, which take 76 ms), so that too many prompts shared a window.

Change: the agent refuses such a turn (new field of PromptTurnReply), and the entry places the request anew once a window has passed.

--- a/crates/filbertcleat-gateway/src/entry/counted_attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/counted_attempt.rs
@@ -85,6 +85,11 @@
         self.entry.now().ms_since(self.sent_at.get())
     }
 
+    /// Records that the attempt was never sent, and that the fleet counts it no more.
+    pub fn end_unsent(&self) {
+        self.has_ended.set(true);
+    }
+
     /// Ends the attempt with the given outcome, unless it has ended.
     pub fn end(&self, outcome: AttemptOutcome) {
         if self.has_ended.replace(true) {
--- a/crates/filbertcleat-gateway/src/entry/in_flight.rs
+++ b/crates/filbertcleat-gateway/src/entry/in_flight.rs
@@ -78,6 +78,11 @@
         self.end(AttemptOutcome::Answered);
     }
 
+    /// Ends an attempt that an agent had no room for, and that the fleet counts no more.
+    pub fn end_unsent(self) {
+        self.counted.end_unsent();
+    }
+
     /// Ends the attempt with the given outcome.
     pub fn end(self, outcome: AttemptOutcome) {
         self.counted.end(outcome);
--- a/crates/filbertcleat-gateway/src/entry/placement.rs
+++ b/crates/filbertcleat-gateway/src/entry/placement.rs
@@ -71,8 +71,7 @@
         return Ok(InFlightAttempt::new(entry, server, request.demand.clone(), backlog_ms));
     }
 
-    let (sender, receiver) = oneshot::channel();
-    let queued = {
+    {
         let state = &mut *entry.state.borrow_mut();
         if let Some(key) = &request.demand.adapter {
             request.demand.min_version = state.versions.get(key).copied().unwrap_or(0);
@@ -80,23 +79,25 @@
         if let Some(model) = &request.demand.model {
             state.count_model_request(now, model);
         }
-        let ticket = state.queue.push(now, request.demand.clone(), request.avoided.clone());
-        state.placements.insert(ticket, sender);
-        QueueGuard { entry: Rc::clone(entry), ticket }
-    };
-    entry.dispatcher_wakeup.notify_one();
+    }
     let max_wait_ms = request
         .route
         .latency_objective_ms
         .saturating_mul(MAX_WAIT_FACTOR)
         .min(request.remaining_ms(now) / 2)
         .max(1);
-    let placed = wait_for_engine(&queued, receiver, Duration::from_millis(max_wait_ms)).await;
-    let wait_cause = queued.remove();
-    let mut placed = placed;
-    if let Some(attempt) = &mut placed {
-        await_turn(entry, request, attempt).await;
-    }
+    let (placed, wait_cause) = loop {
+        let (queued, receiver) = enqueue(entry, request);
+        let waited_ms = entry.now().ms_since(now);
+        let max_wait = Duration::from_millis(max_wait_ms.saturating_sub(waited_ms));
+        let placed = wait_for_engine(&queued, receiver, max_wait).await;
+        let wait_cause = queued.remove();
+        let Some(mut attempt) = placed else { break (None, wait_cause) };
+        if await_turn(entry, request, &mut attempt).await {
+            break (Some(attempt), wait_cause);
+        }
+        attempt.end_unsent();
+    };
     request.queued_ms += entry.now().ms_since(now);
     if let Some(attempt) = placed {
         let now = entry.now();
@@ -122,6 +123,19 @@
     Err(Refusal::NotRun(cause.as_str(), retry_after))
 }
 
+/// Adds a request to the queue.
+fn enqueue<D: Dialect>(
+    entry: &Rc<Entry<D>>,
+    request: &CallerRequest,
+) -> (QueueGuard<D>, oneshot::Receiver<InFlightAttempt<D>>) {
+    let (sender, receiver) = oneshot::channel();
+    let state = &mut *entry.state.borrow_mut();
+    let ticket = state.queue.push(entry.now(), request.demand.clone(), request.avoided.clone());
+    state.placements.insert(ticket, sender);
+    entry.dispatcher_wakeup.notify_one();
+    (QueueGuard { entry: Rc::clone(entry), ticket }, receiver)
+}
+
 /// Returns the refusal of a request if all backend servers that might serve it are in a pause.
 ///
 /// Its `Retry-After` ends when the first of them opens, and a little later for most callers.
--- a/crates/filbertcleat-gateway/src/entry/prompt_turns.rs
+++ b/crates/filbertcleat-gateway/src/entry/prompt_turns.rs
@@ -28,17 +28,17 @@
 }
 
 /// Waits until the prompt of a placed request may be sent, if the agent beside the engine has to be
-/// asked.
+/// asked. Returns whether the prompt may be sent; if not, the request has to be placed anew.
 pub(super) async fn await_turn<D: Dialect>(
     entry: &Rc<Entry<D>>,
     request: &CallerRequest,
     attempt: &mut InFlightAttempt<D>,
-) {
+) -> bool {
     let now = entry.now();
     let (turn, reply) = {
         let state = &mut *entry.state.borrow_mut();
-        let Some(server) = state.fleet.server(attempt.server()) else { return };
-        let Some(turn_request) = server.turn_request(now, &request.demand) else { return };
+        let Some(server) = state.fleet.server(attempt.server()) else { return true };
+        let Some(turn_request) = server.turn_request(now, &request.demand) else { return true };
         let to = SocketAddr::new(server.listed.address.ip(), entry.settings.peer_port);
         let turns = &mut state.turns;
         turns.next += 1;
@@ -55,18 +55,23 @@
     drop(turn);
     let outcome = match reply {
         None => "unanswered",
+        Some(PromptTurn { is_full: true, .. }) => "refused",
         Some(PromptTurn { delay_ms: 0, .. }) => "at_once",
         Some(_) => "delayed",
     };
     entry.metrics.count(Metric::PromptTurns, &[("outcome", outcome)]);
     if let Some(reply) = reply {
         apply_turn(entry, request, attempt.server(), reply);
+        if reply.is_full {
+            return false;
+        }
         let delay_ms = reply.delay_ms.min(request.remaining_ms(now) / 2);
         if delay_ms > 0 {
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         }
     }
     attempt.on_turn();
+    true
 }
 
 /// Records what an agent's response says about its engine.
@@ -78,7 +83,9 @@
 ) {
     let now = entry.now();
     let state = &mut *entry.state.borrow_mut();
-    if reply.delay_ms > 0 {
+    if reply.is_full {
+        state.fleet.on_turn_refused(now, server, &request.demand);
+    } else if reply.delay_ms > 0 {
         state.fleet.on_turn_delayed(now, server, reply.delay_ms);
     }
     if !reply.is_adapter_hot {
--- a/crates/filbertcleat-gateway/src/peer_socket/convert.rs
+++ b/crates/filbertcleat-gateway/src/peer_socket/convert.rs
@@ -115,6 +115,7 @@
                     turn: *turn,
                     delay_ms: reply.delay_ms,
                     hot: reply.is_adapter_hot,
+                    full: reply.is_full,
                 })
             }
             PeerUpdate::Allowance(message) => allowance_to_update(message),
@@ -156,8 +157,8 @@
                 Ok(Self::PromptTurn { turn, request: request.checked().ok_or(UnknownUpdate)? })
             }
             datagram::Update::PromptTurnReply(reply) => {
-                let v1::PromptTurnReply { turn, delay_ms, hot } = reply;
-                let reply = PromptTurn { delay_ms, is_adapter_hot: hot };
+                let v1::PromptTurnReply { turn, delay_ms, hot, full } = reply;
+                let reply = PromptTurn { delay_ms, is_full: full, is_adapter_hot: hot };
                 Ok(Self::PromptTurnReply { turn, reply })
             }
             datagram::Update::AllowanceRequest(message) => {
--- a/crates/filbertcleat-gateway/tests/prompt_turns.rs
+++ b/crates/filbertcleat-gateway/tests/prompt_turns.rs
@@ -40,6 +40,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Reply {
     Delay(u64),
+    /// The first prompt gets no turn, the others may be sent at once.
+    FullFirst,
     Nothing,
 }
 
@@ -67,9 +69,14 @@
                 }
                 Some(Update::PromptTurn(request)) => {
                     count.set(count.get() + 1);
-                    let Reply::Delay(delay_ms) = reply else { continue };
+                    let (delay_ms, full) = match reply {
+                        Reply::Delay(delay_ms) => (delay_ms, false),
+                        Reply::FullFirst => (0, count.get() == 1),
+                        Reply::Nothing => continue,
+                    };
                     let turn = request.turn;
-                    Update::PromptTurnReply(v1::PromptTurnReply { turn, delay_ms, hot: false })
+                    let reply = v1::PromptTurnReply { turn, delay_ms, full, hot: false };
+                    Update::PromptTurnReply(reply)
                 }
                 _ => continue,
             };
@@ -123,6 +130,20 @@
     });
 }
 
+/// Guards against prompts that are sent to an engine whose agent has no room for them, and against
+/// agents that are asked again at once.
+#[test]
+fn refused_turn_asked_again() {
+    World::run(async {
+        let (waited, asked) = wait_for_turn(50, Reply::FullFirst).await;
+
+        assert_eq!(asked, 2);
+        // The window, the jitter of a request that has waited, and the intervals of two passes.
+        let window = Duration::from_millis(300)..=Duration::from_millis(300 + 60 + 15 + 3);
+        assert!(window.contains(&waited), "{waited:?}");
+    });
+}
+
 /// Guards against messages and delays in deployments with few entries, which learn of each other's
 /// prompts at once.
 #[test]
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -277,6 +277,15 @@
         }
     }
 
+    /// Records that the agent of a backend server has no room for a prompt that this entry counts as
+    /// sent. The request is placed anew.
+    pub fn on_turn_refused(&mut self, now: MonoTime, id: &ServerId, demand: &RequestDemand) {
+        self.on_ended(now, id, demand, AttemptOutcome::Left);
+        if let Some(server) = self.servers.get_mut(id) {
+            server.on_turn_refused(now, demand);
+        }
+    }
+
     /// Records that the response to a request began `wait_ms` after the request was sent, with
     /// `backlog_ms` of prompts ahead of it.
     pub fn on_response_started(
@@ -287,17 +296,17 @@
         wait_ms: u64,
         backlog_ms: f64,
     ) {
-        let Some(server) = self.servers.get_mut(id) else { return };
-        let kept_tokens = server.kept_tokens(now, demand);
-        let idle_wait_ms = server.on_response_started(now, demand, wait_ms, backlog_ms);
-        if demand.prompt_tokens == 0 {
-            return;
-        }
         let filter = if self.agents_assign_turns(now) {
             ObservationFilter::Undelayed
         } else {
             ObservationFilter::All
         };
+        let Some(server) = self.servers.get_mut(id) else { return };
+        let kept_tokens = server.kept_tokens(now, demand);
+        let idle_wait_ms = server.on_response_started(now, demand, wait_ms, backlog_ms, filter);
+        if demand.prompt_tokens == 0 || filter.leaves_out(backlog_ms) {
+            return;
+        }
         self.learn(&demand.service, |model| {
             model.observe_response(demand.prompt_tokens, kept_tokens, idle_wait_ms, filter);
         });
--- a/crates/filbertcleat-serve/src/fleet/prefill_fit.rs
+++ b/crates/filbertcleat-serve/src/fleet/prefill_fit.rs
@@ -102,6 +102,12 @@
         self.own.add(1.0, prompt_tokens as f64, expected_ms + distance_ms);
     }
 
+    /// Returns whether a response that came this long after the expected time was delayed by other
+    /// prompts.
+    pub fn is_delayed(&self, distance_ms: f64) -> bool {
+        self.is_settled() && distance_ms > self.all().distance_ms * Self::DELAYED_DISTANCE
+    }
+
     /// Returns whether enough responses have replaced the assumptions.
     pub fn is_settled(&self) -> bool {
         let others = self.others.weight;
@@ -140,6 +146,21 @@
 pub(crate) enum ObservationFilter {
     /// All of them.
     All,
-    /// Those that other prompts did not delay.
+    /// Those that other prompts neither delayed nor were expected to delay.
     Undelayed,
 }
+
+impl ObservationFilter {
+    /// Returns whether a response shows nothing because of the prompts that were expected ahead of it.
+    ///
+    /// Where agents decide when prompts are sent, the expected backlog also stands for delays and for
+    /// engines without room, so that it exceeds what the engine had to read. The time that is left
+    /// after the backlog is deducted then makes the engine look faster than it is, and its prompts
+    /// are sent too close together.
+    pub fn leaves_out(self, backlog_ms: f64) -> bool {
+        match self {
+            Self::All => false,
+            Self::Undelayed => backlog_ms > 0.0,
+        }
+    }
+}
--- a/crates/filbertcleat-serve/src/fleet/prefill_pacer.rs
+++ b/crates/filbertcleat-serve/src/fleet/prefill_pacer.rs
@@ -9,6 +9,7 @@
 use super::engine_model::EngineModel;
 use super::engine_pace::EnginePace;
 use super::gap_control::GapControl;
+use super::prefill_fit::ObservationFilter;
 use crate::PromptTurnRequest;
 use crate::RequestDemand;
 
@@ -111,10 +112,17 @@
         demand: &RequestDemand,
         wait_ms: u64,
         backlog_ms: f64,
+        filter: ObservationFilter,
     ) -> f64 {
         let wait_ms = wait_ms as f64;
         let expected_ms = backlog_ms + self.idle_first_event_ms(demand.prompt_tokens);
-        self.pace.observe(wait_ms / expected_ms.max(1.0));
+        let is_undelayed = match filter {
+            ObservationFilter::All => true,
+            ObservationFilter::Undelayed => !self.model.line.is_delayed(wait_ms - expected_ms),
+        };
+        if is_undelayed && !filter.leaves_out(backlog_ms) {
+            self.pace.observe(wait_ms / expected_ms.max(1.0));
+        }
         (wait_ms - backlog_ms).max(0.0)
     }
 
@@ -140,6 +148,13 @@
         self.read_at = self.read_at.max(now.plus_ms(delay_ms));
     }
 
+    /// Records that the agent has no room for a prompt. The engine counts as busy for one window, in
+    /// which other engines may turn out to be free; then the agent may be asked again.
+    pub fn on_turn_refused(&mut self, now: MonoTime, demand: &RequestDemand) {
+        let backlog_max_ms = demand.latency_objective_ms as f64 * Self::BACKLOG_SHARE;
+        self.on_turn_delayed(now, backlog_max_ms as u64 + Self::WINDOW_MS);
+    }
+
     /// Returns the prompt tokens that all entries have sent within the window.
     pub fn recent_tokens(&self, now: MonoTime) -> u64 {
         let own = self.sent.iter().filter(|(at, _)| now.ms_since(*at) <= Self::WINDOW_MS);
--- a/crates/filbertcleat-serve/src/fleet/server.rs
+++ b/crates/filbertcleat-serve/src/fleet/server.rs
@@ -16,6 +16,7 @@
 use super::kept_prefixes::KeptPrefixes;
 use super::limit_state::LimitState;
 use super::plain_pace::PlainPace;
+use super::prefill_fit::ObservationFilter;
 use super::prefill_pacer::PrefillPacer;
 use crate::AdapterKey;
 use crate::AdapterStage;
@@ -380,6 +381,11 @@
         self.prefill.on_turn_delayed(now, delay_ms);
     }
 
+    /// Records that the server's agent has no room for a prompt.
+    pub(super) fn on_turn_refused(&mut self, now: MonoTime, demand: &RequestDemand) {
+        self.prefill.on_turn_refused(now, demand);
+    }
+
     /// Sets what the servers of the service have shown.
     pub(super) fn set_model(&mut self, model: EngineModel) {
         self.prefill.set_model(model);
@@ -416,13 +422,14 @@
         demand: &RequestDemand,
         wait_ms: u64,
         backlog_ms: f64,
+        filter: ObservationFilter,
     ) -> f64 {
         self.last_byte_at = now;
         if demand.prompt_tokens == 0 {
             return wait_ms as f64;
         }
         self.kept.record(self.total_prompt_tokens(), &demand.prefixes);
-        self.prefill.on_response_started(demand, wait_ms, backlog_ms)
+        self.prefill.on_response_started(demand, wait_ms, backlog_ms, filter)
     }
 
     /// Records that bytes of a response arrived `gap_ms` after the previous ones. Returns whether
--- a/crates/filbertcleat-serve/src/prompt_turns.rs
+++ b/crates/filbertcleat-serve/src/prompt_turns.rs
@@ -43,7 +43,9 @@
     /// Decides when an entry should send a prompt.
     ///
     /// Prompts are sent in the order in which entries ask. Within a pacing window they fill at most
-    /// the requested budget, unless a single prompt exceeds it.
+    /// the requested budget, unless a single prompt exceeds it. A prompt for which there is no room
+    /// within its longest delay gets no turn. If it were sent at the end of the delay, it would meet
+    /// all others that wait for the same moment, as those do that waited for the load of an adapter.
     pub fn assign(&mut self, now: MonoTime, request: PromptTurnRequest) -> PromptTurn {
         while self.turns.front().is_some_and(|turn| now.ms_since(turn.at) >= Self::LOAD_WINDOW_MS) {
             self.turns.pop_front();
@@ -57,9 +59,13 @@
             let next = leaving.find(|left_at| *left_at > start);
             start = next.unwrap_or(latest).min(latest);
         }
-        let PromptTurnRequest { prefill_ms, adapter, .. } = request;
-        self.turns.push_back(Assigned { at: start, prefill_ms, adapter });
-        PromptTurn { delay_ms: start.ms_since(now), is_adapter_hot: self.is_hot(&request) }
+        let is_full = !self.has_room(start, &request);
+        let is_adapter_hot = self.is_hot(&request);
+        if !is_full {
+            let PromptTurnRequest { prefill_ms, adapter, .. } = request;
+            self.turns.push_back(Assigned { at: start, prefill_ms, adapter });
+        }
+        PromptTurn { delay_ms: start.ms_since(now), is_full, is_adapter_hot }
     }
 
     fn has_room(&self, at: MonoTime, request: &PromptTurnRequest) -> bool {
@@ -72,10 +78,10 @@
     /// copy should.
     fn is_hot(&self, request: &PromptTurnRequest) -> bool {
         let same = || self.turns.iter().filter(|turn| turn.adapter == request.adapter);
-        let sent_ms: f64 = same().map(|turn| turn.prefill_ms).sum();
+        let sent_ms: f64 = same().map(|turn| turn.prefill_ms).sum::<f64>() + request.prefill_ms;
         let windows = Self::LOAD_WINDOW_MS as f64 / PrefillPacer::WINDOW_MS as f64;
         request.adapter.is_some()
-            && same().count() > 1
+            && same().count() > 0
             && sent_ms > request.budget_ms * windows * Self::HOT_SHARE
     }
 }
--- a/crates/filbertcleat-serve/tests/prompt_turns.rs
+++ b/crates/filbertcleat-serve/tests/prompt_turns.rs
@@ -69,6 +69,19 @@
     assert_eq!(delays.max(), Some(DELAY_MAX_MS));
 }
 
+/// Guards against a gap from prompts that were all sent at the end of the longest delay, as after the
+/// load of the adapter that they waited for.
+#[test]
+fn full_engine_refuses() {
+    let mut turns = PromptTurns::default();
+    let mut assign = |now_ms| turns.assign(at(now_ms), prompt(100.0, 1));
+    let given: Vec<_> = (0..10).map(|_| assign(1_000)).filter(|turn| !turn.is_full).collect();
+
+    let delays: Vec<_> = given.iter().map(|turn| turn.delay_ms).collect();
+    assert_eq!(delays, [0, WINDOW_MS], "one prompt a window");
+    assert!(!assign(1_200).is_full, "refused prompts leave their room to later ones");
+}
+
 /// Guards against an engine that is filled by one adapter while most of the fleet is idle, and
 /// against copies of adapters that are asked for once.
 #[test]
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod allowance_site;
 pub mod engine;
+pub mod large_fleet;
 pub mod plain_load;
 pub mod prefill_engine;
 pub mod share_replay;
--- a/crates/filbertcleat-serve/tests/support/prefill_engine.rs
+++ b/crates/filbertcleat-serve/tests/support/prefill_engine.rs
@@ -50,6 +50,11 @@
         Self { speed, now_ms: 0.0, waiting: Vec::new(), running: Vec::new() }
     }
 
+    /// Changes the speed from the next step on.
+    pub fn set_speed(&mut self, speed: EngineSpeed) {
+        self.speed = speed;
+    }
+
     pub fn send(&mut self, request: usize, prompt_tokens: u64, events: u32) {
         self.waiting.push((request, prompt_tokens as f64, events));
     }
