--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -5,6 +5,7 @@
 mod fair_shares;
 mod first_event_margins;
 mod load_wait;
+mod queued_request;
 mod request_times;
 mod sent_request;
 mod ticket;
@@ -26,6 +27,7 @@
 pub use self::fair_shares::LateRequests;
 use self::first_event_margins::FirstEventMargins;
 use self::load_wait::LoadWait;
+use self::queued_request::QueuedRequest;
 pub use self::request_times::RequestTimes;
 pub use self::sent_request::SentRequest;
 pub use self::ticket::Ticket;
@@ -66,26 +68,6 @@
     wanted_at: MonoTime,
 }
 
-#[derive(Debug)]
-struct QueuedRequest {
-    demand: RequestDemand,
-    /// The flow in which the request takes its share.
-    flow: FlowId,
-    /// The position in the order of the last pass.
-    rank: usize,
-    queued_at: MonoTime,
-    times: RequestTimes,
-    avoided: Vec<ServerId>,
-    /// The servers whose loads the request has given up. It may be sent to them once they have the
-    /// adapter.
-    slow_loaders: Vec<ServerId>,
-    /// The server that is to load the adapter, and when the request began to wait for it.
-    awaited_load: Option<(ServerId, MonoTime)>,
-    cause: WaitCause,
-    /// The server that has capacity for the request, and when the request may be sent to it.
-    jitter: Option<(ServerId, MonoTime)>,
-}
-
 impl RequestQueue {
     /// The time after which a request stops waiting for a load and tries another server: ten times
     /// the duration of a load without contention, because concurrent loads slow each other down.
@@ -471,53 +453,6 @@
     }
 }
 
-impl QueuedRequest {
-    /// Returns whether a request that found capacity may be sent now. A request that has waited is
-    /// sent only after `jitter_ms`, counted from when it first found capacity at this server.
-    fn may_send(&mut self, now: MonoTime, server: &ServerId, jitter_ms: u64) -> bool {
-        if self.cause == WaitCause::Pending {
-            return true;
-        }
-        match &self.jitter {
-            Some((chosen, until)) if chosen == server => now >= *until,
-            _ => {
-                self.jitter = Some((server.clone(), now.plus_ms(jitter_ms)));
-                jitter_ms == 0
-            }
-        }
-    }
-
-    /// Returns whether the request waits for capacity that others use, or has found some and waits
-    /// out its jitter.
-    fn awaits_capacity(&self) -> bool {
-        match self.cause {
-            WaitCause::Capacity => true,
-            WaitCause::AdapterLoad => self.jitter.is_some(),
-            WaitCause::Pending | WaitCause::Engine | WaitCause::Paused => false,
-        }
-    }
-
-    fn awaits_load(&self, server: &ServerId) -> bool {
-        self.awaited_load.as_ref().is_some_and(|(loader, _)| loader == server)
-    }
-
-    fn is_load_stuck(&self, now: MonoTime, fleet: &Fleet) -> bool {
-        self.awaited_load.as_ref().is_some_and(|(loader, since)| {
-            let is_lost = fleet
-                .server(loader)
-                .is_none_or(|server| !server.is_usable(now) || server.fresh_update(now).is_none());
-            is_lost || now.ms_since(*since) > RequestQueue::LOAD_TIMEOUT_MS
-        })
-    }
-
-    /// Stops waiting for the current load, and awaits none of its server from now on.
-    fn give_up_load(&mut self) {
-        if let Some((loader, _)) = self.awaited_load.take() {
-            self.slow_loaders.push(loader);
-        }
-    }
-}
-
 /// Returns the rate at which all entries together may send prompts like that of a request.
 fn tokens_per_ms(server: &Server, demand: &RequestDemand) -> f64 {
     let prefill_rate = server.prefill_tokens_per_ms(demand);
