Estimate the first events of requests only once they can be late

Cause: each pass over the queue estimated the first event of every queued request, with two look-ups by service, although no request counts as late before it has waited for half of its objective. Change: such requests are passed over. The order is the same: the estimate never allows less than that half.

--- a/crates/filbertcleat-serve/src/queue.rs
+++ b/crates/filbertcleat-serve/src/queue.rs
@@ -308,9 +308,13 @@
         time: impl Fn(&ServiceName) -> EngineTime,
     ) -> LateRequests {
         let is_late = |request: &QueuedRequest| {
+            let waited_ms = now.ms_since(request.times.arrived_at);
+            // Most requests need no estimate, because every one may wait for part of its objective.
+            if waited_ms <= FirstEventMargins::wait_min_ms(&request.demand) {
+                return false;
+            }
             let ms_per_prompt_token = time(&request.demand.service).ms_per_prompt_token;
-            let wait_max_ms = self.margins.wait_max_ms(&request.demand, ms_per_prompt_token);
-            now.ms_since(request.times.arrived_at) > wait_max_ms
+            waited_ms > self.margins.wait_max_ms(&request.demand, ms_per_prompt_token)
         };
         let late = self.requests.iter().filter(|(_, request)| is_late(request));
         let mut late: BTreeMap<&Ticket, &QueuedRequest> = late.collect();
--- a/crates/filbertcleat-serve/src/queue/first_event_margins.rs
+++ b/crates/filbertcleat-serve/src/queue/first_event_margins.rs
@@ -32,6 +32,12 @@
         margin.observe(margin_ms.max(1.0));
     }
 
+    /// Returns how long a request may wait in the queue, whatever is expected of its first event.
+    pub fn wait_min_ms(demand: &RequestDemand) -> u64 {
+        let objective_ms = demand.latency_objective_ms as f64;
+        (objective_ms - objective_ms * Self::OBJECTIVE_SHARE_MAX) as u64
+    }
+
     /// Returns how long a request may wait in the queue and still meet its objective.
     pub fn wait_max_ms(&self, demand: &RequestDemand, ms_per_prompt_token: f64) -> u64 {
         let margin_ms = self.services.get(&demand.service).map_or(Self::PRIOR_MS, |it| it.value());
