Show servers that are used after they have left

Cause: after a failed call of its own an entry keeps a server whose row the store has removed for 2.2 s from its next success on, also when the store was away for this entry alone. With the time until the failure is noticed, that reaches past the time to be in touch again and the time to drain.

Nothing outside the review is changed.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# The same fault without the bench: the open channels to the store go silent, and a server leaves.
+cd "$(dirname "$0")/../.."
+exec target/review/standin leaving-after-silence target/release/filbertcleatd review/1/record.txt
--- /dev/null
+++ b/review/standin/cases.rs
@@ -0,0 +1,235 @@
+//! The cases that are scripts.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crate::consumer;
+use crate::consumer::Answer;
+use crate::daemon::Entry;
+use crate::link::Link;
+use crate::record::Record;
+use crate::server::Run;
+use crate::server::Server;
+use crate::store::Store;
+
+const HOST: &str = "desk.example";
+/// The bounds of the settings.
+const CONTACT_MS: u64 = 3_000;
+const CONFIG_APPLY_MS: u64 = 2_000;
+const DRAIN_MS: u64 = 2_000;
+
+/// Runs a case and returns whether the rule held.
+pub fn run(name: &str, daemon: &str, record: &str, with_trouble: bool) -> std::io::Result<bool> {
+    match name {
+        "config-after-silence" => config_after_silence(daemon, record, with_trouble),
+        "leaving-after-silence" => leaving_after_silence(daemon, record, with_trouble),
+        _ => Err(std::io::Error::other(format!("there is no case {name}"))),
+    }
+}
+
+/// Returns a configuration whose route leads to a service.
+fn config(version: u64, service: &str, timeout_ms: u64) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-stock\",\"host\":\"{HOST}\",\
+         \"prefix\":\"/stock/\",\"routeKind\":\"idempotent\",\"timeoutMs\":{timeout_ms},\
+         \"targetLatencyMs\":300,\"priority\":1,\"service\":\"{service}\",\"maxAttempts\":2}}],\
+         \"services\":[{{\"name\":\"desk-one\",\"healthPath\":\"/healthz\",\"maxConnections\":100,\
+         \"protocol\":\"h1\",\"tls\":false}},{{\"name\":\"desk-two\",\"healthPath\":\"/healthz\",\
+         \"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":\
+         {{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
+         \"idleTimeoutMs\":15000}}}}"
+    )
+}
+
+fn sleep_until(record: &Record, at_ms: u64) {
+    std::thread::sleep(Duration::from_millis(at_ms.saturating_sub(record.now_ms())));
+}
+
+/// A small deployment: the store behind a link, four servers of two services, and an entry.
+struct Deployment {
+    record: Arc<Record>,
+    store: Arc<Store>,
+    link: Link,
+    runs: Arc<Mutex<Vec<Run>>>,
+    servers: Vec<Arc<Server>>,
+    entry: Entry,
+    answers: Arc<Mutex<Vec<Answer>>>,
+    is_over: Arc<AtomicBool>,
+    consumers: Vec<JoinHandle<()>>,
+}
+
+impl Deployment {
+    /// Starts a deployment and four consumers, whose requests go to the service `desk-one`.
+    fn start(daemon: &str, path: &str) -> std::io::Result<Self> {
+        let record = Arc::new(Record::create(path)?);
+        let (store, store_address) = Store::start("127.0.0.1")?;
+        let (link, link_address) = Link::start("127.0.0.1", store_address)?;
+        let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
+        let mut servers = Vec::new();
+        for (id, service) in [
+            ("i-one-1", "desk-one"),
+            ("i-one-2", "desk-one"),
+            ("i-two-1", "desk-two"),
+            ("i-two-2", "desk-two"),
+        ] {
+            servers.push(Server::start("127.0.0.1", id, service, 20, &store, &runs, &record)?);
+        }
+        store.write("op", "config", Some(&config(3, "desk-one", 1_500)));
+        let entry = Entry::start(daemon, link_address)?;
+        for _ in 0..100 {
+            if consumer::is_ready(entry.ready) {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        if !consumer::is_ready(entry.ready) {
+            return Err(std::io::Error::other("the entry is not ready after 10 s"));
+        }
+        record.line("the entry is ready");
+        let (answers, is_over) = (Arc::default(), Arc::default());
+        let mut deployment = Self {
+            record,
+            store,
+            link,
+            runs,
+            servers,
+            entry,
+            answers,
+            is_over,
+            consumers: Vec::new(),
+        };
+        deployment.consumers = (0..4).map(|number| deployment.start_consumer(number)).collect();
+        std::thread::sleep(Duration::from_millis(4_000));
+        Ok(deployment)
+    }
+
+    fn start_consumer(&self, number: usize) -> JoinHandle<()> {
+        let (record, answers) = (Arc::clone(&self.record), Arc::clone(&self.answers));
+        let (is_over, front) = (Arc::clone(&self.is_over), self.entry.front);
+        std::thread::spawn(move || {
+            for count in 0.. {
+                if is_over.load(Ordering::SeqCst) {
+                    return;
+                }
+                let id = format!("c{number}-{count}");
+                let answer = consumer::ask(&record, front, HOST, "/stock/2f", &id);
+                answers.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(answer);
+                std::thread::sleep(Duration::from_millis(60));
+            }
+        })
+    }
+
+    /// Makes the open channels to the store silent. Returns when the entry is in touch again.
+    fn silence(&self) -> u64 {
+        let opened = self.link.silence_open_channels();
+        let text = format!("the open channels to the store go silent ({opened} so far)");
+        self.record.line(&text) + CONTACT_MS
+    }
+
+    /// Ends the consumers, and returns all runs and answers.
+    fn finish(&mut self, log: &[&str]) -> (Vec<Run>, Vec<Answer>) {
+        self.is_over.store(true, Ordering::SeqCst);
+        for consumer in self.consumers.drain(..) {
+            let _ = consumer.join();
+        }
+        for text in log {
+            for line in self.entry.log_lines(text) {
+                self.record.line(&format!("log of the entry: {line}"));
+            }
+        }
+        let runs = self.runs.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone();
+        let answers = self.answers.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone();
+        (runs, answers)
+    }
+
+    /// Writes the result. Fails unless most requests were served.
+    fn conclude(
+        &self,
+        answers: &[Answer],
+        bound_ms: u64,
+        broken: &[String],
+    ) -> std::io::Result<bool> {
+        for text in broken {
+            self.record.line(&format!("BROKEN {text}"));
+        }
+        let served = answers.iter().filter(|answer| answer.status == 200).count();
+        self.record.line(&format!(
+            "{} requests, {served} answered 200; the bound is {bound_ms} ms; broken {} times",
+            answers.len(),
+            broken.len()
+        ));
+        if served * 2 < answers.len() || answers.is_empty() {
+            return Err(std::io::Error::other("the requests were not served"));
+        }
+        Ok(broken.is_empty())
+    }
+}
+
+/// The open channels to the store go silent for good while new ones work, and then a route moves to
+/// another service.
+fn config_after_silence(daemon: &str, path: &str, with_trouble: bool) -> std::io::Result<bool> {
+    let mut deployment = Deployment::start(daemon, path)?;
+    let (record, store) = (Arc::clone(&deployment.record), Arc::clone(&deployment.store));
+    // The operator changes a time-out and, 0.6 s later, moves the route.
+    store.write("op", "config", Some(&config(5, "desk-one", 1_400)));
+    let first_ms = record.line("the store acknowledges version 5: another time-out");
+    sleep_until(&record, first_ms + 100);
+    let touch_ms = if with_trouble { deployment.silence() } else { 0 };
+    sleep_until(&record, first_ms + 600);
+    store.write("op", "config", Some(&config(7, "desk-two", 1_400)));
+    let ack_ms = record.line("the store acknowledges version 7: the route moves to desk-two");
+    sleep_until(&record, ack_ms + 7_000);
+
+    let (runs, answers) = deployment.finish(&["topic=operators", "event=configuration "]);
+    let bound_ms = (ack_ms + CONFIG_APPLY_MS).max(touch_ms);
+    let mut broken = Vec::new();
+    for Run { id, server, service, reached_ms } in &runs {
+        let Some(answer) = answers.iter().find(|answer| answer.id == *id) else { continue };
+        if service == "desk-one" && answer.sent_ms > bound_ms {
+            let late_ms = answer.sent_ms - ack_ms;
+            broken.push(format!(
+                "CONFIG: {id} was sent {late_ms} ms after the ack, and {server} ran it at {reached_ms} ms"
+            ));
+        }
+    }
+    if !runs.iter().any(|run| run.service == "desk-two") {
+        return Err(std::io::Error::other("the route never moved"));
+    }
+    deployment.conclude(&answers, bound_ms, &broken)
+}
+
+/// The open channels to the store go silent for good while new ones work, and then a server leaves
+/// that never reports `draining`.
+fn leaving_after_silence(daemon: &str, path: &str, with_trouble: bool) -> std::io::Result<bool> {
+    let mut deployment = Deployment::start(daemon, path)?;
+    let (record, store) = (Arc::clone(&deployment.record), Arc::clone(&deployment.store));
+    let start_ms = record.now_ms();
+    let touch_ms = if with_trouble { deployment.silence() } else { 0 };
+    sleep_until(&record, start_ms + 1_000);
+    let leaving = Arc::clone(&deployment.servers[1]);
+    leaving.leave(&store);
+    let ack_ms = record.line(&format!("the store acknowledges that {} is gone", leaving.id));
+    // It goes on for the time of draining and a little longer, and then exits.
+    sleep_until(&record, ack_ms + DRAIN_MS + 1_500);
+    leaving.end();
+    record.line(&format!("{} has ended", leaving.id));
+    sleep_until(&record, ack_ms + 6_000);
+
+    let (runs, answers) = deployment.finish(&["topic=servers"]);
+    let bound_ms = (ack_ms + DRAIN_MS).max(touch_ms);
+    let mut broken = Vec::new();
+    for Run { id, server, reached_ms, .. } in &runs {
+        let sent_ms = answers.iter().find(|answer| answer.id == *id).map(|answer| answer.sent_ms);
+        if *server == leaving.id && *reached_ms > bound_ms && sent_ms > Some(touch_ms) {
+            let late_ms = reached_ms - ack_ms;
+            broken.push(format!(
+                "DRAIN: {id} reached {server} {late_ms} ms after the store had said that it is gone"
+            ));
+        }
+    }
+    deployment.conclude(&answers, bound_ms, &broken)
+}
