Show a configuration that an entry in touch does not apply

Cause: a watch call of the operators' table on a channel that has gone silent is noticed 3.65 s later, which is more than the 3 s after which the entry is in touch again.

Change: a script that lets the open channels to the store go silent between two configurations. Nothing outside the review is changed.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# The open channels to the store go silent, and a route moves to another service.
+cd "$(dirname "$0")/../.."
+exec target/review/standin config-after-silence target/release/filbertcleatd review/2/record.txt
