Show a load that exceeds the places of a replica

Cause: an agent that was started again does not know the loads without an answer of its predecessor. A replica that starts again under the same id may carry one out when all its places are taken.

Change: a script with stand-ins for the replica, the store and the consumers, and the real entry and agent. Nothing outside the review is changed.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -9,7 +9,11 @@
 
 use crate::consumer;
 use crate::consumer::Answer;
+use crate::daemon::Agent;
 use crate::daemon::Entry;
+use crate::engine::ADAPTER_SLOTS;
+use crate::engine::Engine;
+use crate::engine::MODEL;
 use crate::link::Link;
 use crate::record::Record;
 use crate::server::Run;
@@ -26,6 +30,7 @@
 pub fn run(name: &str, daemon: &str, record: &str, with_trouble: bool) -> std::io::Result<bool> {
     match name {
         "config-after-silence" => config_after_silence(daemon, record, with_trouble),
+        "late-load" => late_load(daemon, record, with_trouble),
         "leaving-after-silence" => leaving_after_silence(daemon, record, with_trouble),
         _ => Err(std::io::Error::other(format!("there is no case {name}"))),
     }
@@ -233,3 +238,134 @@
     }
     deployment.conclude(&answers, bound_ms, &broken)
 }
+
+/// Returns a configuration with an engine of twenty places for adapters.
+fn engine_config() -> String {
+    format!(
+        "{{\"version\":3,\"routes\":[{{\"name\":\"r-draft\",\"host\":\"{HOST}\",\"prefix\":\"/draft/\",\
+         \"routeKind\":\"streaming\",\"timeoutMs\":15000,\"targetLatencyMs\":1000,\"priority\":1,\
+         \"service\":\"writer\",\"maxAttempts\":1,\"sticky\":true,\"resumable\":false,\"gapAimMs\":300}}],\
+         \"services\":[{{\"name\":\"writer\",\"healthPath\":\"/healthz\",\"maxConnections\":360,\
+         \"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":64,\"kvCapacity\":130000,\
+         \"models\":[{{\"name\":\"{MODEL}\",\"weightsMb\":72700.0,\"loadTimeS\":6.0,\"adapters\":3000,\
+         \"adapterSizeMb\":66.0,\"warmS\":1.2,\"diskS\":2.4}}],\"weightsMb\":75500.0,\
+         \"adapterSlots\":{ADAPTER_SLOTS},\"loadsPerS\":2.1}}}}],\"limits\":{{\"maxHeaderBytes\":16384,\
+         \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}"
+    )
+}
+
+/// Which adapters consumers ask for, by their numbers.
+type Wanted = Arc<Mutex<Vec<usize>>>;
+
+fn want(wanted: &Wanted, adapters: impl IntoIterator<Item = usize>) {
+    *wanted.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) =
+        adapters.into_iter().collect();
+}
+
+fn wait_until(limit_ms: u64, mut is_met: impl FnMut() -> bool) -> bool {
+    for _ in 0..limit_ms / 5 {
+        if is_met() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    false
+}
+
+/// An order to load an adapter gets no answer and is carried out late. Meanwhile the replica crashes
+/// and starts again under the same id, and the agent is killed and started again.
+fn late_load(daemon: &str, path: &str, with_trouble: bool) -> std::io::Result<bool> {
+    let failed = |text: &str| std::io::Error::other(text.to_owned());
+    let record = Arc::new(Record::create(path)?);
+    let (store, store_address) = Store::start("127.0.0.1")?;
+    store.write("op", "config", Some(&engine_config()));
+    let entry = Entry::start(daemon, store_address)?;
+    let ip = Agent::free_address(entry.peer_port)?;
+    let engine = Engine::start(&ip, &store, &record)?;
+    let mut agent = Agent::start(daemon, &ip, entry.peer_port, engine.address, store_address)?;
+    if !wait_until(10_000, || consumer::is_ready(entry.ready)) {
+        return Err(failed("the entry is not ready after 10 s"));
+    }
+    record.line("the entry is ready");
+
+    // Two consumers an adapter, so that each is in use all the time.
+    let (wanted, is_over): (Wanted, Arc<AtomicBool>) = (Arc::default(), Arc::default());
+    let answers: Arc<Mutex<Vec<Answer>>> = Arc::default();
+    let consumers: Vec<_> = (0..2 * (ADAPTER_SLOTS + 1))
+        .map(|number| {
+            let (record, front) = (Arc::clone(&record), entry.front);
+            let (wanted, is_over) = (Arc::clone(&wanted), Arc::clone(&is_over));
+            let answers = Arc::clone(&answers);
+            std::thread::spawn(move || {
+                let adapter = number / 2 + 1;
+                std::thread::sleep(Duration::from_millis(200 * (number as u64 % 2)));
+                for count in 0.. {
+                    if is_over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let is_wanted = wanted
+                        .lock()
+                        .unwrap_or_else(|poisoned| poisoned.into_inner())
+                        .contains(&adapter);
+                    if is_wanted {
+                        let id = format!("s{number}-{count}");
+                        let answer = consumer::ask_stream(
+                            &record,
+                            front,
+                            HOST,
+                            &format!("{MODEL}/a{adapter}"),
+                            &id,
+                        );
+                        answers.lock().unwrap_or_else(|it| it.into_inner()).push(answer);
+                    } else {
+                        std::thread::sleep(Duration::from_millis(20));
+                    }
+                }
+            })
+        })
+        .collect();
+
+    want(&wanted, 1..=ADAPTER_SLOTS);
+    if !wait_until(30_000, || engine.adapters() >= ADAPTER_SLOTS - 1) {
+        return Err(failed("the adapters were not loaded"));
+    }
+    std::thread::sleep(Duration::from_millis(1_500));
+    // The last adapter falls silent and another one is asked for.
+    if with_trouble {
+        engine.leave_unanswered("a21");
+    }
+    want(&wanted, (1..ADAPTER_SLOTS).chain([ADAPTER_SLOTS + 1]));
+    if with_trouble {
+        if !wait_until(20_000, || engine.has_late_load()) {
+            return Err(failed("the other adapter was never ordered"));
+        }
+        std::thread::sleep(Duration::from_millis(50));
+        engine.crash();
+        want(&wanted, 1..=ADAPTER_SLOTS);
+        record.line("the agent is killed");
+        agent.kill_and_restart()?;
+        record.line("the agent starts again");
+        std::thread::sleep(Duration::from_millis(500));
+        engine.restart(&store);
+    }
+    std::thread::sleep(Duration::from_millis(13_000));
+    is_over.store(true, Ordering::SeqCst);
+    for consumer in consumers {
+        let _ = consumer.join();
+    }
+    let broken = engine.broken();
+    let answers = answers.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let served = answers.iter().filter(|answer| answer.status == 200).count();
+    for text in &broken {
+        record.line(&format!("BROKEN {text}"));
+    }
+    record.line(&format!(
+        "{} requests, {served} answered 200; broken {} times",
+        answers.len(),
+        broken.len()
+    ));
+    if served == 0 {
+        return Err(failed("the requests were not served"));
+    }
+    Ok(broken.is_empty())
+}
--- a/review/standin/daemon.rs
+++ b/review/standin/daemon.rs
@@ -18,12 +18,21 @@
     folder: PathBuf,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    /// The port for updates between processes, which is the same on all machines.
+    pub peer_port: u16,
+}
+
+/// A running agent, which is killed when this is dropped.
+pub struct Agent {
+    child: Child,
+    folder: PathBuf,
+    program: String,
 }
 
 /// Returns a loopback address at which the fixed metrics port is free, with free ports for the rest.
 fn free_address(seed: u32) -> std::io::Result<(String, u16, u16, u16)> {
     for step in 0..50 {
-        let ip = format!("127.{}.{}.{}", 60 + step, seed >> 8 & 0xff, 1 + (seed & 0x7f));
+        let ip = format!("127.{}.{}.{}", 60 + step, (seed >> 8) & 0xff, 1 + (seed & 0x7f));
         if TcpListener::bind((ip.as_str(), METRICS_PORT)).is_err() {
             continue;
         }
@@ -57,7 +66,7 @@
         let address = |port: u16| -> std::io::Result<SocketAddr> {
             format!("{ip}:{port}").parse().map_err(std::io::Error::other)
         };
-        Ok(Self { child, folder, front: address(front)?, ready: address(ready)? })
+        Ok(Self { child, folder, front: address(front)?, ready: address(ready)?, peer_port: peers })
     }
 
     /// Returns the lines of the log that hold a text.
@@ -75,6 +84,70 @@
     }
 }
 
+impl Agent {
+    /// Returns a loopback address at which an agent can use the ports of the deployment.
+    pub fn free_address(peer_port: u16) -> std::io::Result<String> {
+        let seed = std::process::id();
+        for step in 0..50 {
+            let ip = format!("127.{}.{}.{}", 120 + step, (seed >> 8) & 0xff, 1 + (seed & 0x7f));
+            if TcpListener::bind((ip.as_str(), METRICS_PORT)).is_ok()
+                && UdpSocket::bind((ip.as_str(), peer_port)).is_ok()
+            {
+                return Ok(ip);
+            }
+        }
+        Err(std::io::Error::other("no address with free ports for an agent"))
+    }
+
+    /// Starts an agent beside an engine.
+    pub fn start(
+        program: &str,
+        ip: &str,
+        peer_port: u16,
+        engine: SocketAddr,
+        store: SocketAddr,
+    ) -> std::io::Result<Self> {
+        let folder = std::env::temp_dir().join(format!("review-{}-agent", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let text = settings_text(ip, 0, 0, peer_port, store);
+        let lines = text.lines().filter(|line| !line.starts_with("listen."));
+        let text: String = lines.map(|line| format!("{line}\n")).collect();
+        let text = text.replace("nodeName=edge-north-1", "nodeName=side-north-1");
+        let text = text.replace("role=entry", "role=agent").replace("=edge", "=side");
+        std::fs::write(folder.join("local.conf"), format!("{text}app={engine}\nservice=writer\n"))?;
+        let child = Self::spawn(program, &folder)?;
+        Ok(Self { child, folder, program: program.to_owned() })
+    }
+
+    fn spawn(program: &str, folder: &std::path::Path) -> std::io::Result<Child> {
+        let log = File::options().create(true).append(true).open(folder.join("agent.log"))?;
+        Command::new(program)
+            .args(["--prepared", "--metrics", "9464"])
+            .env("FILBERTCLEAT_BOOT", folder.join("local.conf"))
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+    }
+
+    /// Kills the process, and starts it again after a short delay.
+    pub fn kill_and_restart(&mut self) -> std::io::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        std::thread::sleep(std::time::Duration::from_millis(400));
+        self.child = Self::spawn(&self.program, &self.folder)?;
+        Ok(())
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// Returns the settings of an edge machine of the small deployments.
 fn settings_text(ip: &str, front: u16, ready: u16, peers: u16, store: SocketAddr) -> String {
     let lines = [
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod consumer;
 mod daemon;
+mod engine;
 mod http;
 mod link;
 mod record;
