--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -37,11 +37,12 @@
 }
 
 /// Returns a configuration whose route leads to a service.
-fn config(version: u64, service: &str, timeout_ms: u64) -> String {
+fn config(version: u64, service: &str, timeout_ms: u64, kind: &str) -> String {
+    let attempts = if kind == "idempotent" { 2 } else { 1 };
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r-stock\",\"host\":\"{HOST}\",\
-         \"prefix\":\"/stock/\",\"routeKind\":\"idempotent\",\"timeoutMs\":{timeout_ms},\
-         \"targetLatencyMs\":300,\"priority\":1,\"service\":\"{service}\",\"maxAttempts\":2}}],\
+         \"prefix\":\"/stock/\",\"routeKind\":\"{kind}\",\"timeoutMs\":{timeout_ms},\
+         \"targetLatencyMs\":300,\"priority\":1,\"service\":\"{service}\",\"maxAttempts\":{attempts}}}],\
          \"services\":[{{\"name\":\"desk-one\",\"healthPath\":\"/healthz\",\"maxConnections\":100,\
          \"protocol\":\"h1\",\"tls\":false}},{{\"name\":\"desk-two\",\"healthPath\":\"/healthz\",\
          \"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}}],\"limits\":\
@@ -69,7 +70,7 @@
 
 impl Deployment {
     /// Starts a deployment and four consumers, whose requests go to the service `desk-one`.
-    fn start(daemon: &str, path: &str) -> std::io::Result<Self> {
+    fn start(daemon: &str, path: &str, kind: &str, work_ms: u64) -> std::io::Result<Self> {
         let record = Arc::new(Record::create(path)?);
         let (store, store_address) = Store::start("127.0.0.1")?;
         let (link, link_address) = Link::start("127.0.0.1", store_address)?;
@@ -81,9 +82,9 @@
             ("i-two-1", "desk-two"),
             ("i-two-2", "desk-two"),
         ] {
-            servers.push(Server::start("127.0.0.1", id, service, 20, &store, &runs, &record)?);
+            servers.push(Server::start("127.0.0.1", id, service, work_ms, &store, &runs, &record)?);
         }
-        store.write("op", "config", Some(&config(3, "desk-one", 1_500)));
+        store.write("op", "config", Some(&config(3, "desk-one", 1_500, kind)));
         let entry = Entry::start(daemon, link_address)?;
         for _ in 0..100 {
             if consumer::is_ready(entry.ready) {
@@ -177,15 +178,15 @@
 /// The open channels to the store go silent for good while new ones work, and then a route moves to
 /// another service.
 fn config_after_silence(daemon: &str, path: &str, with_trouble: bool) -> std::io::Result<bool> {
-    let mut deployment = Deployment::start(daemon, path)?;
+    let mut deployment = Deployment::start(daemon, path, "idempotent", 20)?;
     let (record, store) = (Arc::clone(&deployment.record), Arc::clone(&deployment.store));
     // The operator changes a time-out and, 0.6 s later, moves the route.
-    store.write("op", "config", Some(&config(5, "desk-one", 1_400)));
+    store.write("op", "config", Some(&config(5, "desk-one", 1_400, "idempotent")));
     let first_ms = record.line("the store acknowledges version 5: another time-out");
     sleep_until(&record, first_ms + 100);
     let touch_ms = if with_trouble { deployment.silence() } else { 0 };
     sleep_until(&record, first_ms + 600);
-    store.write("op", "config", Some(&config(7, "desk-two", 1_400)));
+    store.write("op", "config", Some(&config(7, "desk-two", 1_400, "idempotent")));
     let ack_ms = record.line("the store acknowledges version 7: the route moves to desk-two");
     sleep_until(&record, ack_ms + 7_000);
 
@@ -210,8 +211,10 @@
 /// The open channels to the store go silent for good while new ones work, and then a server leaves
 /// that never reports `draining`.
 fn leaving_after_silence(daemon: &str, path: &str, with_trouble: bool) -> std::io::Result<bool> {
-    let mut deployment = Deployment::start(daemon, path)?;
+    let mut deployment = Deployment::start(daemon, path, "non_idempotent", 300)?;
     let (record, store) = (Arc::clone(&deployment.record), Arc::clone(&deployment.store));
+    // The entry asks for changes about once a second; the channels go silent between two calls.
+    store.await_server_answer();
     let start_ms = record.now_ms();
     let touch_ms = if with_trouble { deployment.silence() } else { 0 };
     sleep_until(&record, start_ms + 1_000);
@@ -236,6 +239,9 @@
             ));
         }
     }
+    for Answer { id, sent_ms, status } in answers.iter().filter(|answer| answer.status != 200) {
+        record.line(&format!("NOT SERVED: {id}, sent at {sent_ms} ms, was answered {status}"));
+    }
     deployment.conclude(&answers, bound_ms, &broken)
 }
 
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -138,6 +138,10 @@
             };
             self.runs.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(run);
             std::thread::sleep(Duration::from_millis(self.work_ms));
+            if self.has_ended.load(Ordering::SeqCst) {
+                self.record.line(&format!("{} ended under {id}", self.id));
+                return;
+            }
             let head = format!(
                 "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: {}.{id}\r\nKeep-Alive: timeout=5\r\n",
                 self.id
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -26,6 +28,8 @@
     rows: Mutex<Rows>,
     changed: Condvar,
     start: Instant,
+    /// The answers so far that named changed entries of servers.
+    server_answers: AtomicU64,
 }
 
 impl Store {
@@ -34,7 +38,12 @@
         let listener = TcpListener::bind((ip, 0))?;
         let address = listener.local_addr()?;
         let rows = Mutex::new(Rows { version: 1, ..Rows::default() });
-        let store = Arc::new(Self { rows, changed: Condvar::new(), start: Instant::now() });
+        let store = Arc::new(Self {
+            rows,
+            changed: Condvar::new(),
+            start: Instant::now(),
+            server_answers: AtomicU64::new(0),
+        });
         let serving = Arc::clone(&store);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -52,6 +61,15 @@
         self.changed.notify_all();
     }
 
+    /// Waits until a call for changed entries of servers has been answered.
+    pub fn await_server_answer(&self) {
+        let before = self.server_answers.load(Ordering::SeqCst);
+        while self.server_answers.load(Ordering::SeqCst) == before {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        std::thread::sleep(Duration::from_millis(30));
+    }
+
     fn apply(rows: &mut Rows, table: &str, key: &str, value: Option<String>) {
         rows.version += 1;
         let version = rows.version;
@@ -73,6 +91,9 @@
             if http::write(&mut stream, &head, body.as_bytes()).is_err() {
                 return;
             }
+            if request.first.contains("rows-feed?table=servers") {
+                self.server_answers.fetch_add(1, Ordering::SeqCst);
+            }
         }
     }
 
