Log what marked the end of a complete stream

Callers saw streams that ended as complete before their last event. No line of the log told how the end of a stream was known: a stream whose connection ended because its backend server did looked like any other.

Each complete stream now writes a line `stream-complete` with the backend server, its software version, the framing and the first and last event that were forwarded, and counts `stream_ends` by framing.

The framing is an enum.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -7,6 +7,7 @@
 mod backend_body;
 mod backend_connection;
 mod body;
+mod body_framing;
 mod caller_memory;
 mod caller_socket;
 mod caller_stream;
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -24,6 +24,7 @@
 use super::backend_body::BackendBody;
 use super::backend_body::BodyKind;
 use super::backend_connection::BackendConnection;
+use super::body_framing::BodyFraming;
 use super::crashes::admit_request;
 use super::crashes::on_connection_refused;
 use super::exchange::Exchange;
@@ -45,6 +46,7 @@
 pub(super) struct BackendResponse {
     pub head: Parts,
     pub body: BackendBody,
+    pub framing: BodyFraming,
     pub address: SocketAddr,
     /// The software version of the backend server.
     pub software_version: SoftwareVersion,
@@ -206,10 +208,18 @@
         };
         let Answer { response, metadata, requests_pause, connection } = answer;
         let (head, body) = response.into_parts();
+        let framing = BodyFraming::of(&head.headers, &body);
         let kind = body_kind(request, head.status);
         let body = BackendBody::new(body, connection.allowance().clone(), kind);
-        let response =
-            BackendResponse { head, body, address, software_version, connection, requests_pause };
+        let response = BackendResponse {
+            head,
+            body,
+            framing,
+            address,
+            software_version,
+            connection,
+            requests_pause,
+        };
         let validated = validate_response(entry, request, attempt, response, &metadata);
         return validated.map_err(|failure| failure.with_pause(requests_pause));
     }
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -20,12 +20,14 @@
 use super::in_flight::InFlightAttempt;
 use super::origins::record_origin;
 use super::request::CallerRequest;
+use super::request_log::OrDash;
 use super::request_log::Outcome;
 use super::request_log::log_end;
 use super::state::Entry;
 use super::stream_source::SourceItem;
 use super::stream_source::StreamSource;
 use crate::Dialect;
+use crate::metrics::Metric;
 
 /// After this time without an event another backend server is sought for a resumable stream. It is
 /// many times the gap between two events, and shorter than the time that callers wait.
@@ -53,6 +55,7 @@
     let relay = StreamRelay {
         entry: Rc::clone(entry),
         last_event_id: request.metadata.last_event_id,
+        first_event_id: None,
         events: request.metadata.last_event_id.is_none().then_some(0),
         request,
         sender,
@@ -75,6 +78,8 @@
     pub(super) sender: StreamSender,
     is_resumable: bool,
     pub(super) last_event_id: Option<u64>,
+    /// The id of the first event that was forwarded.
+    first_event_id: Option<u64>,
     last_bytes_at: Option<MonoTime>,
     /// When the stream last got on, by an event with data or a new backend server.
     pub(super) progress_at: MonoTime,
@@ -106,6 +111,7 @@
             let end = self.forward(&mut source).await;
             let next = match end {
                 StreamEnd::Complete => {
+                    self.log_complete(&source);
                     self.sender.complete();
                     source.complete(&self.entry.pool);
                     self.learn_length();
@@ -151,6 +157,20 @@
         log_end(&self.entry.metrics, &self.request, Some(server), now, outcome);
     }
 
+    /// Logs and counts a complete stream at the backend server that sent its end.
+    fn log_complete(&self, source: &StreamSource<D>) {
+        let framing = source.framing().as_str();
+        log::info!(
+            "event=stream-complete id={} server={} software={} framing={framing} first={} last={}",
+            self.request.id,
+            source.server(),
+            source.software_version(),
+            OrDash(self.first_event_id),
+            OrDash(self.last_event_id),
+        );
+        self.entry.metrics.count(Metric::StreamEnds, &[("framing", framing)]);
+    }
+
     /// Logs an event of the stream at a backend server.
     pub(super) fn log_event(&self, event: &str, server: &ServerId, reason: &str) {
         log::info!(
@@ -229,6 +249,7 @@
             if self.last_event_id.is_some_and(|last| id <= last) {
                 return None;
             }
+            self.first_event_id.get_or_insert(id);
             self.last_event_id = Some(id);
         }
         let deadline = self.entry.clock().instant(deadline);
--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -5,11 +5,10 @@
 use filbertcleat_serve::AttemptOutcome;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
-use http::header::CONTENT_LENGTH;
-use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 
 use super::attempt::BackendResponse;
+use super::body_framing::BodyFraming;
 use super::connection_pool::ConnectionPool;
 use super::events::Event;
 use super::events::EventSplitter;
@@ -22,8 +21,6 @@
     response: Box<BackendResponse>,
     attempt: InFlightAttempt<D>,
     splitter: EventSplitter,
-    /// Whether the framing of the body shows a stream that ends early.
-    has_framing: bool,
     /// Whether an event has been received.
     has_events: bool,
     /// An item that has been received and not been taken yet.
@@ -54,14 +51,10 @@
 impl<D: Dialect> StreamSource<D> {
     /// Creates the source of a response whose head has been received.
     pub fn new(response: Box<BackendResponse>, attempt: InFlightAttempt<D>) -> Self {
-        let headers = &response.head.headers;
-        let has_framing =
-            headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
         Self {
             response,
             attempt,
             splitter: EventSplitter::default(),
-            has_framing,
             has_events: false,
             received: None,
         }
@@ -77,6 +70,11 @@
         &self.response.software_version
     }
 
+    /// Returns how the end of the stream is marked.
+    pub fn framing(&self) -> BodyFraming {
+        self.response.framing
+    }
+
     /// Waits for the next item and takes it.
     pub async fn next(&mut self) -> SourceItem {
         match self.received.take() {
@@ -101,10 +99,9 @@
     /// Ends the attempt after a complete stream and keeps the connection for reuse.
     pub fn complete(self, pool: &ConnectionPool) {
         // Without framing the end of the connection may be that of the server.
-        if self.has_framing {
-            self.attempt.end_complete();
-        } else {
-            self.attempt.end(AttemptOutcome::Answered);
+        match self.response.framing {
+            BodyFraming::Length | BodyFraming::Chunks => self.attempt.end_complete(),
+            BodyFraming::Connection => self.attempt.end(AttemptOutcome::Answered),
         }
         let BackendResponse { head, address, connection, .. } = *self.response;
         pool.keep(address, connection, &head.headers);
@@ -144,7 +141,7 @@
                     return SourceItem::Broken("the body ends within an event".to_owned());
                 }
                 // The end of the connection may be that of the server.
-                None if !self.has_framing && !self.has_events => {
+                None if self.framing() == BodyFraming::Connection && !self.has_events => {
                     return SourceItem::Broken("the connection ends before an event".to_owned());
                 }
                 None => return SourceItem::End,
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -11,6 +11,8 @@
     Attempts,
     /// Retries that the retry budget allowed or refused.
     Retries,
+    /// Streams that ended properly, by how their end was marked.
+    StreamEnds,
     /// Streams that callers took up, by how their software version was found.
     OriginLookups,
     /// Questions to agents when a prompt may be sent, by outcome.
@@ -84,11 +86,12 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 39] = [
+pub const METRICS: [Metric; 40] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
     Metric::Retries,
+    Metric::StreamEnds,
     Metric::OriginLookups,
     Metric::PromptTurns,
     Metric::QueueWait,
@@ -134,6 +137,7 @@
             Self::Refusals => "refusals",
             Self::Attempts => "sends",
             Self::Retries => "repeats",
+            Self::StreamEnds => "stream_ends",
             Self::OriginLookups => "origin_lookups",
             Self::PromptTurns => "prompt_turns",
             Self::QueueWait => "queue_wait_ms",
