Believe the end of an unframed stream only while its server runs

Cause: a stream with neither a length nor chunks counted as complete at any orderly end of its connection once a whole event had come. A process that is killed, or exits at the end of its drain time, closes its connections in order, so that its end passed for the end of the stream.

Now the entry asks the server for its identity after the end: the report of an engine, else the health path of the service, on a connection of its own. A process that answers has not ended by then, since the kernel closes connections once no thread runs any more. Only an answer of the same start makes the stream complete. Otherwise the stream is broken: resumed after the last forwarded event, or cut. Meanwhile it stays open under the usual limits.

The line `end-checked` and the metric `end_checks` tell what the server answered.

--- a/crates/filbertcleat-gateway/src/dialect.rs
+++ b/crates/filbertcleat-gateway/src/dialect.rs
@@ -2,13 +2,18 @@
 
 mod attempt;
 mod caller;
+mod identity;
 mod request;
 mod response;
 
+use filbertcleat_serve::ServerId;
+use filbertcleat_serve::ServiceSpec;
 use http::HeaderMap;
+use http::Request;
 
 pub use self::attempt::AttemptMetadata;
 pub use self::caller::AttemptCaller;
+pub use self::identity::ServerIdentity;
 pub use self::request::ApiKey;
 pub use self::request::RequestMetadata;
 pub use self::response::ResponseMetadata;
@@ -25,4 +30,11 @@
 
     /// Parses the headers of a backend server's response.
     fn parse_response(&self, headers: &HeaderMap) -> ResponseMetadata;
+
+    /// Returns the request to which a backend server answers with its identity for as long as its
+    /// process runs, and which any other server calls misdirected. `None` if the service has none.
+    fn identity_request(&self, server: &ServerId, service: &ServiceSpec) -> Option<Request<()>>;
+
+    /// Parses the answer to such a request. The body may be incomplete.
+    fn parse_identity(&self, headers: &HeaderMap, body: &[u8]) -> ServerIdentity;
 }
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/dialect/identity.rs
@@ -0,0 +1,12 @@
+//! Who answered when a backend server was asked for its identity.
+
+use filbertcleat_serve::ServerId;
+
+/// Who answered when a backend server was asked for its identity.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ServerIdentity {
+    /// The incarnation of the backend server that answered, if given.
+    pub server: Option<ServerId>,
+    /// The Unix time of its start in milliseconds; 0 if unknown.
+    pub started_unix_ms: u64,
+}
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt to send a request to a backend server.
 
 use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,6 +30,7 @@
 use super::exchange_error::ExchangeError;
 use super::in_flight::InFlightAttempt;
 use super::request::CallerRequest;
+use super::response_sender::ResponseSender;
 use super::state::Entry;
 use crate::AttemptMetadata;
 use crate::Dialect;
@@ -47,7 +47,8 @@
     pub head: Parts,
     pub body: BackendBody,
     pub framing: BodyFraming,
-    pub address: SocketAddr,
+    /// The start of the backend server that sent the response.
+    pub sender: ResponseSender,
     /// The software version of the backend server.
     pub software_version: SoftwareVersion,
     pub connection: BackendConnection,
@@ -206,20 +207,15 @@
                 ));
             }
         };
-        let Answer { response, metadata, requests_pause, connection } = answer;
-        let (head, body) = response.into_parts();
-        let framing = BodyFraming::of(&head.headers, &body);
-        let kind = body_kind(request, head.status);
-        let body = BackendBody::new(body, connection.allowance().clone(), kind);
-        let response = BackendResponse {
-            head,
-            body,
-            framing,
+        let requests_pause = answer.requests_pause;
+        let sender = ResponseSender {
+            request: request.id.clone(),
+            server: attempt.server().clone(),
             address,
-            software_version,
-            connection,
-            requests_pause,
+            started_unix_ms,
+            identity_request: identity_request(entry, request, attempt.server()),
         };
+        let (response, metadata) = begin_response(request, answer, sender, software_version);
         let validated = validate_response(entry, request, attempt, response, &metadata);
         return validated.map_err(|failure| failure.with_pause(requests_pause));
     }
@@ -229,6 +225,42 @@
     ))
 }
 
+/// Prepares to read the body of an answer.
+fn begin_response(
+    request: &CallerRequest,
+    answer: Answer,
+    sender: ResponseSender,
+    software_version: SoftwareVersion,
+) -> (BackendResponse, ResponseMetadata) {
+    let Answer { response, metadata, requests_pause, connection } = answer;
+    let (head, body) = response.into_parts();
+    let framing = BodyFraming::of(&head.headers, &body);
+    let kind = body_kind(request, head.status);
+    let body = BackendBody::new(body, connection.allowance().clone(), kind);
+    let response = BackendResponse {
+        head,
+        body,
+        framing,
+        sender,
+        software_version,
+        connection,
+        requests_pause,
+    };
+    (response, metadata)
+}
+
+/// Returns the request to which the backend server answers with its identity, by the configuration in
+/// force. A later one may lack the service.
+fn identity_request<D: Dialect>(
+    entry: &Entry<D>,
+    request: &CallerRequest,
+    server: &ServerId,
+) -> Option<Request<()>> {
+    let state = entry.state.borrow();
+    let service = state.deployment.get()?.services.get(&request.service)?;
+    entry.dialect.identity_request(server, service)
+}
+
 /// The most connections tried before a backend server counts as unreachable.
 const CONNECTIONS_MAX: usize = 3;
 
@@ -251,7 +283,7 @@
     let status = response.head.status;
     if status == StatusCode::MISDIRECTED_REQUEST {
         let is_other = metadata.server.as_ref().is_some_and(|server| server != attempt.server());
-        entry.pool.keep(response.address, response.connection, &response.head.headers);
+        entry.pool.keep(response.sender.address, response.connection, &response.head.headers);
         return Err(if is_other {
             AttemptFailure::not_run(
                 AttemptOutcome::Misdirected,
@@ -265,7 +297,7 @@
         });
     }
     if metadata.is_not_run {
-        entry.pool.keep(response.address, response.connection, &response.head.headers);
+        entry.pool.keep(response.sender.address, response.connection, &response.head.headers);
         return Err(AttemptFailure::not_run(
             AttemptOutcome::Full,
             "the backend server had no free capacity",
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/liveness.rs
@@ -0,0 +1,128 @@
+//! Asks whether the process that sent a response still runs.
+
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use filbertcleat_serve::RequestHash;
+use http::HeaderValue;
+use http::Request;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+
+use super::backend_body::BackendBody;
+use super::backend_body::BodyKind;
+use super::response_sender::ResponseSender;
+use super::state::Entry;
+use crate::Dialect;
+use crate::metrics::Metric;
+
+/// How long a backend server is given to answer. A sound one may pause for a second or two.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(3);
+/// How often a backend server is asked that closes the connection or answers without a name.
+const QUESTIONS_MAX: usize = 3;
+/// The pause before the next question.
+const QUESTION_PAUSE: Duration = Duration::from_millis(100);
+/// The largest answer: tens of thousands of adapter names in a report.
+const ANSWER_MAX_BYTES: usize = 1024 * 1024;
+
+/// Whether the process that sent a response still runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Liveness {
+    /// The same start of the backend server has answered.
+    Alive,
+    /// Nothing accepts connections at the address.
+    Ended,
+    /// Another backend server, or another start of it, has answered.
+    Replaced,
+    /// Nobody has answered.
+    Unknown,
+}
+
+impl Liveness {
+    /// Returns the tag value for metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Ended => "ended",
+            Self::Replaced => "replaced",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Returns why a response that ended with its connection may be incomplete, or `None` if it is
+    /// complete.
+    pub fn broken_reason(self) -> Option<&'static str> {
+        match self {
+            Self::Alive => None,
+            Self::Ended => Some("the connection ended with the server"),
+            Self::Replaced => Some("the connection ended with an earlier start of the server"),
+            Self::Unknown => Some("the connection ended and the server does not answer"),
+        }
+    }
+}
+
+/// Asks whether the process that sent a response still runs, after the end of its connection.
+///
+/// Each question has a connection of its own: on another one, a late answer from before the end
+/// could be taken for the answer.
+pub(super) async fn check_liveness<D: Dialect>(
+    entry: Rc<Entry<D>>,
+    sender: ResponseSender,
+) -> Liveness {
+    let asked_at = entry.now();
+    let checked = tokio::time::timeout(CHECK_TIMEOUT, ask_until_answered(&entry, &sender)).await;
+    let liveness = checked.unwrap_or(Liveness::Unknown);
+    let label = liveness.label();
+    log::info!(
+        "event=end-checked id={} server={} peer={} is={label} took_ms={}",
+        sender.request,
+        sender.server,
+        sender.address,
+        entry.now().ms_since(asked_at),
+    );
+    entry.metrics.count(Metric::EndChecks, &[("outcome", label)]);
+    liveness
+}
+
+async fn ask_until_answered<D: Dialect>(entry: &Entry<D>, sender: &ResponseSender) -> Liveness {
+    for question in 0..QUESTIONS_MAX {
+        if question > 0 {
+            tokio::time::sleep(QUESTION_PAUSE).await;
+        }
+        match ask(entry, sender).await {
+            Liveness::Unknown => {}
+            known @ (Liveness::Alive | Liveness::Ended | Liveness::Replaced) => return known,
+        }
+    }
+    Liveness::Unknown
+}
+
+async fn ask<D: Dialect>(entry: &Entry<D>, sender: &ResponseSender) -> Liveness {
+    let Some(request) = identity_request(sender) else { return Liveness::Unknown };
+    let mut connection = match entry.pool.connect(sender.address).await {
+        Ok(connection) => connection,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => return Liveness::Ended,
+        Err(_other) => return Liveness::Unknown,
+    };
+    let sent = connection.try_send(RequestHash::of("identity"), request).await;
+    let Ok(response) = sent else { return Liveness::Unknown };
+    let (head, body) = response.into_parts();
+    let body = BackendBody::new(body, connection.allowance().clone(), BodyKind::Whole);
+    let read = Limited::new(body, ANSWER_MAX_BYTES).collect().await;
+    let body = read.map(http_body_util::Collected::to_bytes).unwrap_or_default();
+    entry.pool.keep(sender.address, connection, &head.headers);
+    let metadata = entry.dialect.parse_response(&head.headers);
+    let identity = entry.dialect.parse_identity(&head.headers, &body);
+    sender.judge(head.status, &metadata, &identity)
+}
+
+fn identity_request(sender: &ResponseSender) -> Option<Request<Full<Bytes>>> {
+    let mut request = sender.identity_request.clone()?;
+    let host = HeaderValue::try_from(sender.address.to_string()).ok()?;
+    request.headers_mut().insert(HOST, host);
+    Some(request.map(|()| Full::default()))
+}
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/response_sender.rs
@@ -0,0 +1,46 @@
+//! The start of a backend server that sent a response, and the request.
+
+use std::net::SocketAddr;
+
+use filbertcleat_serve::ServerId;
+use http::Request;
+use http::StatusCode;
+
+use super::liveness::Liveness;
+use crate::ResponseMetadata;
+use crate::ServerIdentity;
+
+/// The start of a backend server that sent a response, and the request.
+#[derive(Clone, Debug)]
+pub(super) struct ResponseSender {
+    /// The id of the caller's request.
+    pub request: String,
+    pub server: ServerId,
+    pub address: SocketAddr,
+    /// The Unix time of the start in milliseconds; 0 if unknown.
+    pub started_unix_ms: u64,
+    /// The request to which the server answers with its identity, if the service has one.
+    pub identity_request: Option<Request<()>>,
+}
+
+impl ResponseSender {
+    /// Returns what an answer from the address tells of this start.
+    pub fn judge(
+        &self,
+        status: StatusCode,
+        metadata: &ResponseMetadata,
+        identity: &ServerIdentity,
+    ) -> Liveness {
+        let is_other_start = self.started_unix_ms > 0
+            && identity.started_unix_ms > 0
+            && self.started_unix_ms != identity.started_unix_ms;
+        match &identity.server {
+            Some(server) if *server != self.server || is_other_start => Liveness::Replaced,
+            Some(_) => Liveness::Alive,
+            None if status == StatusCode::MISDIRECTED_REQUEST => Liveness::Replaced,
+            // The request names the server, so that any other one would call it misdirected.
+            None if metadata.is_not_run => Liveness::Alive,
+            None => Liveness::Unknown,
+        }
+    }
+}
--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -5,6 +5,7 @@
 use filbertcleat_serve::AttemptOutcome;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
+use futures_util::future::LocalBoxFuture;
 use http_body_util::BodyExt;
 
 use super::attempt::BackendResponse;
@@ -14,6 +15,8 @@
 use super::events::EventSplitter;
 use super::exchange::READ_ON;
 use super::in_flight::InFlightAttempt;
+use super::liveness::Liveness;
+use super::liveness::check_liveness;
 use crate::Dialect;
 
 /// The part of a stream that one backend server sends.
@@ -21,6 +24,8 @@
     response: Box<BackendResponse>,
     attempt: InFlightAttempt<D>,
     splitter: EventSplitter,
+    /// The check that decides on the end of an unframed stream, once its connection has ended.
+    end_check: Option<LocalBoxFuture<'static, Liveness>>,
     /// Whether an event has been received.
     has_events: bool,
     /// An item that has been received and not been taken yet.
@@ -55,6 +60,7 @@
             response,
             attempt,
             splitter: EventSplitter::default(),
+            end_check: None,
             has_events: false,
             received: None,
         }
@@ -98,13 +104,9 @@
 
     /// Ends the attempt after a complete stream and keeps the connection for reuse.
     pub fn complete(self, pool: &ConnectionPool) {
-        // Without framing the end of the connection may be that of the server.
-        match self.response.framing {
-            BodyFraming::Length | BodyFraming::Chunks => self.attempt.end_complete(),
-            BodyFraming::Connection => self.attempt.end(AttemptOutcome::Answered),
-        }
-        let BackendResponse { head, address, connection, .. } = *self.response;
-        pool.keep(address, connection, &head.headers);
+        self.attempt.end_complete();
+        let BackendResponse { head, sender, connection, .. } = *self.response;
+        pool.keep(sender.address, connection, &head.headers);
     }
 
     /// Ends the attempt before the end of the stream, which resets the connection.
@@ -133,18 +135,38 @@
         self.abandon(outcome);
     }
 
+    /// Asks whether the backend server has outlived the connection.
+    fn check_end(&self) -> LocalBoxFuture<'static, Liveness> {
+        let entry = Rc::clone(&self.attempt.counted().entry);
+        Box::pin(check_liveness(entry, self.response.sender.clone()))
+    }
+
     /// Receives the next item. Nothing is lost if the returned future is dropped.
     async fn receive(&mut self) -> SourceItem {
         loop {
+            if let Some(check) = &mut self.end_check {
+                return match check.await.broken_reason() {
+                    None => SourceItem::End,
+                    Some(reason) => SourceItem::Broken(reason.to_owned()),
+                };
+            }
             let frame = match self.response.body.frame().await {
                 None if !self.splitter.is_between_events() => {
                     return SourceItem::Broken("the body ends within an event".to_owned());
                 }
-                // The end of the connection may be that of the server.
-                None if self.framing() == BodyFraming::Connection && !self.has_events => {
-                    return SourceItem::Broken("the connection ends before an event".to_owned());
-                }
-                None => return SourceItem::End,
+                None => match self.framing() {
+                    BodyFraming::Length | BodyFraming::Chunks => return SourceItem::End,
+                    BodyFraming::Connection if !self.has_events => {
+                        return SourceItem::Broken(
+                            "the connection ends before an event".to_owned(),
+                        );
+                    }
+                    // The end of the connection may be that of the server.
+                    BodyFraming::Connection => {
+                        self.end_check = Some(self.check_end());
+                        continue;
+                    }
+                },
                 Some(Err(error)) => return SourceItem::Broken(error.to_string()),
                 Some(Ok(frame)) => frame,
             };
--- a/crates/filbertcleat-gateway/src/lib.rs
+++ b/crates/filbertcleat-gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub use dialect::Dialect;
 pub use dialect::RequestMetadata;
 pub use dialect::ResponseMetadata;
+pub use dialect::ServerIdentity;
 pub use engine_answer::EngineAnswer;
 pub use entry::EntryListeners;
 pub use entry::run_entry;
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -13,6 +13,8 @@
     Retries,
     /// Streams that ended properly, by how their end was marked.
     StreamEnds,
+    /// Checks whether a backend server has outlived an unframed response, by outcome.
+    EndChecks,
     /// Streams that callers took up, by how their software version was found.
     OriginLookups,
     /// Questions to agents when a prompt may be sent, by outcome.
@@ -86,12 +88,13 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 40] = [
+pub const METRICS: [Metric; 41] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
     Metric::Retries,
     Metric::StreamEnds,
+    Metric::EndChecks,
     Metric::OriginLookups,
     Metric::PromptTurns,
     Metric::QueueWait,
@@ -138,6 +141,7 @@
             Self::Attempts => "sends",
             Self::Retries => "repeats",
             Self::StreamEnds => "stream_ends",
+            Self::EndChecks => "end_checks",
             Self::OriginLookups => "origin_lookups",
             Self::PromptTurns => "prompt_turns",
             Self::QueueWait => "queue_wait_ms",
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -36,6 +36,9 @@
     EventsThenPieces { count: u64, piece: &'static str, pause: Duration },
     /// Sends a body without HTTP framing, and closes the connection.
     Unframed { body: &'static str },
+    /// Sends a body without HTTP framing, and ends the server after a time, which closes all its
+    /// connections in order.
+    UnframedThenEnd { body: &'static str, after: Duration, down: Duration },
     /// Sends one event and half of the next, and ends the stream properly.
     FramedPartialEvent,
     /// Runs the request and closes the connection without a response.
@@ -96,6 +99,28 @@
     }
 }
 
+/// How a server answers when it is asked who it is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Identity {
+    /// As the server that it is.
+    Own,
+    /// As another server at the address.
+    Other,
+    /// As a later start of the same server.
+    Restarted,
+    /// As the server that it is, after some time.
+    Late(Duration),
+    /// As full, without a name.
+    Full,
+    /// Not at all, on an open connection.
+    Silent,
+    /// By closing the connection without an answer.
+    Closed,
+}
+
+/// The paths at which a server says who it is.
+pub const IDENTITY_PATHS: [&str; 2] = ["/health", "/report"];
+
 /// How a request ends its server.
 struct Crash {
     /// Whether the head of a response is sent before.
@@ -116,6 +141,10 @@
     pub address: SocketAddr,
     scripts: Rc<RefCell<VecDeque<Script>>>,
     default_script: Rc<RefCell<Script>>,
+    /// How the server answers when it is asked who it is.
+    identity: Rc<RefCell<Identity>>,
+    /// When it was asked.
+    pub asked_at: Rc<RefCell<Vec<Instant>>>,
     /// The heads of the requests that arrived.
     pub seen: Rc<RefCell<Vec<String>>>,
     /// When these requests arrived.
@@ -151,6 +180,8 @@
             address: listener.local_addr().expect("bound"),
             scripts: Rc::default(),
             default_script: Rc::new(RefCell::new(default_script)),
+            identity: Rc::new(RefCell::new(Identity::Own)),
+            asked_at: Rc::default(),
             seen: Rc::default(),
             arrived_at: Rc::default(),
             connections: Rc::default(),
@@ -208,6 +239,11 @@
         *self.default_script.borrow_mut() = script;
     }
 
+    /// Sets how the server answers when it is asked who it is.
+    pub fn identify_as(&self, identity: Identity) {
+        *self.identity.borrow_mut() = identity;
+    }
+
     /// Queues a script for the next request.
     pub fn script_next(&self, script: Script) {
         self.scripts.borrow_mut().push_back(script);
@@ -229,6 +265,13 @@
         let (mut reader, mut writer) = stream.into_split();
         let mut is_used = false;
         while let Some(head) = read_request(&mut reader).await {
+            if IDENTITY_PATHS.iter().any(|path| has_target(&head, path)) {
+                self.asked_at.borrow_mut().push(Instant::now());
+                if self.identify(&mut writer).await {
+                    continue;
+                }
+                return;
+            }
             if !is_used {
                 is_used = true;
                 self.used_connections.set(self.used_connections.get() + 1);
@@ -252,6 +295,29 @@
         }
     }
 
+    /// Says who the server is, and returns whether the connection stays open.
+    async fn identify(&self, stream: &mut OwnedWriteHalf) -> bool {
+        let identity = self.identity.borrow().clone();
+        let named = |server: &str, started: u64| {
+            let head = format!("HTTP/1.1 200 X\r\nx-server: {server}\r\n");
+            response_text(&head, &format!("started {started}"))
+        };
+        match identity {
+            Identity::Own => write(stream, &named(&self.id, 1)).await,
+            Identity::Other => write(stream, &named("another", 1)).await,
+            Identity::Restarted => write(stream, &named(&self.id, 2)).await,
+            Identity::Late(after) => {
+                tokio::time::sleep(after).await;
+                write(stream, &named(&self.id, 1)).await
+            }
+            Identity::Full => {
+                write(stream, &response_text("HTTP/1.1 503 X\r\nx-not-run: 1\r\n", "full")).await
+            }
+            Identity::Silent => std::future::pending().await,
+            Identity::Closed => false,
+        }
+    }
+
     /// Runs a script and returns whether the connection stays open.
     async fn respond(
         &self,
@@ -288,10 +354,7 @@
             }
             Script::LargeEvents { count, bytes } => {
                 write(stream, &events_head).await;
-                let data = "x".repeat(bytes);
-                for number in 1..=count {
-                    write(stream, &chunk(&format!("id: {number}\ndata: {data}\n\n"))).await;
-                }
+                write_large_events(stream, count, bytes).await;
                 write(stream, "0\r\n\r\n").await
             }
             Script::EventsThenCut { count } => {
@@ -301,12 +364,12 @@
             }
             Script::EventsWithSilence { count, after, silence } => {
                 write(stream, &events_head).await;
-                for number in last_event_id.saturating_add(1)..=count {
-                    write(stream, &chunk(&event(number))).await;
-                    if number == after {
-                        tokio::time::sleep(silence).await;
-                    }
+                let next = last_event_id.saturating_add(1);
+                write_events(stream, next..=after.min(count), Duration::ZERO).await;
+                if (next..=count).contains(&after) {
+                    tokio::time::sleep(silence).await;
                 }
+                write_events(stream, next.max(after + 1)..=count, Duration::ZERO).await;
                 write(stream, "0\r\n\r\n").await
             }
             Script::EventsThenPieces { count, piece, pause } => {
@@ -323,6 +386,10 @@
                 write(stream, &format!("{}\r\n{body}", response_head(200))).await;
                 false
             }
+            Script::UnframedThenEnd { body, after, down } => {
+                let text = format!("{}\r\n{body}", response_head(200));
+                self.end_after(stream, &text, after, down).await
+            }
             Script::Close => false,
             Script::NotRun => {
                 let text = format!("{}x-not-run: 1\r\n", response_head(503));
@@ -359,6 +426,20 @@
         }
     }
 
+    /// Sends the part of a response, and ends the server after a time.
+    async fn end_after(
+        &self,
+        stream: &mut OwnedWriteHalf,
+        text: &str,
+        after: Duration,
+        down: Duration,
+    ) -> ! {
+        write(stream, text).await;
+        tokio::time::sleep(after).await;
+        self.crash(down);
+        std::future::pending().await
+    }
+
     /// Ends the server, whether or not the caller is still there.
     async fn end_with(&self, stream: &mut OwnedWriteHalf, events_head: &str, crash: Crash) -> ! {
         if crash.sends_head {
@@ -413,6 +494,14 @@
     }
 }
 
+/// Writes events of `bytes` data bytes each.
+async fn write_large_events(stream: &mut OwnedWriteHalf, count: u64, bytes: usize) {
+    let data = "x".repeat(bytes);
+    for number in 1..=count {
+        write(stream, &chunk(&format!("id: {number}\ndata: {data}\n\n"))).await;
+    }
+}
+
 /// Writes a piece again and again with a pause before each.
 async fn write_pieces(stream: &mut OwnedWriteHalf, piece: &str, pause: Duration) -> ! {
     loop {
--- a/crates/filbertcleat-gateway/tests/support/dialect.rs
+++ b/crates/filbertcleat-gateway/tests/support/dialect.rs
@@ -7,6 +7,7 @@
 use filbertcleat_gateway::Dialect;
 use filbertcleat_gateway::RequestMetadata;
 use filbertcleat_gateway::ResponseMetadata;
+use filbertcleat_gateway::ServerIdentity;
 use filbertcleat_gateway::ServerNotice;
 use filbertcleat_serve::KeyHash;
 use filbertcleat_serve::NamedLimit;
@@ -14,8 +15,10 @@
 use filbertcleat_serve::RequestLimit;
 use filbertcleat_serve::RequestedPause;
 use filbertcleat_serve::ServerId;
+use filbertcleat_serve::ServiceSpec;
 use http::HeaderMap;
 use http::HeaderValue;
+use http::Request;
 
 /// A dialect with short header names.
 #[derive(Clone, Copy, Debug)]
@@ -82,6 +85,21 @@
             },
         }
     }
+
+    fn identity_request(&self, server: &ServerId, service: &ServiceSpec) -> Option<Request<()>> {
+        let health_path = service.health_path.as_deref();
+        let path = if service.engine.is_some() { Some("/report") } else { health_path };
+        Request::get(path?).header("x-server", server.as_str()).body(()).ok()
+    }
+
+    fn parse_identity(&self, headers: &HeaderMap, body: &[u8]) -> ServerIdentity {
+        let body = std::str::from_utf8(body).unwrap_or_default();
+        let started = body.strip_prefix("started ").and_then(|text| text.parse().ok());
+        ServerIdentity {
+            server: text(headers, "x-server").map(|text| ServerId::new(&text)),
+            started_unix_ms: started.unwrap_or(0),
+        }
+    }
 }
 
 fn part(text: &str) -> PromptPart {
--- a/crates/filbertcleat-gateway/tests/support/mod.rs
+++ b/crates/filbertcleat-gateway/tests/support/mod.rs
@@ -15,6 +15,7 @@
 pub mod world;
 
 pub use backend::Backend;
+pub use backend::Identity;
 pub use backend::Script;
 pub use caller::Call;
 pub use caller::Caller;
--- /dev/null
+++ b/crates/filbertcleat-gateway/tests/unframed_streams.rs
@@ -0,0 +1,190 @@
+//! Streams whose end is marked by nothing but the end of their connection.
+
+mod support;
+
+use std::time::Duration;
+
+use filbertcleat_serve::RetryPolicy;
+use rstest::rstest;
+use tokio::time::Instant;
+
+use self::support::Backend;
+use self::support::Call;
+use self::support::Identity;
+use self::support::Script;
+use self::support::World;
+use self::support::backend::event;
+use self::support::route;
+
+const NOT_RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: false };
+const RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: true };
+const FIVE_EVENTS: Script = Script::Events { count: 5, pause: Duration::from_millis(20) };
+const DOWN: Duration = Duration::from_secs(5);
+
+fn events(count: u64) -> &'static str {
+    (1..=count).map(event).collect::<String>().leak()
+}
+
+fn three_then_end() -> Script {
+    Script::UnframedThenEnd { body: events(3), after: Duration::from_millis(50), down: DOWN }
+}
+
+/// A process that ends closes its connections in order, also between two events.
+#[test]
+fn ended_server_cuts() {
+    World::run(async {
+        let script = three_then_end();
+        let writer = Backend::start("w1", script).await;
+        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
+
+        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+
+        let reply = reply.expect("a response head");
+        assert!(!reply.is_complete);
+        assert_eq!(reply.body, events(3));
+        assert_eq!(writer.crashes.get(), 1);
+    });
+}
+
+#[test]
+fn ended_server_resumed() {
+    World::run(async {
+        let (one, two) =
+            (Backend::start("w1", FIVE_EVENTS).await, Backend::start("w2", FIVE_EVENTS).await);
+        two.script_next(three_then_end());
+        let world = World::start(vec![route("write", RESUMABLE, 2)], &[&one, &two]).await;
+
+        let (mut first, mut second) = (world.caller().await, world.caller().await);
+        first.send(&Call::new("a", "/write/1")).await.expect("the entry reads the request");
+        second.send(&Call::new("b", "/write/1")).await.expect("the entry reads the request");
+
+        for caller in [&mut first, &mut second] {
+            let reply = caller.read_reply().await.expect("a response");
+            assert_eq!(reply.body, events(5));
+            assert!(reply.is_complete);
+        }
+        assert_eq!(two.crashes.get(), 1);
+    });
+}
+
+#[rstest]
+#[case::other(Identity::Other)]
+#[case::restarted(Identity::Restarted)]
+#[case::silent(Identity::Silent)]
+#[case::closed(Identity::Closed)]
+fn unproven_end_cuts(#[case] identity: Identity) {
+    World::run(async {
+        let writer = Backend::start("w1", Script::Unframed { body: events(3) }).await;
+        writer.identify_as(identity);
+        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
+        let started = Instant::now();
+
+        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+
+        assert!(!reply.expect("a response head").is_complete);
+        assert!(started.elapsed() < Duration::from_secs(4), "{:?}", started.elapsed());
+        assert!(writer.asked_at.borrow().len() <= 4, "{:?}", writer.asked_at);
+    });
+}
+
+#[rstest]
+#[case::own(Identity::Own, 100)]
+#[case::full(Identity::Full, 100)]
+#[case::late(Identity::Late(Duration::from_millis(1_200)), 1_300)]
+fn living_server_believed(#[case] identity: Identity, #[case] limit_ms: u64) {
+    World::run(async {
+        let writer = Backend::start("w1", Script::Unframed { body: events(3) }).await;
+        writer.identify_as(identity);
+        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
+        let started = Instant::now();
+
+        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+
+        let reply = reply.expect("a response");
+        assert!(reply.is_complete);
+        assert_eq!(reply.body, events(3));
+        assert!(started.elapsed() <= Duration::from_millis(limit_ms), "{:?}", started.elapsed());
+        assert_eq!(writer.asked_at.borrow().len(), 1);
+        let ends = world.metric("filbertcleat_stream_ends{framing=\"connection\"}").await;
+        assert_eq!(ends, Some(1));
+    });
+}
+
+/// Other transfer codings than chunks leave the end of a body unmarked.
+#[test]
+fn unknown_coding_is_unframed() {
+    World::run(async {
+        let script = three_then_end();
+        let script = script.with_headers("transfer-encoding: identity\r\n");
+        let writer = Backend::start("w1", script).await;
+        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
+
+        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+
+        assert!(!reply.is_some_and(|reply| reply.is_complete));
+    });
+}
+
+#[test]
+fn framed_stream_not_asked() {
+    World::run(async {
+        let writer = Backend::start("w1", FIVE_EVENTS).await;
+        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
+
+        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+
+        assert!(reply.expect("a response").is_complete);
+        assert_eq!(writer.asked_at.borrow().len(), 0);
+    });
+}
+
+/// All streams of a server end at the same moment as its process does.
+#[rstest]
+#[case::ended(true)]
+#[case::living(false)]
+fn streams_end_at_once(#[case] ends: bool) {
+    World::run(async {
+        let living = Script::Unframed { body: events(3) };
+        let script = if ends { three_then_end() } else { living };
+        let writer = Backend::start("w1", script).await;
+        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
+
+        let mut callers = Vec::new();
+        for id in ["a", "b", "c", "d"] {
+            let mut caller = world.caller().await;
+            caller.send(&Call::new(id, "/write/1")).await.expect("the entry reads the request");
+            callers.push(caller);
+        }
+
+        for mut caller in callers {
+            let is_complete = caller.read_reply().await.is_some_and(|reply| reply.is_complete);
+            assert_eq!(is_complete, !ends);
+        }
+        assert_eq!(writer.crashes.get(), usize::from(ends));
+    });
+}
+
+/// A move to another server is given up when the end of the first one turns out to be proper.
+#[test]
+fn late_proof_ends_move() {
+    World::run(async {
+        let (one, two) = (
+            Backend::start("w1", Script::Unframed { body: events(3) }).await,
+            Backend::start("w2", Script::Silent).await,
+        );
+        one.identify_as(Identity::Late(Duration::from_secs(2)));
+        let world = World::start(vec![route("write", RESUMABLE, 2)], &[&one, &two]).await;
+
+        let (mut first, mut second) = (world.caller().await, world.caller().await);
+        first.send(&Call::new("a", "/write/1")).await.expect("the entry reads the request");
+        second.send(&Call::new("b", "/write/1")).await.expect("the entry reads the request");
+
+        let reply = tokio::select! {
+            reply = first.read_reply() => reply,
+            reply = second.read_reply() => reply,
+        };
+        let reply = reply.expect("a response");
+        assert!(reply.is_complete);
+        assert_eq!(reply.body, events(3));
+    });
+}
--- a/crates/filbertcleat-serve/src/deployment/service.rs
+++ b/crates/filbertcleat-serve/src/deployment/service.rs
@@ -7,6 +7,8 @@
 pub struct ServiceSpec {
     /// The largest number of connections that one backend server accepts.
     pub connections_max: usize,
+    /// The path at which a backend server tells whether it is sound, if there is one.
+    pub health_path: Option<String>,
     /// The capacity of the service's engines, if the service generates text.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/filbertcleat-serve/tests/deployment_check.rs
+++ b/crates/filbertcleat-serve/tests/deployment_check.rs
@@ -59,7 +59,7 @@
 
 /// Returns a configuration whose limits are as tight as they may be.
 fn clean() -> Deployment {
-    let service = ServiceSpec { connections_max: 8, engine: Some(engine()) };
+    let service = ServiceSpec { connections_max: 8, health_path: None, engine: Some(engine()) };
     Deployment {
         version: 2,
         routes: vec![route("a", "/a/"), route("root", "/")],
