Believe the end of an unframed body only while its server runs

Callers got the first part of a body as a whole answer (MIXED), if the backend server ended while it sent a response with neither a length nor chunks. The cause is that of the streams before: the kernel closes the connections of a process that ends in order, and the body was taken for whole.

The entry now asks the server for its identity before it forwards such a body, at most until the deadline of the request. A body whose server has ended, was replaced or does not answer is a failed attempt that may have run: retried where the route allows it, else answered with 502 (504 at the deadline).

--- a/crates/filbertcleat-gateway/src/entry/whole_body.rs
+++ b/crates/filbertcleat-gateway/src/entry/whole_body.rs
@@ -17,14 +17,20 @@
 use super::backend_body::RESPONSE_MAX_BYTES;
 use super::backend_connection::BackendConnection;
 use super::body::CallerBody;
+use super::body_framing::BodyFraming;
 use super::caller_memory::BodyBytes;
 use super::counted_attempt::CountedAttempt;
 use super::exchange::READ_ON;
+use super::liveness::check_liveness;
+use super::response_sender::ResponseSender;
+use super::state::Entry;
 use crate::Dialect;
 
 /// The body of a response on its connection.
 pub(super) struct WholeBody {
     pub body: BackendBody,
+    pub framing: BodyFraming,
+    pub sender: ResponseSender,
     pub connection: BackendConnection,
     pub held: BodyBytes,
     /// The outcome of the attempt if the body is whole.
@@ -60,7 +66,7 @@
     ) {
         let outcome = self.outcome;
         let read = {
-            let mut reading = pin!(self.read_to_end(deadline));
+            let mut reading = pin!(self.read_to_end(Rc::clone(&attempt.entry), deadline));
             tokio::select! {
                 biased;
                 read = &mut reading => Ok(read),
@@ -83,8 +89,12 @@
     /// Reads into one buffer: many small chunks, each kept with the bytes that it was read with,
     /// would take many times the memory. The time in which the body waits for memory does not count
     /// towards the deadline, since the backend server does not cause it.
-    async fn read_to_end(self, mut deadline: Instant) -> Result<ReadBody, AttemptFailure> {
-        let Self { body, connection, mut held, .. } = self;
+    async fn read_to_end<D: Dialect>(
+        self,
+        entry: Rc<Entry<D>>,
+        mut deadline: Instant,
+    ) -> Result<ReadBody, AttemptFailure> {
+        let Self { body, framing, sender, connection, mut held, .. } = self;
         let mut body = Limited::new(body, RESPONSE_MAX_BYTES);
         let mut bytes = BytesMut::new();
         loop {
@@ -108,7 +118,30 @@
                 bytes.extend_from_slice(&data);
             }
         }
+        match framing {
+            BodyFraming::Length | BodyFraming::Chunks => {}
+            BodyFraming::Connection => check_end(entry, sender, deadline).await?,
+        }
         let body = Full::new(bytes.freeze());
         Ok((CallerBody::Complete { body, held: Some(held.finish()) }, connection))
     }
 }
+
+/// Checks that the server has outlived the connection whose end is that of the body.
+async fn check_end<D: Dialect>(
+    entry: Rc<Entry<D>>,
+    sender: ResponseSender,
+    deadline: Instant,
+) -> Result<(), AttemptFailure> {
+    let checked = tokio::time::timeout_at(deadline, check_liveness(entry, sender)).await;
+    let Ok(liveness) = checked else {
+        return Err(AttemptFailure::unknown(
+            AttemptOutcome::Silent,
+            "the connection ended, and the server did not answer before the deadline",
+        ));
+    };
+    match liveness.broken_reason() {
+        None => Ok(()),
+        Some(reason) => Err(AttemptFailure::unknown(AttemptOutcome::Broken, reason)),
+    }
+}
