Reset the connection of an HTTP/1.0 caller whose stream is cut

A caller of HTTP/1.0 saw a stream that was cut end like a complete one: such a response has no chunks, and the entry closed its connection in order. The cause is the mirror image of unframed responses: the end of a connection was the only mark of the end, and both ends used it.

Before, streams.rs failed:

cut_shown_without_chunks::case_1_cut: left: true right: false

(the first value tells whether the connection ended without a reset).

--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -1,5 +1,6 @@
 //! Connections from callers and their time limits.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -12,7 +13,10 @@
 use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use http::HeaderValue;
+use http::Request;
+use http::Version;
 use http::header::CONNECTION;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -87,8 +91,11 @@
     let stream = Rc::new(stream);
     let activity = Rc::new(ConnectionActivity::new(entry.clock(), entry.caller_memory.held()));
     let mut unread = Bytes::new();
+    // A stream to a caller of HTTP/1.0 has no chunks, so that an orderly end would complete it.
+    let lacks_chunks = Cell::new(false);
     let has_responded = loop {
-        let service = service_fn(|request| {
+        let service = service_fn(|request: Request<Incoming>| {
+            lacks_chunks.set(request.version() < Version::HTTP_11);
             let entry = Rc::clone(&entry);
             let active = ActiveRequest::begin(&activity);
             let open = OpenResponse::begin(&activity);
@@ -136,15 +143,17 @@
             Progress::Ended(ended) => {
                 if let Err(error) = ended {
                     log::debug!("event=caller-connection-ended reason=\"{error}\"");
+                    if lacks_chunks.get() {
+                        reset_on_close(&stream);
+                        return;
+                    }
                 }
                 break true;
             }
             Progress::Due => break false,
             Progress::Stalled => {
                 // The kernel must not keep the rest of the response for the caller.
-                if let Err(error) = SockRef::from(&*stream).set_linger(Some(Duration::ZERO)) {
-                    log::debug!("event=caller-gone reason=\"{error}\"");
-                }
+                reset_on_close(&stream);
                 return;
             }
             Progress::Outdated => unread = connection.into_parts().read_buf,
@@ -157,6 +166,12 @@
     }
 }
 
+fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("event=caller-gone reason=\"{error}\"");
+    }
+}
+
 fn check_interval<D: Dialect>(entry: &Entry<D>) -> Duration {
     if entry.shutdown.is_triggered() { DRAIN_CHECK_INTERVAL } else { CHECK_INTERVAL }
 }
--- a/crates/filbertcleat-gateway/tests/streams.rs
+++ b/crates/filbertcleat-gateway/tests/streams.rs
@@ -204,3 +204,19 @@
         assert_eq!(writer.arrivals(), 0);
     });
 }
+
+/// A caller of HTTP/1.0 gets no chunks, so that only a reset shows that its stream is cut.
+#[rstest]
+#[case::cut(Script::EventsThenCut { count: 3 }, false)]
+#[case::complete(FIVE_EVENTS, true)]
+fn cut_shown_without_chunks(#[case] script: Script, #[case] is_complete: bool) {
+    World::run(async {
+        let writer = Backend::start("w1", script).await;
+        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
+        let mut caller = world.caller().await;
+        let text = Call::new("a", "/write/1").text().replace("HTTP/1.1", "HTTP/1.0");
+        caller.send_bytes(text.as_bytes()).await.expect("the entry reads the request");
+
+        assert_eq!(caller.read_to_close().await.is_ok(), is_complete);
+    });
+}
--- a/crates/filbertcleat-gateway/tests/support/caller.rs
+++ b/crates/filbertcleat-gateway/tests/support/caller.rs
@@ -104,6 +104,13 @@
         matches!(read, Ok(Ok(0)))
     }
 
+    /// Reads until the entry closes the connection; an error shows that it was reset.
+    pub async fn read_to_close(&mut self) -> io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        self.stream.read_to_end(&mut bytes).await?;
+        Ok(bytes)
+    }
+
     /// Sends a request and reads the response. Returns `None` if the connection ends before its
     /// head.
     pub async fn call(&mut self, call: &Call) -> Option<Reply> {
