Ask for the health if a report lacks the identity

An engine's report need not name the engine or its start.

The entry now takes a known start without a name as an identity, and asks at the health path if the report tells neither; its answers are named. The report stays first, as it needs no slot.

Found by reading the protocol. The new cases of living_server_believed (only_start, nameless_report) were not run on the code before, whose interface they don't fit.

--- a/crates/filbertcleat-gateway/src/dialect.rs
+++ b/crates/filbertcleat-gateway/src/dialect.rs
@@ -31,9 +31,9 @@
     /// Parses the headers of a backend server's response.
     fn parse_response(&self, headers: &HeaderMap) -> ResponseMetadata;
 
-    /// Returns the request to which a backend server answers with its identity for as long as its
-    /// process runs, and which any other server calls misdirected. `None` if the service has none.
-    fn identity_request(&self, server: &ServerId, service: &ServiceSpec) -> Option<Request<()>>;
+    /// Returns the requests to which a backend server answers for as long as its process runs, and
+    /// which any other server calls misdirected. A later one is for answers that lack the identity.
+    fn identity_requests(&self, server: &ServerId, service: &ServiceSpec) -> Vec<Request<()>>;
 
     /// Parses the answer to such a request. The body may be incomplete.
     fn parse_identity(&self, headers: &HeaderMap, body: &[u8]) -> ServerIdentity;
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -213,7 +213,7 @@
             server: attempt.server().clone(),
             address,
             started_unix_ms,
-            identity_request: identity_request(entry, request, attempt.server()),
+            identity_requests: identity_requests(entry, request, attempt.server()),
         };
         let (response, metadata) = begin_response(request, answer, sender, software_version);
         let validated = validate_response(entry, request, attempt, response, &metadata);
@@ -249,16 +249,17 @@
     (response, metadata)
 }
 
-/// Returns the request to which the backend server answers with its identity, by the configuration in
-/// force. A later one may lack the service.
-fn identity_request<D: Dialect>(
+/// Returns the requests to which the backend server answers with its identity, by the configuration
+/// in force. A later one may lack the service.
+fn identity_requests<D: Dialect>(
     entry: &Entry<D>,
     request: &CallerRequest,
     server: &ServerId,
-) -> Option<Request<()>> {
+) -> Vec<Request<()>> {
     let state = entry.state.borrow();
-    let service = state.deployment.get()?.services.get(&request.service)?;
-    entry.dialect.identity_request(server, service)
+    let deployment = state.deployment.get();
+    let service = deployment.and_then(|deployment| deployment.services.get(&request.service));
+    service.map_or_else(Vec::new, |service| entry.dialect.identity_requests(server, service))
 }
 
 /// The most connections tried before a backend server counts as unreachable.
--- a/crates/filbertcleat-gateway/src/entry/liveness.rs
+++ b/crates/filbertcleat-gateway/src/entry/liveness.rs
@@ -22,7 +22,7 @@
 
 /// How long a backend server is given to answer. A sound one may pause for a second or two.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(3);
-/// How often a backend server is asked that closes the connection or answers without a name.
+/// How often a backend server is asked that closes the connection or answers without an identity.
 const QUESTIONS_MAX: usize = 3;
 /// The pause before the next question.
 const QUESTION_PAUSE: Duration = Duration::from_millis(100);
@@ -89,11 +89,12 @@
 }
 
 async fn ask_until_answered<D: Dialect>(entry: &Entry<D>, sender: &ResponseSender) -> Liveness {
-    for question in 0..QUESTIONS_MAX {
+    let requests = sender.identity_requests.iter().cycle().take(QUESTIONS_MAX);
+    for (question, request) in requests.enumerate() {
         if question > 0 {
             tokio::time::sleep(QUESTION_PAUSE).await;
         }
-        match ask(entry, sender).await {
+        match ask(entry, sender, request).await {
             Liveness::Unknown => {}
             known @ (Liveness::Alive | Liveness::Ended | Liveness::Replaced) => return known,
         }
@@ -101,8 +102,16 @@
     Liveness::Unknown
 }
 
-async fn ask<D: Dialect>(entry: &Entry<D>, sender: &ResponseSender) -> Liveness {
-    let Some(request) = identity_request(sender) else { return Liveness::Unknown };
+async fn ask<D: Dialect>(
+    entry: &Entry<D>,
+    sender: &ResponseSender,
+    request: &Request<()>,
+) -> Liveness {
+    let mut request = request.clone().map(|()| Full::<Bytes>::default());
+    let Ok(host) = HeaderValue::try_from(sender.address.to_string()) else {
+        return Liveness::Unknown;
+    };
+    request.headers_mut().insert(HOST, host);
     let mut connection = match entry.pool.connect(sender.address).await {
         Ok(connection) => connection,
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => return Liveness::Ended,
@@ -119,10 +128,3 @@
     let identity = entry.dialect.parse_identity(&head.headers, &body);
     sender.judge(head.status, &metadata, &identity)
 }
-
-fn identity_request(sender: &ResponseSender) -> Option<Request<Full<Bytes>>> {
-    let mut request = sender.identity_request.clone()?;
-    let host = HeaderValue::try_from(sender.address.to_string()).ok()?;
-    request.headers_mut().insert(HOST, host);
-    Some(request.map(|()| Full::default()))
-}
--- a/crates/filbertcleat-gateway/src/entry/response_sender.rs
+++ b/crates/filbertcleat-gateway/src/entry/response_sender.rs
@@ -19,8 +19,8 @@
     pub address: SocketAddr,
     /// The Unix time of the start in milliseconds; 0 if unknown.
     pub started_unix_ms: u64,
-    /// The request to which the server answers with its identity, if the service has one.
-    pub identity_request: Option<Request<()>>,
+    /// The requests to which the server answers with its identity, the preferred one first.
+    pub identity_requests: Vec<Request<()>>,
 }
 
 impl ResponseSender {
@@ -31,15 +31,16 @@
         metadata: &ResponseMetadata,
         identity: &ServerIdentity,
     ) -> Liveness {
-        let is_other_start = self.started_unix_ms > 0
-            && identity.started_unix_ms > 0
-            && self.started_unix_ms != identity.started_unix_ms;
+        let knows_starts = self.started_unix_ms > 0 && identity.started_unix_ms > 0;
+        let is_other_start = knows_starts && self.started_unix_ms != identity.started_unix_ms;
         match &identity.server {
             Some(server) if *server != self.server || is_other_start => Liveness::Replaced,
             Some(_) => Liveness::Alive,
-            None if status == StatusCode::MISDIRECTED_REQUEST => Liveness::Replaced,
+            None if is_other_start || status == StatusCode::MISDIRECTED_REQUEST => {
+                Liveness::Replaced
+            }
             // The request names the server, so that any other one would call it misdirected.
-            None if metadata.is_not_run => Liveness::Alive,
+            None if knows_starts || metadata.is_not_run => Liveness::Alive,
             None => Liveness::Unknown,
         }
     }
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -110,6 +110,10 @@
     Restarted,
     /// As the server that it is, after some time.
     Late(Duration),
+    /// Without a name in a report.
+    NamelessReport,
+    /// As the start that it is, without a name.
+    OnlyStart,
     /// As full, without a name.
     Full,
     /// Not at all, on an open connection.
@@ -267,7 +271,7 @@
         while let Some(head) = read_request(&mut reader).await {
             if IDENTITY_PATHS.iter().any(|path| has_target(&head, path)) {
                 self.asked_at.borrow_mut().push(Instant::now());
-                if self.identify(&mut writer).await {
+                if self.identify(&mut writer, has_target(&head, "/report")).await {
                     continue;
                 }
                 return;
@@ -296,14 +300,20 @@
     }
 
     /// Says who the server is, and returns whether the connection stays open.
-    async fn identify(&self, stream: &mut OwnedWriteHalf) -> bool {
+    async fn identify(&self, stream: &mut OwnedWriteHalf, is_report: bool) -> bool {
         let identity = self.identity.borrow().clone();
         let named = |server: &str, started: u64| {
             let head = format!("HTTP/1.1 200 X\r\nx-server: {server}\r\n");
             response_text(&head, &format!("started {started}"))
         };
         match identity {
-            Identity::Own => write(stream, &named(&self.id, 1)).await,
+            Identity::NamelessReport if is_report => {
+                write(stream, &response_text("HTTP/1.1 200 X\r\n", "loaded")).await
+            }
+            Identity::OnlyStart => {
+                write(stream, &response_text("HTTP/1.1 200 X\r\n", "started 1")).await
+            }
+            Identity::Own | Identity::NamelessReport => write(stream, &named(&self.id, 1)).await,
             Identity::Other => write(stream, &named("another", 1)).await,
             Identity::Restarted => write(stream, &named(&self.id, 2)).await,
             Identity::Late(after) => {
--- a/crates/filbertcleat-gateway/tests/support/dialect.rs
+++ b/crates/filbertcleat-gateway/tests/support/dialect.rs
@@ -86,10 +86,11 @@
         }
     }
 
-    fn identity_request(&self, server: &ServerId, service: &ServiceSpec) -> Option<Request<()>> {
-        let health_path = service.health_path.as_deref();
-        let path = if service.engine.is_some() { Some("/report") } else { health_path };
-        Request::get(path?).header("x-server", server.as_str()).body(()).ok()
+    fn identity_requests(&self, server: &ServerId, service: &ServiceSpec) -> Vec<Request<()>> {
+        let report = service.engine.is_some().then_some("/report");
+        let paths = report.into_iter().chain(service.health_path.as_deref());
+        let request = |path| Request::get(path).header("x-server", server.as_str()).body(());
+        paths.filter_map(|path| request(path).ok()).collect()
     }
 
     fn parse_identity(&self, headers: &HeaderMap, body: &[u8]) -> ServerIdentity {
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -229,9 +229,10 @@
 /// Returns a configuration with the services `desk` and `writer`.
 pub fn deployment(version: u64, routes: Vec<Route>) -> Deployment {
     let health_path = Some("/health".to_owned());
-    let plain = ServiceSpec { connections_max: 100, health_path, engine: None };
+    let plain =
+        ServiceSpec { connections_max: 100, health_path: health_path.clone(), engine: None };
     let engine = EngineSpec { batch_limit: 8, adapter_slots: 4, ..EngineSpec::default() };
-    let writer = ServiceSpec { connections_max: 100, health_path: None, engine: Some(engine) };
+    let writer = ServiceSpec { connections_max: 100, health_path, engine: Some(engine) };
     let services =
         BTreeMap::from([(ServiceName::new("desk"), plain), (ServiceName::new("writer"), writer)]);
     Deployment { version, routes, services, ..Deployment::default() }
--- a/crates/filbertcleat-gateway/tests/unframed_streams.rs
+++ b/crates/filbertcleat-gateway/tests/unframed_streams.rs
@@ -88,10 +88,16 @@
 }
 
 #[rstest]
-#[case::own(Identity::Own, 100)]
-#[case::full(Identity::Full, 100)]
-#[case::late(Identity::Late(Duration::from_millis(1_200)), 1_300)]
-fn living_server_believed(#[case] identity: Identity, #[case] limit_ms: u64) {
+#[case::own(Identity::Own, 100, 1)]
+#[case::full(Identity::Full, 100, 1)]
+#[case::late(Identity::Late(Duration::from_millis(1_200)), 1_300, 1)]
+#[case::only_start(Identity::OnlyStart, 100, 1)]
+#[case::nameless_report(Identity::NamelessReport, 200, 2)]
+fn living_server_believed(
+    #[case] identity: Identity,
+    #[case] limit_ms: u64,
+    #[case] questions: usize,
+) {
     World::run(async {
         let writer = Backend::start("w1", Script::Unframed { body: events(3) }).await;
         writer.identify_as(identity);
@@ -104,7 +110,7 @@
         assert!(reply.is_complete);
         assert_eq!(reply.body, events(3));
         assert!(started.elapsed() <= Duration::from_millis(limit_ms), "{:?}", started.elapsed());
-        assert_eq!(writer.asked_at.borrow().len(), 1);
+        assert_eq!(writer.asked_at.borrow().len(), questions);
         let ends = world.metric("filbertcleat_stream_ends{framing=\"connection\"}").await;
         assert_eq!(ends, Some(1));
     });
