--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt to send a request to a backend server.
 
 use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,12 +23,14 @@
 use super::backend_body::BackendBody;
 use super::backend_body::BodyKind;
 use super::backend_connection::BackendConnection;
+use super::body_framing::BodyFraming;
 use super::crashes::admit_request;
 use super::crashes::on_connection_refused;
 use super::exchange::Exchange;
 use super::exchange_error::ExchangeError;
 use super::in_flight::InFlightAttempt;
 use super::request::CallerRequest;
+use super::response_sender::ResponseSender;
 use super::state::Entry;
 use crate::AttemptMetadata;
 use crate::Dialect;
@@ -45,7 +46,9 @@
 pub(super) struct BackendResponse {
     pub head: Parts,
     pub body: BackendBody,
-    pub address: SocketAddr,
+    pub framing: BodyFraming,
+    /// The start of the backend server that sent the response.
+    pub sender: ResponseSender,
     /// The software version of the backend server.
     pub software_version: SoftwareVersion,
     pub connection: BackendConnection,
@@ -204,12 +207,15 @@
                 ));
             }
         };
-        let Answer { response, metadata, requests_pause, connection } = answer;
-        let (head, body) = response.into_parts();
-        let kind = body_kind(request, head.status);
-        let body = BackendBody::new(body, connection.allowance().clone(), kind);
-        let response =
-            BackendResponse { head, body, address, software_version, connection, requests_pause };
+        let requests_pause = answer.requests_pause;
+        let sender = ResponseSender {
+            request: request.id.clone(),
+            server: attempt.server().clone(),
+            address,
+            started_unix_ms,
+            identity_requests: identity_requests(entry, request, attempt.server()),
+        };
+        let (response, metadata) = begin_response(request, answer, sender, software_version);
         let validated = validate_response(entry, request, attempt, response, &metadata);
         return validated.map_err(|failure| failure.with_pause(requests_pause));
     }
@@ -219,6 +225,43 @@
     ))
 }
 
+/// Prepares to read the body of an answer.
+fn begin_response(
+    request: &CallerRequest,
+    answer: Answer,
+    sender: ResponseSender,
+    software_version: SoftwareVersion,
+) -> (BackendResponse, ResponseMetadata) {
+    let Answer { response, metadata, requests_pause, connection } = answer;
+    let (head, body) = response.into_parts();
+    let framing = BodyFraming::of(&head.headers, &body);
+    let kind = body_kind(request, head.status);
+    let body = BackendBody::new(body, connection.allowance().clone(), kind);
+    let response = BackendResponse {
+        head,
+        body,
+        framing,
+        sender,
+        software_version,
+        connection,
+        requests_pause,
+    };
+    (response, metadata)
+}
+
+/// Returns the requests to which the backend server answers with its identity, by the configuration
+/// in force. A later one may lack the service.
+fn identity_requests<D: Dialect>(
+    entry: &Entry<D>,
+    request: &CallerRequest,
+    server: &ServerId,
+) -> Vec<Request<()>> {
+    let state = entry.state.borrow();
+    let deployment = state.deployment.get();
+    let service = deployment.and_then(|deployment| deployment.services.get(&request.service));
+    service.map_or_else(Vec::new, |service| entry.dialect.identity_requests(server, service))
+}
+
 /// The most connections tried before a backend server counts as unreachable.
 const CONNECTIONS_MAX: usize = 3;
 
@@ -241,7 +284,7 @@
     let status = response.head.status;
     if status == StatusCode::MISDIRECTED_REQUEST {
         let is_other = metadata.server.as_ref().is_some_and(|server| server != attempt.server());
-        entry.pool.keep(response.address, response.connection, &response.head.headers);
+        entry.pool.keep(response.sender.address, response.connection, &response.head.headers);
         return Err(if is_other {
             AttemptFailure::not_run(
                 AttemptOutcome::Misdirected,
@@ -255,7 +298,7 @@
         });
     }
     if metadata.is_not_run {
-        entry.pool.keep(response.address, response.connection, &response.head.headers);
+        entry.pool.keep(response.sender.address, response.connection, &response.head.headers);
         return Err(AttemptFailure::not_run(
             AttemptOutcome::Full,
             "the backend server had no free capacity",
--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -5,16 +5,18 @@
 use filbertcleat_serve::AttemptOutcome;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
-use http::header::CONTENT_LENGTH;
-use http::header::TRANSFER_ENCODING;
+use futures_util::future::LocalBoxFuture;
 use http_body_util::BodyExt;
 
 use super::attempt::BackendResponse;
+use super::body_framing::BodyFraming;
 use super::connection_pool::ConnectionPool;
 use super::events::Event;
 use super::events::EventSplitter;
 use super::exchange::READ_ON;
 use super::in_flight::InFlightAttempt;
+use super::liveness::Liveness;
+use super::liveness::check_liveness;
 use crate::Dialect;
 
 /// The part of a stream that one backend server sends.
@@ -22,8 +24,8 @@
     response: Box<BackendResponse>,
     attempt: InFlightAttempt<D>,
     splitter: EventSplitter,
-    /// Whether the framing of the body shows a stream that ends early.
-    has_framing: bool,
+    /// The check that decides on the end of an unframed stream, once its connection has ended.
+    end_check: Option<LocalBoxFuture<'static, Liveness>>,
     /// Whether an event has been received.
     has_events: bool,
     /// An item that has been received and not been taken yet.
@@ -54,14 +56,11 @@
 impl<D: Dialect> StreamSource<D> {
     /// Creates the source of a response whose head has been received.
     pub fn new(response: Box<BackendResponse>, attempt: InFlightAttempt<D>) -> Self {
-        let headers = &response.head.headers;
-        let has_framing =
-            headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
         Self {
             response,
             attempt,
             splitter: EventSplitter::default(),
-            has_framing,
+            end_check: None,
             has_events: false,
             received: None,
         }
@@ -77,6 +76,11 @@
         &self.response.software_version
     }
 
+    /// Returns how the end of the stream is marked.
+    pub fn framing(&self) -> BodyFraming {
+        self.response.framing
+    }
+
     /// Waits for the next item and takes it.
     pub async fn next(&mut self) -> SourceItem {
         match self.received.take() {
@@ -100,14 +104,9 @@
 
     /// Ends the attempt after a complete stream and keeps the connection for reuse.
     pub fn complete(self, pool: &ConnectionPool) {
-        // Without framing the end of the connection may be that of the server.
-        if self.has_framing {
-            self.attempt.end_complete();
-        } else {
-            self.attempt.end(AttemptOutcome::Answered);
-        }
-        let BackendResponse { head, address, connection, .. } = *self.response;
-        pool.keep(address, connection, &head.headers);
+        self.attempt.end_complete();
+        let BackendResponse { head, sender, connection, .. } = *self.response;
+        pool.keep(sender.address, connection, &head.headers);
     }
 
     /// Ends the attempt before the end of the stream, which resets the connection.
@@ -136,18 +135,38 @@
         self.abandon(outcome);
     }
 
+    /// Asks whether the backend server has outlived the connection.
+    fn check_end(&self) -> LocalBoxFuture<'static, Liveness> {
+        let entry = Rc::clone(&self.attempt.counted().entry);
+        Box::pin(check_liveness(entry, self.response.sender.clone()))
+    }
+
     /// Receives the next item. Nothing is lost if the returned future is dropped.
     async fn receive(&mut self) -> SourceItem {
         loop {
+            if let Some(check) = &mut self.end_check {
+                return match check.await.broken_reason() {
+                    None => SourceItem::End,
+                    Some(reason) => SourceItem::Broken(reason.to_owned()),
+                };
+            }
             let frame = match self.response.body.frame().await {
                 None if !self.splitter.is_between_events() => {
                     return SourceItem::Broken("the body ends within an event".to_owned());
                 }
-                // The end of the connection may be that of the server.
-                None if !self.has_framing && !self.has_events => {
-                    return SourceItem::Broken("the connection ends before an event".to_owned());
-                }
-                None => return SourceItem::End,
+                None => match self.framing() {
+                    BodyFraming::Length | BodyFraming::Chunks => return SourceItem::End,
+                    BodyFraming::Connection if !self.has_events => {
+                        return SourceItem::Broken(
+                            "the connection ends before an event".to_owned(),
+                        );
+                    }
+                    // The end of the connection may be that of the server.
+                    BodyFraming::Connection => {
+                        self.end_check = Some(self.check_end());
+                        continue;
+                    }
+                },
                 Some(Err(error)) => return SourceItem::Broken(error.to_string()),
                 Some(Ok(frame)) => frame,
             };
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -11,6 +11,10 @@
     Attempts,
     /// Retries that the retry budget allowed or refused.
     Retries,
+    /// Streams that ended properly, by how their end was marked.
+    StreamEnds,
+    /// Checks whether a backend server has outlived an unframed response, by outcome.
+    EndChecks,
     /// Streams that callers took up, by how their software version was found.
     OriginLookups,
     /// Questions to agents when a prompt may be sent, by outcome.
@@ -84,11 +88,13 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 39] = [
+pub const METRICS: [Metric; 41] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
     Metric::Retries,
+    Metric::StreamEnds,
+    Metric::EndChecks,
     Metric::OriginLookups,
     Metric::PromptTurns,
     Metric::QueueWait,
@@ -134,6 +140,8 @@
             Self::Refusals => "refusals",
             Self::Attempts => "sends",
             Self::Retries => "repeats",
+            Self::StreamEnds => "stream_ends",
+            Self::EndChecks => "end_checks",
             Self::OriginLookups => "origin_lookups",
             Self::PromptTurns => "prompt_turns",
             Self::QueueWait => "queue_wait_ms",
