Log and count the events of streams by server

Change: stream-part names what each server sent of a stream that moved, broke off, was taken up or has irregular ids; stream-skip names the ids between which events may be missing; irregular_events counts both and events without an id. No decision changes. The fake backend server can send a stream step by step.

--- a/crates/filbertcleat-gateway/src/entry/request_log.rs
+++ b/crates/filbertcleat-gateway/src/entry/request_log.rs
@@ -184,7 +184,7 @@
 }
 
 /// Displays a number, or a dash if there is none.
-struct OrDash(Option<u64>);
+pub(super) struct OrDash(pub Option<u64>);
 
 impl fmt::Display for OrDash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/filbertcleat-gateway/src/entry/stream_moves.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_moves.rs
@@ -193,7 +193,8 @@
         Ok(source)
     }
 
-    fn log_resumed(&self, source: &StreamSource<D>) {
+    fn log_resumed(&mut self, source: &StreamSource<D>) {
+        self.begin_part(source);
         log::info!(
             "event=stream-resumed id={} server={} after={}",
             self.request.id,
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -15,17 +15,21 @@
 use super::caller_stream::StreamSender;
 use super::caller_stream::caller_stream;
 use super::connection::ActiveRequest;
+use super::event_order::EventOrder;
 use super::events::Event;
 use super::handler::OpenRequest;
 use super::in_flight::InFlightAttempt;
 use super::origins::record_origin;
 use super::request::CallerRequest;
+use super::request_log::OrDash;
 use super::request_log::Outcome;
 use super::request_log::log_end;
 use super::state::Entry;
+use super::stream_part::StreamPart;
 use super::stream_source::SourceItem;
 use super::stream_source::StreamSource;
 use crate::Dialect;
+use crate::metrics::Metric;
 
 /// After this time without an event another backend server is sought for a resumable stream. It is
 /// many times the gap between two events, and shorter than the time that callers wait.
@@ -50,6 +54,7 @@
     strip_connection_headers(response.headers_mut());
 
     let is_resumable = request.route.retry_policy == RetryPolicy::Stream { resumable: true };
+    let source = StreamSource::new(backend_response, attempt);
     let relay = StreamRelay {
         entry: Rc::clone(entry),
         last_event_id: request.metadata.last_event_id,
@@ -59,9 +64,11 @@
         is_resumable,
         last_bytes_at: None,
         progress_at: entry.now(),
+        part: StreamPart::new(source.server().clone(), source.software_version().clone()),
+        has_moved: false,
     };
     spawn_local(async move {
-        relay.run(StreamSource::new(backend_response, attempt)).await;
+        relay.run(source).await;
         drop(open);
         drop(active);
     });
@@ -80,6 +87,10 @@
     pub(super) progress_at: MonoTime,
     /// The events that were received, if the stream is read from its first event.
     events: Option<u32>,
+    /// The events of the current backend server.
+    part: StreamPart,
+    /// Whether an earlier backend server has sent a part of the stream.
+    has_moved: bool,
 }
 
 /// How the stream of one backend server ended.
@@ -147,10 +158,37 @@
     }
 
     fn log_end(&self, server: &ServerId, outcome: Outcome) {
+        let is_whole =
+            outcome == Outcome::Streamed && self.request.metadata.last_event_id.is_none();
+        if !is_whole || self.has_moved || self.part.is_irregular() {
+            self.log_part();
+        }
         let now = self.entry.now();
         log_end(&self.entry.metrics, &self.request, Some(server), now, outcome);
     }
 
+    /// Begins the part of the backend server that goes on with the stream.
+    pub(super) fn begin_part(&mut self, source: &StreamSource<D>) {
+        self.log_part();
+        self.has_moved = true;
+        self.part = StreamPart::new(source.server().clone(), source.software_version().clone());
+    }
+
+    /// Logs that ids of events are missing before the event with the id `next`.
+    fn log_skip(&self, next: Option<u64>) {
+        log::info!(
+            "event=stream-skip id={} server={} after={} next={}",
+            self.request.id,
+            self.part.server(),
+            OrDash(self.last_event_id),
+            OrDash(next)
+        );
+    }
+
+    fn log_part(&self) {
+        log::info!("event=stream-part id={} {}", self.request.id, self.part);
+    }
+
     /// Logs an event of the stream at a backend server.
     pub(super) fn log_event(&self, event: &str, server: &ServerId, reason: &str) {
         log::info!(
@@ -225,12 +263,22 @@
     /// Sends an event to the caller, unless the caller has already seen it. Returns how the stream
     /// ended if the caller has disconnected or does not read until the deadline.
     async fn pass_on(&mut self, event: Event, deadline: MonoTime) -> Option<StreamEnd> {
-        if let Some(id) = event.id {
-            if self.last_event_id.is_some_and(|last| id <= last) {
-                return None;
+        let order = EventOrder::of(&event, self.last_event_id);
+        self.part.record(event.id, order);
+        match order {
+            EventOrder::Next | EventOrder::Comment => {}
+            EventOrder::Skipping | EventOrder::Repeated | EventOrder::Unnumbered => {
+                let tags = [("order", order.label())];
+                self.entry.metrics.count(Metric::IrregularEvents, &tags);
             }
-            self.last_event_id = Some(id);
         }
+        if order == EventOrder::Skipping {
+            self.log_skip(event.id);
+        }
+        if order == EventOrder::Repeated {
+            return None;
+        }
+        self.last_event_id = event.id.or(self.last_event_id);
         let deadline = self.entry.clock().instant(deadline);
         match tokio::time::timeout_at(deadline, self.sender.send(event.bytes)).await {
             Ok(Ok(())) => None,
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -25,6 +25,8 @@
     TimeFromAttemptToFirstEvent,
     /// The longest gap within a stream.
     LongestEventGap,
+    /// Events of streams whose ids don't follow one another, by order.
+    IrregularEvents,
     /// The version of the current configuration.
     ConfigurationVersion,
     /// The time since the current configuration came into force.
@@ -84,7 +86,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 39] = [
+pub const METRICS: [Metric; 40] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -96,6 +98,7 @@
     Metric::ExpectedTimeToFirstEvent,
     Metric::TimeFromAttemptToFirstEvent,
     Metric::LongestEventGap,
+    Metric::IrregularEvents,
     Metric::ConfigurationVersion,
     Metric::ConfigurationAge,
     Metric::CatalogueAge,
@@ -141,6 +144,7 @@
             Self::ExpectedTimeToFirstEvent => "first_event_expected_ms",
             Self::TimeFromAttemptToFirstEvent => "first_event_sent_ms",
             Self::LongestEventGap => "gap_ms",
+            Self::IrregularEvents => "irregular_events",
             Self::ConfigurationVersion => "configuration_version",
             Self::ConfigurationAge => "configuration_age_ms",
             Self::CatalogueAge => "catalogue_age_ms",
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -19,6 +20,11 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+use super::scripted_stream::COMMENT;
+use super::scripted_stream::Framing;
+use super::scripted_stream::ScriptedStream;
+use super::stream_step::StreamStep;
+
 /// What the backend server does with one request.
 #[derive(Clone, Debug)]
 pub enum Script {
@@ -34,6 +40,8 @@
     EventsWithSilence { count: u64, after: u64, silence: Duration },
     /// Sends `count` events, and then `piece` after each pause until the connection is closed.
     EventsThenPieces { count: u64, piece: &'static str, pause: Duration },
+    /// Sends a stream step by step.
+    Stream(ScriptedStream),
     /// Sends a body without HTTP framing, and closes the connection.
     Unframed { body: &'static str },
     /// Sends one event and half of the next, and ends the stream properly.
@@ -288,10 +296,7 @@
             }
             Script::LargeEvents { count, bytes } => {
                 write(stream, &events_head).await;
-                let data = "x".repeat(bytes);
-                for number in 1..=count {
-                    write(stream, &chunk(&format!("id: {number}\ndata: {data}\n\n"))).await;
-                }
+                write_large_events(stream, count, bytes).await;
                 write(stream, "0\r\n\r\n").await
             }
             Script::EventsThenCut { count } => {
@@ -314,6 +319,9 @@
                 write_events(stream, last_event_id.saturating_add(1)..=count, Duration::ZERO).await;
                 write_pieces(stream, piece, pause).await
             }
+            Script::Stream(stream_script) => {
+                self.write_stream(stream, &response_head(200), last_event_id, &stream_script).await
+            }
             Script::FramedPartialEvent => {
                 write(stream, &events_head).await;
                 write(stream, &chunk(&format!("{}id: 2\nda", event(1)))).await;
@@ -359,6 +367,73 @@
         }
     }
 
+    /// Takes the steps of a stream and returns whether the connection stays open.
+    async fn write_stream(
+        &self,
+        stream: &mut OwnedWriteHalf,
+        head: &str,
+        after: u64,
+        script: &ScriptedStream,
+    ) -> bool {
+        let head = format!("{head}{}\r\n", script.framing_lines(&self.id, after));
+        write(stream, &head).await;
+        let mut next = after + 1;
+        for step in &script.steps {
+            match *step {
+                StreamStep::Wait(duration) => tokio::time::sleep(duration).await,
+                StreamStep::Events(count) => {
+                    let end = next.saturating_add(count).min(script.total + 1);
+                    let text = script.events(&self.id, next..end);
+                    write(stream, &script.frame(&text)).await;
+                    next = next.max(end);
+                }
+                StreamStep::SplitEvent(_) | StreamStep::HalfEvent if next > script.total => {}
+                StreamStep::SplitEvent(pause) => {
+                    let text = script.event(&self.id, next);
+                    let (start, rest) = text.split_at(text.len() / 2);
+                    write(stream, &script.frame(start)).await;
+                    tokio::time::sleep(pause).await;
+                    write(stream, &script.frame(rest)).await;
+                    next += 1;
+                }
+                StreamStep::HalfEvent => {
+                    let text = script.event(&self.id, next);
+                    write(stream, &script.frame(&text[..text.len() / 2])).await;
+                }
+                StreamStep::Comment => {
+                    write(stream, &script.frame(COMMENT)).await;
+                }
+                StreamStep::Skip(count) => next += count,
+                StreamStep::Rewind => next = 1,
+                StreamStep::Unnumbered => {
+                    let text = format!("data: {next} {} {}\n\n", script.version, self.id);
+                    write(stream, &script.frame(&text)).await;
+                    next += 1;
+                }
+                StreamStep::End => {
+                    write(stream, script.end()).await;
+                    return script.framing == Framing::Chunked;
+                }
+                StreamStep::EndTwice => {
+                    let rest = script.frame(&script.events(&self.id, next..=script.total));
+                    let copy = script.frame(&script.events(&self.id, after + 1..=script.total));
+                    let end = script.end();
+                    write(stream, &format!("{rest}{end}{head}{copy}{end}")).await;
+                    return script.framing != Framing::Unframed;
+                }
+                StreamStep::Close => return false,
+                StreamStep::Reset => {
+                    let socket = SockRef::from(stream.as_ref());
+                    socket.set_linger(Some(Duration::ZERO)).expect("the socket is open");
+                    return false;
+                }
+            }
+        }
+        let rest = script.frame(&script.events(&self.id, next..=script.total));
+        write(stream, &format!("{rest}{}", script.end())).await;
+        script.framing != Framing::Unframed
+    }
+
     /// Ends the server, whether or not the caller is still there.
     async fn end_with(&self, stream: &mut OwnedWriteHalf, events_head: &str, crash: Crash) -> ! {
         if crash.sends_head {
@@ -413,6 +488,14 @@
     }
 }
 
+/// Writes events with data of a length.
+async fn write_large_events(stream: &mut OwnedWriteHalf, count: u64, bytes: usize) {
+    let data = "x".repeat(bytes);
+    for number in 1..=count {
+        write(stream, &chunk(&format!("id: {number}\ndata: {data}\n\n"))).await;
+    }
+}
+
 /// Writes a piece again and again with a pause before each.
 async fn write_pieces(stream: &mut OwnedWriteHalf, piece: &str, pause: Duration) -> ! {
     loop {
--- a/crates/filbertcleat-gateway/tests/support/caller.rs
+++ b/crates/filbertcleat-gateway/tests/support/caller.rs
@@ -50,6 +50,30 @@
 }
 
 impl Reply {
+    /// Parses what has arrived of a response with chunks or a length. Returns `None` if its head is
+    /// not whole.
+    pub fn parse(bytes: &[u8]) -> Option<Self> {
+        let text = std::str::from_utf8(bytes).expect("the response is UTF-8");
+        let (head, mut rest) = text.split_once("\r\n\r\n")?;
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let (mut body, mut is_complete) = (String::new(), false);
+        if header(head, "transfer-encoding").is_none() {
+            let length: usize = header(head, "content-length")?.parse().ok()?;
+            (body, is_complete) = (rest.to_owned(), rest.len() == length);
+        }
+        while let Some((length, after)) = rest.split_once("\r\n").filter(|_| !is_complete) {
+            let length = usize::from_str_radix(length, 16).expect("the length is hexadecimal");
+            let Some(chunk) = after.get(..length) else {
+                body.push_str(after);
+                break;
+            };
+            body.push_str(chunk);
+            rest = after.get(length + 2..).unwrap_or_default();
+            is_complete = length == 0 && after.len() >= 2;
+        }
+        Some(Self { status, head: head.to_owned(), body, is_complete })
+    }
+
     /// Returns the value of a header.
     pub fn header(&self, name: &str) -> Option<String> {
         header(&self.head, name)
@@ -97,6 +121,13 @@
         assert_eq!(sent, bytes.len(), "the socket has room");
     }
 
+    /// Reads until the end of the connection; an error tells that it was reset.
+    pub async fn read_to_end(&mut self) -> io::Result<Vec<u8>> {
+        let mut received = Vec::new();
+        self.stream.read_to_end(&mut received).await?;
+        Ok(received)
+    }
+
     /// Returns whether the entry closes the connection in order within a time.
     pub async fn ends_within(&mut self, limit: Duration) -> bool {
         let mut byte = [0];
@@ -131,6 +162,27 @@
         Some(Reply { status, head, body, is_complete })
     }
 
+    /// Reads a response, with a pause before each of the reads, until it has ended or a time has
+    /// passed. Returns `None` if its head has not arrived by then.
+    pub async fn read_partly(&mut self, limit: Duration, pause: Duration) -> Option<Reply> {
+        let mut received = Vec::new();
+        let reading = async {
+            loop {
+                tokio::time::sleep(pause).await;
+                let read = self.stream.read_buf(&mut received).await;
+                let is_parsed_now = received.len() < 4_096 || received.ends_with(b"0\r\n\r\n");
+                let has_ended = !matches!(read, Ok(1..));
+                let mut reply =
+                    is_parsed_now.then(|| Reply::parse(&received)).into_iter().flatten();
+                if has_ended || reply.any(|reply| reply.is_complete) {
+                    return;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(limit, reading).await;
+        Reply::parse(&received)
+    }
+
     async fn read_chunks(&mut self) -> (Vec<u8>, bool) {
         let mut body = Vec::new();
         loop {
