--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -255,6 +255,11 @@
                 }
             };
             if !is_kept_alive {
+                let linger = SockRef::from(writer.as_ref()).linger();
+                if matches!(linger, Ok(Some(Duration::ZERO))) {
+                    // Dropping it would end the connection in order before the reset.
+                    writer.forget();
+                }
                 return;
             }
         }
@@ -379,6 +384,9 @@
         write(stream, &head).await;
         let mut next = after + 1;
         for step in &script.steps {
+            if script.framing == Framing::Length && next > script.total {
+                break;
+            }
             match *step {
                 StreamStep::Wait(duration) => tokio::time::sleep(duration).await,
                 StreamStep::Events(count) => {
--- a/crates/filbertcleat-gateway/tests/support/scripted_stream.rs
+++ b/crates/filbertcleat-gateway/tests/support/scripted_stream.rs
@@ -6,6 +6,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Framing {
     Chunked,
+    /// By a length, which leaves no room for comments.
     Length,
     /// By the end of the connection.
     Unframed,
@@ -45,9 +46,7 @@
         match self.framing {
             Framing::Chunked => "transfer-encoding: chunked\r\n".to_owned(),
             Framing::Length => {
-                let comments = self.steps.iter().filter(|step| **step == StreamStep::Comment);
-                let length = self.events(server, after + 1..=self.total).len()
-                    + comments.count() * COMMENT.len();
+                let length = self.events(server, after + 1..=self.total).len();
                 format!("content-length: {length}\r\n")
             }
             Framing::Unframed => String::new(),
