Resume streams only at the event after the last one

Callers saw a stream without one of its pieces: a server that takes a stream up was trusted to begin after the event that it was asked to. One that begins later left a gap, and of one that begins anew the first events were dropped, which joins pieces of two runs. Nothing was logged.

Evidence, on the code before (stream_pieces, five events, a break after two): wrong_start_not_joined got ([1, 2, 4, 5], true) and ([1, 2, 3, 4, 5], true) in place of ([1, 2], false); wrong_start_elsewhere and wrong_move_refused got ([1, 2, 4, 5], true).

Change: StreamPosition knows whether the ids of a stream rise by one. The first event of another server must have the next id, or, if ids leave some out, a later one; otherwise the server is left and avoided. A silent server is not given up for it. Within the events of one server a skip is only logged, since ids need only increase.

Why it works: an event is compared before it is forwarded, so that nothing of a misplaced part reaches the caller.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -47,6 +47,7 @@
 mod stream_close;
 mod stream_moves;
 mod stream_part;
+mod stream_position;
 mod stream_relay;
 mod stream_source;
 mod whole_body;
--- a/crates/filbertcleat-gateway/src/entry/stream_moves.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_moves.rs
@@ -10,6 +10,7 @@
 use super::handler::check_retry;
 use super::in_flight::InFlightAttempt;
 use super::placement::place_request;
+use super::stream_relay::MISPLACED;
 use super::stream_relay::STALL_TIMEOUT_MS;
 use super::stream_relay::StreamRelay;
 use super::stream_source::StreamSource;
@@ -161,7 +162,7 @@
 
     /// Sends the rest of the stream's request to a backend server and waits for the head.
     async fn open(&self, attempt: InFlightAttempt<D>) -> Result<StreamSource<D>, AttemptFailure> {
-        let sent = send_attempt(&self.entry, &self.request, &attempt, self.last_event_id).await;
+        let sent = send_attempt(&self.entry, &self.request, &attempt, self.position.last()).await;
         let failure = match sent {
             Ok(response) if response.head.status.is_success() => {
                 return Ok(StreamSource::new(Box::new(response), attempt));
@@ -190,6 +191,10 @@
                 "the stream broke off before its first event",
             ));
         }
+        if source.received_event().is_some_and(|event| !self.position.is_continued_by(event)) {
+            source.abandon(AttemptOutcome::Failed);
+            return Err(AttemptFailure::unknown(AttemptOutcome::Failed, MISPLACED));
+        }
         Ok(source)
     }
 
@@ -199,7 +204,7 @@
             "event=stream-resumed id={} server={} after={}",
             self.request.id,
             source.server(),
-            self.last_event_id.unwrap_or(0)
+            self.position.last().unwrap_or(0)
         );
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -26,6 +26,7 @@
 use super::request_log::log_end;
 use super::state::Entry;
 use super::stream_part::StreamPart;
+use super::stream_position::StreamPosition;
 use super::stream_source::SourceItem;
 use super::stream_source::StreamSource;
 use crate::Dialect;
@@ -37,6 +38,8 @@
 /// A stream is cut at the latest this long after the deadline of its request, or after its callers
 /// have left.
 const DEADLINE_GRACE_MS: u64 = 200;
+/// The reason for which a stream leaves a backend server that was asked to resume it.
+pub(super) const MISPLACED: &str = "the first event is not the one after the last";
 
 /// Returns a response whose body forwards the stream of events as it arrives.
 pub(super) fn relay_stream<D: Dialect>(
@@ -57,7 +60,7 @@
     let source = StreamSource::new(backend_response, attempt);
     let relay = StreamRelay {
         entry: Rc::clone(entry),
-        last_event_id: request.metadata.last_event_id,
+        position: StreamPosition::after(request.metadata.last_event_id),
         events: request.metadata.last_event_id.is_none().then_some(0),
         request,
         sender,
@@ -66,6 +69,7 @@
         progress_at: entry.now(),
         part: StreamPart::new(source.server().clone(), source.software_version().clone()),
         has_moved: false,
+        awaits_start: false,
     };
     spawn_local(async move {
         relay.run(source).await;
@@ -81,7 +85,7 @@
     pub(super) request: CallerRequest,
     pub(super) sender: StreamSender,
     is_resumable: bool,
-    pub(super) last_event_id: Option<u64>,
+    pub(super) position: StreamPosition,
     last_bytes_at: Option<MonoTime>,
     /// When the stream last got on, by an event with data or a new backend server.
     pub(super) progress_at: MonoTime,
@@ -91,6 +95,8 @@
     part: StreamPart,
     /// Whether an earlier backend server has sent a part of the stream.
     has_moved: bool,
+    /// Whether the next event has to show that its backend server goes on where the stream is.
+    awaits_start: bool,
 }
 
 /// How the stream of one backend server ended.
@@ -100,6 +106,8 @@
     Complete,
     /// The stream broke off.
     Broken,
+    /// The backend server did not go on where the stream was.
+    Misplaced,
     /// The backend server has sent no event for the stall timeout, and may go on.
     Stalled,
     /// The backend server has sent no event for as long as callers wait for one.
@@ -128,6 +136,11 @@
                     source.abandon(AttemptOutcome::Broken);
                     if self.is_resumable { self.resume_for_caller().await } else { None }
                 }
+                StreamEnd::Misplaced => {
+                    source.abandon(AttemptOutcome::Failed);
+                    self.request.avoided.push(server.clone());
+                    self.resume_for_caller().await
+                }
                 StreamEnd::CallerGone | StreamEnd::DeadlineExceeded | StreamEnd::GivenUp => {
                     spawn_local(source.read_unclaimed());
                     None
@@ -136,7 +149,7 @@
             let Some(next) = next else {
                 let outcome = match end {
                     StreamEnd::Complete => Outcome::Streamed,
-                    StreamEnd::Broken => Outcome::Broken,
+                    StreamEnd::Broken | StreamEnd::Misplaced => Outcome::Broken,
                     StreamEnd::Stalled | StreamEnd::GivenUp => Outcome::Stalled,
                     StreamEnd::CallerGone => Outcome::CallerGone,
                     StreamEnd::DeadlineExceeded => Outcome::DeadlineExceeded,
@@ -171,6 +184,7 @@
     pub(super) fn begin_part(&mut self, source: &StreamSource<D>) {
         self.log_part();
         self.has_moved = true;
+        self.awaits_start = true;
         self.part = StreamPart::new(source.server().clone(), source.software_version().clone());
     }
 
@@ -180,7 +194,7 @@
             "event=stream-skip id={} server={} after={} next={}",
             self.request.id,
             self.part.server(),
-            OrDash(self.last_event_id),
+            OrDash(self.position.last()),
             OrDash(next)
         );
     }
@@ -194,7 +208,7 @@
         log::info!(
             "event={event} id={} server={server} after={} sends={} reason=\"{reason}\"",
             self.request.id,
-            self.last_event_id.unwrap_or(0),
+            self.position.last().unwrap_or(0),
             self.request.attempts
         );
     }
@@ -204,7 +218,7 @@
         log::info!(
             "event=stream-not-resumed id={} after={} sends={} reason=\"{reason}\"",
             self.request.id,
-            self.last_event_id.unwrap_or(0),
+            self.position.last().unwrap_or(0),
             self.request.attempts
         );
     }
@@ -263,7 +277,12 @@
     /// Sends an event to the caller, unless the caller has already seen it. Returns how the stream
     /// ended if the caller has disconnected or does not read until the deadline.
     async fn pass_on(&mut self, event: Event, deadline: MonoTime) -> Option<StreamEnd> {
-        let order = EventOrder::of(&event, self.last_event_id);
+        let order = self.position.order_of(&event);
+        if self.awaits_start && !self.position.is_continued_by(&event) {
+            self.log_event("stream-broken", self.part.server(), MISPLACED);
+            return Some(StreamEnd::Misplaced);
+        }
+        self.awaits_start &= order == EventOrder::Comment;
         self.part.record(event.id, order);
         match order {
             EventOrder::Next | EventOrder::Comment => {}
@@ -278,7 +297,7 @@
         if order == EventOrder::Repeated {
             return None;
         }
-        self.last_event_id = event.id.or(self.last_event_id);
+        self.position.advance(&event);
         let deadline = self.entry.clock().instant(deadline);
         match tokio::time::timeout_at(deadline, self.sender.send(event.bytes)).await {
             Ok(Ok(())) => None,
--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -98,6 +98,14 @@
         matches!(self.received, Some(SourceItem::Broken(_)))
     }
 
+    /// Returns the first event with data of the item that has been received and not been taken yet.
+    pub fn received_event(&self) -> Option<&Event> {
+        match self.received.as_ref()? {
+            SourceItem::Events(events) => events.iter().find(|event| event.has_data),
+            SourceItem::End | SourceItem::Broken(_) => None,
+        }
+    }
+
     /// Ends the attempt after a complete stream and keeps the connection for reuse.
     pub fn complete(self, pool: &ConnectionPool) {
         // Without framing the end of the connection may be that of the server.
--- /dev/null
+++ b/crates/filbertcleat-gateway/tests/stream_pieces.rs
@@ -0,0 +1,107 @@
+//! Resumed streams whose servers send other events than the next ones.
+
+mod support;
+
+use std::time::Duration;
+
+use filbertcleat_base::FailureDomain;
+use filbertcleat_gateway::CatalogueEvent;
+use filbertcleat_serve::ListedServer;
+use filbertcleat_serve::ListingChange;
+use filbertcleat_serve::RetryPolicy;
+use rstest::rstest;
+
+use self::support::Backend;
+use self::support::Call;
+use self::support::Framing;
+use self::support::Script;
+use self::support::ScriptedStream;
+use self::support::StreamStep;
+use self::support::World;
+use self::support::caller::Reply;
+use self::support::route;
+use self::support::site::LISTING_DELAY;
+use self::support::world::listed;
+
+const RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: true };
+const TOTAL: u64 = 5;
+
+fn stream(steps: &[StreamStep]) -> Script {
+    Script::Stream(ScriptedStream {
+        total: TOTAL,
+        version: "v1",
+        framing: Framing::Chunked,
+        pad_bytes: 0,
+        steps: steps.to_vec(),
+    })
+}
+
+/// Returns the numbers in the data of the events.
+fn numbers(reply: &Reply) -> Vec<u64> {
+    let data = reply.body.lines().filter_map(|line| line.strip_prefix("data: "));
+    data.map(|data| data.split(' ').next().and_then(|word| word.parse().ok()).expect("a number"))
+        .collect()
+}
+
+/// Starts an entry with a server and a distant one, which is the second choice.
+async fn start(attempts_max: u32, near: &Backend, far: &Backend) -> World {
+    let world = World::start(vec![route("write", RESUMABLE, attempts_max)], &[near]).await;
+    let far = ListedServer { domain: FailureDomain::new("there"), ..listed(far) };
+    world.catalogue.write(CatalogueEvent::Listing(ListingChange::Upserted(far)));
+    tokio::time::sleep(LISTING_DELAY).await;
+    world
+}
+
+async fn call(world: &World) -> Reply {
+    let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+    reply.expect("a response head")
+}
+
+/// A server that goes on after a later event than it was asked to leaves a gap.
+#[rstest]
+#[case::later(StreamStep::Skip(1))]
+#[case::from_the_start(StreamStep::Rewind)]
+fn wrong_start_not_joined(#[case] wrong: StreamStep) {
+    World::run(async move {
+        let one = Backend::start("w1", stream(&[])).await;
+        one.script_next(stream(&[StreamStep::Events(2), StreamStep::Reset]));
+        one.script_next(stream(&[wrong]));
+        let world = World::start(vec![route("write", RESUMABLE, 2)], &[&one]).await;
+
+        let reply = call(&world).await;
+
+        assert_eq!((numbers(&reply), reply.is_complete), (vec![1, 2], false));
+    });
+}
+
+/// A sound server takes the stream up after one that goes on wrongly.
+#[test]
+fn wrong_start_elsewhere() {
+    World::run(async {
+        let one = Backend::start("w1", stream(&[])).await;
+        let two = Backend::start("w2", stream(&[])).await;
+        let world = start(3, &one, &two).await;
+        one.script_next(stream(&[StreamStep::Events(2), StreamStep::Reset]));
+        two.script_next(stream(&[StreamStep::Skip(1)]));
+
+        let reply = call(&world).await;
+
+        assert_eq!((numbers(&reply), reply.is_complete), ((1..=TOTAL).collect(), true));
+    });
+}
+
+/// A silent server is not given up for one that goes on wrongly.
+#[test]
+fn wrong_move_refused() {
+    World::run(async {
+        let silence = StreamStep::Wait(Duration::from_millis(1_800));
+        let silent = Backend::start("w1", stream(&[StreamStep::Events(2), silence])).await;
+        let wrong = Backend::start("w2", stream(&[StreamStep::Skip(1)])).await;
+        let world = start(2, &silent, &wrong).await;
+
+        let reply = call(&world).await;
+
+        assert_eq!((numbers(&reply), reply.is_complete), ((1..=TOTAL).collect(), true));
+        assert_eq!((silent.arrivals(), wrong.arrivals()), (1, 1));
+    });
+}
