Resume no stream behind an event without an id

Callers saw pieces twice: a resumed stream goes on after the last id that was forwarded, so that events with data and no id behind that one came again, and a stream without ids began anew in the middle of its response.

Evidence, on the code before (unnumbered_not_repeated, a break or a silence after two events): ([1, 2, 1, 2, 3, 4, 5], true) without ids and ([1, 2, 2, 3, 4, 5], true) after one id, in place of ([1, 2], false).

Change: StreamPosition knows whether an event without an id has followed the last one; such a stream is neither moved nor resumed, until an event with an id comes.

Why it works: a server is asked to go on only where its answer can be compared with what the caller has.

Measured: four cases of unnumbered_not_repeated failed and pass; numbered_after_unnumbered held before and holds; stalled_streams, silent_servers, moved_streams, streams, stream_logs and interleaved_streams pass.

--- a/crates/filbertcleat-gateway/src/entry/stream_position.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_position.rs
@@ -8,6 +8,8 @@
 pub(super) struct StreamPosition {
     last: Option<u64>,
     numbering: Numbering,
+    /// Whether an event with data and no id has followed the last one.
+    has_unnumbered: bool,
 }
 
 /// How the ids of a stream rise.
@@ -24,7 +26,7 @@
 impl StreamPosition {
     /// Creates the position after the event with the id `last`, or before the first event.
     pub fn after(last: Option<u64>) -> Self {
-        Self { last, numbering: Numbering::Unknown }
+        Self { last, numbering: Numbering::Unknown, has_unnumbered: false }
     }
 
     /// Returns the id of the last event.
@@ -32,6 +34,11 @@
         self.last
     }
 
+    /// Returns whether the id of the last event names the position.
+    pub fn is_named(&self) -> bool {
+        !self.has_unnumbered
+    }
+
     /// Returns the order of an event that comes next.
     pub fn order_of(&self, event: &Event) -> EventOrder {
         EventOrder::of(event, self.last)
@@ -48,12 +55,16 @@
 
     /// Records that the caller gets an event, which is not repeated.
     pub fn advance(&mut self, event: &Event) {
-        let Some(id) = event.id else { return };
+        let Some(id) = event.id else {
+            self.has_unnumbered |= event.has_data;
+            return;
+        };
         self.numbering = match (self.numbering, self.order_of(event)) {
             (Numbering::Sparse, _) | (_, EventOrder::Skipping) => Numbering::Sparse,
             (Numbering::Unknown, _) if self.last.is_none() && id != 1 => Numbering::Unknown,
             (Numbering::Unknown | Numbering::Consecutive, _) => Numbering::Consecutive,
         };
         self.last = Some(id);
+        self.has_unnumbered = false;
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -134,7 +134,14 @@
                 StreamEnd::Stalled => self.move_stalled(source).await,
                 StreamEnd::Broken => {
                     source.abandon(AttemptOutcome::Broken);
-                    if self.is_resumable { self.resume_for_caller().await } else { None }
+                    if self.can_resume() {
+                        self.resume_for_caller().await
+                    } else {
+                        if self.is_resumable {
+                            self.log_not_resumed("the last event has no id");
+                        }
+                        None
+                    }
                 }
                 StreamEnd::Misplaced => {
                     source.abandon(AttemptOutcome::Failed);
@@ -328,7 +335,7 @@
             limit = (given_up_at, StreamEnd::GivenUp);
         }
         let stalled_at = self.progress_at.max(begun_at).plus_ms(STALL_TIMEOUT_MS);
-        if self.is_resumable && self.has_attempts_left() && stalled_at < limit.0 {
+        if self.can_resume() && self.has_attempts_left() && stalled_at < limit.0 {
             limit = (stalled_at, StreamEnd::Stalled);
         }
         limit
@@ -341,6 +348,11 @@
         Some(self.progress_at.plus_ms(wait_ms).plus_ms(DEADLINE_GRACE_MS))
     }
 
+    /// Returns whether another backend server can be told where to go on.
+    fn can_resume(&self) -> bool {
+        self.is_resumable && self.position.is_named()
+    }
+
     /// Returns whether the route allows another attempt.
     pub(super) fn has_attempts_left(&self) -> bool {
         self.request.attempts < self.request.route.attempts_max
--- a/crates/filbertcleat-gateway/tests/stream_pieces.rs
+++ b/crates/filbertcleat-gateway/tests/stream_pieces.rs
@@ -105,3 +105,38 @@
         assert_eq!((silent.arrivals(), wrong.arrivals()), (1, 1));
     });
 }
+
+/// Nothing tells a new server after which event without an id it has to go on.
+#[rstest]
+#[case::from_the_start(&[StreamStep::Unnumbered, StreamStep::Unnumbered])]
+#[case::after_numbered(&[StreamStep::Events(1), StreamStep::Unnumbered])]
+fn unnumbered_not_repeated(
+    #[case] events: &[StreamStep],
+    #[values(StreamStep::Reset, StreamStep::Wait(Duration::from_secs(60)))] end: StreamStep,
+) {
+    let steps = [events, &[end]].concat();
+    World::run(async move {
+        let one = Backend::start("w1", stream(&steps)).await;
+        let two = Backend::start("w2", stream(&[])).await;
+        let world = start(3, &one, &two).await;
+
+        let reply = call(&world).await;
+
+        assert_eq!((numbers(&reply), reply.is_complete), (vec![1, 2], false));
+    });
+}
+
+/// The position of a stream is known again after an event with an id.
+#[test]
+fn numbered_after_unnumbered() {
+    World::run(async {
+        let one = Backend::start("w1", stream(&[])).await;
+        let steps = [StreamStep::Unnumbered, StreamStep::Events(1), StreamStep::Reset];
+        one.script_next(stream(&steps));
+        let world = World::start(vec![route("write", RESUMABLE, 2)], &[&one]).await;
+
+        let reply = call(&world).await;
+
+        assert_eq!((numbers(&reply), reply.is_complete), ((1..=TOTAL).collect(), true));
+    });
+}
