Forward streams that can't be resumed as they are

Callers saw a stream without its first events if their request named a last event on a route whose streams can't be resumed: the server began at its first event, and the entry dropped those that the caller seemed to have. The body was no longer that of the server.

Evidence, on the code before: unresumable_events_kept got ([4, 5], true) in place of ([1, 2, 3, 4, 5], true).

Change: only streams of resumable routes have a position taken from the request, and only their repeated events are dropped; others are counted and forwarded.

Why it works: nothing but a resumption can make an event a repetition, so that without one the server's events are the stream.

Measured: unresumable_events_kept failed and passes; stream_logs, streams, stalled_streams, endless_bytes and interleaved_streams pass.

--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -60,7 +60,7 @@
     let source = StreamSource::new(backend_response, attempt);
     let relay = StreamRelay {
         entry: Rc::clone(entry),
-        position: StreamPosition::after(request.metadata.last_event_id),
+        position: StreamPosition::after(request.metadata.last_event_id.filter(|_| is_resumable)),
         events: request.metadata.last_event_id.is_none().then_some(0),
         request,
         sender,
@@ -281,8 +281,9 @@
         self.request.demand.software_version = Some(version);
     }
 
-    /// Sends an event to the caller, unless the caller has already seen it. Returns how the stream
-    /// ended if the caller has disconnected or does not read until the deadline.
+    /// Sends an event to the caller, unless the stream is resumable and the caller has already seen
+    /// it. Returns how the stream ended if the caller has disconnected or does not read until the
+    /// deadline, or if the event shows that the server did not go on where the stream was.
     async fn pass_on(&mut self, event: Event, deadline: MonoTime) -> Option<StreamEnd> {
         let order = self.position.order_of(&event);
         if self.awaits_start && !self.position.is_continued_by(&event) {
@@ -301,10 +302,11 @@
         if order == EventOrder::Skipping {
             self.log_skip(event.id);
         }
-        if order == EventOrder::Repeated {
+        if order != EventOrder::Repeated {
+            self.position.advance(&event);
+        } else if self.is_resumable {
             return None;
         }
-        self.position.advance(&event);
         let deadline = self.entry.clock().instant(deadline);
         match tokio::time::timeout_at(deadline, self.sender.send(event.bytes)).await {
             Ok(Ok(())) => None,
--- a/crates/filbertcleat-gateway/tests/stream_pieces.rs
+++ b/crates/filbertcleat-gateway/tests/stream_pieces.rs
@@ -23,6 +23,7 @@
 use self::support::site::LISTING_DELAY;
 use self::support::world::listed;
 
+const NOT_RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: false };
 const RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: true };
 const TOTAL: u64 = 5;
 
@@ -140,3 +141,17 @@
         assert_eq!((numbers(&reply), reply.is_complete), ((1..=TOTAL).collect(), true));
     });
 }
+
+/// A stream that can't be resumed is forwarded as it is, also if its request names an event.
+#[test]
+fn unresumable_events_kept() {
+    World::run(async {
+        let one = Backend::start("w1", stream(&[StreamStep::Rewind])).await;
+        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&one]).await;
+        let call = Call { extra: "x-after: 3\r\n", ..Call::new("a", "/write/1") };
+
+        let reply = world.caller().await.call(&call).await.expect("a response");
+
+        assert_eq!((numbers(&reply), reply.is_complete), ((1..=TOTAL).collect(), true));
+    });
+}
