Reset the connection of a cut stream without chunks

Callers of HTTP/1.0 saw streams that ended as complete too early: they know no chunks, the end of the connection ends their response, and the entry closed it in order also after it had cut the stream.

Evidence, on the code before: cut_is_reset, case cut, read the three events that the server sent before it broke off and an orderly end (Ok in place of an error).

Change: a body that is cut for such a caller makes its connection reset, by the same means as for a caller that has stopped reading.

Why it works: a reset is the only end that such a caller can tell from a whole response. An entry that is killed still ends these connections in order.

Measured: cut_is_reset failed in one of two cases and passes; streams, response_writes, connection_closes and connection_logs pass.

--- a/crates/filbertcleat-gateway/src/entry/caller_socket.rs
+++ b/crates/filbertcleat-gateway/src/entry/caller_socket.rs
@@ -103,6 +103,9 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.activity.is_reset_due() {
+            return Poll::Ready(Ok(()));
+        }
         Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -91,7 +91,7 @@
         let service = service_fn(|request| {
             let entry = Rc::clone(&entry);
             let active = ActiveRequest::begin(&activity);
-            let open = OpenResponse::begin(&activity);
+            let open = OpenResponse::begin(&activity, request.version());
             let activity = Rc::clone(&activity);
             async move {
                 let mut response = handle_request(&entry, request, active).await;
@@ -137,14 +137,16 @@
                 if let Err(error) = ended {
                     log::debug!("event=caller-connection-ended reason=\"{error}\"");
                 }
+                if activity.is_reset_due() {
+                    reset_on_close(&stream);
+                    return;
+                }
                 break true;
             }
             Progress::Due => break false,
             Progress::Stalled => {
                 // The kernel must not keep the rest of the response for the caller.
-                if let Err(error) = SockRef::from(&*stream).set_linger(Some(Duration::ZERO)) {
-                    log::debug!("event=caller-gone reason=\"{error}\"");
-                }
+                reset_on_close(&stream);
                 return;
             }
             Progress::Outdated => unread = connection.into_parts().read_buf,
@@ -157,6 +159,13 @@
     }
 }
 
+/// Lets the kernel reset the connection when the stream is dropped.
+fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("event=caller-gone reason=\"{error}\"");
+    }
+}
+
 fn check_interval<D: Dialect>(entry: &Entry<D>) -> Duration {
     if entry.shutdown.is_triggered() { DRAIN_CHECK_INTERVAL } else { CHECK_INTERVAL }
 }
--- a/crates/filbertcleat-gateway/src/entry/connection_activity.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_activity.rs
@@ -24,6 +24,8 @@
     head_since: Cell<Option<MonoTime>>,
     /// Whether the connection ends after the current response.
     is_ending: Cell<bool>,
+    /// Whether a response was cut, and an orderly end of the connection would make it look whole.
+    is_reset_due: Cell<bool>,
     /// What of responses is in the buffer of the connection.
     buffered: HeldBytes,
     /// Since when the socket has taken nothing of the buffer.
@@ -50,6 +52,7 @@
             idle_since: Cell::new(now),
             head_since: Cell::new(None),
             is_ending: Cell::new(false),
+            is_reset_due: Cell::new(false),
             buffered: held.hold(0),
             write_blocked_since: Cell::new(None),
             is_stall_suspected: Cell::new(false),
@@ -124,6 +127,17 @@
         self.is_ending.set(true);
     }
 
+    /// Records that a response was cut whose end only the connection shows.
+    pub fn reset_after_cut(&self) {
+        self.is_reset_due.set(true);
+    }
+
+    /// Returns whether the connection has to be reset, as an orderly end would complete a response
+    /// that was cut.
+    pub fn is_reset_due(&self) -> bool {
+        self.is_reset_due.get()
+    }
+
     /// Records that bytes have arrived.
     pub fn on_read(&self) {
         if !self.is_busy() && self.head_since.get().is_none() {
--- a/crates/filbertcleat-gateway/src/entry/response_body.rs
+++ b/crates/filbertcleat-gateway/src/entry/response_body.rs
@@ -6,6 +6,7 @@
 use std::task::Poll;
 
 use bytes::Bytes;
+use http::Version;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
@@ -39,8 +40,12 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
         let frame = Pin::new(&mut self.body).poll_frame(context);
-        if let Poll::Ready(Some(Ok(frame))) = &frame {
-            self.open.on_taken(frame.data_ref().map_or(0, Bytes::len));
+        match &frame {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.open.on_taken(frame.data_ref().map_or(0, Bytes::len));
+            }
+            Poll::Ready(Some(Err(StreamCut))) => self.open.on_cut(),
+            Poll::Ready(None) | Poll::Pending => {}
         }
         frame
     }
@@ -58,13 +63,21 @@
 #[derive(Debug)]
 pub(super) struct OpenResponse {
     activity: Rc<ConnectionActivity>,
+    has_chunks: bool,
 }
 
 impl OpenResponse {
-    /// Records that a request will be responded to.
-    pub fn begin(activity: &Rc<ConnectionActivity>) -> Self {
+    /// Records that a request will be responded to, in the HTTP version of the request.
+    pub fn begin(activity: &Rc<ConnectionActivity>, version: Version) -> Self {
         activity.begin_response();
-        Self { activity: Rc::clone(activity) }
+        Self { activity: Rc::clone(activity), has_chunks: version >= Version::HTTP_11 }
+    }
+
+    /// Records that the body was cut.
+    fn on_cut(&self) {
+        if !self.has_chunks {
+            self.activity.reset_after_cut();
+        }
     }
 
     /// Records that bytes of the body have been taken into the buffer of the connection.
