Keep events without data while a stream moves

Callers saw a stream without one of its ids: while another server was sought for a silent one, an event of the silent one with an id and no data was left out like a comment, and what came after it was forwarded.

Evidence, on the code before: dataless_event_kept got the ids 1 2 4 5 of a complete stream in place of 1 2 3 4 5.

Change: a source keeps the events with new ids that come while it is waited for, at most 32 items; a server that has sent so many goes on. Comments and repeated ids are left out as before, and none of them shows that the stream gets on.

Why it works: nothing that has an id is dropped before it is compared with what the caller has.

Measured: dataless_event_kept failed and passes; trickled_streams, stalled_streams, silent_servers, moved_streams, interleaved_streams and endless_bytes pass. A trial that counted an id alone as progress failed four cases of trickle_ends and was dropped.

--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -1,5 +1,6 @@
 //! The part of a stream that one backend server sends.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use filbertcleat_serve::AttemptOutcome;
@@ -26,8 +27,10 @@
     has_framing: bool,
     /// Whether an event has been received.
     has_events: bool,
-    /// An item that has been received and not been taken yet.
-    received: Option<SourceItem>,
+    /// Items that have been received and not been taken yet, oldest first.
+    received: VecDeque<SourceItem>,
+    /// The highest id of an event without data that `ready` has received.
+    waiting_id: Option<u64>,
 }
 
 /// What a backend server sent next.
@@ -52,6 +55,9 @@
 }
 
 impl<D: Dialect> StreamSource<D> {
+    /// The items without data that wait at most: a server that sends so many new ids goes on.
+    const WAITING_MAX: usize = 32;
+
     /// Creates the source of a response whose head has been received.
     pub fn new(response: Box<BackendResponse>, attempt: InFlightAttempt<D>) -> Self {
         let headers = &response.head.headers;
@@ -63,7 +69,8 @@
             splitter: EventSplitter::default(),
             has_framing,
             has_events: false,
-            received: None,
+            received: VecDeque::new(),
+            waiting_id: None,
         }
     }
 
@@ -79,31 +86,49 @@
 
     /// Waits for the next item and takes it.
     pub async fn next(&mut self) -> SourceItem {
-        match self.received.take() {
+        match self.received.pop_front() {
             Some(item) => item,
             None => self.receive().await,
         }
     }
 
     /// Waits for the next item with which the stream gets on, and leaves it for `next`. Comments
-    /// before it are left out, since any number of them may come.
+    /// and repeated ids before it are left out, since any number of them may come.
     pub async fn ready(&mut self) {
-        while !self.received.as_ref().is_some_and(SourceItem::is_progress) {
-            self.received = Some(self.receive().await);
+        while !self.is_ready() {
+            let mut item = self.receive().await;
+            if !item.is_progress()
+                && let SourceItem::Events(events) = &mut item
+            {
+                events.retain(|event| event.id > self.waiting_id);
+                events.dedup_by_key(|event| event.id);
+                if events.is_empty() {
+                    continue;
+                }
+                self.waiting_id = events.iter().map(|event| event.id).max().flatten();
+            }
+            self.received.push_back(item);
         }
     }
 
+    /// Returns whether the items that have been received show that the stream has got on.
+    fn is_ready(&self) -> bool {
+        self.received.len() >= Self::WAITING_MAX
+            || self.received.back().is_some_and(SourceItem::is_progress)
+    }
+
     /// Returns whether the received item shows that the stream broke off.
     pub fn is_broken(&self) -> bool {
-        matches!(self.received, Some(SourceItem::Broken(_)))
+        matches!(self.received.back(), Some(SourceItem::Broken(_)))
     }
 
-    /// Returns the first event with data of the item that has been received and not been taken yet.
+    /// Returns the first event with data or an id that has been received and not been taken yet.
     pub fn received_event(&self) -> Option<&Event> {
-        match self.received.as_ref()? {
-            SourceItem::Events(events) => events.iter().find(|event| event.has_data),
+        let events = self.received.iter().filter_map(|item| match item {
+            SourceItem::Events(events) => Some(events),
             SourceItem::End | SourceItem::Broken(_) => None,
-        }
+        });
+        events.flatten().find(|event| event.has_data || event.id.is_some())
     }
 
     /// Ends the attempt after a complete stream and keeps the connection for reuse.
--- a/crates/filbertcleat-gateway/tests/stream_pieces.rs
+++ b/crates/filbertcleat-gateway/tests/stream_pieces.rs
@@ -155,3 +155,25 @@
         assert_eq!((numbers(&reply), reply.is_complete), ((1..=TOTAL).collect(), true));
     });
 }
+
+/// Guards against the loss of an event without data that comes while a stream moves.
+#[test]
+fn dataless_event_kept() {
+    World::run(async {
+        let steps = [
+            StreamStep::Events(2),
+            StreamStep::Wait(Duration::from_millis(1_600)),
+            StreamStep::IdOnly,
+            StreamStep::Wait(Duration::from_millis(100)),
+        ];
+        let silent = Backend::start("w1", stream(&steps)).await;
+        let other = Backend::start("w2", Script::Silent).await;
+        let world = start(2, &silent, &other).await;
+
+        let reply = call(&world).await;
+
+        let ids: Vec<_> = reply.body.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+        assert_eq!((ids.join(" ").as_str(), reply.is_complete), ("1 2 3 4 5", true));
+        assert_eq!(other.arrivals(), 1);
+    });
+}
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -418,6 +418,10 @@
                     write(stream, &script.frame(&text)).await;
                     next += 1;
                 }
+                StreamStep::IdOnly => {
+                    write(stream, &script.frame(&format!("id: {next}\n\n"))).await;
+                    next += 1;
+                }
                 StreamStep::End => {
                     write(stream, script.end()).await;
                     return script.framing == Framing::Chunked;
--- a/crates/filbertcleat-gateway/tests/support/stream_step.rs
+++ b/crates/filbertcleat-gateway/tests/support/stream_step.rs
@@ -21,6 +21,8 @@
     Rewind,
     /// Sends an event without an id, whose data has the next number.
     Unnumbered,
+    /// Sends the next event without data.
+    IdOnly,
     /// Ends the body where it is.
     End,
     /// Sends the events that are left, ends the body and sends a copy of the response on the same connection.
