Check the first event of a stream that a caller takes up

Callers who came back could get pieces of two runs: a server that begins a taken-up stream anew had the events dropped that the caller seemed to have, and the rest was forwarded as the rest of the first run.

Evidence, on the code before: wrong_take_up_not_joined got its two last pieces from the server that had begun anew, and no other server was asked ((1, 0) arrivals in place of (1, 1)).

Change: the first event of a take-up is checked like that of a resumption. How the ids before it rose is not known, so that only an earlier id is an error, and a later one is logged as a skip.

Why it works: both continue a run that another server began, and differ only in who asks for it.

Measured: wrong_take_up_not_joined failed and passes; stream_pieces, stream_logs, streams and software_versions pass.

--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -58,9 +58,10 @@
 
     let is_resumable = request.route.retry_policy == RetryPolicy::Stream { resumable: true };
     let source = StreamSource::new(backend_response, attempt);
+    let position = StreamPosition::after(request.metadata.last_event_id.filter(|_| is_resumable));
     let relay = StreamRelay {
         entry: Rc::clone(entry),
-        position: StreamPosition::after(request.metadata.last_event_id.filter(|_| is_resumable)),
+        position,
         events: request.metadata.last_event_id.is_none().then_some(0),
         request,
         sender,
@@ -69,7 +70,7 @@
         progress_at: entry.now(),
         part: StreamPart::new(source.server().clone(), source.software_version().clone()),
         has_moved: false,
-        awaits_start: false,
+        awaits_start: position.last().is_some(),
     };
     spawn_local(async move {
         relay.run(source).await;
--- a/crates/filbertcleat-gateway/tests/stream_pieces.rs
+++ b/crates/filbertcleat-gateway/tests/stream_pieces.rs
@@ -177,3 +177,20 @@
         assert_eq!(other.arrivals(), 1);
     });
 }
+
+/// A caller that comes back gets no pieces of a run that did not go on after its last event.
+#[test]
+fn wrong_take_up_not_joined() {
+    World::run(async {
+        let one = Backend::start("w1", stream(&[])).await;
+        let two = Backend::start("w2", stream(&[])).await;
+        one.script_next(stream(&[StreamStep::Rewind]));
+        let world = start(2, &one, &two).await;
+        let call = Call { extra: "x-after: 3\r\nx-resumes: a\r\n", ..Call::new("b", "/write/1") };
+
+        let reply = world.caller().await.call(&call).await.expect("a response head");
+
+        assert_eq!((numbers(&reply), reply.is_complete), (vec![4, 5], true));
+        assert_eq!((one.arrivals(), two.arrivals()), (1, 1));
+    });
+}
