--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -1,6 +1,5 @@
 //! Connections from callers and their time limits.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -13,10 +12,7 @@
 use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use http::HeaderValue;
-use http::Request;
-use http::Version;
 use http::header::CONNECTION;
-use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -91,14 +87,11 @@
     let stream = Rc::new(stream);
     let activity = Rc::new(ConnectionActivity::new(entry.clock(), entry.caller_memory.held()));
     let mut unread = Bytes::new();
-    // A stream to a caller of HTTP/1.0 has no chunks, so that an orderly end would complete it.
-    let lacks_chunks = Cell::new(false);
     let has_responded = loop {
-        let service = service_fn(|request: Request<Incoming>| {
-            lacks_chunks.set(request.version() < Version::HTTP_11);
+        let service = service_fn(|request| {
             let entry = Rc::clone(&entry);
             let active = ActiveRequest::begin(&activity);
-            let open = OpenResponse::begin(&activity);
+            let open = OpenResponse::begin(&activity, request.version());
             let activity = Rc::clone(&activity);
             async move {
                 let mut response = handle_request(&entry, request, active).await;
@@ -143,10 +136,10 @@
             Progress::Ended(ended) => {
                 if let Err(error) = ended {
                     log::debug!("event=caller-connection-ended reason=\"{error}\"");
-                    if lacks_chunks.get() {
-                        reset_on_close(&stream);
-                        return;
-                    }
+                }
+                if activity.is_reset_due() {
+                    reset_on_close(&stream);
+                    return;
                 }
                 break true;
             }
@@ -166,6 +159,7 @@
     }
 }
 
+/// Lets the kernel reset the connection when the stream is dropped.
 fn reset_on_close(stream: &TcpStream) {
     if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
         log::debug!("event=caller-gone reason=\"{error}\"");
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -15,6 +15,7 @@
 use super::caller_stream::StreamSender;
 use super::caller_stream::caller_stream;
 use super::connection::ActiveRequest;
+use super::event_order::EventOrder;
 use super::events::Event;
 use super::handler::OpenRequest;
 use super::in_flight::InFlightAttempt;
@@ -24,6 +25,8 @@
 use super::request_log::Outcome;
 use super::request_log::log_end;
 use super::state::Entry;
+use super::stream_part::StreamPart;
+use super::stream_position::StreamPosition;
 use super::stream_source::SourceItem;
 use super::stream_source::StreamSource;
 use crate::Dialect;
@@ -35,6 +38,8 @@
 /// A stream is cut at the latest this long after the deadline of its request, or after its callers
 /// have left.
 const DEADLINE_GRACE_MS: u64 = 200;
+/// The reason for which a stream leaves a backend server that was asked to resume it.
+pub(super) const MISPLACED: &str = "the first event is not the one after the last";
 
 /// Returns a response whose body forwards the stream of events as it arrives.
 pub(super) fn relay_stream<D: Dialect>(
@@ -52,19 +57,23 @@
     strip_connection_headers(response.headers_mut());
 
     let is_resumable = request.route.retry_policy == RetryPolicy::Stream { resumable: true };
+    let source = StreamSource::new(backend_response, attempt);
+    let position = StreamPosition::after(request.metadata.last_event_id.filter(|_| is_resumable));
     let relay = StreamRelay {
         entry: Rc::clone(entry),
-        last_event_id: request.metadata.last_event_id,
-        first_event_id: None,
+        position,
         events: request.metadata.last_event_id.is_none().then_some(0),
         request,
         sender,
         is_resumable,
         last_bytes_at: None,
         progress_at: entry.now(),
+        part: StreamPart::new(source.server().clone(), source.software_version().clone()),
+        has_moved: false,
+        awaits_start: position.last().is_some(),
     };
     spawn_local(async move {
-        relay.run(StreamSource::new(backend_response, attempt)).await;
+        relay.run(source).await;
         drop(open);
         drop(active);
     });
@@ -77,14 +86,18 @@
     pub(super) request: CallerRequest,
     pub(super) sender: StreamSender,
     is_resumable: bool,
-    pub(super) last_event_id: Option<u64>,
-    /// The id of the first event that was forwarded.
-    first_event_id: Option<u64>,
+    pub(super) position: StreamPosition,
     last_bytes_at: Option<MonoTime>,
     /// When the stream last got on, by an event with data or a new backend server.
     pub(super) progress_at: MonoTime,
     /// The events that were received, if the stream is read from its first event.
     events: Option<u32>,
+    /// The events of the current backend server.
+    part: StreamPart,
+    /// Whether an earlier backend server has sent a part of the stream.
+    has_moved: bool,
+    /// Whether the next event has to show that its backend server goes on where the stream is.
+    awaits_start: bool,
 }
 
 /// How the stream of one backend server ended.
@@ -94,6 +107,8 @@
     Complete,
     /// The stream broke off.
     Broken,
+    /// The backend server did not go on where the stream was.
+    Misplaced,
     /// The backend server has sent no event for the stall timeout, and may go on.
     Stalled,
     /// The backend server has sent no event for as long as callers wait for one.
@@ -121,7 +136,19 @@
                 StreamEnd::Stalled => self.move_stalled(source).await,
                 StreamEnd::Broken => {
                     source.abandon(AttemptOutcome::Broken);
-                    if self.is_resumable { self.resume_for_caller().await } else { None }
+                    if self.can_resume() {
+                        self.resume_for_caller().await
+                    } else {
+                        if self.is_resumable {
+                            self.log_not_resumed("the last event has no id");
+                        }
+                        None
+                    }
+                }
+                StreamEnd::Misplaced => {
+                    source.abandon(AttemptOutcome::Failed);
+                    self.request.avoided.push(server.clone());
+                    self.resume_for_caller().await
                 }
                 StreamEnd::CallerGone | StreamEnd::DeadlineExceeded | StreamEnd::GivenUp => {
                     spawn_local(source.read_unclaimed());
@@ -131,7 +158,7 @@
             let Some(next) = next else {
                 let outcome = match end {
                     StreamEnd::Complete => Outcome::Streamed,
-                    StreamEnd::Broken => Outcome::Broken,
+                    StreamEnd::Broken | StreamEnd::Misplaced => Outcome::Broken,
                     StreamEnd::Stalled | StreamEnd::GivenUp => Outcome::Stalled,
                     StreamEnd::CallerGone => Outcome::CallerGone,
                     StreamEnd::DeadlineExceeded => Outcome::DeadlineExceeded,
@@ -153,6 +180,11 @@
     }
 
     fn log_end(&self, server: &ServerId, outcome: Outcome) {
+        let is_whole =
+            outcome == Outcome::Streamed && self.request.metadata.last_event_id.is_none();
+        if !is_whole || self.has_moved || self.part.is_irregular() {
+            self.log_part();
+        }
         let now = self.entry.now();
         log_end(&self.entry.metrics, &self.request, Some(server), now, outcome);
     }
@@ -165,18 +197,41 @@
             self.request.id,
             source.server(),
             source.software_version(),
-            OrDash(self.first_event_id),
-            OrDash(self.last_event_id),
+            OrDash(self.part.first()),
+            OrDash(self.position.last()),
         );
         self.entry.metrics.count(Metric::StreamEnds, &[("framing", framing)]);
     }
 
+    /// Begins the part of the backend server that goes on with the stream.
+    pub(super) fn begin_part(&mut self, source: &StreamSource<D>) {
+        self.log_part();
+        self.has_moved = true;
+        self.awaits_start = true;
+        self.part = StreamPart::new(source.server().clone(), source.software_version().clone());
+    }
+
+    /// Logs that ids of events are missing before the event with the id `next`.
+    fn log_skip(&self, next: Option<u64>) {
+        log::info!(
+            "event=stream-skip id={} server={} after={} next={}",
+            self.request.id,
+            self.part.server(),
+            OrDash(self.position.last()),
+            OrDash(next)
+        );
+    }
+
+    fn log_part(&self) {
+        log::info!("event=stream-part id={} {}", self.request.id, self.part);
+    }
+
     /// Logs an event of the stream at a backend server.
     pub(super) fn log_event(&self, event: &str, server: &ServerId, reason: &str) {
         log::info!(
             "event={event} id={} server={server} after={} sends={} reason=\"{reason}\"",
             self.request.id,
-            self.last_event_id.unwrap_or(0),
+            self.position.last().unwrap_or(0),
             self.request.attempts
         );
     }
@@ -186,7 +241,7 @@
         log::info!(
             "event=stream-not-resumed id={} after={} sends={} reason=\"{reason}\"",
             self.request.id,
-            self.last_event_id.unwrap_or(0),
+            self.position.last().unwrap_or(0),
             self.request.attempts
         );
     }
@@ -242,15 +297,31 @@
         self.request.demand.software_version = Some(version);
     }
 
-    /// Sends an event to the caller, unless the caller has already seen it. Returns how the stream
-    /// ended if the caller has disconnected or does not read until the deadline.
+    /// Sends an event to the caller, unless the stream is resumable and the caller has already seen
+    /// it. Returns how the stream ended if the caller has disconnected or does not read until the
+    /// deadline, or if the event shows that the server did not go on where the stream was.
     async fn pass_on(&mut self, event: Event, deadline: MonoTime) -> Option<StreamEnd> {
-        if let Some(id) = event.id {
-            if self.last_event_id.is_some_and(|last| id <= last) {
-                return None;
+        let order = self.position.order_of(&event);
+        if self.awaits_start && !self.position.is_continued_by(&event) {
+            self.log_event("stream-broken", self.part.server(), MISPLACED);
+            return Some(StreamEnd::Misplaced);
+        }
+        self.awaits_start &= order == EventOrder::Comment;
+        self.part.record(event.id, order);
+        match order {
+            EventOrder::Next | EventOrder::Comment => {}
+            EventOrder::Skipping | EventOrder::Repeated | EventOrder::Unnumbered => {
+                let tags = [("order", order.label())];
+                self.entry.metrics.count(Metric::IrregularEvents, &tags);
             }
-            self.first_event_id.get_or_insert(id);
-            self.last_event_id = Some(id);
+        }
+        if order == EventOrder::Skipping {
+            self.log_skip(event.id);
+        }
+        if order != EventOrder::Repeated {
+            self.position.advance(&event);
+        } else if self.is_resumable {
+            return None;
         }
         let deadline = self.entry.clock().instant(deadline);
         match tokio::time::timeout_at(deadline, self.sender.send(event.bytes)).await {
@@ -282,7 +353,7 @@
             limit = (given_up_at, StreamEnd::GivenUp);
         }
         let stalled_at = self.progress_at.max(begun_at).plus_ms(STALL_TIMEOUT_MS);
-        if self.is_resumable && self.has_attempts_left() && stalled_at < limit.0 {
+        if self.can_resume() && self.has_attempts_left() && stalled_at < limit.0 {
             limit = (stalled_at, StreamEnd::Stalled);
         }
         limit
@@ -295,6 +366,11 @@
         Some(self.progress_at.plus_ms(wait_ms).plus_ms(DEADLINE_GRACE_MS))
     }
 
+    /// Returns whether another backend server can be told where to go on.
+    fn can_resume(&self) -> bool {
+        self.is_resumable && self.position.is_named()
+    }
+
     /// Returns whether the route allows another attempt.
     pub(super) fn has_attempts_left(&self) -> bool {
         self.request.attempts < self.request.route.attempts_max
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -29,6 +29,8 @@
     TimeFromAttemptToFirstEvent,
     /// The longest gap within a stream.
     LongestEventGap,
+    /// Events of streams whose ids don't follow one another, by order.
+    IrregularEvents,
     /// The version of the current configuration.
     ConfigurationVersion,
     /// The time since the current configuration came into force.
@@ -88,7 +90,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 41] = [
+pub const METRICS: [Metric; 42] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -102,6 +104,7 @@
     Metric::ExpectedTimeToFirstEvent,
     Metric::TimeFromAttemptToFirstEvent,
     Metric::LongestEventGap,
+    Metric::IrregularEvents,
     Metric::ConfigurationVersion,
     Metric::ConfigurationAge,
     Metric::CatalogueAge,
@@ -149,6 +152,7 @@
             Self::ExpectedTimeToFirstEvent => "first_event_expected_ms",
             Self::TimeFromAttemptToFirstEvent => "first_event_sent_ms",
             Self::LongestEventGap => "gap_ms",
+            Self::IrregularEvents => "irregular_events",
             Self::ConfigurationVersion => "configuration_version",
             Self::ConfigurationAge => "configuration_age_ms",
             Self::CatalogueAge => "catalogue_age_ms",
