Tell silent agents from agents that know nothing of a stream

`stream-origin` said `single` or `unknown` whether agents had replied that they don't know the stream or had not replied at all, and not how far behind the list of servers was that decided. `stream-resumed` did not name the software version.

Change: `stream-origin` counts the agents asked and those that replied, and gives the age of the list and the versions seen within a minute; `stream-resumed` names the version; the metric `origin_replies` counts replies by `known`, `unknown` and `missing`. No decision changes.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry process: it accepts callers and forwards their requests to backend servers.
 
+mod agent_replies;
 mod agent_updates;
 mod allowances;
 mod answer;
--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -18,6 +18,7 @@
 use filbertcleat_serve::origin_holders;
 use tokio::sync::oneshot;
 
+use super::agent_replies::AgentReplies;
 use super::holders::peer_addresses;
 use super::kept_origins::observe_versions;
 use super::kept_origins::want_read;
@@ -57,12 +58,23 @@
 /// A question that not all agents have answered.
 #[derive(Debug, Default)]
 struct OpenQuery {
+    /// The number of agents that were asked.
+    asked: usize,
     /// The agents that have not replied. A late reply to an earlier question counts like one to a
     /// later question.
     awaited: BTreeSet<SocketAddr>,
-    waiting: Vec<oneshot::Sender<Option<SoftwareVersion>>>,
+    waiting: Vec<oneshot::Sender<OriginAnswer>>,
 }
 
+impl OpenQuery {
+    fn replies(&self) -> AgentReplies {
+        AgentReplies { asked: self.asked, replied: self.asked - self.awaited.len() }
+    }
+}
+
+/// The version that began a stream, if an agent knows it, and which agents have replied.
+type OriginAnswer = (Option<SoftwareVersion>, AgentReplies);
+
 /// How the origin of a stream was found.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Lookup {
@@ -109,9 +121,9 @@
         return Ok(());
     }
     let resumed = request.metadata.resumed_request.as_deref().map(RequestHash::of);
-    let lookup = match resumed {
+    let (lookup, agents) = match resumed {
         Some(resumed) => find_origin(entry, resumed).await,
-        None => Lookup::Unknown,
+        None => (Lookup::Unknown, AgentReplies::default()),
     };
     let lookup = match lookup {
         Lookup::Unknown => find_kept_origin(entry, request, resumed).await,
@@ -124,11 +136,19 @@
         Lookup::Single(version) => ("single", Some(version)),
         Lookup::Unknown => ("unknown", None),
     };
+    let (list_age_ms, versions) = {
+        let (now, kept) = (entry.now(), &entry.state.borrow().origins.kept);
+        (kept.list_age_ms(now), kept.version_count(now, &request.service))
+    };
     log::info!(
-        "event=stream-origin id={} resumes={} outcome={outcome} software={}",
+        "event=stream-origin id={} resumes={} outcome={outcome} software={} agents={} replied={} \
+         list_age_ms={} versions={versions}",
         request.id,
         request.metadata.resumed_request.as_deref().unwrap_or("-"),
         version.map_or("-", SoftwareVersion::as_str),
+        agents.asked,
+        agents.replied,
+        list_age_ms.map_or("-".to_owned(), |age_ms| age_ms.to_string()),
     );
     entry.metrics.count(Metric::OriginLookups, &[("outcome", outcome)]);
     request.has_origin = !matches!(lookup, Lookup::Single(_) | Lookup::Unknown);
@@ -188,35 +208,48 @@
     let now = entry.now();
     let origins = &mut entry.state.borrow_mut().origins;
     let Some(query) = origins.queries.get_mut(&request) else { return };
-    query.awaited.remove(&from);
+    if query.awaited.remove(&from) {
+        let reply = if version.is_some() { "known" } else { "unknown" };
+        entry.metrics.count(Metric::OriginReplies, &[("reply", reply)]);
+    }
     if version.is_none() && !query.awaited.is_empty() {
         return;
     }
+    let replies = query.replies();
     for waiting in origins.queries.remove(&request).into_iter().flat_map(|query| query.waiting) {
         // This fails only if the caller has disconnected.
-        let _ = waiting.send(version.clone());
+        let _ = waiting.send((version.clone(), replies));
     }
     if let Some(software_version) = version {
         origins.known.record(now, StreamOrigin { request, software_version });
     }
 }
 
-async fn find_origin<D: Dialect>(entry: &Rc<Entry<D>>, request: RequestHash) -> Lookup {
+async fn find_origin<D: Dialect>(
+    entry: &Rc<Entry<D>>,
+    request: RequestHash,
+) -> (Lookup, AgentReplies) {
     if let Some(version) = entry.state.borrow().origins.known.software_version(request) {
-        return Lookup::Known(version.clone());
+        return (Lookup::Known(version.clone()), AgentReplies::default());
     }
     for _ in 0..QUERIES_MAX {
-        let Some(reply) = ask(entry, request) else { return Lookup::Unknown };
+        let Some(reply) = ask(entry, request) else {
+            return (Lookup::Unknown, AgentReplies::default());
+        };
         match tokio::time::timeout(REPLY_TIMEOUT, reply).await {
-            Ok(Ok(Some(version))) => return Lookup::Asked(version),
+            Ok(Ok((Some(version), replies))) => return (Lookup::Asked(version), replies),
             // Every agent has replied that it does not know the stream.
-            Ok(Ok(None)) => return Lookup::Unknown,
+            Ok(Ok((None, replies))) => return (Lookup::Unknown, replies),
             // Some replies are missing.
             Ok(Err(_)) | Err(_) => {}
         }
     }
-    entry.state.borrow_mut().origins.queries.remove(&request);
-    Lookup::Unknown
+    let query = entry.state.borrow_mut().origins.queries.remove(&request);
+    let replies = query.map(|query| query.replies()).unwrap_or_default();
+    for _ in replies.replied..replies.asked {
+        entry.metrics.count(Metric::OriginReplies, &[("reply", "missing")]);
+    }
+    (Lookup::Unknown, replies)
 }
 
 /// Asks the agents that hold an origin and have not replied, or returns `None` if no agent holds
@@ -224,7 +257,7 @@
 fn ask<D: Dialect>(
     entry: &Entry<D>,
     request: RequestHash,
-) -> Option<oneshot::Receiver<Option<SoftwareVersion>>> {
+) -> Option<oneshot::Receiver<OriginAnswer>> {
     let state = &mut *entry.state.borrow_mut();
     let holders = holders(&state.fleet, request, entry.settings.peer_port);
     if holders.is_empty() {
@@ -233,6 +266,7 @@
     let (sender, receiver) = oneshot::channel();
     let query = state.origins.queries.entry(request).or_default();
     if query.waiting.is_empty() {
+        query.asked = holders.len();
         query.awaited.extend(holders);
     }
     query.waiting.push(sender);
--- a/crates/filbertcleat-gateway/src/entry/stream_moves.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_moves.rs
@@ -195,9 +195,10 @@
 
     fn log_resumed(&self, source: &StreamSource<D>) {
         log::info!(
-            "event=stream-resumed id={} server={} after={}",
+            "event=stream-resumed id={} server={} software={} after={}",
             self.request.id,
             source.server(),
+            source.software_version(),
             self.last_event_id.unwrap_or(0)
         );
     }
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -13,6 +13,8 @@
     Retries,
     /// Streams that callers took up, by how their software version was found.
     OriginLookups,
+    /// Agents asked for the software version that began a stream, by their reply.
+    OriginReplies,
     /// Questions to agents when a prompt may be sent, by outcome.
     PromptTurns,
     /// The time that a request waited for an engine.
@@ -84,12 +86,13 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 39] = [
+pub const METRICS: [Metric; 40] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
     Metric::Retries,
     Metric::OriginLookups,
+    Metric::OriginReplies,
     Metric::PromptTurns,
     Metric::QueueWait,
     Metric::TimeToFirstEvent,
@@ -135,6 +138,7 @@
             Self::Attempts => "sends",
             Self::Retries => "repeats",
             Self::OriginLookups => "origin_lookups",
+            Self::OriginReplies => "origin_replies",
             Self::PromptTurns => "prompt_turns",
             Self::QueueWait => "queue_wait_ms",
             Self::TimeToFirstEvent => "first_event_ms",
--- a/crates/filbertcleat-gateway/tests/software_versions.rs
+++ b/crates/filbertcleat-gateway/tests/software_versions.rs
@@ -31,6 +31,7 @@
 use self::support::idle_agent::free_peer_port;
 use self::support::idle_agent::start_agent;
 use self::support::route;
+use self::support::site::next_subnet;
 use self::support::world::deployment;
 use self::support::world::listed;
 
@@ -264,3 +265,40 @@
         assert_eq!(reply.body, events(4..=5));
     });
 }
+
+/// Silence of agents must not look like agents that know nothing.
+#[rstest]
+#[case::silent(5_000, [None, None, Some(3)])]
+#[case::unknown(10, [None, Some(3), None])]
+fn agent_replies_counted(#[case] delay_ms: u64, #[case] counts: [Option<u64>; 3]) {
+    World::run(async move {
+        let subnet = next_subnet();
+        let [entry_ip, one, two, three] =
+            [11, 101, 102, 103].map(|last| Ipv4Addr::new(127, 0, subnet, last));
+        let port = free_peer_port(entry_ip).await;
+        let catalogue = TestCatalogue::default();
+        let routes = vec![route("write", RESUMABLE, 1)];
+        catalogue.write(CatalogueEvent::Deployment(deployment(1, routes)));
+        let mut backends = Vec::new();
+        for (ip, id) in [(one, "w1"), (two, "w2"), (three, "w3")] {
+            let backend = Backend::start_at(id, ip, FIVE_EVENTS).await;
+            start_late_agent(SocketAddr::from((ip, port)), [delay_ms; 2], None).await;
+            upsert(&catalogue, near(&backend, "v1"));
+            backends.push(backend);
+        }
+        let delays =
+            CatalogueDelays { configuration_ms: 2_000, draining_ms: 2_000, contact_ms: 3_000 };
+        let peers = SocketAddr::from((entry_ip, port));
+        let world = World::start_with_peers(catalogue, delays, peers).await;
+        tokio::time::sleep(LISTING_DELAY).await;
+
+        world.caller().await.call(&take_up("b")).await.expect("a response");
+
+        let mut seen = Vec::new();
+        for reply in ["known", "unknown", "missing"] {
+            let series = format!("filbertcleat_origin_replies{{reply=\"{reply}\"}}");
+            seen.push(world.metric(&series).await);
+        }
+        assert_eq!(seen, counts);
+    });
+}
--- a/crates/filbertcleat-serve/src/kept_origins.rs
+++ b/crates/filbertcleat-serve/src/kept_origins.rs
@@ -133,6 +133,16 @@
         self.followed_at = Some(now);
     }
 
+    /// Returns the time in milliseconds since all changes of the list of backend servers were known.
+    pub fn list_age_ms(&self, now: MonoTime) -> Option<u64> {
+        self.followed_at.map(|at| now.ms_since(at))
+    }
+
+    /// Returns the number of versions of a service that served in the last minute.
+    pub fn version_count(&self, now: MonoTime, service: &ServiceName) -> usize {
+        self.versions(now, service).count()
+    }
+
     /// Records the versions of a service with resumable streams, with the times in milliseconds
     /// since a server of each was listed.
     pub fn observe(
