Keep origins at once when a version returns

Callers saw (in the model): after a release is rolled back and begins again, a stream that began just before is refused at other entries although its entry runs and the store is up; after a loss of power too.

Cause: an entry writes its row at once when it sees a version that is not in the row written last.

Change: versions that no longer count are dropped from the memory at each step.

--- a/crates/filbertcleat-serve/src/kept_origins.rs
+++ b/crates/filbertcleat-serve/src/kept_origins.rs
@@ -256,6 +256,7 @@
     pub fn write_step(&mut self, now: MonoTime) -> OriginWriteStep {
         self.seen_until.retain(|_, until| now <= *until);
         let versions = self.mixed_versions(now);
+        self.written_versions.retain(|version| versions.contains_key(version));
         if versions.is_empty() {
             return OriginWriteStep::Wait { until: None };
         }
--- a/crates/filbertcleat-serve/tests/kept_origins.rs
+++ b/crates/filbertcleat-serve/tests/kept_origins.rs
@@ -117,6 +117,30 @@
     assert_eq!(content.versions.len(), 2);
 }
 
+/// A release that is rolled back and begins again is as new as the first: streams of the time between
+/// have to be kept too.
+#[test]
+fn returned_version_writes_at_once() {
+    let mut kept = kept();
+    follow(&mut kept, at(0), &["v1", "v2"]);
+    read(&mut kept, at(0), &[]);
+    let mut now_ms = 0;
+    while now_ms <= KeptOrigins::WINDOW_MS {
+        follow(&mut kept, at(now_ms), &["v1"]);
+        if let OriginWriteStep::Write(_) = kept.write_step(at(now_ms)) {
+            kept.on_written(1);
+        }
+        now_ms += 1_000;
+    }
+    follow(&mut kept, at(now_ms), &["v1"]);
+    begin(&mut kept, at(now_ms), 1, "v1");
+    assert_eq!(kept.write_step(at(now_ms)), OriginWriteStep::Wait { until: None });
+
+    follow(&mut kept, at(now_ms + 100), &["v1", "v2"]);
+
+    assert_eq!(requests(&written(kept.write_step(at(now_ms + 100)))), [1]);
+}
+
 /// Calls to the catalogue are priced: streams within 250 ms share a write.
 #[test]
 fn writes_coalesced() {
