Conclude a single version only from a list read after the take-up

Callers saw: at the first moments of a release, a stream that began at the new version goes on at the old one, if no agent tells its origin in time (killed, late on a busy machine, or not a holder by the list of the entry asked): text of two versions, joined, with nothing to show it.

Cause: what an entry knows was taken for all there is. `KeptOrigins::decide` concluded that one version serves if the list of servers had been followed without a gap of more than 5 s. Entries learn of a release one after another (1.5 s apart and more), and a list may be some seconds behind. Silence of agents led to the same conclusion as their replies.

Evidence, before: `unseen_release_joins_nothing` (an entry cut off from the catalogue for 2 s, or with responses that take 3 s): "joined streams, left: 2, right: 0" in both cases, which is both streams that began at the new version. `releases_join_nothing` (drawn runs, with the rule taken out): "stream 0 is joined", at the least by a release, 0.7 s, a stream at an entry that knows of it and a take-up at one that does not; no list was late. The drawn runs before had all entries read the list at the same moments.

Change: a single version counts only if a call on the list began after the caller came. The server that began the stream was listed before its entry could send to it, and the take-up comes after its first event, so that this response shows the server, whatever agents do or don't reply. The request waits for the call 1.5 s or half of its remaining time; the pause between two calls is cut to 250 ms for it. Without a response it is refused (503 with Retry-After): while the catalogue is away, streams go on that the entry or an agent knows, no others.

Cost: one earlier call on the list for a stream that nobody knows, 4 per second and entry at most; up to 1.5 s of waiting (under 1 s in `single_version_goes_on`).

Measured: 24 cases of kept_origins, both drawn properties, lagging_lists, power_losses, software_versions and five other files of the gateway pass.

--- a/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
+++ b/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use filbertcleat_base::Fault;
+use filbertcleat_base::MonoTime;
 use filbertcleat_base::Step;
 use filbertcleat_serve::EpochChange;
+use tokio::time::Instant;
 
 use super::state::Entry;
 use crate::Catalogue;
@@ -18,6 +20,10 @@
 /// How long a call of the servers' topic waits for changes. The list of backend servers changes with
 /// every heartbeat, so that calls wait briefly and are spaced by a pause.
 const SERVERS_WAIT: Duration = Duration::from_millis(500);
+/// How long a call of the servers' topic waits for changes when a request waits for its response.
+const WANTED_SERVERS_WAIT: Duration = Duration::from_millis(10);
+/// The shortest pause between two calls of the servers' topic.
+const WANTED_SERVERS_PAUSE: Duration = Duration::from_millis(250);
 /// The pause after a failed call. It grows by this much with each further failure; it is short at
 /// first because most failures are transient.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -32,23 +38,27 @@
 ) {
     let delays = entry.settings.catalogue_delays;
     let mut restores = entry.catalogue_restores();
-    let mut watcher = CatalogueWatcher { entry, topic, cursor: None, failures: 0 };
+    let mut watcher =
+        CatalogueWatcher { entry, topic, cursor: None, failures: 0, is_wanted: false };
     loop {
         let cursor = watcher.cursor;
         let step = async {
+            let began_at = watcher.entry.now();
             let response = match cursor {
                 None => catalogue.list(topic).await,
                 Some(after) => {
                     let wait = if topic == Topic::Operators && watcher.entry.has_workspaces() {
                         keys_wait(delays)
+                    } else if watcher.is_wanted {
+                        WANTED_SERVERS_WAIT
                     } else {
                         wait_for(topic, delays)
                     };
                     catalogue.watch(topic, after, wait).await
                 }
             };
-            let pause = watcher.apply(response);
-            tokio::time::sleep(pause).await;
+            let pause = watcher.apply(response, began_at);
+            watcher.pause(pause).await;
         };
         tokio::select! {
             biased;
@@ -65,11 +75,26 @@
     topic: Topic,
     cursor: Option<u64>,
     failures: u32,
+    /// Whether a request waits for the next response.
+    is_wanted: bool,
 }
 
 impl<D: Dialect> CatalogueWatcher<D> {
+    /// Pauses until the next call, which comes sooner if a request waits for its response.
+    async fn pause(&mut self, pause: Duration) {
+        self.is_wanted = false;
+        let end = Instant::now() + pause;
+        tokio::time::sleep(pause.min(WANTED_SERVERS_PAUSE)).await;
+        if self.topic == Topic::Servers && self.failures == 0 {
+            let wanted = self.entry.list_wanted.notified();
+            self.is_wanted = tokio::time::timeout_at(end, wanted).await.is_ok();
+        } else {
+            tokio::time::sleep_until(end).await;
+        }
+    }
+
     /// Applies a response and returns the pause until the next call.
-    fn apply(&mut self, response: CatalogueResponse) -> Duration {
+    fn apply(&mut self, response: CatalogueResponse, began_at: MonoTime) -> Duration {
         let CatalogueResponse { epoch, result } = response;
         // Without a response there is no epoch to compare.
         let change = if epoch.is_some() || result.is_ok() {
@@ -88,19 +113,19 @@
                 self.on_success();
                 Duration::ZERO
             }
-            (EpochChange::Unchanged, Ok(data)) => self.on_data(data),
+            (EpochChange::Unchanged, Ok(data)) => self.on_data(data, began_at),
         }
     }
 
     /// Applies the data of a response of the current epoch.
-    fn on_data(&mut self, data: CatalogueData) -> Duration {
+    fn on_data(&mut self, data: CatalogueData, began_at: MonoTime) -> Duration {
         self.on_success();
         match data {
             CatalogueData::Events { events, cursor } => {
                 for event in events {
                     self.entry.apply_event(event);
                 }
-                self.entry.on_topic_read(self.topic, self.cursor.is_none());
+                self.entry.on_topic_read(self.topic, began_at, self.cursor.is_none());
                 if self.topic == Topic::Servers {
                     self.entry.on_listing_read(cursor);
                 }
--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -17,6 +17,7 @@
 use filbertcleat_serve::StreamOrigins;
 use filbertcleat_serve::origin_holders;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use super::agent_replies::AgentReplies;
 use super::holders::peer_addresses;
@@ -38,6 +39,9 @@
 /// How long a request waits for the rows of the catalogue at most: a list takes some 10 ms, and a
 /// refused caller soon comes again.
 const READ_WAIT_MAX: Duration = Duration::from_millis(500);
+/// How long a request waits for the list of backend servers at most: the call that is open has to
+/// end before the next begins. Callers wait two seconds or more.
+const LIST_WAIT_MAX: Duration = Duration::from_millis(1_500);
 
 /// The origins that the entry knows, and its open questions for others.
 #[derive(Debug)]
@@ -160,30 +164,37 @@
     Ok(())
 }
 
-/// Decides on a stream that neither the entry nor the agents know. If the rows of the catalogue have
-/// to be read for that, waits for the read a short time.
+/// Decides on a stream that neither the entry nor the agents know. If the rows of the catalogue or
+/// the list of backend servers have to be read for that, waits for the read a short time.
 async fn find_kept_origin<D: Dialect>(
     entry: &Rc<Entry<D>>,
     request: &CallerRequest,
     resumed: Option<RequestHash>,
 ) -> Lookup {
-    let mut reads = entry.origin_reads.subscribe();
-    let wait = Duration::from_millis(request.remaining_ms(entry.now()) / 2).min(READ_WAIT_MAX);
-    let read = async {
-        loop {
-            match decide(entry, request, resumed) {
-                OriginVerdict::Kept(version) => return Lookup::Kept(version),
-                OriginVerdict::Single(version) => return Lookup::Single(version),
-                OriginVerdict::Unknown => return Lookup::Unknown,
-                OriginVerdict::Read => {}
+    let (mut rows, mut lists) = (entry.origin_reads.subscribe(), entry.list_reads.subscribe());
+    let wait_max = Duration::from_millis(request.remaining_ms(entry.now()) / 2);
+    let lists_until = Instant::now() + wait_max.min(LIST_WAIT_MAX);
+    let mut rows_until = None;
+    loop {
+        let read = match decide(entry, request, resumed) {
+            OriginVerdict::Kept(version) => return Lookup::Kept(version),
+            OriginVerdict::Single(version) => return Lookup::Single(version),
+            OriginVerdict::Unknown => return Lookup::Unknown,
+            OriginVerdict::Follow => {
+                entry.list_wanted.notify_one();
+                tokio::time::timeout_at(lists_until, lists.changed()).await
             }
-            want_read(entry);
-            if reads.changed().await.is_err() {
-                return Lookup::Unknown;
+            OriginVerdict::Read => {
+                want_read(entry);
+                let until =
+                    rows_until.get_or_insert_with(|| Instant::now() + wait_max.min(READ_WAIT_MAX));
+                tokio::time::timeout_at(*until, rows.changed()).await
             }
+        };
+        if !matches!(read, Ok(Ok(()))) {
+            return Lookup::Unknown;
         }
-    };
-    tokio::time::timeout(wait, read).await.unwrap_or(Lookup::Unknown)
+    }
 }
 
 fn decide<D: Dialect>(
@@ -195,7 +206,8 @@
     let now = entry.now();
     let state = entry.state.borrow();
     let is_served = state.fleet.lists_service(&request.service);
-    state.origins.kept.decide(now, &request.service, resumed, is_served)
+    let kept = &state.origins.kept;
+    kept.decide(now, request.arrived_at, &request.service, resumed, is_served)
 }
 
 /// Applies an agent's response to a question.
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -81,6 +81,10 @@
     pub origins_changed: Notify,
     /// The number of reads of origins that have ended, for the requests that wait for one.
     pub origin_reads: watch::Sender<u64>,
+    /// Wakes the task that follows the list of backend servers.
+    pub list_wanted: Notify,
+    /// The number of responses on the list of backend servers, for the requests that wait for one.
+    pub list_reads: watch::Sender<u64>,
     pub state: RefCell<State<D>>,
     /// The id of this incarnation of the entry.
     pub incarnation: u64,
@@ -152,6 +156,8 @@
             origins_wanted: Notify::new(),
             origins_changed: Notify::new(),
             origin_reads: watch::Sender::new(0),
+            list_wanted: Notify::new(),
+            list_reads: watch::Sender::new(0),
             incarnation,
             state: RefCell::new(State {
                 deployment: CurrentDeployment::default(),
@@ -283,13 +289,14 @@
         self.idle_timeouts.borrow().close_after_ms(idle_since)
     }
 
-    /// Records that all changes of a topic up to now have been applied, and whether they were those
-    /// of a list.
-    pub fn on_topic_read(&self, topic: Topic, is_list: bool) {
+    /// Records that the changes of a topic have been applied that a call which began at `began_at`
+    /// has shown, and whether they were those of a list.
+    pub fn on_topic_read(&self, topic: Topic, began_at: MonoTime, is_list: bool) {
         if topic == Topic::Servers {
             observe_versions(self);
-            self.state.borrow_mut().origins.kept.on_followed(self.now());
+            self.state.borrow_mut().origins.kept.on_followed(self.now(), began_at);
             self.origins_changed.notify_one();
+            self.list_reads.send_modify(|reads| *reads += 1);
             let state = self.state.borrow();
             let servers = state.fleet.servers();
             let listed: HashSet<SocketAddr> = servers.map(|server| server.listed.address).collect();
--- a/crates/filbertcleat-serve/src/kept_origins.rs
+++ b/crates/filbertcleat-serve/src/kept_origins.rs
@@ -48,6 +48,8 @@
     /// Since when the list of backend servers has been followed without a gap.
     followed_since: Option<MonoTime>,
     followed_at: Option<MonoTime>,
+    /// All changes of the list of backend servers before this time are known.
+    listed_at: Option<MonoTime>,
     /// When the last list of rows began that could be read whole.
     read_at: Option<MonoTime>,
     next_read_at: MonoTime,
@@ -111,6 +113,7 @@
             seen_until: BTreeMap::new(),
             followed_since: None,
             followed_at: None,
+            listed_at: None,
             read_at: None,
             next_read_at: MonoTime::ZERO,
             is_wanted: false,
@@ -124,18 +127,21 @@
         }
     }
 
-    /// Records that all changes of the list of backend servers up to now are known.
-    pub fn on_followed(&mut self, now: MonoTime) {
+    /// Records a response to a call that began at `began_at`, so that all changes of the list of
+    /// backend servers before that time are known.
+    pub fn on_followed(&mut self, now: MonoTime, began_at: MonoTime) {
         let is_gap = |at: MonoTime| now.ms_since(at) > Self::FOLLOW_GAP_MS;
         if self.followed_at.is_none_or(is_gap) {
             self.followed_since = Some(now);
         }
         self.followed_at = Some(now);
+        self.listed_at = Some(began_at);
     }
 
-    /// Returns the time in milliseconds since all changes of the list of backend servers were known.
+    /// Returns the time in milliseconds up to which changes of the list of backend servers may be
+    /// unknown.
     pub fn list_age_ms(&self, now: MonoTime) -> Option<u64> {
-        self.followed_at.map(|at| now.ms_since(at))
+        self.listed_at.map(|at| now.ms_since(at))
     }
 
     /// Returns the number of versions of a service that served in the last minute.
@@ -165,12 +171,14 @@
         }
     }
 
-    /// Decides on a stream whose origin neither the entry nor the agents know. The request is the
-    /// one that began it, if its caller names it. `is_served` tells whether a backend server of the
-    /// service is listed, without which the versions that will serve are unknown.
+    /// Decides on a stream whose origin neither the entry nor the agents know, and which a caller
+    /// took up at `taken_up_at`. The request is the one that began it, if its caller names it.
+    /// `is_served` tells whether a backend server of the service is listed, without which the
+    /// versions that will serve are unknown.
     pub fn decide(
         &self,
         now: MonoTime,
+        taken_up_at: MonoTime,
         service: &ServiceName,
         request: Option<RequestHash>,
         is_served: bool,
@@ -184,7 +192,14 @@
         let mut versions = self.versions(now, service);
         let single = versions.next().filter(|_| versions.next().is_none());
         match single {
-            Some(version) if self.knows_all_versions(now) => OriginVerdict::Single(version.clone()),
+            Some(version) if self.knows_all_versions(now) => {
+                // The server that began the stream was listed before that.
+                if self.listed_at.is_some_and(|at| taken_up_at <= at) {
+                    OriginVerdict::Single(version.clone())
+                } else {
+                    OriginVerdict::Follow
+                }
+            }
             None if request.is_none() => OriginVerdict::Unknown,
             _ if self.is_reading || self.next_read_at <= now => OriginVerdict::Read,
             _ => OriginVerdict::Unknown,
--- a/crates/filbertcleat-serve/src/kept_origins/verdict.rs
+++ b/crates/filbertcleat-serve/src/kept_origins/verdict.rs
@@ -9,6 +9,8 @@
     Kept(SoftwareVersion),
     /// At the only version that served in the last minute.
     Single(SoftwareVersion),
+    /// It can be told only after the list of backend servers has been read again.
+    Follow,
     /// It can be told only after the rows of the catalogue have been read.
     Read,
     /// Nowhere, since several versions may have begun it.
