Hear late agents while the catalogue is read

Callers saw: on a machine where agents take over 120 ms to reply, a stream that they know is refused while several versions serve, or while the catalogue is away.

Cause: replies counted for 120 ms only, and the entry then went on without them. Waiting longer first would cost every caller that time.

Evidence, before: `late_agents_heard` (agents that reply after 300 ms; two versions, and one version without the catalogue): "left: (503, 0), right: (200, 1)" in both cases.

Change: after 120 ms the rows and the list are read beside the open question, and what tells the origin first decides. If they don't, late replies count for 500 ms more.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -32,6 +32,8 @@
 mod kept_origins;
 mod notices;
 mod open_connection;
+mod open_query;
+mod origin_question;
 mod origins;
 mod placement;
 mod prompt_turns;
--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -1,8 +1,9 @@
 //! Finds and spreads the software versions that began streams.
 
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,13 +17,14 @@
 use filbertcleat_serve::StreamOrigin;
 use filbertcleat_serve::StreamOrigins;
 use filbertcleat_serve::origin_holders;
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::agent_replies::AgentReplies;
 use super::holders::peer_addresses;
 use super::kept_origins::observe_versions;
 use super::kept_origins::want_read;
+use super::open_query::OpenQuery;
+use super::origin_question::OriginQuestion;
 use super::refusal::RETRY_AFTER_UNAVAILABLE;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
@@ -31,11 +33,10 @@
 use crate::metrics::Metric;
 use crate::peer_socket::PeerUpdate;
 
-/// How long the agents are given to respond before they are asked again: several round trips
-/// between failure domains, on busy VMs.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
-/// How often the agents are asked, since a datagram may be lost.
-const QUERIES_MAX: u32 = 2;
+/// How long a request waits for the agents alone: two questions, since a datagram may be lost.
+const REPLY_WAIT: Duration = Duration::from_millis(120);
+/// How long a request waits for late agents at most if nothing else tells the origin.
+const LATE_REPLY_WAIT_MAX: Duration = Duration::from_millis(500);
 /// How long a request waits for the rows of the catalogue at most: a list takes some 10 ms, and a
 /// refused caller soon comes again.
 const READ_WAIT_MAX: Duration = Duration::from_millis(500);
@@ -47,7 +48,7 @@
 #[derive(Debug)]
 pub(super) struct OriginState {
     known: StreamOrigins,
-    queries: HashMap<RequestHash, OpenQuery>,
+    pub queries: HashMap<RequestHash, OpenQuery>,
     pub kept: KeptOrigins,
 }
 
@@ -59,26 +60,6 @@
     }
 }
 
-/// A question that not all agents have answered.
-#[derive(Debug, Default)]
-struct OpenQuery {
-    /// The number of agents that were asked.
-    asked: usize,
-    /// The agents that have not replied. A late reply to an earlier question counts like one to a
-    /// later question.
-    awaited: BTreeSet<SocketAddr>,
-    waiting: Vec<oneshot::Sender<OriginAnswer>>,
-}
-
-impl OpenQuery {
-    fn replies(&self) -> AgentReplies {
-        AgentReplies { asked: self.asked, replied: self.asked - self.awaited.len() }
-    }
-}
-
-/// The version that began a stream, if an agent knows it, and which agents have replied.
-type OriginAnswer = (Option<SoftwareVersion>, AgentReplies);
-
 /// How the origin of a stream was found.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Lookup {
@@ -126,12 +107,8 @@
     }
     let resumed = request.metadata.resumed_request.as_deref().map(RequestHash::of);
     let (lookup, agents) = match resumed {
-        Some(resumed) => find_origin(entry, resumed).await,
-        None => (Lookup::Unknown, AgentReplies::default()),
-    };
-    let lookup = match lookup {
-        Lookup::Unknown => find_kept_origin(entry, request, resumed).await,
-        found => found,
+        Some(resumed) => find_origin(entry, request, resumed).await,
+        None => (find_kept_origin(entry, request, None).await, AgentReplies::default()),
     };
     let (outcome, version) = match &lookup {
         Lookup::Known(version) => ("known", Some(version)),
@@ -237,58 +214,56 @@
     }
 }
 
+/// Finds the origin of a stream that a caller takes up. While replies of agents are missing, the
+/// rows of the catalogue or the list of backend servers may tell it first.
 async fn find_origin<D: Dialect>(
     entry: &Rc<Entry<D>>,
-    request: RequestHash,
+    request: &CallerRequest,
+    resumed: RequestHash,
 ) -> (Lookup, AgentReplies) {
-    if let Some(version) = entry.state.borrow().origins.known.software_version(request) {
+    if let Some(version) = entry.state.borrow().origins.known.software_version(resumed) {
         return (Lookup::Known(version.clone()), AgentReplies::default());
     }
-    for _ in 0..QUERIES_MAX {
-        let Some(reply) = ask(entry, request) else {
-            return (Lookup::Unknown, AgentReplies::default());
-        };
-        match tokio::time::timeout(REPLY_TIMEOUT, reply).await {
-            Ok(Ok((Some(version), replies))) => return (Lookup::Asked(version), replies),
-            // Every agent has replied that it does not know the stream.
-            Ok(Ok((None, replies))) => return (Lookup::Unknown, replies),
-            // Some replies are missing.
-            Ok(Err(_)) | Err(_) => {}
+    let question = OriginQuestion::new(entry, resumed);
+    let lookup = {
+        let mut answer = pin!(question.answer());
+        match tokio::time::timeout(REPLY_WAIT, &mut answer).await {
+            Ok(Some(version)) => Lookup::Asked(version),
+            Ok(None) => find_kept_origin(entry, request, Some(resumed)).await,
+            Err(_elapsed) => find_late_origin(entry, request, resumed, answer).await,
         }
-    }
-    let query = entry.state.borrow_mut().origins.queries.remove(&request);
-    let replies = query.map(|query| query.replies()).unwrap_or_default();
-    for _ in replies.replied..replies.asked {
-        entry.metrics.count(Metric::OriginReplies, &[("reply", "missing")]);
-    }
-    (Lookup::Unknown, replies)
+    };
+    (lookup, question.replies())
 }
 
-/// Asks the agents that hold an origin and have not replied, or returns `None` if no agent holds
-/// one.
-fn ask<D: Dialect>(
-    entry: &Entry<D>,
-    request: RequestHash,
-) -> Option<oneshot::Receiver<OriginAnswer>> {
-    let state = &mut *entry.state.borrow_mut();
-    let holders = holders(&state.fleet, request, entry.settings.peer_port);
-    if holders.is_empty() {
-        return None;
-    }
-    let (sender, receiver) = oneshot::channel();
-    let query = state.origins.queries.entry(request).or_default();
-    if query.waiting.is_empty() {
-        query.asked = holders.len();
-        query.awaited.extend(holders);
-    }
-    query.waiting.push(sender);
-    for holder in &query.awaited {
-        entry.peers.send(*holder, &PeerUpdate::OriginQuery(request));
+/// Finds an origin by what comes first, the catalogue or the late replies of agents.
+async fn find_late_origin<D: Dialect>(
+    entry: &Rc<Entry<D>>,
+    request: &CallerRequest,
+    resumed: RequestHash,
+    mut answer: Pin<&mut impl Future<Output = Option<SoftwareVersion>>>,
+) -> Lookup {
+    let wait_max = Duration::from_millis(request.remaining_ms(entry.now()) / 2);
+    let replies_until = Instant::now() + wait_max.min(LATE_REPLY_WAIT_MAX);
+    let mut kept = pin!(find_kept_origin(entry, request, Some(resumed)));
+    let found = tokio::select! {
+        biased;
+        found = &mut answer => return match found {
+            Some(version) => Lookup::Asked(version),
+            None => kept.await,
+        },
+        found = &mut kept => found,
+    };
+    match found {
+        Lookup::Unknown => match tokio::time::timeout_at(replies_until, answer).await {
+            Ok(Some(version)) => Lookup::Asked(version),
+            Ok(None) | Err(_) => Lookup::Unknown,
+        },
+        found => found,
     }
-    Some(receiver)
 }
 
 /// Returns the addresses of the agents that hold the origin of a request's stream.
-fn holders(fleet: &Fleet, request: RequestHash, port: u16) -> Vec<SocketAddr> {
+pub(super) fn holders(fleet: &Fleet, request: RequestHash, port: u16) -> Vec<SocketAddr> {
     peer_addresses(fleet, port, |agents| origin_holders(request, agents))
 }
--- a/crates/filbertcleat-gateway/tests/software_versions.rs
+++ b/crates/filbertcleat-gateway/tests/software_versions.rs
@@ -266,6 +266,42 @@
     });
 }
 
+/// On busy machines agents reply late. They are the only ones who know the stream, as the catalogue
+/// has no row of it.
+#[rstest]
+#[case::two_versions("v2", false)]
+#[case::catalogue_away("v1", true)]
+fn late_agents_heard(#[case] other: &'static str, #[case] is_away: bool) {
+    World::run(async move {
+        let subnet = next_subnet();
+        let [entry_ip, old_ip, new_ip] =
+            [11, 101, 102].map(|last| Ipv4Addr::new(127, 0, subnet, last));
+        let port = free_peer_port(entry_ip).await;
+        let old = Backend::start_at("w1", old_ip, FIVE_EVENTS).await;
+        let new = Backend::start_at("w2", new_ip, FIVE_EVENTS).await;
+        for ip in [old_ip, new_ip] {
+            start_late_agent(SocketAddr::from((ip, port)), [300; 2], Some("v1")).await;
+        }
+        let catalogue = TestCatalogue::default();
+        let routes = vec![route("write", RESUMABLE, 1)];
+        catalogue.write(CatalogueEvent::Deployment(deployment(1, routes)));
+        upsert(&catalogue, far(&old, "v1"));
+        upsert(&catalogue, near(&new, other));
+        let delays =
+            CatalogueDelays { configuration_ms: 2_000, draining_ms: 2_000, contact_ms: 3_000 };
+        let peers = SocketAddr::from((entry_ip, port));
+        let world = World::start_with_peers(catalogue, delays, peers).await;
+        tokio::time::sleep(LISTING_DELAY).await;
+        world.catalogue.set_down(is_away);
+
+        let reply = world.caller().await.call(&take_up("b")).await.expect("a response");
+
+        assert_eq!((reply.status, old.arrivals() + new.arrivals()), (200, 1));
+        assert!(other == "v1" || old.arrivals() == 1, "a joined stream");
+        assert_eq!(reply.body, events(4..=5));
+    });
+}
+
 /// Silence of agents must not look like agents that know nothing.
 #[rstest]
 #[case::silent(5_000, [None, None, Some(3)])]
