Take up a stream at the service that began it

Callers saw: on a route that several services share, a stream that is taken up goes on at another service than it began at, so that its text is joined from both (or it is refused, if the services' versions have different names).

Cause: the service was drawn from the id of each request, and a take-up has an id of its own.

Evidence, before: `split_stream_keeps_service` (two services of one version, one entry): 5 of 8 streams went on at the other service.

Change: a take-up draws its service from the id of the request that it names, which is the one that brought the first event. Shares stay as configured.

Not mended: a route that moves to another service between first event and take-up.

--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -9,6 +9,7 @@
 use filbertcleat_serve::PromptPrefix;
 use filbertcleat_serve::RequestContent;
 use filbertcleat_serve::RequestDemand;
+use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::Route;
 use filbertcleat_serve::Workspace;
 use filbertcleat_serve::Workspaces;
@@ -192,7 +193,11 @@
     let route = deployment.route(host, head.uri.path()).ok_or(Refusal::NoRoute)?;
     let identity = identify(entry, deployment.workspaces.as_ref(), route, metadata.api_key)?;
     let id = metadata.id.clone().ok_or(Refusal::BadRequest("the request has no id"))?;
-    let service = route.choose_service(&id).ok_or(Refusal::NoRoute)?.clone();
+    // A stream goes on at the service that began it.
+    let is_resumable = route.retry_policy == RetryPolicy::Stream { resumable: true };
+    let resumed = metadata.resumed_request.as_ref();
+    let begun_by = resumed.filter(|_| is_resumable && metadata.last_event_id.is_some());
+    let service = route.choose_service(begun_by.unwrap_or(&id)).ok_or(Refusal::NoRoute)?.clone();
     let engine = deployment.services.get(&service).and_then(|service| service.engine.as_ref());
     let memory_tokens = engine.map(|engine| engine.memory_tokens).filter(|tokens| *tokens > 0);
     Ok(RoutedRequest {
