--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry process: it accepts callers and forwards their requests to backend servers.
 
+mod agent_replies;
 mod agent_updates;
 mod allowances;
 mod answer;
@@ -34,6 +35,8 @@
 mod liveness;
 mod notices;
 mod open_connection;
+mod open_query;
+mod origin_question;
 mod origins;
 mod placement;
 mod prompt_turns;
--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -1,8 +1,9 @@
 //! Finds and spreads the software versions that began streams.
 
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,11 +17,14 @@
 use filbertcleat_serve::StreamOrigin;
 use filbertcleat_serve::StreamOrigins;
 use filbertcleat_serve::origin_holders;
-use tokio::sync::oneshot;
+use tokio::time::Instant;
 
+use super::agent_replies::AgentReplies;
 use super::holders::peer_addresses;
 use super::kept_origins::observe_versions;
 use super::kept_origins::want_read;
+use super::open_query::OpenQuery;
+use super::origin_question::OriginQuestion;
 use super::refusal::RETRY_AFTER_UNAVAILABLE;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
@@ -29,20 +33,22 @@
 use crate::metrics::Metric;
 use crate::peer_socket::PeerUpdate;
 
-/// How long the agents are given to respond before they are asked again: several round trips
-/// between failure domains, on busy VMs.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
-/// How often the agents are asked, since a datagram may be lost.
-const QUERIES_MAX: u32 = 2;
+/// How long a request waits for the agents alone: two questions, since a datagram may be lost.
+const REPLY_WAIT: Duration = Duration::from_millis(120);
+/// How long a request waits for late agents at most if nothing else tells the origin.
+const LATE_REPLY_WAIT_MAX: Duration = Duration::from_millis(500);
 /// How long a request waits for the rows of the catalogue at most: a list takes some 10 ms, and a
 /// refused caller soon comes again.
 const READ_WAIT_MAX: Duration = Duration::from_millis(500);
+/// How long a request waits for the list of backend servers at most: the call that is open has to
+/// end before the next begins. Callers wait two seconds or more.
+const LIST_WAIT_MAX: Duration = Duration::from_millis(1_500);
 
 /// The origins that the entry knows, and its open questions for others.
 #[derive(Debug)]
 pub(super) struct OriginState {
     known: StreamOrigins,
-    queries: HashMap<RequestHash, OpenQuery>,
+    pub queries: HashMap<RequestHash, OpenQuery>,
     pub kept: KeptOrigins,
 }
 
@@ -54,15 +60,6 @@
     }
 }
 
-/// A question that not all agents have answered.
-#[derive(Debug, Default)]
-struct OpenQuery {
-    /// The agents that have not replied. A late reply to an earlier question counts like one to a
-    /// later question.
-    awaited: BTreeSet<SocketAddr>,
-    waiting: Vec<oneshot::Sender<Option<SoftwareVersion>>>,
-}
-
 /// How the origin of a stream was found.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Lookup {
@@ -109,13 +106,9 @@
         return Ok(());
     }
     let resumed = request.metadata.resumed_request.as_deref().map(RequestHash::of);
-    let lookup = match resumed {
-        Some(resumed) => find_origin(entry, resumed).await,
-        None => Lookup::Unknown,
-    };
-    let lookup = match lookup {
-        Lookup::Unknown => find_kept_origin(entry, request, resumed).await,
-        found => found,
+    let (lookup, agents) = match resumed {
+        Some(resumed) => find_origin(entry, request, resumed).await,
+        None => (find_kept_origin(entry, request, None).await, AgentReplies::default()),
     };
     let (outcome, version) = match &lookup {
         Lookup::Known(version) => ("known", Some(version)),
@@ -124,11 +117,19 @@
         Lookup::Single(version) => ("single", Some(version)),
         Lookup::Unknown => ("unknown", None),
     };
+    let (list_age_ms, versions) = {
+        let (now, kept) = (entry.now(), &entry.state.borrow().origins.kept);
+        (kept.list_age_ms(now), kept.version_count(now, &request.service))
+    };
     log::info!(
-        "event=stream-origin id={} resumes={} outcome={outcome} software={}",
+        "event=stream-origin id={} resumes={} outcome={outcome} software={} agents={} replied={} \
+         list_age_ms={} versions={versions}",
         request.id,
         request.metadata.resumed_request.as_deref().unwrap_or("-"),
         version.map_or("-", SoftwareVersion::as_str),
+        agents.asked,
+        agents.replied,
+        list_age_ms.map_or("-".to_owned(), |age_ms| age_ms.to_string()),
     );
     entry.metrics.count(Metric::OriginLookups, &[("outcome", outcome)]);
     request.has_origin = !matches!(lookup, Lookup::Single(_) | Lookup::Unknown);
@@ -140,30 +141,37 @@
     Ok(())
 }
 
-/// Decides on a stream that neither the entry nor the agents know. If the rows of the catalogue have
-/// to be read for that, waits for the read a short time.
+/// Decides on a stream that neither the entry nor the agents know. If the rows of the catalogue or
+/// the list of backend servers have to be read for that, waits for the read a short time.
 async fn find_kept_origin<D: Dialect>(
     entry: &Rc<Entry<D>>,
     request: &CallerRequest,
     resumed: Option<RequestHash>,
 ) -> Lookup {
-    let mut reads = entry.origin_reads.subscribe();
-    let wait = Duration::from_millis(request.remaining_ms(entry.now()) / 2).min(READ_WAIT_MAX);
-    let read = async {
-        loop {
-            match decide(entry, request, resumed) {
-                OriginVerdict::Kept(version) => return Lookup::Kept(version),
-                OriginVerdict::Single(version) => return Lookup::Single(version),
-                OriginVerdict::Unknown => return Lookup::Unknown,
-                OriginVerdict::Read => {}
+    let (mut rows, mut lists) = (entry.origin_reads.subscribe(), entry.list_reads.subscribe());
+    let wait_max = Duration::from_millis(request.remaining_ms(entry.now()) / 2);
+    let lists_until = Instant::now() + wait_max.min(LIST_WAIT_MAX);
+    let mut rows_until = None;
+    loop {
+        let read = match decide(entry, request, resumed) {
+            OriginVerdict::Kept(version) => return Lookup::Kept(version),
+            OriginVerdict::Single(version) => return Lookup::Single(version),
+            OriginVerdict::Unknown => return Lookup::Unknown,
+            OriginVerdict::Follow => {
+                entry.list_wanted.notify_one();
+                tokio::time::timeout_at(lists_until, lists.changed()).await
             }
-            want_read(entry);
-            if reads.changed().await.is_err() {
-                return Lookup::Unknown;
+            OriginVerdict::Read => {
+                want_read(entry);
+                let until =
+                    rows_until.get_or_insert_with(|| Instant::now() + wait_max.min(READ_WAIT_MAX));
+                tokio::time::timeout_at(*until, rows.changed()).await
             }
+        };
+        if !matches!(read, Ok(Ok(()))) {
+            return Lookup::Unknown;
         }
-    };
-    tokio::time::timeout(wait, read).await.unwrap_or(Lookup::Unknown)
+    }
 }
 
 fn decide<D: Dialect>(
@@ -175,7 +183,8 @@
     let now = entry.now();
     let state = entry.state.borrow();
     let is_served = state.fleet.lists_service(&request.service);
-    state.origins.kept.decide(now, &request.service, resumed, is_served)
+    let kept = &state.origins.kept;
+    kept.decide(now, request.arrived_at, &request.service, resumed, is_served)
 }
 
 /// Applies an agent's response to a question.
@@ -188,61 +197,73 @@
     let now = entry.now();
     let origins = &mut entry.state.borrow_mut().origins;
     let Some(query) = origins.queries.get_mut(&request) else { return };
-    query.awaited.remove(&from);
+    if query.awaited.remove(&from) {
+        let reply = if version.is_some() { "known" } else { "unknown" };
+        entry.metrics.count(Metric::OriginReplies, &[("reply", reply)]);
+    }
     if version.is_none() && !query.awaited.is_empty() {
         return;
     }
+    let replies = query.replies();
     for waiting in origins.queries.remove(&request).into_iter().flat_map(|query| query.waiting) {
         // This fails only if the caller has disconnected.
-        let _ = waiting.send(version.clone());
+        let _ = waiting.send((version.clone(), replies));
     }
     if let Some(software_version) = version {
         origins.known.record(now, StreamOrigin { request, software_version });
     }
 }
 
-async fn find_origin<D: Dialect>(entry: &Rc<Entry<D>>, request: RequestHash) -> Lookup {
-    if let Some(version) = entry.state.borrow().origins.known.software_version(request) {
-        return Lookup::Known(version.clone());
+/// Finds the origin of a stream that a caller takes up. While replies of agents are missing, the
+/// rows of the catalogue or the list of backend servers may tell it first.
+async fn find_origin<D: Dialect>(
+    entry: &Rc<Entry<D>>,
+    request: &CallerRequest,
+    resumed: RequestHash,
+) -> (Lookup, AgentReplies) {
+    if let Some(version) = entry.state.borrow().origins.known.software_version(resumed) {
+        return (Lookup::Known(version.clone()), AgentReplies::default());
     }
-    for _ in 0..QUERIES_MAX {
-        let Some(reply) = ask(entry, request) else { return Lookup::Unknown };
-        match tokio::time::timeout(REPLY_TIMEOUT, reply).await {
-            Ok(Ok(Some(version))) => return Lookup::Asked(version),
-            // Every agent has replied that it does not know the stream.
-            Ok(Ok(None)) => return Lookup::Unknown,
-            // Some replies are missing.
-            Ok(Err(_)) | Err(_) => {}
+    let question = OriginQuestion::new(entry, resumed);
+    let lookup = {
+        let mut answer = pin!(question.answer());
+        match tokio::time::timeout(REPLY_WAIT, &mut answer).await {
+            Ok(Some(version)) => Lookup::Asked(version),
+            Ok(None) => find_kept_origin(entry, request, Some(resumed)).await,
+            Err(_elapsed) => find_late_origin(entry, request, resumed, answer).await,
         }
-    }
-    entry.state.borrow_mut().origins.queries.remove(&request);
-    Lookup::Unknown
+    };
+    (lookup, question.replies())
 }
 
-/// Asks the agents that hold an origin and have not replied, or returns `None` if no agent holds
-/// one.
-fn ask<D: Dialect>(
-    entry: &Entry<D>,
-    request: RequestHash,
-) -> Option<oneshot::Receiver<Option<SoftwareVersion>>> {
-    let state = &mut *entry.state.borrow_mut();
-    let holders = holders(&state.fleet, request, entry.settings.peer_port);
-    if holders.is_empty() {
-        return None;
-    }
-    let (sender, receiver) = oneshot::channel();
-    let query = state.origins.queries.entry(request).or_default();
-    if query.waiting.is_empty() {
-        query.awaited.extend(holders);
-    }
-    query.waiting.push(sender);
-    for holder in &query.awaited {
-        entry.peers.send(*holder, &PeerUpdate::OriginQuery(request));
+/// Finds an origin by what comes first, the catalogue or the late replies of agents.
+async fn find_late_origin<D: Dialect>(
+    entry: &Rc<Entry<D>>,
+    request: &CallerRequest,
+    resumed: RequestHash,
+    mut answer: Pin<&mut impl Future<Output = Option<SoftwareVersion>>>,
+) -> Lookup {
+    let wait_max = Duration::from_millis(request.remaining_ms(entry.now()) / 2);
+    let replies_until = Instant::now() + wait_max.min(LATE_REPLY_WAIT_MAX);
+    let mut kept = pin!(find_kept_origin(entry, request, Some(resumed)));
+    let found = tokio::select! {
+        biased;
+        found = &mut answer => return match found {
+            Some(version) => Lookup::Asked(version),
+            None => kept.await,
+        },
+        found = &mut kept => found,
+    };
+    match found {
+        Lookup::Unknown => match tokio::time::timeout_at(replies_until, answer).await {
+            Ok(Some(version)) => Lookup::Asked(version),
+            Ok(None) | Err(_) => Lookup::Unknown,
+        },
+        found => found,
     }
-    Some(receiver)
 }
 
 /// Returns the addresses of the agents that hold the origin of a request's stream.
-fn holders(fleet: &Fleet, request: RequestHash, port: u16) -> Vec<SocketAddr> {
+pub(super) fn holders(fleet: &Fleet, request: RequestHash, port: u16) -> Vec<SocketAddr> {
     peer_addresses(fleet, port, |agents| origin_holders(request, agents))
 }
--- a/crates/filbertcleat-gateway/src/entry/stream_moves.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_moves.rs
@@ -201,9 +201,10 @@
     fn log_resumed(&mut self, source: &StreamSource<D>) {
         self.begin_part(source);
         log::info!(
-            "event=stream-resumed id={} server={} after={}",
+            "event=stream-resumed id={} server={} software={} after={}",
             self.request.id,
             source.server(),
+            source.software_version(),
             self.position.last().unwrap_or(0)
         );
     }
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -17,6 +17,8 @@
     EndChecks,
     /// Streams that callers took up, by how their software version was found.
     OriginLookups,
+    /// Agents asked for the software version that began a stream, by their reply.
+    OriginReplies,
     /// Questions to agents when a prompt may be sent, by outcome.
     PromptTurns,
     /// The time that a request waited for an engine.
@@ -90,7 +92,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 42] = [
+pub const METRICS: [Metric; 43] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -98,6 +100,7 @@
     Metric::StreamEnds,
     Metric::EndChecks,
     Metric::OriginLookups,
+    Metric::OriginReplies,
     Metric::PromptTurns,
     Metric::QueueWait,
     Metric::TimeToFirstEvent,
@@ -146,6 +149,7 @@
             Self::StreamEnds => "stream_ends",
             Self::EndChecks => "end_checks",
             Self::OriginLookups => "origin_lookups",
+            Self::OriginReplies => "origin_replies",
             Self::PromptTurns => "prompt_turns",
             Self::QueueWait => "queue_wait_ms",
             Self::TimeToFirstEvent => "first_event_ms",
