--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -341,6 +341,14 @@
         }
     }
 
+    /// Returns the head of a response with further header lines, without the empty line at its end.
+    fn response_head(&self, id: &str, status: u16, lines: &str) -> String {
+        format!(
+            "HTTP/1.1 {status} X\r\nx-id: {id}\r\nx-seal: s\r\nx-server: {}\r\n{lines}",
+            self.id
+        )
+    }
+
     /// Runs a script and returns whether the connection stays open.
     async fn respond(
         &self,
@@ -353,12 +361,7 @@
             Script::WithHeaders { lines, script } => (lines, *script),
             script => ("", script),
         };
-        let response_head = |status: u16| {
-            format!(
-                "HTTP/1.1 {status} X\r\nx-id: {id}\r\nx-seal: s\r\nx-server: {}\r\n{lines}",
-                self.id
-            )
-        };
+        let response_head = |status| self.response_head(id, status, lines);
         let events_head = format!("{}transfer-encoding: chunked\r\n\r\n", response_head(200));
         if let Some(crash) = script.crash(head) {
             self.end_with(stream, &events_head, crash).await;
