--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -145,6 +145,8 @@
             "the backend server is no longer listed",
         ))?;
 
+    // The configuration that is in force at the end of the response may lack the service.
+    let identity_requests = identity_requests(entry, request, attempt.server());
     // A pooled connection that turns out to be closed has not transmitted the request, so another
     // connection may be tried.
     let mut is_admitted = false;
@@ -213,7 +215,7 @@
             server: attempt.server().clone(),
             address,
             started_unix_ms,
-            identity_requests: identity_requests(entry, request, attempt.server()),
+            identity_requests,
         };
         let (response, metadata) = begin_response(request, answer, sender, software_version);
         let validated = validate_response(entry, request, attempt, response, &metadata);
@@ -250,7 +252,7 @@
 }
 
 /// Returns the requests to which the backend server answers with its identity, by the configuration
-/// in force. A later one may lack the service.
+/// in force.
 fn identity_requests<D: Dialect>(
     entry: &Entry<D>,
     request: &CallerRequest,
--- a/crates/filbertcleat-gateway/src/entry/liveness.rs
+++ b/crates/filbertcleat-gateway/src/entry/liveness.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use tokio::time::Instant;
 
 use super::backend_body::BackendBody;
 use super::backend_body::BodyKind;
@@ -20,12 +21,11 @@
 use crate::Dialect;
 use crate::metrics::Metric;
 
-/// How long a backend server is given to answer. A sound one may pause for a second or two.
-const CHECK_TIMEOUT: Duration = Duration::from_secs(3);
-/// How often a backend server is asked that closes the connection or answers without an identity.
-const QUESTIONS_MAX: usize = 3;
-/// The pause before the next question.
-const QUESTION_PAUSE: Duration = Duration::from_millis(100);
+/// The pause before the second question; each further one is several times as long, since a busy
+/// backend server may reset connections for a while.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// By how much each pause exceeds the one before.
+const PAUSE_FACTOR: u32 = 3;
 /// The largest answer: tens of thousands of adapter names in a report.
 const ANSWER_MAX_BYTES: usize = 1024 * 1024;
 
@@ -65,16 +65,18 @@
     }
 }
 
-/// Asks whether the process that sent a response still runs, after the end of its connection.
+/// Asks whether the process that sent a response still runs, after the end of its connection and
+/// at most until a time.
 ///
 /// Each question has a connection of its own: on another one, a late answer from before the end
 /// could be taken for the answer.
 pub(super) async fn check_liveness<D: Dialect>(
     entry: Rc<Entry<D>>,
     sender: ResponseSender,
+    until: Instant,
 ) -> Liveness {
     let asked_at = entry.now();
-    let checked = tokio::time::timeout(CHECK_TIMEOUT, ask_until_answered(&entry, &sender)).await;
+    let checked = tokio::time::timeout_at(until, ask_until_answered(&entry, &sender)).await;
     let liveness = checked.unwrap_or(Liveness::Unknown);
     let label = liveness.label();
     log::info!(
@@ -88,16 +90,16 @@
     liveness
 }
 
+/// Asks until an answer tells whether the process runs, if it can be asked at all.
 async fn ask_until_answered<D: Dialect>(entry: &Entry<D>, sender: &ResponseSender) -> Liveness {
-    let requests = sender.identity_requests.iter().cycle().take(QUESTIONS_MAX);
-    for (question, request) in requests.enumerate() {
-        if question > 0 {
-            tokio::time::sleep(QUESTION_PAUSE).await;
-        }
+    let mut pause = FIRST_PAUSE;
+    for request in sender.identity_requests.iter().cycle() {
         match ask(entry, sender, request).await {
             Liveness::Unknown => {}
             known @ (Liveness::Alive | Liveness::Ended | Liveness::Replaced) => return known,
         }
+        tokio::time::sleep(pause).await;
+        pause *= PAUSE_FACTOR;
     }
     Liveness::Unknown
 }
--- a/crates/filbertcleat-gateway/src/entry/response_sender.rs
+++ b/crates/filbertcleat-gateway/src/entry/response_sender.rs
@@ -40,8 +40,14 @@
                 Liveness::Replaced
             }
             // The request names the server, so that any other one would call it misdirected.
-            None if knows_starts || metadata.is_not_run => Liveness::Alive,
+            None if knows_starts => Liveness::Alive,
+            None if metadata.is_not_run && is_turned_away(status) => Liveness::Alive,
             None => Liveness::Unknown,
         }
     }
 }
+
+/// Returns whether a server for which a request is meant turns it away with this status.
+fn is_turned_away(status: StatusCode) -> bool {
+    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+}
--- a/crates/filbertcleat-gateway/src/entry/stream_moves.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_moves.rs
@@ -75,6 +75,10 @@
                 self.request.attempts -= u32::from(!failure.has_arrived);
                 self.log_event("resume-failed", &server, failure.reason);
                 if silent.is_some() {
+                    // A server that answers wrongly does so again.
+                    if failure.outcome == AttemptOutcome::Failed {
+                        self.request.avoided.push(server);
+                    }
                     return silent;
                 }
                 self.request.avoided.push(server);
@@ -165,7 +169,8 @@
         let sent = send_attempt(&self.entry, &self.request, &attempt, self.position.last()).await;
         let failure = match sent {
             Ok(response) if response.head.status.is_success() => {
-                return Ok(StreamSource::new(Box::new(response), attempt));
+                let is_rest = self.position.last().is_some();
+                return Ok(StreamSource::new(Box::new(response), attempt, is_rest));
             }
             Ok(failed) => AttemptFailure::unknown(
                 failed.failure_outcome(),
--- a/crates/filbertcleat-gateway/src/entry/stream_position.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_position.rs
@@ -47,7 +47,8 @@
     /// Returns whether a backend server that sends this event first goes on where the stream is.
     pub fn is_continued_by(&self, event: &Event) -> bool {
         match self.order_of(event) {
-            EventOrder::Next | EventOrder::Unnumbered | EventOrder::Comment => true,
+            EventOrder::Next | EventOrder::Comment => true,
+            EventOrder::Unnumbered => self.last.is_none(),
             EventOrder::Repeated => false,
             EventOrder::Skipping => self.numbering != Numbering::Consecutive,
         }
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -57,8 +57,8 @@
     strip_connection_headers(response.headers_mut());
 
     let is_resumable = request.route.retry_policy == RetryPolicy::Stream { resumable: true };
-    let source = StreamSource::new(backend_response, attempt);
     let position = StreamPosition::after(request.metadata.last_event_id.filter(|_| is_resumable));
+    let source = StreamSource::new(backend_response, attempt, position.last().is_some());
     let relay = StreamRelay {
         entry: Rc::clone(entry),
         position,
--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -2,12 +2,14 @@
 
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::time::Duration;
 
 use filbertcleat_serve::AttemptOutcome;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::SoftwareVersion;
 use futures_util::future::LocalBoxFuture;
 use http_body_util::BodyExt;
+use tokio::time::Instant;
 
 use super::attempt::BackendResponse;
 use super::body_framing::BodyFraming;
@@ -20,6 +22,10 @@
 use super::liveness::check_liveness;
 use crate::Dialect;
 
+/// How long a backend server is given to show that it has outlived a stream. A sound one may pause
+/// for a second or two.
+const END_CHECK_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// The part of a stream that one backend server sends.
 pub(super) struct StreamSource<D: Dialect> {
     response: Box<BackendResponse>,
@@ -27,6 +33,8 @@
     splitter: EventSplitter,
     /// The check that decides on the end of an unframed stream, once its connection has ended.
     end_check: Option<LocalBoxFuture<'static, Liveness>>,
+    /// Whether the stream goes on after an event that its caller has.
+    is_rest: bool,
     /// Whether an event has been received.
     has_events: bool,
     /// Items that have been received and not been taken yet, oldest first.
@@ -61,10 +69,14 @@
     const WAITING_MAX: usize = 32;
 
     /// Creates the source of a response whose head has been received.
-    pub fn new(response: Box<BackendResponse>, attempt: InFlightAttempt<D>) -> Self {
+    ///
+    /// `is_rest` tells whether the request named the last event that its caller has, after which
+    /// none may be left.
+    pub fn new(response: Box<BackendResponse>, attempt: InFlightAttempt<D>, is_rest: bool) -> Self {
         Self {
             response,
             attempt,
+            is_rest,
             splitter: EventSplitter::default(),
             end_check: None,
             has_events: false,
@@ -171,7 +183,8 @@
     /// Asks whether the backend server has outlived the connection.
     fn check_end(&self) -> LocalBoxFuture<'static, Liveness> {
         let entry = Rc::clone(&self.attempt.counted().entry);
-        Box::pin(check_liveness(entry, self.response.sender.clone()))
+        let until = Instant::now() + END_CHECK_TIMEOUT;
+        Box::pin(check_liveness(entry, self.response.sender.clone(), until))
     }
 
     /// Receives the next item. Nothing is lost if the returned future is dropped.
@@ -189,7 +202,7 @@
                 }
                 None => match self.framing() {
                     BodyFraming::Length | BodyFraming::Chunks => return SourceItem::End,
-                    BodyFraming::Connection if !self.has_events => {
+                    BodyFraming::Connection if !self.has_events && !self.is_rest => {
                         return SourceItem::Broken(
                             "the connection ends before an event".to_owned(),
                         );
--- a/crates/filbertcleat-gateway/src/entry/whole_body.rs
+++ b/crates/filbertcleat-gateway/src/entry/whole_body.rs
@@ -21,6 +21,7 @@
 use super::caller_memory::BodyBytes;
 use super::counted_attempt::CountedAttempt;
 use super::exchange::READ_ON;
+use super::liveness::Liveness;
 use super::liveness::check_liveness;
 use super::response_sender::ResponseSender;
 use super::state::Entry;
@@ -133,15 +134,9 @@
     sender: ResponseSender,
     deadline: Instant,
 ) -> Result<(), AttemptFailure> {
-    let checked = tokio::time::timeout_at(deadline, check_liveness(entry, sender)).await;
-    let Ok(liveness) = checked else {
-        return Err(AttemptFailure::unknown(
-            AttemptOutcome::Silent,
-            "the connection ended, and the server did not answer before the deadline",
-        ));
-    };
-    match liveness.broken_reason() {
-        None => Ok(()),
-        Some(reason) => Err(AttemptFailure::unknown(AttemptOutcome::Broken, reason)),
-    }
+    let liveness = check_liveness(entry, sender, deadline).await;
+    let Some(reason) = liveness.broken_reason() else { return Ok(()) };
+    let is_silent = liveness == Liveness::Unknown && deadline <= Instant::now();
+    let outcome = if is_silent { AttemptOutcome::Silent } else { AttemptOutcome::Broken };
+    Err(AttemptFailure::unknown(outcome, reason))
 }
--- a/crates/filbertcleat-gateway/tests/interleaved_streams.rs
+++ b/crates/filbertcleat-gateway/tests/interleaved_streams.rs
@@ -122,8 +122,12 @@
     }
     match random.random_range(0..8) {
         0 => stream.steps.push(StreamStep::Reset),
-        // Without framing the end of a process looks like that of a stream.
         1 if stream.framing != Framing::Unframed => stream.steps.push(StreamStep::Close),
+        // Without framing the end of a process looks like that of a stream.
+        1 => {
+            let down = Duration::from_millis(random.random_range(3_500..6_000));
+            stream.steps.push(StreamStep::EndServer(down));
+        }
         2 => stream.steps.extend([StreamStep::HalfEvent, StreamStep::Reset]),
         3 => stream.steps.extend([StreamStep::HalfEvent, StreamStep::Close]),
         4 => stream.steps.extend([StreamStep::HalfEvent, StreamStep::End]),
@@ -187,12 +191,14 @@
 async fn take(site: Rc<Site>, reading: Reading, name: String, is_resumable: bool) -> Taken {
     let mut taken = Taken::default();
     let mut connections = Vec::new();
+    let mut first_take = 0;
     let path = format!("/{}/{name}", if is_resumable { "write" } else { "note" });
     let path: &str = path.leak();
     let takes_max = if is_resumable { TAKES_MAX } else { 1 };
     for number in 0..takes_max {
         let last = taken.pieces.last().map(|piece| piece.number);
-        let after = last.map(|last| format!("x-after: {last}\r\nx-resumes: {name}-0\r\n"));
+        let after =
+            last.map(|last| format!("x-after: {last}\r\nx-resumes: {name}-{first_take}\r\n"));
         let id = format!("{name}-{number}");
         let extra = after.unwrap_or_default();
         let call = Call { wait_ms: 8_000, extra: extra.leak(), ..Call::new(id.leak(), path) };
@@ -204,6 +210,9 @@
         };
         let mut caller = caller.expect("the entry listens");
         caller.send(&call).await.expect("the entry reads the request");
+        if taken.pieces.is_empty() {
+            first_take = number;
+        }
         let leaves_after = reading.leaves_after.filter(|_| number == 0);
         let limit = leaves_after.unwrap_or(Duration::from_secs(10));
         if let Some(reply) = caller.read_partly(limit, reading.pause).await {
--- a/crates/filbertcleat-gateway/tests/stream_pieces.rs
+++ b/crates/filbertcleat-gateway/tests/stream_pieces.rs
@@ -194,3 +194,40 @@
         assert_eq!((one.arrivals(), two.arrivals()), (1, 1));
     });
 }
+
+/// Where an event without an id belongs can't be told.
+#[test]
+fn unnumbered_start_not_joined() {
+    World::run(async {
+        let one = Backend::start("w1", stream(&[])).await;
+        one.script_next(stream(&[StreamStep::Events(2), StreamStep::Reset]));
+        one.script_next(stream(&[StreamStep::Rewind, StreamStep::Unnumbered]));
+        let world = World::start(vec![route("write", RESUMABLE, 2)], &[&one]).await;
+
+        let reply = call(&world).await;
+
+        assert_eq!((numbers(&reply), reply.is_complete), (vec![1, 2], false));
+    });
+}
+
+/// A server that goes on wrongly is asked once for a stream that stalls several times.
+#[test]
+fn wrong_server_asked_once() {
+    World::run(async {
+        let silence = StreamStep::Wait(Duration::from_millis(4_800));
+        let silent = Backend::start("w1", stream(&[StreamStep::Events(2), silence])).await;
+        let wrong = Backend::start("w2", stream(&[StreamStep::Skip(1)])).await;
+        let mut slow = route("write", RESUMABLE, 5);
+        slow.latency_objective_ms = 2_500;
+        let world = World::start(vec![slow], &[&silent]).await;
+        let far = ListedServer { domain: FailureDomain::new("there"), ..listed(&wrong) };
+        world.catalogue.write(CatalogueEvent::Listing(ListingChange::Upserted(far)));
+        tokio::time::sleep(LISTING_DELAY).await;
+        let request = Call { wait_ms: 9_000, ..Call::new("a", "/write/1") };
+
+        let reply = world.caller().await.call(&request).await.expect("a response head");
+
+        assert!(reply.is_complete);
+        assert_eq!(wrong.arrivals(), 1);
+    });
+}
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -42,6 +42,8 @@
     EventsThenPieces { count: u64, piece: &'static str, pause: Duration },
     /// Sends a stream step by step.
     Stream(ScriptedStream),
+    /// Runs another script after a time.
+    Delayed { after: Duration, script: Box<Script> },
     /// Sends a body without HTTP framing, and closes the connection.
     Unframed { body: &'static str },
     /// Sends a body without HTTP framing, and ends the server after a time, which closes all its
@@ -82,6 +84,13 @@
         Self::WithHeaders { lines, script: Box::new(self) }
     }
 
+    /// Returns the script that runs after the delay, if there is one.
+    async fn after_delay(self) -> Self {
+        let Self::Delayed { after, script } = self else { return self };
+        tokio::time::sleep(after).await;
+        *script
+    }
+
     /// Returns how a request with this head ends the server, if it does.
     fn crash(&self, head: &str) -> Option<Crash> {
         match *self {
@@ -128,6 +137,12 @@
     Silent,
     /// By closing the connection without an answer.
     Closed,
+    /// As the server that it is, after it has closed so many connections.
+    ClosedFirst(usize),
+    /// Without a name in a report, and as the server that it is after a closed connection.
+    NamelessThenClosed,
+    /// By a refusal of a request without an id.
+    BadRequest,
 }
 
 /// The paths at which a server says who it is.
@@ -338,6 +353,17 @@
             }
             Identity::Silent => std::future::pending().await,
             Identity::Closed => false,
+            Identity::ClosedFirst(count) if self.asked_at.borrow().len() <= count => false,
+            Identity::NamelessThenClosed if is_report => {
+                write(stream, &response_text("HTTP/1.1 200 X\r\n", "loaded")).await
+            }
+            Identity::NamelessThenClosed if self.asked_at.borrow().len() <= 2 => false,
+            Identity::ClosedFirst(_) | Identity::NamelessThenClosed => {
+                write(stream, &named(&self.id, 1)).await
+            }
+            Identity::BadRequest => {
+                write(stream, &response_text("HTTP/1.1 400 X\r\nx-not-run: 1\r\n", "no id")).await
+            }
         }
     }
 
@@ -357,7 +383,7 @@
         head: &str,
         script: Script,
     ) -> bool {
-        let (lines, script) = match script {
+        let (lines, script) = match script.after_delay().await {
             Script::WithHeaders { lines, script } => (lines, *script),
             script => ("", script),
         };
@@ -449,6 +475,7 @@
             }
             Script::CrashOnPart { .. }
             | Script::CrashOnTarget { .. }
+            | Script::Delayed { .. }
             | Script::WithHeaders { .. } => {
                 panic!("only a plain script can be run by another")
             }
@@ -530,6 +557,10 @@
                     write(stream, &format!("{rest}{end}{head}{copy}{end}")).await;
                     return script.framing != Framing::Unframed;
                 }
+                StreamStep::EndServer(down) => {
+                    self.crash(down);
+                    std::future::pending::<()>().await;
+                }
                 StreamStep::Close => return false,
                 StreamStep::Reset => {
                     let socket = SockRef::from(stream.as_ref());
--- a/crates/filbertcleat-gateway/tests/support/stream_step.rs
+++ b/crates/filbertcleat-gateway/tests/support/stream_step.rs
@@ -31,4 +31,6 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Ends the server for a time, which closes all its connections in order.
+    EndServer(Duration),
 }
--- a/crates/filbertcleat-gateway/tests/unframed_bodies.rs
+++ b/crates/filbertcleat-gateway/tests/unframed_bodies.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use filbertcleat_base::ServiceName;
+use filbertcleat_gateway::CatalogueEvent;
 use filbertcleat_serve::RetryPolicy;
 use rstest::rstest;
 use tokio::time::Instant;
@@ -14,6 +16,7 @@
 use self::support::Script;
 use self::support::World;
 use self::support::route;
+use self::support::world::deployment;
 
 const RESPONSE: Script = Script::Respond { status: 200, body: "whole", after: Duration::ZERO };
 const HALF_THEN_END: Script = Script::UnframedThenEnd {
@@ -66,11 +69,12 @@
         desk.identify_as(identity);
         let world = World::start(vec![route("book", RetryPolicy::AtMostOnce, 1)], &[&desk]).await;
         let started = Instant::now();
+        let call = Call { wait_ms: 2_000, ..Call::new("a", "/book/1") };
 
-        let reply = world.caller().await.call(&Call::new("a", "/book/1")).await;
+        let reply = world.caller().await.call(&call).await;
 
         assert!(matches!(reply.expect("a response").status, 502 | 504));
-        assert!(started.elapsed() < Duration::from_secs(4), "{:?}", started.elapsed());
+        assert!(started.elapsed() < Duration::from_millis(2_500), "{:?}", started.elapsed());
     });
 }
 
@@ -105,3 +109,53 @@
         assert_eq!(desk.asked_at.borrow().len(), 0);
     });
 }
+
+/// A server at which requests wait for a slot answers late.
+#[test]
+fn late_proof_awaited() {
+    World::run(async {
+        let desk = Backend::start("d1", UNFRAMED).await;
+        desk.identify_as(Identity::Late(Duration::from_millis(3_200)));
+        let world = World::start(vec![route("book", RetryPolicy::AtMostOnce, 1)], &[&desk]).await;
+        let call = Call { wait_ms: 9_000, ..Call::new("a", "/book/1") };
+
+        let reply = world.caller().await.call(&call).await;
+
+        assert_eq!(reply.expect("a response").status, 200);
+    });
+}
+
+/// A busy server resets new connections for a while.
+#[test]
+fn resets_outlasted() {
+    World::run(async {
+        let desk = Backend::start("d1", UNFRAMED).await;
+        desk.identify_as(Identity::ClosedFirst(3));
+        let world = World::start(vec![route("book", RetryPolicy::AtMostOnce, 1)], &[&desk]).await;
+
+        let reply = world.caller().await.call(&Call::new("a", "/book/1")).await;
+
+        assert_eq!(reply.expect("a response").status, 200);
+    });
+}
+
+/// A configuration may drop a service while a request of it runs.
+#[test]
+fn dropped_service_asked() {
+    World::run(async {
+        let after = Duration::from_millis(1_900);
+        let script = Script::Delayed { after, script: Box::new(UNFRAMED) };
+        let desk = Backend::start("d1", script).await;
+        let world = World::start(vec![route("book", RetryPolicy::AtMostOnce, 1)], &[&desk]).await;
+        let mut caller = world.caller().await;
+        caller.send(&Call::new("a", "/book/1")).await.expect("the entry reads the request");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let mut next = deployment(2, Vec::new());
+        next.services.remove(&ServiceName::new("desk"));
+
+        world.catalogue.write(CatalogueEvent::Deployment(next));
+
+        let reply = caller.read_reply().await.expect("a response");
+        assert_eq!((reply.status, desk.asked_at.borrow().len()), (200, 1));
+    });
+}
--- a/crates/filbertcleat-gateway/tests/unframed_streams.rs
+++ b/crates/filbertcleat-gateway/tests/unframed_streams.rs
@@ -72,6 +72,7 @@
 #[case::restarted(Identity::Restarted)]
 #[case::silent(Identity::Silent)]
 #[case::closed(Identity::Closed)]
+#[case::bad_request(Identity::BadRequest)]
 fn unproven_end_cuts(#[case] identity: Identity) {
     World::run(async {
         let writer = Backend::start("w1", Script::Unframed { body: events(3) }).await;
@@ -93,6 +94,8 @@
 #[case::late(Identity::Late(Duration::from_millis(1_200)), 1_300, 1)]
 #[case::only_start(Identity::OnlyStart, 100, 1)]
 #[case::nameless_report(Identity::NamelessReport, 200, 2)]
+#[case::closed_first(Identity::ClosedFirst(3), 1_500, 4)]
+#[case::nameless_then_closed(Identity::NamelessThenClosed, 1_500, 4)]
 fn living_server_believed(
     #[case] identity: Identity,
     #[case] limit_ms: u64,
@@ -116,6 +119,21 @@
     });
 }
 
+/// A caller that has all events takes up a stream of which no event is left.
+#[test]
+fn empty_rest_believed() {
+    World::run(async {
+        let writer = Backend::start("w1", Script::Unframed { body: "" }).await;
+        let world = World::start(vec![route("write", RESUMABLE, 2)], &[&writer]).await;
+        let extra = "x-after: 3\r\nx-resumes: a\r\n";
+
+        let reply = world.caller().await.call(&Call { extra, ..Call::new("b", "/write/1") }).await;
+
+        assert!(reply.expect("a response head").is_complete);
+        assert_eq!(writer.arrivals(), 1);
+    });
+}
+
 /// Other transfer codings than chunks leave the end of a body unmarked.
 #[test]
 fn unknown_coding_is_unframed() {
@@ -189,6 +207,7 @@
             reply = first.read_reply() => reply,
             reply = second.read_reply() => reply,
         };
+        assert_eq!(two.arrivals(), 2, "a move and a request");
         let reply = reply.expect("a response");
         assert!(reply.is_complete);
         assert_eq!(reply.body, events(3));
