Name the service in the origin of a stream

Callers saw: a route moves to another service between the first event of a resumable stream and its take-up; the text is joined from both services if their servers name the same software version. On a split route whose weights change, the same.

Cause: an origin named the version only, and the take-up's service was drawn from the route of that moment.

Evidence, before (moved_routes.rs, one service's server w1 and the other's d1): moved_stream_refused (known, asked) and kept_service_refused: status 200 and one request at the new service, expected 503 and none. reweighted_stream_kept: 200 with requests [2, 1], expected [3, 0].

Change: origins name the service, in the entry, in the messages to and from agents (a field that older builds leave out: then the service is unknown, and the take-up goes on as before) and from rows, which index it already. A take-up goes to the service of its origin if the route leads there. Otherwise it is refused (503, Retry-After, outcome "moved"): the former service may not run it once the configuration is in force.

Also checked: response_keeps_service (a response that the entry resumes stays at its service after the move) passed before this change.

Not mended here: streams that nobody knows, "single".

--- a/crates/filbertcleat-gateway/src/agent.rs
+++ b/crates/filbertcleat-gateway/src/agent.rs
@@ -270,8 +270,8 @@
             PeerUpdate::Facts { facts, .. } => self.pass_on(now, from, &facts),
             PeerUpdate::Origin(origin) => self.origins.record(now, origin),
             PeerUpdate::OriginQuery(request) => {
-                let version = self.origins.software_version(request).cloned();
-                self.socket.send(from, &PeerUpdate::OriginReply(request, version));
+                let origin = self.origins.of(request).cloned();
+                self.socket.send(from, &PeerUpdate::OriginReply(request, origin));
             }
             PeerUpdate::Allowance(message) => self.handle_allowance(now, from, &message),
             PeerUpdate::Observations { entry, services } => {
--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -158,8 +158,8 @@
         let (update, from) = entry.peers.receive(&mut buffer).await;
         let mut update = match update {
             PeerUpdate::Agent(update) => update,
-            PeerUpdate::OriginReply(request, version) => {
-                on_origin_reply(&entry, from, request, version);
+            PeerUpdate::OriginReply(request, origin) => {
+                on_origin_reply(&entry, from, request, origin);
                 continue;
             }
             PeerUpdate::Facts { facts, is_complete } => {
--- a/crates/filbertcleat-gateway/src/entry/open_query.rs
+++ b/crates/filbertcleat-gateway/src/entry/open_query.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use filbertcleat_serve::SoftwareVersion;
+use filbertcleat_serve::StreamOrigin;
 use tokio::sync::oneshot;
 
 use super::agent_replies::AgentReplies;
 
-/// The version that began a stream, if an agent knows it, and which agents have replied.
-pub(super) type OriginAnswer = (Option<SoftwareVersion>, AgentReplies);
+/// The origin of a stream, if an agent knows it, and which agents have replied.
+pub(super) type OriginAnswer = (Option<StreamOrigin>, AgentReplies);
 
 /// A question that not all agents have answered, shared by the requests that ask it.
 #[derive(Debug, Default)]
--- a/crates/filbertcleat-gateway/src/entry/origin_question.rs
+++ b/crates/filbertcleat-gateway/src/entry/origin_question.rs
@@ -1,11 +1,11 @@
-//! Questions to agents for the software versions that began streams.
+//! Questions to agents for the origins of streams.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use filbertcleat_serve::RequestHash;
-use filbertcleat_serve::SoftwareVersion;
+use filbertcleat_serve::StreamOrigin;
 use tokio::sync::oneshot;
 
 use super::agent_replies::AgentReplies;
@@ -34,15 +34,15 @@
         Self { entry, request, replies: Cell::default() }
     }
 
-    /// Asks the agents until one knows the version that began the stream, or until all have replied
+    /// Asks the agents until one knows the origin of the stream, or until all have replied
     /// that they do not know the stream. Waits for ever if replies are missing.
-    pub async fn answer(&self) -> Option<SoftwareVersion> {
+    pub async fn answer(&self) -> Option<StreamOrigin> {
         let mut wait = REPLY_TIMEOUT;
         loop {
             let reply = self.ask()?;
-            if let Ok(Ok((version, replies))) = tokio::time::timeout(wait, reply).await {
+            if let Ok(Ok((origin, replies))) = tokio::time::timeout(wait, reply).await {
                 self.replies.set(replies);
-                return version;
+                return origin;
             }
             wait *= 2;
         }
--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -1,4 +1,4 @@
-//! Finds and spreads the software versions that began streams.
+//! Finds and spreads the services and software versions that began streams.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use filbertcleat_base::NodeName;
+use filbertcleat_base::ServiceName;
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::KeptOrigins;
 use filbertcleat_serve::OriginVerdict;
@@ -64,16 +65,47 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Lookup {
     /// The entry has recorded it.
-    Known(SoftwareVersion),
+    Known(StreamOrigin),
     /// An agent that was asked knows it.
-    Asked(SoftwareVersion),
+    Asked(StreamOrigin),
     /// A row of the catalogue names it.
-    Kept(SoftwareVersion),
+    Kept(ServiceName, SoftwareVersion),
     /// Only this version served in the last minute.
     Single(SoftwareVersion),
     Unknown,
 }
 
+impl Lookup {
+    /// Returns the service that began the stream, if that is known.
+    fn service(&self) -> Option<&ServiceName> {
+        match self {
+            Self::Known(origin) | Self::Asked(origin) => origin.service.as_ref(),
+            Self::Kept(service, _) => Some(service),
+            Self::Single(_) | Self::Unknown => None,
+        }
+    }
+
+    /// Returns the software version at which the stream may go on.
+    fn software_version(&self) -> Option<&SoftwareVersion> {
+        match self {
+            Self::Known(origin) | Self::Asked(origin) => Some(&origin.software_version),
+            Self::Kept(_, version) | Self::Single(version) => Some(version),
+            Self::Unknown => None,
+        }
+    }
+
+    /// Returns how the origin was found, for logs and metrics.
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Known(_) => "known",
+            Self::Asked(_) => "asked",
+            Self::Kept(..) => "kept",
+            Self::Single(_) => "single",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Records the origin of a stream and tells it to the agents that hold it.
 pub(super) fn record_origin<D: Dialect>(
     entry: &Entry<D>,
@@ -82,8 +114,11 @@
 ) {
     let now = entry.now();
     let id = request.metadata.resumed_request.as_ref().unwrap_or(&request.id);
-    let origin =
-        StreamOrigin { request: RequestHash::of(id), software_version: software_version.clone() };
+    let origin = StreamOrigin {
+        request: RequestHash::of(id),
+        service: Some(request.service.clone()),
+        software_version: software_version.clone(),
+    };
     let state = &mut *entry.state.borrow_mut();
     for holder in holders(&state.fleet, origin.request, entry.settings.peer_port) {
         entry.peers.send(holder, &PeerUpdate::Origin(origin.clone()));
@@ -93,10 +128,12 @@
     entry.origins_changed.notify_one();
 }
 
-/// Limits a request that takes up a stream to the software version that began the stream.
+/// Limits a request that takes up a stream to the service and software version that began the
+/// stream.
 ///
 /// Returns a refusal if the version is unknown, unless only one has served in the last minute,
-/// because the parts that two versions write do not fit together.
+/// because the parts that two versions write do not fit together, and if the route does not lead to
+/// the service any more.
 pub(super) async fn restrict_software<D: Dialect>(
     entry: &Rc<Entry<D>>,
     request: &mut CallerRequest,
@@ -110,22 +147,19 @@
         Some(resumed) => find_origin(entry, request, resumed).await,
         None => (find_kept_origin(entry, request, None).await, AgentReplies::default()),
     };
-    let (outcome, version) = match &lookup {
-        Lookup::Known(version) => ("known", Some(version)),
-        Lookup::Asked(version) => ("asked", Some(version)),
-        Lookup::Kept(version) => ("kept", Some(version)),
-        Lookup::Single(version) => ("single", Some(version)),
-        Lookup::Unknown => ("unknown", None),
-    };
+    let (service, version) = (lookup.service(), lookup.software_version());
+    let has_moved = service.is_some_and(|service| !request.route.leads_to(service));
+    let outcome = if has_moved { "moved" } else { lookup.as_str() };
     let (list_age_ms, versions) = {
         let (now, kept) = (entry.now(), &entry.state.borrow().origins.kept);
         (kept.list_age_ms(now), kept.version_count(now, &request.service))
     };
     log::info!(
-        "event=stream-origin id={} resumes={} outcome={outcome} software={} agents={} replied={} \
+        "event=stream-origin id={} resumes={} outcome={outcome} service={} software={} agents={} replied={} \
          list_age_ms={} versions={versions}",
         request.id,
         request.metadata.resumed_request.as_deref().unwrap_or("-"),
+        service.map_or("-", ServiceName::as_str),
         version.map_or("-", SoftwareVersion::as_str),
         agents.asked,
         agents.replied,
@@ -134,6 +168,13 @@
     entry.metrics.count(Metric::OriginLookups, &[("outcome", outcome)]);
     request.has_origin = !matches!(lookup, Lookup::Single(_) | Lookup::Unknown);
     request.demand.software_version = version.cloned();
+    if has_moved {
+        let reason = "the route has moved from the service that began the stream";
+        return Err(Refusal::NotRun(reason, RETRY_AFTER_UNAVAILABLE));
+    }
+    if let Some(service) = service {
+        keep_service(entry, request, service);
+    }
     if version.is_none() {
         let reason = "the software version that began the stream is unknown";
         return Err(Refusal::NotRun(reason, RETRY_AFTER_UNAVAILABLE));
@@ -141,6 +182,15 @@
     Ok(())
 }
 
+/// Sends a request to a service of its route, since other weights may have drawn another one.
+fn keep_service<D: Dialect>(entry: &Entry<D>, request: &mut CallerRequest, service: &ServiceName) {
+    let state = entry.state.borrow();
+    let spec = state.deployment.get().and_then(|deployment| deployment.services.get(service));
+    request.uses_engine = spec.is_some_and(|spec| spec.engine.is_some());
+    request.service = service.clone();
+    request.demand.service = service.clone();
+}
+
 /// Decides on a stream that neither the entry nor the agents know. If the rows of the catalogue or
 /// the list of backend servers have to be read for that, waits for the read a short time.
 async fn find_kept_origin<D: Dialect>(
@@ -154,7 +204,7 @@
     let mut rows_until = None;
     loop {
         let read = match decide(entry, request, resumed) {
-            OriginVerdict::Kept(version) => return Lookup::Kept(version),
+            OriginVerdict::Kept(service, version) => return Lookup::Kept(service, version),
             OriginVerdict::Single(version) => return Lookup::Single(version),
             OriginVerdict::Unknown => return Lookup::Unknown,
             OriginVerdict::Follow => {
@@ -192,25 +242,25 @@
     entry: &Entry<D>,
     from: SocketAddr,
     request: RequestHash,
-    version: Option<SoftwareVersion>,
+    origin: Option<StreamOrigin>,
 ) {
     let now = entry.now();
     let origins = &mut entry.state.borrow_mut().origins;
     let Some(query) = origins.queries.get_mut(&request) else { return };
     if query.awaited.remove(&from) {
-        let reply = if version.is_some() { "known" } else { "unknown" };
+        let reply = if origin.is_some() { "known" } else { "unknown" };
         entry.metrics.count(Metric::OriginReplies, &[("reply", reply)]);
     }
-    if version.is_none() && !query.awaited.is_empty() {
+    if origin.is_none() && !query.awaited.is_empty() {
         return;
     }
     let replies = query.replies();
     for waiting in origins.queries.remove(&request).into_iter().flat_map(|query| query.waiting) {
         // This fails only if the caller has disconnected.
-        let _ = waiting.send((version.clone(), replies));
+        let _ = waiting.send((origin.clone(), replies));
     }
-    if let Some(software_version) = version {
-        origins.known.record(now, StreamOrigin { request, software_version });
+    if let Some(origin) = origin {
+        origins.known.record(now, origin);
     }
 }
 
@@ -221,14 +271,14 @@
     request: &CallerRequest,
     resumed: RequestHash,
 ) -> (Lookup, AgentReplies) {
-    if let Some(version) = entry.state.borrow().origins.known.software_version(resumed) {
-        return (Lookup::Known(version.clone()), AgentReplies::default());
+    if let Some(origin) = entry.state.borrow().origins.known.of(resumed) {
+        return (Lookup::Known(origin.clone()), AgentReplies::default());
     }
     let question = OriginQuestion::new(entry, resumed);
     let lookup = {
         let mut answer = pin!(question.answer());
         match tokio::time::timeout(REPLY_WAIT, &mut answer).await {
-            Ok(Some(version)) => Lookup::Asked(version),
+            Ok(Some(origin)) => Lookup::Asked(origin),
             Ok(None) => find_kept_origin(entry, request, Some(resumed)).await,
             Err(_elapsed) => find_late_origin(entry, request, resumed, answer).await,
         }
@@ -241,7 +291,7 @@
     entry: &Rc<Entry<D>>,
     request: &CallerRequest,
     resumed: RequestHash,
-    mut answer: Pin<&mut impl Future<Output = Option<SoftwareVersion>>>,
+    mut answer: Pin<&mut impl Future<Output = Option<StreamOrigin>>>,
 ) -> Lookup {
     let wait_max = Duration::from_millis(request.remaining_ms(entry.now()) / 2);
     let replies_until = Instant::now() + wait_max.min(LATE_REPLY_WAIT_MAX);
@@ -249,14 +299,14 @@
     let found = tokio::select! {
         biased;
         found = &mut answer => return match found {
-            Some(version) => Lookup::Asked(version),
+            Some(origin) => Lookup::Asked(origin),
             None => kept.await,
         },
         found = &mut kept => found,
     };
     match found {
         Lookup::Unknown => match tokio::time::timeout_at(replies_until, answer).await {
-            Ok(Some(version)) => Lookup::Asked(version),
+            Ok(Some(origin)) => Lookup::Asked(origin),
             Ok(None) | Err(_) => Lookup::Unknown,
         },
         found => found,
--- a/crates/filbertcleat-gateway/src/peer_socket/convert.rs
+++ b/crates/filbertcleat-gateway/src/peer_socket/convert.rs
@@ -56,7 +56,7 @@
     /// The question for the origin of the stream that a request began.
     OriginQuery(RequestHash),
     /// The response to an `OriginQuery`; `None` if the agent does not know the stream.
-    OriginReply(RequestHash, Option<SoftwareVersion>),
+    OriginReply(RequestHash, Option<StreamOrigin>),
     /// Facts that all processes have to know: all that the sender has, or some.
     Facts { facts: Vec<Fact>, is_complete: bool },
     /// What an entry has observed of the engines, or an agent's response with what all others have.
@@ -81,14 +81,21 @@
             PeerUpdate::Origin(origin) => datagram::Update::Origin(v1::StreamOrigin {
                 request: origin.request.get(),
                 software_version: origin.software_version.to_string(),
+                service: origin.service.as_ref().map(ToString::to_string),
             }),
             PeerUpdate::OriginQuery(request) => {
                 datagram::Update::OriginQuery(v1::OriginQuery { request: request.get() })
             }
-            PeerUpdate::OriginReply(request, version) => {
+            PeerUpdate::OriginReply(request, origin) => {
                 datagram::Update::OriginReply(v1::OriginReply {
                     request: request.get(),
-                    software_version: version.as_ref().map(ToString::to_string),
+                    software_version: origin
+                        .as_ref()
+                        .map(|origin| origin.software_version.to_string()),
+                    service: origin
+                        .as_ref()
+                        .and_then(|origin| origin.service.as_ref())
+                        .map(ToString::to_string),
                 })
             }
             PeerUpdate::Facts { facts, is_complete } => datagram::Update::Facts(v1::Facts {
@@ -133,14 +140,20 @@
             datagram::Update::Agent(agent) => Ok(Self::Agent(agent_from_message(agent))),
             datagram::Update::Origin(origin) => Ok(Self::Origin(StreamOrigin {
                 request: RequestHash::new(origin.request),
+                service: origin.service.as_deref().map(ServiceName::new),
                 software_version: SoftwareVersion::new(&origin.software_version),
             })),
             datagram::Update::OriginQuery(query) => {
                 Ok(Self::OriginQuery(RequestHash::new(query.request)))
             }
             datagram::Update::OriginReply(reply) => {
-                let version = reply.software_version.as_deref().map(SoftwareVersion::new);
-                Ok(Self::OriginReply(RequestHash::new(reply.request), version))
+                let request = RequestHash::new(reply.request);
+                let origin = reply.software_version.as_deref().map(|version| StreamOrigin {
+                    request,
+                    service: reply.service.as_deref().map(ServiceName::new),
+                    software_version: SoftwareVersion::new(version),
+                });
+                Ok(Self::OriginReply(request, origin))
             }
             datagram::Update::Facts(message) => Ok(Self::Facts {
                 facts: message.facts.into_iter().filter_map(fact_from_message).collect(),
--- a/crates/filbertcleat-gateway/tests/malformed_updates.rs
+++ b/crates/filbertcleat-gateway/tests/malformed_updates.rs
@@ -167,11 +167,13 @@
         (vec(fact, 0..6), any::<bool>())
             .prop_map(|(facts, complete)| Update::Facts(v1::Facts { facts, complete })),
         (whole(), name()).prop_map(|(request, software_version)| {
-            Update::Origin(v1::StreamOrigin { request, software_version })
+            let service = Some(software_version.clone());
+            Update::Origin(v1::StreamOrigin { request, software_version, service })
         }),
         whole().prop_map(|request| Update::OriginQuery(v1::OriginQuery { request })),
         (whole(), option::of(name())).prop_map(|(request, software_version)| {
-            Update::OriginReply(v1::OriginReply { request, software_version })
+            let service = software_version.clone();
+            Update::OriginReply(v1::OriginReply { request, software_version, service })
         }),
     ]
     .boxed()
--- /dev/null
+++ b/crates/filbertcleat-gateway/tests/moved_routes.rs
@@ -0,0 +1,150 @@
+//! Streams of routes that move to another service, whose backend servers name the same software
+//! version.
+
+mod support;
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use filbertcleat_base::ServiceName;
+use filbertcleat_gateway::CatalogueEvent;
+use filbertcleat_serve::RetryPolicy;
+use filbertcleat_serve::Route;
+use filbertcleat_serve::Target;
+use rstest::rstest;
+
+use self::support::Backend;
+use self::support::Call;
+use self::support::Framing;
+use self::support::PowerSite;
+use self::support::Script;
+use self::support::ScriptedStream;
+use self::support::StreamStep;
+use self::support::TestCatalogue;
+use self::support::World;
+use self::support::power_site::begin;
+use self::support::power_site::take_up;
+use self::support::route;
+use self::support::site::LISTING_DELAY;
+use self::support::site::Site;
+use self::support::world::deployment;
+
+const CUT_AFTER_THREE: Script = Script::EventsThenCut { count: 3 };
+const FIVE_EVENTS: Script = Script::Events { count: 5, pause: Duration::from_millis(20) };
+
+/// Returns a resumable route with weights of the services `writer` and `desk`.
+fn split(weights: [u64; 2]) -> Route {
+    let targets = ["writer", "desk"]
+        .into_iter()
+        .zip(weights)
+        .filter(|(_, weight)| *weight > 0)
+        .map(|(service, weight)| Target { service: ServiceName::new(service), weight });
+    let resumable = RetryPolicy::Stream { resumable: true };
+    Route { targets: targets.collect(), ..route("write", resumable, 2) }
+}
+
+/// Publishes a configuration and waits until it is in force.
+async fn configure(catalogue: &TestCatalogue, version: u64, weights: [u64; 2]) {
+    let deployment = deployment(version, vec![split(weights)]);
+    catalogue.write(CatalogueEvent::Deployment(deployment));
+    tokio::time::sleep(LISTING_DELAY).await;
+}
+
+/// Starts two entries and a backend server of each service. The route leads to `writer`.
+async fn start() -> Site {
+    let servers = vec![("w1".to_owned(), FIVE_EVENTS), ("d1".to_owned(), FIVE_EVENTS)];
+    Site::start(vec![split([1, 0])], servers, 2).await
+}
+
+/// Begins a stream at the service `writer`, which breaks off after its third event.
+async fn begin_at_writer(site: &Site) {
+    // The entry itself may go on once with the stream.
+    (0..2).for_each(|_| site.backends[0].script_next(CUT_AFTER_THREE));
+    begin(&site.entries[0], "a").await;
+    assert_eq!(arrivals(site), [2, 0]);
+}
+
+fn arrivals(site: &Site) -> [usize; 2] {
+    [0, 1].map(|server| site.backends[server].arrivals())
+}
+
+/// The new service can't go on with the stream, and the former one may not run the request.
+#[rstest]
+#[case::known(0)]
+#[case::asked(1)]
+fn moved_stream_refused(#[case] entry: usize) {
+    World::run(async move {
+        let site = start().await;
+        begin_at_writer(&site).await;
+        configure(&site.catalogue, 2, [0, 1]).await;
+
+        assert_eq!((take_up(&site.entries[entry], "a").await, arrivals(&site)), (503, [2, 0]));
+
+        configure(&site.catalogue, 3, [1, 0]).await;
+        assert_eq!((take_up(&site.entries[entry], "a").await, arrivals(&site)), (200, [3, 0]));
+    });
+}
+
+/// The row of an entry that has lost its memory names the service.
+#[test]
+fn kept_service_refused() {
+    World::run(async {
+        let mut site = PowerSite::start(2).await;
+        let ip = Ipv4Addr::new(127, 0, site.subnet, 103);
+        site.backends.push(Backend::start_at("d1", ip, CUT_AFTER_THREE).await);
+        site.list(0, "v1");
+        site.list(2, "v1");
+        site.run_vms(0..1, false, async |worlds| {
+            begin(&worlds[0], "a").await;
+            site.list(1, "v2");
+            tokio::time::sleep(LISTING_DELAY).await;
+        })
+        .await;
+        site.mend_streams();
+        configure(&site.catalogue, 2, [0, 1]).await;
+
+        let status = site.run_vms(0..1, false, async |worlds| take_up(&worlds[0], "a").await).await;
+
+        assert_eq!((status, site.backends[2].arrivals()), (503, 0));
+    });
+}
+
+/// Other weights draw another service for the same request.
+#[test]
+fn reweighted_stream_kept() {
+    World::run(async {
+        let site = start().await;
+        begin_at_writer(&site).await;
+        configure(&site.catalogue, 2, [1, 1_000_000_000]).await;
+
+        assert_eq!((take_up(&site.entries[0], "a").await, arrivals(&site)), (200, [3, 0]));
+    });
+}
+
+/// A response that began at a service goes on there, though the route has moved meanwhile.
+#[test]
+fn response_keeps_service() {
+    World::run(async {
+        let site = start().await;
+        let pause = [StreamStep::Events(1), StreamStep::Wait(Duration::from_secs(1))];
+        let steps = [pause, pause, pause, pause, [StreamStep::Comment, StreamStep::Reset]];
+        site.backends[0].script_next(Script::Stream(ScriptedStream {
+            total: 5,
+            version: "v1",
+            framing: Framing::Chunked,
+            pad_bytes: 0,
+            steps: steps.concat(),
+        }));
+        let mut caller = site.entries[0].caller().await;
+        caller.send(&Call::new("a", "/write/1")).await.expect("the entry reads the request");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        configure(&site.catalogue, 2, [0, 1]).await;
+        let moved = site.send(0, &Call::new("b", "/write/1")).await.expect("a response");
+        assert_eq!((moved.status, arrivals(&site)), (200, [1, 1]));
+
+        let reply = caller.read_reply().await.expect("a response");
+
+        assert!(reply.is_complete && reply.body.contains("id: 5"), "{reply:?}");
+        assert_eq!(arrivals(&site), [2, 1]);
+    });
+}
--- a/crates/filbertcleat-gateway/tests/software_versions.rs
+++ b/crates/filbertcleat-gateway/tests/software_versions.rs
@@ -223,7 +223,8 @@
             spawn_local(async move {
                 tokio::time::sleep(Duration::from_millis(wait_ms)).await;
                 let software_version = version.map(str::to_owned);
-                let reply = v1::OriginReply { request: query.request, software_version };
+                let reply =
+                    v1::OriginReply { request: query.request, software_version, service: None };
                 let reply = v1::Datagram { update: Some(Update::OriginReply(reply)) };
                 socket.send_to(&reply.encode_to_vec(), from).await.expect("loopback works");
             });
--- a/crates/filbertcleat-serve/src/deployment/route.rs
+++ b/crates/filbertcleat-serve/src/deployment/route.rs
@@ -47,6 +47,11 @@
         (wait_ms > 0).then(|| wait_ms.max(Self::STREAM_WAIT_MIN_MS))
     }
 
+    /// Returns whether requests of the route may go to a service.
+    pub fn leads_to(&self, service: &ServiceName) -> bool {
+        self.targets.iter().any(|target| target.service == *service && target.weight > 0)
+    }
+
     /// Selects the service of a request from a hash of its id, in proportion to the targets'
     /// weights. Returns `None` if all weights are 0.
     pub fn choose_service(&self, request_id: &str) -> Option<&ServiceName> {
--- a/crates/filbertcleat-serve/src/kept_origins.rs
+++ b/crates/filbertcleat-serve/src/kept_origins.rs
@@ -40,7 +40,7 @@
     /// The streams that this entry or its node's process before began.
     begun: RecentStreams<ServiceVersion>,
     /// The origins that rows tell, with the times until which they count.
-    kept: HashMap<RequestHash, (MonoTime, SoftwareVersion)>,
+    kept: HashMap<RequestHash, (MonoTime, ServiceVersion)>,
     /// The versions of the rows that are merged, since a list repeats most of them.
     merged: HashMap<NodeName, u64>,
     /// Until when each version counts that a list of backend servers or a row has shown.
@@ -183,8 +183,9 @@
         request: Option<RequestHash>,
         is_served: bool,
     ) -> OriginVerdict {
-        if let Some((_, version)) = request.and_then(|request| self.kept.get(&request)) {
-            return OriginVerdict::Kept(version.clone());
+        let kept = request.and_then(|request| self.kept.get(&request));
+        if let Some((_, (service, version))) = kept {
+            return OriginVerdict::Kept(service.clone(), version.clone());
         }
         if !is_served {
             return OriginVerdict::Unknown;
@@ -351,22 +352,16 @@
             let version = content.versions.get(usize::from(stream.version_index));
             let Some(SeenVersion { service, software_version, .. }) = version else { continue };
             let KeptStream { request, age_ms, .. } = *stream;
-            self.keep(now, request, age_ms, software_version);
+            let version = (service.clone(), software_version.clone());
+            self.keep(now, request, age_ms, &version);
             if row.node == self.node {
-                let version = (service.clone(), software_version.clone());
                 self.begun.record(now, request, age_ms, version);
             }
         }
     }
 
     /// Records the origin that a row tells. If rows differ, the older origin holds.
-    fn keep(
-        &mut self,
-        now: MonoTime,
-        request: RequestHash,
-        age_ms: u64,
-        version: &SoftwareVersion,
-    ) {
+    fn keep(&mut self, now: MonoTime, request: RequestHash, age_ms: u64, version: &ServiceVersion) {
         let Some(left_ms) = Self::WINDOW_MS.checked_sub(age_ms) else { return };
         let until = now.plus_ms(left_ms);
         let is_full = self.kept.len() >= Self::KEPT_MAX;
--- a/crates/filbertcleat-serve/tests/kept_origins.rs
+++ b/crates/filbertcleat-serve/tests/kept_origins.rs
@@ -47,8 +47,11 @@
 }
 
 fn begin(kept: &mut KeptOrigins, now: MonoTime, request: u64, text: &str) {
-    let origin =
-        StreamOrigin { request: RequestHash::new(request), software_version: version(text) };
+    let origin = StreamOrigin {
+        request: RequestHash::new(request),
+        service: Some(writer()),
+        software_version: version(text),
+    };
     kept.on_begun(now, &writer(), &origin);
 }
 
@@ -284,7 +287,7 @@
 
     read(&mut kept, at(100), &[row("edge-2", 30_000, &[(1, 30_000)])]);
 
-    assert_eq!(decide(&kept, at(110), 1), OriginVerdict::Kept(version("v1")));
+    assert_eq!(decide(&kept, at(110), 1), OriginVerdict::Kept(writer(), version("v1")));
     assert_eq!(decide(&kept, at(110), 2), OriginVerdict::Unknown);
 }
 
@@ -381,7 +384,7 @@
     let unreadable = OriginRow { node: NodeName::new("x"), version: 3, content: None };
     read(&mut kept, at(0), &[unreadable, row("edge-2", 61_000, &[(1, 50_000)])]);
 
-    assert_eq!(decide(&kept, at(10), 1), OriginVerdict::Kept(version("v1")));
+    assert_eq!(decide(&kept, at(10), 1), OriginVerdict::Kept(writer(), version("v1")));
     assert_eq!(decide(&kept, at(10), 2), OriginVerdict::Unknown);
 }
 
@@ -400,7 +403,7 @@
 
     read(&mut kept, at(0), &rows);
 
-    assert_eq!(decide(&kept, at(10), 1), OriginVerdict::Kept(version(expected)));
+    assert_eq!(decide(&kept, at(10), 1), OriginVerdict::Kept(writer(), version(expected)));
 }
 
 /// Rows of nodes that are gone must not pile up, and few entries remove them.
--- a/crates/filbertcleat-serve/tests/kept_origins_runs.rs
+++ b/crates/filbertcleat-serve/tests/kept_origins_runs.rs
@@ -162,7 +162,11 @@
                 };
                 let (version, began_ms) = (*version, self.now_ms);
                 let request = RequestHash::new(self.streams.len() as u64);
-                let origin = StreamOrigin { request, software_version: software(version) };
+                let origin = StreamOrigin {
+                    request,
+                    service: Some(writer()),
+                    software_version: software(version),
+                };
                 let state = &mut self.entries[entry];
                 // An entry sends requests only to servers that it knows.
                 if !state
@@ -226,7 +230,7 @@
         }
         let is_lagging = self.is_lagging(entry);
         match verdict {
-            OriginVerdict::Kept(found) | OriginVerdict::Single(found) => {
+            OriginVerdict::Kept(_, found) | OriginVerdict::Single(found) => {
                 assert_eq!(found, software(version), "stream {number} is joined");
             }
             OriginVerdict::Follow | OriginVerdict::Read | OriginVerdict::Unknown => {
@@ -251,7 +255,7 @@
                     state.kept.want_read();
                     self.read(entry);
                 }
-                verdict @ (OriginVerdict::Kept(_)
+                verdict @ (OriginVerdict::Kept(..)
                 | OriginVerdict::Single(_)
                 | OriginVerdict::Unknown) => return verdict,
             }
--- a/crates/filbertcleat-serve/tests/stream_origins.rs
+++ b/crates/filbertcleat-serve/tests/stream_origins.rs
@@ -6,6 +6,7 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 
+use filbertcleat_base::ServiceName;
 use filbertcleat_serve::RequestHash;
 use filbertcleat_serve::SoftwareVersion;
 use filbertcleat_serve::StreamOrigin;
@@ -17,6 +18,7 @@
 fn origin(request: u64, version: &str) -> StreamOrigin {
     StreamOrigin {
         request: RequestHash::new(request),
+        service: Some(ServiceName::new("writer")),
         software_version: SoftwareVersion::new(version),
     }
 }
@@ -31,9 +33,8 @@
     origins.record(at(0), origin(1, "v1"));
     origins.record(at(1), origin(1, "v2"));
 
-    let version = origins.software_version(RequestHash::new(1));
-    assert_eq!(version.map(SoftwareVersion::as_str), Some("v1"));
-    assert_eq!(origins.software_version(RequestHash::new(2)), None);
+    assert_eq!(origins.of(RequestHash::new(1)), Some(&origin(1, "v1")));
+    assert_eq!(origins.of(RequestHash::new(2)), None);
 }
 
 #[test]
@@ -42,8 +43,8 @@
     origins.record(at(0), origin(1, "v1"));
     origins.record(at(StreamOrigins::LIFETIME_MS + 1), origin(2, "v1"));
 
-    assert_eq!(origins.software_version(RequestHash::new(1)), None);
-    assert!(origins.software_version(RequestHash::new(2)).is_some());
+    assert_eq!(origins.of(RequestHash::new(1)), None);
+    assert!(origins.of(RequestHash::new(2)).is_some());
 }
 
 #[test]
@@ -52,9 +53,9 @@
     let count = StreamOrigins::COUNT_MAX as u64;
     (0..=count).for_each(|request| origins.record(at(0), origin(request, "v1")));
 
-    assert_eq!(origins.software_version(RequestHash::new(0)), None);
-    assert!(origins.software_version(RequestHash::new(1)).is_some());
-    assert!(origins.software_version(RequestHash::new(count)).is_some());
+    assert_eq!(origins.of(RequestHash::new(0)), None);
+    assert!(origins.of(RequestHash::new(1)).is_some());
+    assert!(origins.of(RequestHash::new(count)).is_some());
 }
 
 /// Entries whose lists of VMs differ by one still ask an agent that was told.
