Refuse unknown streams of routes that moved of late

Callers saw: a stream that neither entry, agents nor rows know goes on at the service to which its route has just moved, though it began at the one before.

Cause: `single` is concluded from the versions of the service that the route targets now; that says nothing of a service before it. The same for origins of builds that don't name the service.

Evidence, before: unknown_stream_refused (moved_routes.rs): status 200 and requests [0, 1] just after the move, expected 503 and [0, 0].

Change: `MovedRoutes` remembers for 60 s, as long as origins, under which host and prefix the targets or weights changed. A take-up whose origin names no service is refused if its path is among them. Ruled out: refusing for a minute after each start of an entry, which would refuse streams that go on today after a loss of power.

--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -11,6 +11,7 @@
 use filbertcleat_base::ServiceName;
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::KeptOrigins;
+use filbertcleat_serve::MovedRoutes;
 use filbertcleat_serve::OriginVerdict;
 use filbertcleat_serve::RequestHash;
 use filbertcleat_serve::RetryPolicy;
@@ -51,13 +52,14 @@
     known: StreamOrigins,
     pub queries: HashMap<RequestHash, OpenQuery>,
     pub kept: KeptOrigins,
+    pub moved: MovedRoutes,
 }
 
 impl OriginState {
     /// Creates the state of an entry that knows no origin.
     pub fn new(node: NodeName) -> Self {
         let (known, queries) = (StreamOrigins::default(), HashMap::new());
-        Self { known, queries, kept: KeptOrigins::new(node) }
+        Self { known, queries, kept: KeptOrigins::new(node), moved: MovedRoutes::default() }
     }
 }
 
@@ -132,8 +134,8 @@
 /// stream.
 ///
 /// Returns a refusal if the version is unknown, unless only one has served in the last minute,
-/// because the parts that two versions write do not fit together, and if the route does not lead to
-/// the service any more.
+/// because the parts that two versions write do not fit together. The same holds for a service that
+/// is unknown after the route has led elsewhere, or to which it does not lead any more.
 pub(super) async fn restrict_software<D: Dialect>(
     entry: &Rc<Entry<D>>,
     request: &mut CallerRequest,
@@ -147,6 +149,11 @@
         Some(resumed) => find_origin(entry, request, resumed).await,
         None => (find_kept_origin(entry, request, None).await, AgentReplies::default()),
     };
+    let lookup = if lookup.service().is_none() && may_have_moved(entry, request) {
+        Lookup::Unknown
+    } else {
+        lookup
+    };
     let (service, version) = (lookup.service(), lookup.software_version());
     let has_moved = service.is_some_and(|service| !request.route.leads_to(service));
     let outcome = if has_moved { "moved" } else { lookup.as_str() };
@@ -182,6 +189,12 @@
     Ok(())
 }
 
+/// Returns whether the stream that a request takes up may have begun at another service of late.
+fn may_have_moved<D: Dialect>(entry: &Entry<D>, request: &CallerRequest) -> bool {
+    let moved = &entry.state.borrow().origins.moved;
+    moved.has_moved(entry.now(), &request.route, request.uri.path())
+}
+
 /// Sends a request to a service of its route, since other weights may have drawn another one.
 fn keep_service<D: Dialect>(entry: &Entry<D>, request: &mut CallerRequest, service: &ServiceName) {
     let state = entry.state.borrow();
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -16,6 +16,7 @@
 use filbertcleat_serve::CallerLimits;
 use filbertcleat_serve::CatalogueEpoch;
 use filbertcleat_serve::CurrentDeployment;
+use filbertcleat_serve::Deployment;
 use filbertcleat_serve::DeploymentChange;
 use filbertcleat_serve::EpochChange;
 use filbertcleat_serve::Fleet;
@@ -259,12 +260,14 @@
         let state = &mut *self.state.borrow_mut();
         match event {
             CatalogueEvent::Deployment(deployment) => {
-                let (version, before) = (deployment.version, state.deployment.version());
+                let version = deployment.version;
+                let before = state.deployment.get().cloned();
                 match state.deployment.offer(deployment) {
-                    DeploymentChange::Applied => self.on_configured(now, &state.deployment, before),
+                    DeploymentChange::Applied => self.on_configured(now, state, before.as_deref()),
                     DeploymentChange::Ignored => {}
                     DeploymentChange::Undecided => log::info!(
-                        "event=configuration-undecided version={version} before={before}"
+                        "event=configuration-undecided version={version} before={}",
+                        state.deployment.version()
                     ),
                 }
             }
@@ -310,18 +313,23 @@
         if is_list {
             state.deployment.on_topic_listed();
         }
-        let before = state.deployment.version();
+        let before = state.deployment.get().cloned();
         if state.deployment.on_current_read(now) {
-            self.on_configured(now, &state.deployment, before);
+            self.on_configured(now, state, before.as_deref());
             self.dispatcher_wakeup.notify_one();
         }
     }
 
-    fn on_configured(&self, now: MonoTime, current: &CurrentDeployment, before: u64) {
+    fn on_configured(&self, now: MonoTime, state: &mut State<D>, before: Option<&Deployment>) {
+        let current = &state.deployment;
         let routes = current.get().map_or(0, |deployment| deployment.routes.len());
         let version = current.version();
-        log::info!("event=configuration version={version} before={before} routes={routes}");
+        let version_before = before.map_or(0, |deployment| deployment.version);
+        log::info!("event=configuration version={version} before={version_before} routes={routes}");
         if let Some(deployment) = current.get() {
+            if let Some(before) = before {
+                state.origins.moved.on_replaced(now, &before.routes, &deployment.routes);
+            }
             let idle_timeout_ms = deployment.limits.idle_timeout_ms;
             self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
             for problem in &deployment.problems {
--- a/crates/filbertcleat-gateway/tests/moved_routes.rs
+++ b/crates/filbertcleat-gateway/tests/moved_routes.rs
@@ -31,6 +31,8 @@
 
 const CUT_AFTER_THREE: Script = Script::EventsThenCut { count: 3 };
 const FIVE_EVENTS: Script = Script::Events { count: 5, pause: Duration::from_millis(20) };
+/// Longer than origins of streams are remembered.
+const WINDOW: Duration = Duration::from_secs(62);
 
 /// Returns a resumable route with weights of the services `writer` and `desk`.
 fn split(weights: [u64; 2]) -> Route {
@@ -148,3 +150,17 @@
         assert_eq!(arrivals(&site), [2, 1]);
     });
 }
+
+/// A stream that nobody knows may have begun at the service before. Later it is too old.
+#[test]
+fn unknown_stream_refused() {
+    World::run(async {
+        let site = start().await;
+        configure(&site.catalogue, 2, [0, 1]).await;
+
+        assert_eq!((take_up(&site.entries[0], "a").await, arrivals(&site)), (503, [0, 0]));
+
+        tokio::time::sleep(WINDOW).await;
+        assert_eq!((take_up(&site.entries[0], "a").await, arrivals(&site)), (200, [0, 1]));
+    });
+}
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -20,7 +20,8 @@
 //! - `kept_origins`: decides when origins of streams are read from the catalogue and written there
 //! - `recipients`: decides when an agent sends updates to which entries
 //! - `holders`: chooses the agents that hold what entries have to know from each other
-//! - `stream_origins`: remembers which software version began a stream
+//! - `stream_origins`: remembers which service and software version began a stream
+//! - `moved_routes`: remembers which routes have led to other services
 //! - `allowances`: limits what the requests of a workspace cost over all entries
 //! - `workspaces`: customers with API keys, priorities and allowances
 //! - `scheduler`: decides which load and unload orders an agent sends to its engine
@@ -42,6 +43,7 @@
 mod kept_origins;
 mod key;
 mod listing;
+mod moved_routes;
 mod observations;
 mod placement;
 mod priority;
@@ -137,6 +139,7 @@
 pub use listing::ListedModel;
 pub use listing::ListedServer;
 pub use listing::ListingChange;
+pub use moved_routes::MovedRoutes;
 pub use observations::ObservationPool;
 pub use observations::ServiceObservations;
 pub use placement::Placement;
