--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -335,7 +335,7 @@
             response_text(&head, &format!("started {started}"))
         };
         match identity {
-            Identity::NamelessReport if is_report => {
+            Identity::NamelessReport | Identity::NamelessThenClosed if is_report => {
                 write(stream, &response_text("HTTP/1.1 200 X\r\n", "loaded")).await
             }
             Identity::OnlyStart => {
@@ -354,9 +354,6 @@
             Identity::Silent => std::future::pending().await,
             Identity::Closed => false,
             Identity::ClosedFirst(count) if self.asked_at.borrow().len() <= count => false,
-            Identity::NamelessThenClosed if is_report => {
-                write(stream, &response_text("HTTP/1.1 200 X\r\n", "loaded")).await
-            }
             Identity::NamelessThenClosed if self.asked_at.borrow().len() <= 2 => false,
             Identity::ClosedFirst(_) | Identity::NamelessThenClosed => {
                 write(stream, &named(&self.id, 1)).await
