--- a/crates/filbertcleat-gateway/src/dialect/identity.rs
+++ b/crates/filbertcleat-gateway/src/dialect/identity.rs
@@ -1,8 +1,8 @@
-//! Who answered when a backend server was asked for its identity.
+//! The identity that a backend server states.
 
 use filbertcleat_serve::ServerId;
 
-/// Who answered when a backend server was asked for its identity.
+/// The identity that a backend server states.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ServerIdentity {
     /// The incarnation of the backend server that answered, if given.
--- a/crates/filbertcleat-gateway/src/entry/liveness.rs
+++ b/crates/filbertcleat-gateway/src/entry/liveness.rs
@@ -119,10 +119,12 @@
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => return Liveness::Ended,
         Err(_other) => return Liveness::Unknown,
     };
+    // The connection is new, so that any hash will do.
     let sent = connection.try_send(RequestHash::of("identity"), request).await;
     let Ok(response) = sent else { return Liveness::Unknown };
     let (head, body) = response.into_parts();
     let body = BackendBody::new(body, connection.allowance().clone(), BodyKind::Whole);
+    // The head may name the server also if its body is cut off.
     let read = Limited::new(body, ANSWER_MAX_BYTES).collect().await;
     let body = read.map(http_body_util::Collected::to_bytes).unwrap_or_default();
     entry.pool.keep(sender.address, connection, &head.headers);
--- a/crates/filbertcleat-gateway/src/entry/stream_position.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_position.rs
@@ -17,7 +17,7 @@
 enum Numbering {
     /// Too few events have been seen to tell.
     Unknown,
-    /// By one, from 1 if only one event has been seen.
+    /// By one. A first id of 1 counts as such.
     Consecutive,
     /// By more than one at some event.
     Sparse,
--- a/crates/filbertcleat-serve/src/kept_origins.rs
+++ b/crates/filbertcleat-serve/src/kept_origins.rs
@@ -194,7 +194,7 @@
         let single = versions.next().filter(|_| versions.next().is_none());
         match single {
             Some(version) if self.knows_all_versions(now) => {
-                // The server that began the stream was listed before that.
+                // The server that began the stream was listed before the caller came back.
                 if self.listed_at.is_some_and(|at| taken_up_at <= at) {
                     OriginVerdict::Single(version.clone())
                 } else {
