--- a/crates/filbertcleat-gateway/src/entry/kept_origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/kept_origins.rs
@@ -12,7 +12,6 @@
 use filbertcleat_serve::OriginRow;
 use filbertcleat_serve::OriginWriteStep;
 use filbertcleat_serve::OutdatedRow;
-use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::Route;
 
 use super::state::Entry;
@@ -34,8 +33,7 @@
     let now = entry.now();
     let state = &mut *entry.state.borrow_mut();
     let routes = state.deployment.get().map_or(&[][..], |deployment| &deployment.routes);
-    let is_resumable =
-        |route: &&Route| route.retry_policy == RetryPolicy::Stream { resumable: true };
+    let is_resumable = |route: &&Route| route.retry_policy.is_resumable();
     let targets = routes.iter().filter(is_resumable).flat_map(|route| &route.targets);
     let services: BTreeSet<_> = targets.map(|target| &target.service).collect();
     for service in services {
--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -14,7 +14,6 @@
 use filbertcleat_serve::MovedRoutes;
 use filbertcleat_serve::OriginVerdict;
 use filbertcleat_serve::RequestHash;
-use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::SoftwareVersion;
 use filbertcleat_serve::StreamOrigin;
 use filbertcleat_serve::StreamOrigins;
@@ -140,8 +139,7 @@
     entry: &Rc<Entry<D>>,
     request: &mut CallerRequest,
 ) -> Result<(), Refusal> {
-    let is_resumable = request.route.retry_policy == RetryPolicy::Stream { resumable: true };
-    if !is_resumable || request.metadata.last_event_id.is_none() {
+    if !request.route.retry_policy.is_resumable() || request.metadata.last_event_id.is_none() {
         return Ok(());
     }
     let resumed = request.metadata.resumed_request.as_deref().map(RequestHash::of);
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -9,7 +9,6 @@
 use filbertcleat_serve::PromptPrefix;
 use filbertcleat_serve::RequestContent;
 use filbertcleat_serve::RequestDemand;
-use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::Route;
 use filbertcleat_serve::Workspace;
 use filbertcleat_serve::Workspaces;
@@ -194,7 +193,7 @@
     let identity = identify(entry, deployment.workspaces.as_ref(), route, metadata.api_key)?;
     let id = metadata.id.clone().ok_or(Refusal::BadRequest("the request has no id"))?;
     // A stream goes on at the service that began it.
-    let is_resumable = route.retry_policy == RetryPolicy::Stream { resumable: true };
+    let is_resumable = route.retry_policy.is_resumable();
     let resumed = metadata.resumed_request.as_ref();
     let begun_by = resumed.filter(|_| is_resumable && metadata.last_event_id.is_some());
     let service = route.choose_service(begun_by.unwrap_or(&id)).ok_or(Refusal::NoRoute)?.clone();
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -4,7 +4,6 @@
 
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
-use filbertcleat_serve::RetryPolicy;
 use filbertcleat_serve::ServerId;
 use http::Response;
 use tokio::task::spawn_local;
@@ -56,7 +55,7 @@
     response.headers_mut().clone_from(&backend_response.head.headers);
     strip_connection_headers(response.headers_mut());
 
-    let is_resumable = request.route.retry_policy == RetryPolicy::Stream { resumable: true };
+    let is_resumable = request.route.retry_policy.is_resumable();
     let position = StreamPosition::after(request.metadata.last_event_id.filter(|_| is_resumable));
     let source = StreamSource::new(backend_response, attempt, position.last().is_some());
     let relay = StreamRelay {
--- a/crates/filbertcleat-serve/src/deployment/retry_policy.rs
+++ b/crates/filbertcleat-serve/src/deployment/retry_policy.rs
@@ -24,4 +24,9 @@
             Self::Stream { resumable } => resumable,
         }
     }
+
+    /// Returns whether the answer is a stream that can be resumed after an event id.
+    pub fn is_resumable(self) -> bool {
+        self == Self::Stream { resumable: true }
+    }
 }
