Build the questions for a server's identity when they are asked

Each request to a backend server built two requests that are sent only after an unframed response, which is rare. A response keeps a reference to its service instead, so that a configuration that drops the service still changes nothing (dropped_service_asked). Services of a configuration are shared for that; tests that change one make a copy.

The gateway's, serve's and prepared's tests pass.

--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -145,8 +145,11 @@
             "the backend server is no longer listed",
         ))?;
 
-    // The configuration that is in force at the end of the response may lack the service.
-    let identity_requests = identity_requests(entry, request, attempt.server());
+    let service = {
+        let state = entry.state.borrow();
+        let deployment = state.deployment.get();
+        deployment.and_then(|deployment| deployment.services.get(&request.service)).cloned()
+    };
     // A pooled connection that turns out to be closed has not transmitted the request, so another
     // connection may be tried.
     let mut is_admitted = false;
@@ -215,7 +218,7 @@
             server: attempt.server().clone(),
             address,
             started_unix_ms,
-            identity_requests,
+            service,
         };
         let (response, metadata) = begin_response(request, answer, sender, software_version);
         let validated = validate_response(entry, request, attempt, response, &metadata);
@@ -251,19 +254,6 @@
     (response, metadata)
 }
 
-/// Returns the requests to which the backend server answers with its identity, by the configuration
-/// in force.
-fn identity_requests<D: Dialect>(
-    entry: &Entry<D>,
-    request: &CallerRequest,
-    server: &ServerId,
-) -> Vec<Request<()>> {
-    let state = entry.state.borrow();
-    let deployment = state.deployment.get();
-    let service = deployment.and_then(|deployment| deployment.services.get(&request.service));
-    service.map_or_else(Vec::new, |service| entry.dialect.identity_requests(server, service))
-}
-
 /// The most connections tried before a backend server counts as unreachable.
 const CONNECTIONS_MAX: usize = 3;
 
--- a/crates/filbertcleat-gateway/src/entry/liveness.rs
+++ b/crates/filbertcleat-gateway/src/entry/liveness.rs
@@ -92,8 +92,12 @@
 
 /// Asks until an answer tells whether the process runs, if it can be asked at all.
 async fn ask_until_answered<D: Dialect>(entry: &Entry<D>, sender: &ResponseSender) -> Liveness {
+    let requests = sender
+        .service
+        .as_ref()
+        .map_or_else(Vec::new, |service| entry.dialect.identity_requests(&sender.server, service));
     let mut pause = FIRST_PAUSE;
-    for request in sender.identity_requests.iter().cycle() {
+    for request in requests.iter().cycle() {
         match ask(entry, sender, request).await {
             Liveness::Unknown => {}
             known @ (Liveness::Alive | Liveness::Ended | Liveness::Replaced) => return known,
--- a/crates/filbertcleat-gateway/src/entry/response_sender.rs
+++ b/crates/filbertcleat-gateway/src/entry/response_sender.rs
@@ -1,9 +1,10 @@
 //! The start of a backend server that sent a response, and the request.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use filbertcleat_serve::ServerId;
-use http::Request;
+use filbertcleat_serve::ServiceSpec;
 use http::StatusCode;
 
 use super::liveness::Liveness;
@@ -19,8 +20,9 @@
     pub address: SocketAddr,
     /// The Unix time of the start in milliseconds; 0 if unknown.
     pub started_unix_ms: u64,
-    /// The requests to which the server answers with its identity, the preferred one first.
-    pub identity_requests: Vec<Request<()>>,
+    /// The service, by the configuration in force when the request was sent. The one in force at the
+    /// end of the response may lack it.
+    pub service: Option<Rc<ServiceSpec>>,
 }
 
 impl ResponseSender {
--- a/crates/filbertcleat-gateway/tests/extreme_numbers.rs
+++ b/crates/filbertcleat-gateway/tests/extreme_numbers.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use filbertcleat_base::ModelName;
@@ -139,6 +140,7 @@
             };
         }
         for service in extreme.services.values_mut() {
+            let service = Rc::make_mut(service);
             service.connections_max = size;
             service.engine = service.engine.take().map(|_| EngineSpec {
                 batch_limit: number as u32,
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use filbertcleat_base::FailureDomain;
@@ -233,8 +234,8 @@
         ServiceSpec { connections_max: 100, health_path: health_path.clone(), engine: None };
     let engine = EngineSpec { batch_limit: 8, adapter_slots: 4, ..EngineSpec::default() };
     let writer = ServiceSpec { connections_max: 100, health_path, engine: Some(engine) };
-    let services =
-        BTreeMap::from([(ServiceName::new("desk"), plain), (ServiceName::new("writer"), writer)]);
+    let services = [("desk", plain), ("writer", writer)];
+    let services = services.map(|(name, spec)| (ServiceName::new(name), Rc::new(spec))).into();
     Deployment { version, routes, services, ..Deployment::default() }
 }
 
--- a/crates/filbertcleat-serve/src/deployment.rs
+++ b/crates/filbertcleat-serve/src/deployment.rs
@@ -12,6 +12,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::rc::Rc;
 
 use filbertcleat_base::ServiceName;
 
@@ -35,8 +36,8 @@
     pub version: u64,
     /// The routes.
     pub routes: Vec<Route>,
-    /// The services by name.
-    pub services: BTreeMap<ServiceName, ServiceSpec>,
+    /// The services by name. A request keeps its service after a later configuration has dropped it.
+    pub services: BTreeMap<ServiceName, Rc<ServiceSpec>>,
     /// The limits on callers' requests and connections.
     pub limits: CallerLimits,
     /// The workspaces. Without them requests need no API key.
--- a/crates/filbertcleat-serve/src/deployment_check/difference.rs
+++ b/crates/filbertcleat-serve/src/deployment_check/difference.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt::Debug;
+use std::rc::Rc;
 
 use super::Place;
 use crate::CallerLimits;
@@ -68,11 +69,13 @@
         routes.map(|route| (Place::Route(route.name.clone()), route.clone())).collect()
     };
     compare(&mut differences, &routes(before), &routes(after), route_fields);
-    let services = |deployment: &Deployment| -> BTreeMap<Place, ServiceSpec> {
+    let services = |deployment: &Deployment| -> BTreeMap<Place, Rc<ServiceSpec>> {
         let services = deployment.services.iter();
-        services.map(|(name, spec)| (Place::Service(name.clone()), spec.clone())).collect()
+        services.map(|(name, spec)| (Place::Service(name.clone()), Rc::clone(spec))).collect()
     };
-    compare(&mut differences, &services(before), &services(after), service_fields);
+    compare(&mut differences, &services(before), &services(after), |before, after| {
+        service_fields(before, after)
+    });
     let (before, after) = (held_workspaces(before), held_workspaces(after));
     compare(&mut differences, &before, &after, workspace_fields);
     differences
--- a/crates/filbertcleat-serve/tests/deployment_check.rs
+++ b/crates/filbertcleat-serve/tests/deployment_check.rs
@@ -1,5 +1,7 @@
 //! What a check of a configuration finds, and how it compares two of them.
 
+use std::rc::Rc;
+
 use filbertcleat_base::ModelName;
 use filbertcleat_base::ServiceName;
 use filbertcleat_serve::Allowance;
@@ -63,7 +65,7 @@
     Deployment {
         version: 2,
         routes: vec![route("a", "/a/"), route("root", "/")],
-        services: [(ServiceName::new("writer"), service)].into(),
+        services: [(ServiceName::new("writer"), Rc::new(service))].into(),
         workspaces: Some(Workspaces::new([workspace("w", &["k1"]), workspace("v", &["k2"])])),
         ..Deployment::default()
     }
@@ -71,7 +73,7 @@
 
 fn set_engine(deployment: &mut Deployment, change: impl FnOnce(&mut EngineSpec)) {
     let service = deployment.services.get_mut("writer").expect("the service exists");
-    change(service.engine.as_mut().expect("the service has engines"));
+    change(Rc::make_mut(service).engine.as_mut().expect("the service has engines"));
 }
 
 fn set_allowance(deployment: &mut Deployment, change: impl FnOnce(&mut Allowance)) {
@@ -156,7 +158,7 @@
 )]
 #[case::same_name(|d: &mut Deployment| d.routes.push(route("a", "/b/")), "route a", "same name")]
 #[case::unused_service(|d: &mut Deployment| {
-    d.services.insert(ServiceName::new("spare"), ServiceSpec::default());
+    d.services.insert(ServiceName::new("spare"), Rc::default());
 }, "service spare", "no route leads")]
 #[case::small_burst(
     |d: &mut Deployment| set_allowance(d, |allowance| allowance.burst = 9_999.0),
@@ -220,7 +222,7 @@
     let mut after = Deployment { version: 3, ..clean() };
     after.routes[0].timeout_ms = 2_000;
     after.routes[1] = route("new", "/new/");
-    after.services.insert(ServiceName::new("spare"), ServiceSpec::default());
+    after.services.insert(ServiceName::new("spare"), Rc::default());
     after.limits.body_max_bytes = 9;
     set_engine(&mut after, |engine| engine.batch_limit = 9);
     set_workspaces(&mut after, &[("w", &["k1", "k3", "k4"]), ("u", &["k2"])]);
