Share the log lines and the calls that tests repeat

stream_logs repeated the logger of connection_logs; unframed_streams and stream_pieces repeated their set-up, and one test of stream_pieces was a case of another. The assertions are the same.

--- a/crates/filbertcleat-gateway/tests/connection_logs.rs
+++ b/crates/filbertcleat-gateway/tests/connection_logs.rs
@@ -2,60 +2,28 @@
 
 mod support;
 
-use std::cell::RefCell;
 use std::time::Duration;
 
 use filbertcleat_serve::RetryPolicy;
-use log::LevelFilter;
-use log::Log;
-use log::Metadata;
-use log::Record;
 
 use self::support::Backend;
 use self::support::Call;
 use self::support::Script;
 use self::support::World;
+use self::support::log_lines::keep_lines;
+use self::support::log_lines::lines;
 use self::support::route;
 
 const RESPONSE: Script = Script::Respond { status: 200, body: "yes", after: Duration::ZERO };
 
-thread_local! {
-    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
-}
-
-/// Keeps the lines of each thread, and with it of each test.
-#[derive(Debug)]
-struct ThreadLines;
-
-impl Log for ThreadLines {
-    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &Record<'_>) {
-        LINES.with_borrow_mut(|lines| lines.push(record.args().to_string()));
-    }
-
-    fn flush(&self) {}
-}
-
 async fn start() -> World {
-    // A test before this one may have installed the logger.
-    let _ = log::set_logger(&ThreadLines);
-    log::set_max_level(LevelFilter::Info);
+    keep_lines();
     let desk = Backend::start("d1", RESPONSE).await;
     World::start(vec![route("book", RetryPolicy::AtMostOnce, 1)], &[&desk]).await
 }
 
-fn closes() -> Vec<String> {
-    LINES.with_borrow(|lines| {
-        let closes = lines.iter().filter(|line| line.starts_with("event=connection-closed "));
-        closes.cloned().collect()
-    })
-}
-
 fn assert_close(reason: &str, requests: u32) {
-    let lines = closes();
+    let lines = lines("connection-closed");
     assert_eq!(lines.len(), 1, "{lines:?}");
     assert!(lines[0].contains(&format!(" reason={reason} ")), "{lines:?}");
     assert!(lines[0].contains(&format!(" requests={requests} ")), "{lines:?}");
@@ -111,6 +79,6 @@
         drop(caller);
         tokio::time::sleep(Duration::from_secs(30)).await;
 
-        assert_eq!(closes(), Vec::<String>::new());
+        assert_eq!(lines("connection-closed"), Vec::<String>::new());
     });
 }
--- a/crates/filbertcleat-gateway/tests/stream_logs.rs
+++ b/crates/filbertcleat-gateway/tests/stream_logs.rs
@@ -2,13 +2,7 @@
 
 mod support;
 
-use std::cell::RefCell;
-
 use filbertcleat_serve::RetryPolicy;
-use log::LevelFilter;
-use log::Log;
-use log::Metadata;
-use log::Record;
 
 use self::support::Backend;
 use self::support::Call;
@@ -17,44 +11,12 @@
 use self::support::ScriptedStream;
 use self::support::StreamStep;
 use self::support::World;
+use self::support::log_lines::keep_lines;
+use self::support::log_lines::lines;
 use self::support::route;
 
 const RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: true };
 
-thread_local! {
-    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
-}
-
-/// Keeps the lines of each thread, and with it of each test.
-#[derive(Debug)]
-struct ThreadLines;
-
-impl Log for ThreadLines {
-    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &Record<'_>) {
-        LINES.with_borrow_mut(|lines| lines.push(record.args().to_string()));
-    }
-
-    fn flush(&self) {}
-}
-
-fn keep_lines() {
-    // A test before this one may have installed the logger.
-    let _ = log::set_logger(&ThreadLines);
-    log::set_max_level(LevelFilter::Info);
-}
-
-/// Returns the lines of an event, without its name.
-fn lines(event: &str) -> Vec<String> {
-    let prefix = format!("event={event} ");
-    LINES.with_borrow(|lines| {
-        lines.iter().filter_map(|line| line.strip_prefix(&prefix).map(str::to_owned)).collect()
-    })
-}
-
 fn stream(steps: &[StreamStep]) -> Script {
     let steps = steps.to_vec();
     Script::Stream(ScriptedStream {
--- a/crates/filbertcleat-gateway/tests/stream_pieces.rs
+++ b/crates/filbertcleat-gateway/tests/stream_pieces.rs
@@ -9,6 +9,7 @@
 use filbertcleat_serve::ListedServer;
 use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::RetryPolicy;
+use filbertcleat_serve::Route;
 use rstest::rstest;
 
 use self::support::Backend;
@@ -46,7 +47,11 @@
 
 /// Starts an entry with a server and a distant one, which is the second choice.
 async fn start(attempts_max: u32, near: &Backend, far: &Backend) -> World {
-    let world = World::start(vec![route("write", RESUMABLE, attempts_max)], &[near]).await;
+    start_route(route("write", RESUMABLE, attempts_max), near, far).await
+}
+
+async fn start_route(route: Route, near: &Backend, far: &Backend) -> World {
+    let world = World::start(vec![route], &[near]).await;
     let far = ListedServer { domain: FailureDomain::new("there"), ..listed(far) };
     world.catalogue.write(CatalogueEvent::Listing(ListingChange::Upserted(far)));
     tokio::time::sleep(LISTING_DELAY).await;
@@ -58,15 +63,17 @@
     reply.expect("a response head")
 }
 
-/// A server that goes on after a later event than it was asked to leaves a gap.
+/// A server that goes on after a later event than it was asked to leaves a gap, and where an event
+/// without an id belongs can't be told.
 #[rstest]
-#[case::later(StreamStep::Skip(1))]
-#[case::from_the_start(StreamStep::Rewind)]
-fn wrong_start_not_joined(#[case] wrong: StreamStep) {
+#[case::later(&[StreamStep::Skip(1)])]
+#[case::from_the_start(&[StreamStep::Rewind])]
+#[case::unnumbered(&[StreamStep::Rewind, StreamStep::Unnumbered])]
+fn wrong_start_not_joined(#[case] wrong: &'static [StreamStep]) {
     World::run(async move {
         let one = Backend::start("w1", stream(&[])).await;
         one.script_next(stream(&[StreamStep::Events(2), StreamStep::Reset]));
-        one.script_next(stream(&[wrong]));
+        one.script_next(stream(wrong));
         let world = World::start(vec![route("write", RESUMABLE, 2)], &[&one]).await;
 
         let reply = call(&world).await;
@@ -195,21 +202,6 @@
     });
 }
 
-/// Where an event without an id belongs can't be told.
-#[test]
-fn unnumbered_start_not_joined() {
-    World::run(async {
-        let one = Backend::start("w1", stream(&[])).await;
-        one.script_next(stream(&[StreamStep::Events(2), StreamStep::Reset]));
-        one.script_next(stream(&[StreamStep::Rewind, StreamStep::Unnumbered]));
-        let world = World::start(vec![route("write", RESUMABLE, 2)], &[&one]).await;
-
-        let reply = call(&world).await;
-
-        assert_eq!((numbers(&reply), reply.is_complete), (vec![1, 2], false));
-    });
-}
-
 /// A server that goes on wrongly is asked once for a stream that stalls several times.
 #[test]
 fn wrong_server_asked_once() {
@@ -219,10 +211,7 @@
         let wrong = Backend::start("w2", stream(&[StreamStep::Skip(1)])).await;
         let mut slow = route("write", RESUMABLE, 5);
         slow.latency_objective_ms = 2_500;
-        let world = World::start(vec![slow], &[&silent]).await;
-        let far = ListedServer { domain: FailureDomain::new("there"), ..listed(&wrong) };
-        world.catalogue.write(CatalogueEvent::Listing(ListingChange::Upserted(far)));
-        tokio::time::sleep(LISTING_DELAY).await;
+        let world = start_route(slow, &silent, &wrong).await;
         let request = Call { wait_ms: 9_000, ..Call::new("a", "/write/1") };
 
         let reply = world.caller().await.call(&request).await.expect("a response head");
--- a/crates/filbertcleat-gateway/tests/support/mod.rs
+++ b/crates/filbertcleat-gateway/tests/support/mod.rs
@@ -9,6 +9,7 @@
 mod demanding_entry;
 mod dialect;
 pub mod idle_agent;
+pub mod log_lines;
 pub mod panic_count;
 pub mod power_site;
 mod scripted_stream;
--- a/crates/filbertcleat-gateway/tests/unframed_streams.rs
+++ b/crates/filbertcleat-gateway/tests/unframed_streams.rs
@@ -14,6 +14,7 @@
 use self::support::Script;
 use self::support::World;
 use self::support::backend::event;
+use self::support::caller::Reply;
 use self::support::route;
 
 const NOT_RESUMABLE: RetryPolicy = RetryPolicy::Stream { resumable: false };
@@ -29,6 +30,15 @@
     Script::UnframedThenEnd { body: events(3), after: Duration::from_millis(50), down: DOWN }
 }
 
+/// Starts an entry with a server, and returns the reply to a stream's request with the time that
+/// it took.
+async fn call(writer: &Backend) -> (World, Reply, Duration) {
+    let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[writer]).await;
+    let started = Instant::now();
+    let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+    (world, reply.expect("a response head"), started.elapsed())
+}
+
 /// A process that ends closes its connections in order, also between two events.
 #[test]
 fn ended_server_cuts() {
@@ -77,13 +87,10 @@
     World::run(async {
         let writer = Backend::start("w1", Script::Unframed { body: events(3) }).await;
         writer.identify_as(identity);
-        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
-        let started = Instant::now();
-
-        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+        let (_, reply, took) = call(&writer).await;
 
-        assert!(!reply.expect("a response head").is_complete);
-        assert!(started.elapsed() < Duration::from_secs(4), "{:?}", started.elapsed());
+        assert!(!reply.is_complete);
+        assert!(took < Duration::from_secs(4), "{took:?}");
         assert!(writer.asked_at.borrow().len() <= 4, "{:?}", writer.asked_at);
     });
 }
@@ -104,15 +111,11 @@
     World::run(async {
         let writer = Backend::start("w1", Script::Unframed { body: events(3) }).await;
         writer.identify_as(identity);
-        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
-        let started = Instant::now();
+        let (world, reply, took) = call(&writer).await;
 
-        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
-
-        let reply = reply.expect("a response");
         assert!(reply.is_complete);
         assert_eq!(reply.body, events(3));
-        assert!(started.elapsed() <= Duration::from_millis(limit_ms), "{:?}", started.elapsed());
+        assert!(took <= Duration::from_millis(limit_ms), "{took:?}");
         assert_eq!(writer.asked_at.borrow().len(), questions);
         let ends = world.metric("filbertcleat_stream_ends{framing=\"connection\"}").await;
         assert_eq!(ends, Some(1));
