Name a changed health path among the differences of configurations

Operators who compared two configurations were not told that a service's health path differs, a field that the check of unframed responses added. health_path_named failed before: no difference was found. Now the field is compared like the others.

--- a/crates/filbertcleat-serve/src/deployment_check/difference.rs
+++ b/crates/filbertcleat-serve/src/deployment_check/difference.rs
@@ -159,6 +159,7 @@
 
 fn service_fields(before: &ServiceSpec, after: &ServiceSpec) -> Vec<String> {
     let mut fields = field("connections_max", &before.connections_max, &after.connections_max);
+    fields.extend(field("health_path", &before.health_path, &after.health_path));
     match (&before.engine, &after.engine) {
         (Some(before), Some(after)) => fields.extend(engine_fields(before, after)),
         (before, after) => fields.extend(field("engine", &before.is_some(), &after.is_some())),
--- a/crates/filbertcleat-serve/tests/deployment_check.rs
+++ b/crates/filbertcleat-serve/tests/deployment_check.rs
@@ -216,6 +216,19 @@
     assert!(found.iter().all(|finding| finding.severity == Severity::Error));
 }
 
+/// Guards against a change of the path at which servers are asked whether they run being left out.
+#[test]
+fn health_path_named() {
+    let mut after = clean();
+    let service = after.services.get_mut("writer").expect("the service exists");
+    Rc::make_mut(service).health_path = Some("/healthz".to_owned());
+
+    let found = deployment_differences(&clean(), &after);
+
+    let [difference] = found.as_slice() else { panic!("{found:?}") };
+    assert!(difference.fields.concat().contains("health_path"), "{difference:?}");
+}
+
 /// Guards against a change being sent that its author did not intend.
 #[test]
 fn differences_named() {
