Refuse take-ups that name no request on shared routes

Callers who took up a stream without naming the request that began it, on a route of several services, got the end of another service's text.

The service was drawn by the id of the take-up itself, and a single software version of that service counted as proof of the origin. Nothing tells the service in this case, so that the take-up is refused now (503 with Retry-After, `unknown`). With one service behind the route such take-ups go on as before.

--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -134,7 +134,8 @@
 ///
 /// Returns a refusal if the version is unknown, unless only one has served in the last minute,
 /// because the parts that two versions write do not fit together. The same holds for a service that
-/// is unknown after the route has led elsewhere, or to which it does not lead any more.
+/// is unknown after the route has led elsewhere, or as several share the route and the caller names
+/// no request, and for one to which the route does not lead any more.
 pub(super) async fn restrict_software<D: Dialect>(
     entry: &Rc<Entry<D>>,
     request: &mut CallerRequest,
@@ -145,7 +146,11 @@
     let resumed = request.metadata.resumed_request.as_deref().map(RequestHash::of);
     let (lookup, agents) = match resumed {
         Some(resumed) => find_origin(entry, request, resumed).await,
-        None => (find_kept_origin(entry, request, None).await, AgentReplies::default()),
+        None if request.route.only_service().is_some() => {
+            (find_kept_origin(entry, request, None).await, AgentReplies::default())
+        }
+        // Which service of the route began the stream depends on the id that is not named.
+        None => (Lookup::Unknown, AgentReplies::default()),
     };
     let lookup = if lookup.service().is_none() && may_have_moved(entry, request) {
         Lookup::Unknown
--- a/crates/filbertcleat-serve/src/deployment/route.rs
+++ b/crates/filbertcleat-serve/src/deployment/route.rs
@@ -52,6 +52,14 @@
         self.targets.iter().any(|target| target.service == *service && target.weight > 0)
     }
 
+    /// Returns the service to which all requests of the route go; `None` if several share them, or
+    /// there is none.
+    pub fn only_service(&self) -> Option<&ServiceName> {
+        let mut services = self.targets.iter().filter(|target| target.weight > 0);
+        let first = &services.next()?.service;
+        services.all(|target| target.service == *first).then_some(first)
+    }
+
     /// Selects the service of a request from a hash of its id, in proportion to the targets'
     /// weights. Returns `None` if all weights are 0.
     pub fn choose_service(&self, request_id: &str) -> Option<&ServiceName> {
--- a/crates/filbertcleat-serve/tests/routes.rs
+++ b/crates/filbertcleat-serve/tests/routes.rs
@@ -83,3 +83,15 @@
     assert_eq!(route("empty", "a.example", "/", &[]).choose_service("request"), None);
     assert_eq!(route("zero", "a.example", "/", &[("one", 0)]).choose_service("request"), None);
 }
+
+#[rstest]
+#[case::one(&[("one", 3)], Some("one"))]
+#[case::others_without_weight(&[("none", 0), ("one", 1)], Some("one"))]
+#[case::one_named_twice(&[("one", 1), ("one", 2)], Some("one"))]
+#[case::shared(&[("one", 1), ("other", 1)], None)]
+#[case::no_weight(&[("none", 0)], None)]
+fn only_service_found(#[case] weights: &[(&str, u64)], #[case] expected: Option<&str>) {
+    let route = route("split", "a.example", "/", weights);
+
+    assert_eq!(route.only_service().map(ServiceName::as_str), expected);
+}
