Believe an agent's update only about the engine beside it

Callers got 503 "no backend server of the service" from a server that was well. An entry applied an agent's update without an engine's id to the first listed server at the sender's IP address, also to one of a service without an engine, for which no agent ever sends another update: it stayed "leaving" for good. Updates with an id were applied to a server at any address, and one about a server that was not listed marked its id as leaving for all its starts, as no start was known; that mark is passed on to all entries.

--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -14,6 +14,7 @@
 use filbertcleat_serve::EntryUpdate;
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::ModelDemand;
+use filbertcleat_serve::Server;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::ServiceObservations;
 
@@ -186,32 +187,50 @@
                 continue;
             }
         };
-        apply_agent_notice(&entry, &update);
+        let engine = find_engine(&entry.state.borrow(), from, &update.server);
+        let Some((server, started_unix_ms)) = engine else {
+            log::debug!("event=news-unexpected peer={from} server={}", update.server);
+            continue;
+        };
+        apply_agent_notice(&entry, &update, started_unix_ms);
+        update.server = server;
         let now = entry.now();
-        let fleet = &mut entry.state.borrow_mut().fleet;
-        if update.server.as_str().is_empty() {
-            // An engine that reports no id is the backend server at the IP address of its agent.
-            let server = fleet.servers().find(|server| server.listed.address.ip() == from.ip());
-            let Some(server) = server else { continue };
-            update.server = server.listed.id.clone();
-        }
-        fleet.apply_update(now, update);
+        entry.state.borrow_mut().fleet.apply_update(now, update);
         entry.dispatcher_wakeup.notify_one();
     }
 }
 
+/// Returns the engine that an agent's update is about, and the Unix time of its start in
+/// milliseconds. Returns `None` if the update can't be from the agent beside that engine; servers of
+/// services without engines have no agents.
+fn find_engine<D: Dialect>(
+    state: &State<D>,
+    from: SocketAddr,
+    id: &ServerId,
+) -> Option<(ServerId, u64)> {
+    let deployment = state.deployment.get()?;
+    let is_beside = |server: &&Server| {
+        let service = deployment.services.get(&server.listed.service);
+        server.listed.address.ip() == from.ip()
+            && service.is_some_and(|service| service.engine.is_some())
+    };
+    let engine = if id.as_str().is_empty() {
+        // An engine that reports no id is the one at the IP address of its agent.
+        state.fleet.servers().find(is_beside)
+    } else {
+        state.fleet.server(id).filter(is_beside)
+    };
+    engine.map(|server| (server.listed.id.clone(), server.listed.started_unix_ms))
+}
+
 /// Applies what an engine announced to its agent. A pause concerns the agent only.
 ///
 /// Without the engine's id the announcement holds only until the agent's next update: the engine
 /// at that address may have started again under another id.
-fn apply_agent_notice<D: Dialect>(entry: &Entry<D>, update: &AgentUpdate) {
+fn apply_agent_notice<D: Dialect>(entry: &Entry<D>, update: &AgentUpdate, started_unix_ms: u64) {
     if update.server.as_str().is_empty() {
         return;
     }
-    let started_unix_ms = {
-        let state = entry.state.borrow();
-        state.fleet.server(&update.server).map_or(0, |server| server.listed.started_unix_ms)
-    };
     let AgentUpdate { is_leaving, limit, .. } = *update;
     let notice = ServerNotice { is_leaving, limit, ..ServerNotice::default() };
     apply_notice(entry, &update.server, started_unix_ms, notice, NoticeSource::Agent);
--- a/crates/filbertcleat-gateway/tests/malformed_updates.rs
+++ b/crates/filbertcleat-gateway/tests/malformed_updates.rs
@@ -166,15 +166,15 @@
     prop_oneof![
         (vec(fact, 0..6), any::<bool>())
             .prop_map(|(facts, complete)| Update::Facts(v1::Facts { facts, complete })),
-        (whole(), name()).prop_map(|(request, software_version)| {
-            let service = Some(software_version.clone());
+        (whole(), name(), option::of(name())).prop_map(|(request, software_version, service)| {
             Update::Origin(v1::StreamOrigin { request, software_version, service })
         }),
         whole().prop_map(|request| Update::OriginQuery(v1::OriginQuery { request })),
-        (whole(), option::of(name())).prop_map(|(request, software_version)| {
-            let service = software_version.clone();
-            Update::OriginReply(v1::OriginReply { request, software_version, service })
-        }),
+        (whole(), option::of(name()), option::of(name())).prop_map(
+            |(request, software_version, service)| {
+                Update::OriginReply(v1::OriginReply { request, software_version, service })
+            }
+        ),
     ]
     .boxed()
 }
