Resume a broken stream at a server that has not left it off

A stream that a living server had broken off could go back to that server while another one was free: only the backoff after a failure (250 ms) and the failure rate kept it away, so that a stream which broke off a second time, or whose silent server broke it off while another was asked for the rest, returned to the first server if the free one had failed other requests before. The server may break it off again, and each time takes one of the attempts of the route.

A request lists the servers that have left its stream off, broken or silent. Placement compares servers that have room first by whether they are listed, then by their cost: another server of the same service and version comes first, and with none that has room the same one goes on as before. How long a request waits for room does not change.

--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -93,6 +93,7 @@
         adapter: metadata.adapter.clone(),
         min_version: 0,
         software_version: None,
+        last_choices: Vec::new(),
         crash_suspects: [CrashSuspect::Content(content)].into_iter().chain(parts).collect(),
         prefixes: prompt_prefixes(&metadata),
         prompt_tokens: metadata.prompt_tokens.min(tokens_max),
--- a/crates/filbertcleat-gateway/src/entry/stream_moves.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_moves.rs
@@ -38,7 +38,7 @@
         }
         self.request.attempts += 1;
         let (server, counted) = (attempt.server().clone(), Rc::clone(attempt.counted()));
-        let mut silent = Some(source);
+        let (mut silent, mut broken) = (Some(source), None);
         let opened = {
             let mut opening = pin!(self.open_with_event(attempt));
             let deadline = self.request.deadline;
@@ -57,16 +57,18 @@
                             return Some(source);
                         }
                         self.log_event("stream-broken", source.server(), "while the stream moves");
+                        broken = Some(source.server().clone());
                         source.abandon(AttemptOutcome::Broken);
                     }
                     opened = &mut opening => break opened,
                 }
             }
         };
+        self.request.demand.last_choices.extend(broken);
         match opened {
             Ok(moved) => {
                 if let Some(silent) = silent {
-                    silent.abandon(AttemptOutcome::Silent);
+                    self.leave(silent, AttemptOutcome::Silent);
                 }
                 self.log_resumed(&moved);
                 Some(moved)
@@ -111,6 +113,12 @@
         }
     }
 
+    /// Ends the stream at a backend server that has left it off.
+    pub(super) fn leave(&mut self, source: StreamSource<D>, outcome: AttemptOutcome) {
+        self.request.demand.last_choices.push(source.server().clone());
+        source.abandon(outcome);
+    }
+
     /// Resumes a broken stream, unless the caller disconnects first.
     pub(super) async fn resume_for_caller(&mut self) -> Option<StreamSource<D>> {
         let failure = AttemptFailure::unknown(AttemptOutcome::Broken, "the stream broke off");
--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -134,7 +134,7 @@
                 }
                 StreamEnd::Stalled => self.move_stalled(source).await,
                 StreamEnd::Broken => {
-                    source.abandon(AttemptOutcome::Broken);
+                    self.leave(source, AttemptOutcome::Broken);
                     if self.can_resume() {
                         self.resume_for_caller().await
                     } else {
--- a/crates/filbertcleat-serve/src/placement.rs
+++ b/crates/filbertcleat-serve/src/placement.rs
@@ -1,5 +1,7 @@
 //! Selects the backend server of a request.
 
+use std::cmp::Ordering;
+
 use filbertcleat_base::FailureDomain;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::mix_hashes;
@@ -147,12 +149,8 @@
                 && !wait.reserved.contains(&server.listed.id)
         })
         .min_by(|left, right| {
-            engine_cost_ms(now, left, demand, local_domain).total_cmp(&engine_cost_ms(
-                now,
-                right,
-                demand,
-                local_domain,
-            ))
+            let cost_ms = |server: &Server| engine_cost_ms(now, server, demand, local_domain);
+            compare(demand, left, right, cost_ms)
         });
     if let Some(server) = available_engine {
         return Placement::Send(server.listed.id.clone());
@@ -318,7 +316,7 @@
     let cheapest = |only_usable: bool| {
         candidates(only_usable)
             .filter(|server| !avoided.contains(&server.listed.id))
-            .min_by(|left, right| cost_ms(left).total_cmp(&cost_ms(right)))
+            .min_by(|left, right| compare(demand, left, right, cost_ms))
     };
     if times.is_some()
         && let Some(other) = choose_sample(fleet, || {
@@ -387,6 +385,18 @@
     server.open_requests < server.listed.concurrency_limit.max(1)
 }
 
+/// Compares two servers that have room for a request; the lesser one should get it.
+fn compare(
+    demand: &RequestDemand,
+    left: &Server,
+    right: &Server,
+    cost_ms: impl Fn(&Server) -> f64,
+) -> Ordering {
+    let is_last = |server: &Server| demand.is_last_choice(&server.listed.id);
+    let by_cost = || cost_ms(left).total_cmp(&cost_ms(right));
+    is_last(left).cmp(&is_last(right)).then_with(by_cost)
+}
+
 /// Returns the cost of sending a request to an engine, as an equivalent delay.
 fn engine_cost_ms(
     now: MonoTime,
--- a/crates/filbertcleat-serve/src/request.rs
+++ b/crates/filbertcleat-serve/src/request.rs
@@ -11,6 +11,7 @@
 use crate::AdapterKey;
 use crate::CrashSuspect;
 use crate::PromptPrefix;
+use crate::ServerId;
 use crate::SoftwareVersion;
 
 /// The properties of a request that affect its placement.
@@ -28,6 +29,9 @@
     pub min_version: u64,
     /// The only software version that may serve the request, if it continues a stream.
     pub software_version: Option<SoftwareVersion>,
+    /// The servers that have left off the stream. They get the rest of it only if no other server has
+    /// room, because they may leave off again.
+    pub last_choices: Vec<ServerId>,
     /// What other requests may hold too and may crash servers: the content of the request and the
     /// parts of the prompt.
     pub crash_suspects: Rc<[CrashSuspect]>,
@@ -53,6 +57,11 @@
         self.software_version.as_ref().is_none_or(|allowed| allowed == version)
     }
 
+    /// Returns whether a backend server should get the request only if no other one has room.
+    pub(crate) fn is_last_choice(&self, server: &ServerId) -> bool {
+        self.last_choices.contains(server)
+    }
+
     /// Returns whether the request has no prompt to be read, and its response comes as a whole.
     pub fn is_plain(&self) -> bool {
         self.prompt_tokens == 0 && self.gap_objective_ms == 0
--- a/crates/filbertcleat-serve/tests/placement.rs
+++ b/crates/filbertcleat-serve/tests/placement.rs
@@ -11,8 +11,10 @@
 use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::Placement;
 use filbertcleat_serve::QueueWait;
+use filbertcleat_serve::RequestDemand;
 use filbertcleat_serve::place_engine;
 use filbertcleat_serve::place_plain;
+use rstest::rstest;
 
 use self::support::agent_update;
 use self::support::at;
@@ -57,7 +59,7 @@
 #[test]
 fn older_version_is_insufficient() {
     let fleet = fleet(at(0), &[("a", &["x"])]);
-    let newer = filbertcleat_serve::RequestDemand { min_version: 2, ..demand("x", 500) };
+    let newer = RequestDemand { min_version: 2, ..demand("x", 500) };
 
     let placement = place_engine(
         at(0),
@@ -80,7 +82,7 @@
         let loaded: [(&str, &[&str]); 2] = [("a", &[]), ("b", &[])];
         let mut fleet = fleet(at(0), &loaded);
         fleet.apply_update(at(0), agent_update(older, 2, &["x"]));
-        let newer = filbertcleat_serve::RequestDemand { min_version: 2, ..demand("x", 500) };
+        let newer = RequestDemand { min_version: 2, ..demand("x", 500) };
 
         let placement = place_engine(
             at(0),
@@ -257,6 +259,33 @@
     assert_eq!(place_plain(at(0), &fleet, &demand, &local_domain(), &[]), Some(id("d")));
 }
 
+/// Guards against a stream that returns to the server which left it off while another has room.
+#[rstest]
+#[case::broken_one(&["a"], "b")]
+#[case::broken_both(&["a", "b"], "a")]
+#[case::none_broken(&[], "a")]
+fn last_choice_is_last(#[case] left: &[&str], #[case] expected: &str) {
+    let mut fleet = fleet(at(0), &[("a", &["x"]), ("b", &["x"])]);
+    let last_choices: Vec<_> = left.iter().copied().map(id).collect();
+    let engine_demand = RequestDemand { last_choices, ..demand("x", 500) };
+    let plain_demand = RequestDemand { prompt_tokens: 0, ..engine_demand.clone() };
+    // The other one costs more.
+    fleet.on_sent(at(0), &id("b"), &demand("x", 0));
+    let place = |fleet: &Fleet| {
+        let wait = QueueWait { load_ms: 1_000, ..QueueWait::default() };
+        place_engine(at(1), fleet, &engine_spec(), &engine_demand, &local_domain(), &[], wait)
+    };
+
+    let plain = place_plain(at(1), &fleet, &plain_demand, &local_domain(), &[]);
+    assert_eq!(plain, Some(id(expected)));
+    assert_eq!(place(&fleet), Placement::Send(id(expected)));
+
+    let mut full = agent_update("b", 2, &["x"]);
+    full.running_requests = 8;
+    fleet.apply_update(at(1), full);
+    assert_eq!(place(&fleet), Placement::Send(id("a")), "no other has room");
+}
+
 #[test]
 fn failed_server_as_last_resort() {
     let mut fleet = fleet(at(0), &[("a", &[])]);
--- a/crates/filbertcleat-serve/tests/support/mod.rs
+++ b/crates/filbertcleat-serve/tests/support/mod.rs
@@ -112,6 +112,7 @@
         adapter: Some(key(adapter)),
         min_version: 0,
         software_version: None,
+        last_choices: Vec::new(),
         crash_suspects: Vec::new().into(),
         prefixes: Vec::new().into(),
         prompt_tokens,
