Keep the targets of routes for entries that start after a move

Callers who took up a stream after all entries and agents had lost power got the end of another service's text if the route of the stream had moved.

An entry remembers moves of routes that it sees itself. One that has started since took the configuration that it found for the one that was always in force, and concluded from a single software version of the new service that the stream could go on there (`single`). A row written by entries that saw the move would not do: power may be lost before any of them has seen it.

One row of the catalogue now tells which targets the resumable routes had and how long ago they changed, if that was within a minute. An entry that starts reads it in the list of facts that it calls for anyway, and counts each difference to the configuration as a move. After a loss of power without a move the targets agree, so that nothing more is refused than before.

Found by reading and left: an entry whose configuration is behind may let a stream go on at the former service (docs/design/stream-origins.md, "What remains").

--- a/crates/filbertcleat-gateway/src/catalogue.rs
+++ b/crates/filbertcleat-gateway/src/catalogue.rs
@@ -12,6 +12,7 @@
 use filbertcleat_serve::KeptRow;
 use filbertcleat_serve::OriginRow;
 use filbertcleat_serve::OutdatedRow;
+use filbertcleat_serve::RouteRow;
 
 pub use self::data::CatalogueData;
 pub use self::event::CatalogueEvent;
@@ -36,6 +37,9 @@
     /// Replaces the row that keeps marks, if it still has the version of `row`.
     fn keep(&self, row: &KeptRow) -> impl Future<Output = KeepResponse<KeptRow>>;
 
+    /// Replaces the row that keeps the targets of routes, if it still has the version of `row`.
+    fn keep_routes(&self, row: &RouteRow) -> impl Future<Output = KeepResponse<RouteRow>>;
+
     /// Replaces the row in which a node keeps origins of streams, if it still has the version of
     /// `row`.
     fn keep_origins(&self, row: &OriginRow) -> impl Future<Output = KeepResponse<OriginRow>>;
--- a/crates/filbertcleat-gateway/src/catalogue/event.rs
+++ b/crates/filbertcleat-gateway/src/catalogue/event.rs
@@ -5,6 +5,7 @@
 use filbertcleat_serve::KeptRow;
 use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::OriginRow;
+use filbertcleat_serve::RouteRow;
 
 /// A current entry of the catalogue, or a change of one.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,6 +23,8 @@
     Listing(ListingChange),
     /// The row that keeps marks of crashes.
     Kept(KeptRow),
+    /// The row that keeps the targets of routes.
+    Routes(RouteRow),
     /// A row in which an entry keeps origins of streams.
     Origins(OriginRow),
 }
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -32,6 +32,7 @@
 mod in_flight;
 mod kept_facts;
 mod kept_origins;
+mod kept_routes;
 mod liveness;
 mod notices;
 mod open_connection;
@@ -76,6 +77,7 @@
 use self::kept_facts::keep_facts;
 use self::kept_origins::read_origins;
 use self::kept_origins::write_origins;
+use self::kept_routes::write_routes;
 use self::readiness::serve_readiness;
 use self::state::Entry;
 use crate::Catalogue;
@@ -148,7 +150,11 @@
         .map_err(|error| Fault::new(Step::Connect, peer_address, error))?;
     let entry =
         Rc::new(Entry::new(settings.clone(), dialect, peers, retry_budget, shutdown.clone()));
-    log::info!("event=start role=entry node={} peers={peer_address}", settings.name);
+    log::info!(
+        "event=start role=entry node={} peers={peer_address} first_start={}",
+        settings.name,
+        settings.is_first_start
+    );
 
     for (task, topic) in [("operators-watch", Topic::Operators), ("servers-watch", Topic::Servers)]
     {
@@ -159,6 +165,8 @@
     spawn_task(&entry, "facts", move |entry| keep_facts(entry, kept.clone()));
     let listed = catalogue.clone();
     spawn_task(&entry, "origin-lists", move |entry| read_origins(entry, listed.clone()));
+    let routes = catalogue.clone();
+    spawn_task(&entry, "route-row", move |entry| write_routes(entry, routes.clone()));
     spawn_task(&entry, "origin-rows", move |entry| write_origins(entry, catalogue.clone()));
     spawn_task(&entry, "agent-updates", receive_agent_updates);
     spawn_task(&entry, "allowances", run_allowances);
--- a/crates/filbertcleat-gateway/src/entry/kept_facts.rs
+++ b/crates/filbertcleat-gateway/src/entry/kept_facts.rs
@@ -10,6 +10,7 @@
 use filbertcleat_serve::Fact;
 use filbertcleat_serve::KeepStep;
 use filbertcleat_serve::KeptRow;
+use filbertcleat_serve::RouteRow;
 
 use super::catalogue_watch::wait_for;
 use super::facts::FactSource;
@@ -96,22 +97,39 @@
         };
         self.on_success();
         self.cursor = cursor;
-        let mut rows = events.into_iter().filter_map(|event| match event {
-            CatalogueEvent::Kept(row) => Some(row),
-            CatalogueEvent::Deployment(_)
-            | CatalogueEvent::AdapterVersion { .. }
-            | CatalogueEvent::Listing(_)
-            | CatalogueEvent::Origins(_) => None,
-        });
-        // A watch call without a change says nothing of the row; a list without it, that there is
-        // none.
-        let row = rows.next_back().or_else(|| is_list.then(KeptRow::default));
+        // A watch call without a change says nothing of a row; a list without it, that there is none.
+        let (mut row, mut routes) =
+            (is_list.then(KeptRow::default), is_list.then(RouteRow::default));
+        for event in events {
+            match event {
+                CatalogueEvent::Kept(kept) => row = Some(kept),
+                CatalogueEvent::Routes(kept) => routes = Some(kept),
+                CatalogueEvent::Deployment(_)
+                | CatalogueEvent::AdapterVersion { .. }
+                | CatalogueEvent::Listing(_)
+                | CatalogueEvent::Origins(_) => {}
+            }
+        }
+        if let Some(routes) = routes {
+            self.apply_routes(&routes);
+        }
         if let Some(row) = row {
             self.merge(&row);
             self.entry.state.borrow_mut().kept.on_read(row);
         }
     }
 
+    fn apply_routes(&self, row: &RouteRow) {
+        let now = self.entry.now();
+        self.entry.state.borrow_mut().origins.routes.on_read(now, row);
+        self.entry.routes_changed.notify_one();
+        log::info!(
+            "event=routes-read version={} routes={}",
+            row.version,
+            row.routes.as_ref().map_or("-".to_owned(), |routes| routes.len().to_string()),
+        );
+    }
+
     fn apply_write(&mut self, row: KeptRow, response: KeepResponse<KeptRow>) {
         let KeepResponse { epoch, result } = response;
         match self.check_epoch(epoch, result) {
--- a/crates/filbertcleat-gateway/src/entry/kept_origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/kept_origins.rs
@@ -142,7 +142,7 @@
 
     fn rows(&self, response: Option<CatalogueResponse>) -> Result<Vec<OriginRow>, Fault> {
         let CatalogueResponse { epoch, result } = response.ok_or_else(timed_out)?;
-        let data = check_epoch(&self.entry, epoch, result)?;
+        let data = check_epoch(&self.entry, Topic::Origins, epoch, result)?;
         let CatalogueData::Events { events, .. } = data else {
             return Err(fault("the list has no rows"));
         };
@@ -151,7 +151,8 @@
             CatalogueEvent::Deployment(_)
             | CatalogueEvent::AdapterVersion { .. }
             | CatalogueEvent::Listing(_)
-            | CatalogueEvent::Kept(_) => None,
+            | CatalogueEvent::Kept(_)
+            | CatalogueEvent::Routes(_) => None,
         });
         Ok(rows.collect())
     }
@@ -170,9 +171,9 @@
     row: &OriginRow,
     response: Option<KeepResponse<OriginRow>>,
 ) {
-    let result = response
-        .ok_or_else(timed_out)
-        .and_then(|KeepResponse { epoch, result }| check_epoch(entry, epoch, result));
+    let result = response.ok_or_else(timed_out).and_then(|KeepResponse { epoch, result }| {
+        check_epoch(entry, Topic::Origins, epoch, result)
+    });
     let (streams, versions) = row
         .content
         .as_ref()
@@ -199,8 +200,9 @@
 }
 
 /// Returns the result of a call, unless the response is of another epoch of the catalogue.
-fn check_epoch<D: Dialect, T>(
+pub(super) fn check_epoch<D: Dialect, T>(
     entry: &Entry<D>,
+    topic: Topic,
     epoch: Option<u64>,
     result: Result<T, Fault>,
 ) -> Result<T, Fault> {
@@ -208,10 +210,10 @@
         // Without a response there is no epoch to compare.
         return result;
     }
-    match entry.observe_catalogue_epoch(Topic::Origins, epoch) {
+    match entry.observe_catalogue_epoch(topic, epoch) {
         EpochChange::Unchanged => result,
         EpochChange::Outdated | EpochChange::Restored => {
-            Err(fault("the catalogue was restored from a copy"))
+            Err(Fault::new(Step::Store, topic.as_str(), "the catalogue was restored from a copy"))
         }
     }
 }
@@ -225,7 +227,7 @@
 }
 
 /// Waits until a time; without one, for ever.
-async fn sleep_until<D: Dialect>(entry: &Entry<D>, until: Option<MonoTime>) {
+pub(super) async fn sleep_until<D: Dialect>(entry: &Entry<D>, until: Option<MonoTime>) {
     match until {
         Some(until) => tokio::time::sleep_until(entry.clock().instant(until)).await,
         None => std::future::pending().await,
--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -11,7 +11,7 @@
 use filbertcleat_base::ServiceName;
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::KeptOrigins;
-use filbertcleat_serve::MovedRoutes;
+use filbertcleat_serve::KeptRoutes;
 use filbertcleat_serve::OriginVerdict;
 use filbertcleat_serve::RequestHash;
 use filbertcleat_serve::SoftwareVersion;
@@ -51,14 +51,14 @@
     known: StreamOrigins,
     pub queries: HashMap<RequestHash, OpenQuery>,
     pub kept: KeptOrigins,
-    pub moved: MovedRoutes,
+    pub routes: KeptRoutes,
 }
 
 impl OriginState {
     /// Creates the state of an entry that knows no origin.
-    pub fn new(node: NodeName) -> Self {
+    pub fn new(node: NodeName, routes: KeptRoutes) -> Self {
         let (known, queries) = (StreamOrigins::default(), HashMap::new());
-        Self { known, queries, kept: KeptOrigins::new(node), moved: MovedRoutes::default() }
+        Self { known, queries, kept: KeptOrigins::new(node), routes }
     }
 }
 
@@ -194,8 +194,8 @@
 
 /// Returns whether the stream that a request takes up may have begun at another service of late.
 fn may_have_moved<D: Dialect>(entry: &Entry<D>, request: &CallerRequest) -> bool {
-    let moved = &entry.state.borrow().origins.moved;
-    moved.has_moved(entry.now(), &request.route, request.uri.path())
+    let routes = &entry.state.borrow().origins.routes;
+    routes.has_moved(entry.now(), &request.route, request.uri.path())
 }
 
 /// Sends a request to a service of its route, since other weights may have drawn another one.
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -21,6 +21,7 @@
 use filbertcleat_serve::EpochChange;
 use filbertcleat_serve::Fleet;
 use filbertcleat_serve::KeptMarks;
+use filbertcleat_serve::KeptRoutes;
 use filbertcleat_serve::RequestQueue;
 use filbertcleat_serve::RetryBudget;
 use filbertcleat_serve::Server;
@@ -76,6 +77,8 @@
     pub dispatcher_wakeup: Notify,
     /// Wakes the task that keeps facts in the catalogue.
     pub facts_changed: Notify,
+    /// Wakes the task that keeps the targets of routes in the catalogue.
+    pub routes_changed: Notify,
     /// Wakes the task that reads origins from the catalogue.
     pub origins_wanted: Notify,
     /// Wakes the task that keeps origins in the catalogue.
@@ -136,7 +139,8 @@
     ) -> Self {
         let clock = Clock::start();
         let incarnation = incarnation_id();
-        let origins = OriginState::new(settings.name.clone());
+        let routes = KeptRoutes::new(settings.is_first_start, incarnation);
+        let origins = OriginState::new(settings.name.clone(), routes);
         let caller_memory = CallerMemory::new(settings.memory_max_mb);
         let allowances = settings.allowance_bounds.as_ref();
         let allowances =
@@ -154,6 +158,7 @@
             allowances,
             dispatcher_wakeup: Notify::new(),
             facts_changed: Notify::new(),
+            routes_changed: Notify::new(),
             origins_wanted: Notify::new(),
             origins_changed: Notify::new(),
             origin_reads: watch::Sender::new(0),
@@ -277,7 +282,7 @@
             }
             CatalogueEvent::Listing(change) => state.fleet.apply_listing(now, change),
             // The tasks that keep these read the rows by themselves.
-            CatalogueEvent::Kept(_) | CatalogueEvent::Origins(_) => {}
+            CatalogueEvent::Kept(_) | CatalogueEvent::Routes(_) | CatalogueEvent::Origins(_) => {}
         }
         self.dispatcher_wakeup.notify_one();
     }
@@ -327,9 +332,9 @@
         let version_before = before.map_or(0, |deployment| deployment.version);
         log::info!("event=configuration version={version} before={version_before} routes={routes}");
         if let Some(deployment) = current.get() {
-            if let Some(before) = before {
-                state.origins.moved.on_replaced(now, &before.routes, &deployment.routes);
-            }
+            let routes_before = before.map(|before| &before.routes[..]);
+            state.origins.routes.on_configured(now, routes_before, &deployment.routes);
+            self.routes_changed.notify_one();
             let idle_timeout_ms = deployment.limits.idle_timeout_ms;
             self.idle_timeouts.borrow_mut().set(now, idle_timeout_ms);
             for problem in &deployment.problems {
--- a/crates/filbertcleat-gateway/src/settings.rs
+++ b/crates/filbertcleat-gateway/src/settings.rs
@@ -46,6 +46,8 @@
     /// The most that the clocks of two machines may differ. A start of a server that lies further in
     /// the future is not believed.
     pub clock_difference_ms: u64,
+    /// Whether the whole deployment starts for the first time.
+    pub is_first_start: bool,
     /// The memory of the process in MB. Without it, what all slow readers together hold is not
     /// bounded.
     pub memory_max_mb: Option<u64>,
--- a/crates/filbertcleat-gateway/tests/moved_routes.rs
+++ b/crates/filbertcleat-gateway/tests/moved_routes.rs
@@ -164,3 +164,90 @@
         assert_eq!((take_up(&site.entries[0], "a").await, arrivals(&site)), (200, [0, 1]));
     });
 }
+
+/// When the route of a stream moves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Move {
+    /// Entries see the configuration before they lose power.
+    BeforeLoss,
+    /// No entry sees the configuration before.
+    AfterLoss,
+    /// The route leads elsewhere for a moment.
+    AndBack,
+    Never,
+}
+
+/// An entry that starts after the move does not know the former service, and neither an agent nor a
+/// row of origins tells it.
+#[rstest]
+#[case::before_loss(Move::BeforeLoss, 503)]
+#[case::after_loss(Move::AfterLoss, 503)]
+#[case::and_back(Move::AndBack, 503)]
+#[case::never(Move::Never, 200)]
+fn started_entry_joins_nothing(#[case] when: Move, #[case] status: u16) {
+    World::run(async move {
+        let mut site = PowerSite::start_with_routes(1, vec![split([1, 0])]).await;
+        let ip = Ipv4Addr::new(127, 0, site.subnet, 103);
+        site.backends.push(Backend::start_at("d1", ip, CUT_AFTER_THREE).await);
+        site.list(0, "v1");
+        site.list(1, "v1");
+        site.run_vms(0..2, false, async |worlds| {
+            tokio::time::sleep(LISTING_DELAY).await;
+            if when == Move::AndBack {
+                configure(&site.catalogue, 2, [0, 1]).await;
+            }
+            begin(&worlds[0], "a").await;
+            match when {
+                Move::BeforeLoss => configure(&site.catalogue, 2, [0, 1]).await,
+                Move::AndBack => configure(&site.catalogue, 3, [1, 0]).await,
+                Move::AfterLoss | Move::Never => {}
+            }
+            // Entries keep what they see of a route within some seconds.
+            tokio::time::sleep(LISTING_DELAY).await;
+        })
+        .await;
+        if when == Move::AfterLoss {
+            configure(&site.catalogue, 2, [0, 1]).await;
+        }
+        site.mend_streams();
+        let begun = [0, 1].map(|server| site.backends[server].arrivals());
+
+        site.run_vms(0..2, false, async |worlds| {
+            for world in worlds {
+                assert_eq!(take_up(world, "a").await, status);
+            }
+            let arrivals = [0, 1].map(|server| site.backends[server].arrivals());
+            let resumed = if status == 200 { worlds.len() } else { 0 };
+            assert_eq!(arrivals, [begun[0] + resumed, begun[1]]);
+
+            tokio::time::sleep(WINDOW).await;
+            assert_eq!(take_up(&worlds[0], "a").await, 200);
+        })
+        .await;
+    });
+}
+
+/// Calls to the catalogue are priced: entries that find their routes in the row write nothing. A
+/// restore from a copy without the row makes them write it again.
+#[test]
+fn kept_routes_written_again() {
+    World::run(async {
+        let site = PowerSite::start_with_routes(1, vec![split([1, 0])]).await;
+        site.list(0, "v1");
+        let settle = async || tokio::time::sleep(LISTING_DELAY * 2).await;
+        site.run_vms(0..2, false, async |_| settle().await).await;
+        let written = site.catalogue.route_writes.get();
+        assert!((1..=2).contains(&written), "{written} writes of 2 entries");
+
+        site.run_vms(0..2, false, async |_| {
+            settle().await;
+            assert_eq!(site.catalogue.route_writes.get(), written);
+
+            site.catalogue.restore(site.catalogue.version());
+            assert_eq!(site.catalogue.route_row().version, 0);
+            settle().await;
+            assert!(site.catalogue.route_row().version > 0, "the row is missing");
+        })
+        .await;
+    });
+}
--- a/crates/filbertcleat-gateway/tests/support/catalogue.rs
+++ b/crates/filbertcleat-gateway/tests/support/catalogue.rs
@@ -22,6 +22,7 @@
 use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::OriginRow;
 use filbertcleat_serve::OutdatedRow;
+use filbertcleat_serve::RouteRow;
 use tokio::time::Instant;
 
 /// A catalogue in memory that tests write to.
@@ -43,6 +44,10 @@
     origins: Rc<RefCell<OriginTable>>,
     /// The rows of origins that a restore brings back.
     origins_copy: Rc<RefCell<OriginTable>>,
+    /// The row that keeps the targets of routes, and when it was written.
+    routes: Rc<RefCell<Option<(RouteRow, Instant)>>>,
+    /// The number of writes of the row of routes that arrived.
+    pub route_writes: Rc<Cell<u32>>,
     /// The time that each list of origins takes.
     pub origin_delay: Rc<Cell<Duration>>,
     /// The number of lists of origins.
@@ -83,6 +88,10 @@
                 Topic::Operators
             }
             CatalogueEvent::Kept(_) => Topic::Facts,
+            CatalogueEvent::Routes(row) => {
+                *self.routes.borrow_mut() = Some((row, Instant::now()));
+                return;
+            }
             CatalogueEvent::Origins(row) => {
                 self.origins.borrow_mut().insert(row.node.clone(), (row, Instant::now()));
                 return;
@@ -135,15 +144,17 @@
             CatalogueEvent::AdapterVersion { .. }
             | CatalogueEvent::Listing(_)
             | CatalogueEvent::Kept(_)
+            | CatalogueEvent::Routes(_)
             | CatalogueEvent::Origins(_) => None,
         });
         versions.next().unwrap_or(0)
     }
 
-    /// Restores the copy of a version and begins the next epoch.
+    /// Restores the copy of a version, which has no row of routes, and begins the next epoch.
     pub fn restore(&self, version: usize) {
         self.rows.borrow_mut().truncate(version);
         *self.origins.borrow_mut() = self.origins_copy.borrow().clone();
+        self.routes.borrow_mut().take();
         self.epoch.set(self.epoch.get().map(|epoch| epoch + 1));
     }
 
@@ -157,6 +168,12 @@
         self.origins.borrow().values().map(|(row, at)| aged(row, *at)).collect()
     }
 
+    /// Returns the row that keeps the targets of routes; version 0 if there is none.
+    pub fn route_row(&self) -> RouteRow {
+        let row = self.routes.borrow();
+        row.as_ref().map_or_else(RouteRow::default, |(row, at)| aged_routes(row, *at))
+    }
+
     /// Leaves the calls of a topic that are open now without an answer.
     pub fn silence_open_calls(&self, topic: Topic) {
         self.silenced.set(Some((topic, self.calls.get())));
@@ -213,7 +230,11 @@
         self.is_expired.set(false);
         let entries = self.after(topic, 0).map(|data| match data {
             CatalogueData::Events { events, cursor } => {
-                CatalogueData::Events { events: current(topic, events), cursor }
+                let mut events = current(topic, events);
+                if topic == Topic::Facts && self.route_row().version > 0 {
+                    events.push(CatalogueEvent::Routes(self.route_row()));
+                }
+                CatalogueData::Events { events, cursor }
             }
             CatalogueData::CursorExpired => CatalogueData::CursorExpired,
         });
@@ -254,6 +275,23 @@
         }
     }
 
+    async fn keep_routes(&self, row: &RouteRow) -> KeepResponse<RouteRow> {
+        self.begin_call();
+        let epoch = self.epoch.get();
+        if let Err(fault) = self.after(Topic::Facts, 0) {
+            return KeepResponse { epoch, result: Err(fault) };
+        }
+        self.route_writes.set(self.route_writes.get() + 1);
+        let current = self.route_row();
+        if current.version != row.version {
+            return KeepResponse { epoch, result: Ok(KeepOutcome::Conflict(current)) };
+        }
+        let version = u64::from(self.calls.get());
+        let row = RouteRow { version, ..row.clone() };
+        *self.routes.borrow_mut() = Some((row, Instant::now()));
+        KeepResponse { epoch, result: Ok(KeepOutcome::Written { version }) }
+    }
+
     async fn keep_origins(&self, row: &OriginRow) -> KeepResponse<OriginRow> {
         self.begin_call();
         self.origin_writes.borrow_mut().push(Instant::now());
@@ -317,6 +355,15 @@
     row
 }
 
+/// Returns a row of routes as it is read some time after it was written.
+fn aged_routes(row: &RouteRow, written_at: Instant) -> RouteRow {
+    let ms = u64::try_from(written_at.elapsed().as_millis()).expect("a short test");
+    let mut row = row.clone();
+    let routes = row.routes.iter_mut().flatten();
+    routes.filter_map(|route| route.moved_age_ms.as_mut()).for_each(|age_ms| *age_ms += ms);
+    row
+}
+
 /// Returns the row that keeps marks.
 fn kept_row(rows: &[(Topic, CatalogueEvent)]) -> KeptRow {
     let mut kept = rows.iter().rev().filter_map(|(_, event)| match event {
@@ -329,7 +376,18 @@
 /// Returns the current entries of a topic: of the servers' topic, the complete list.
 fn current(topic: Topic, events: Vec<CatalogueEvent>) -> Vec<CatalogueEvent> {
     match topic {
-        Topic::Operators | Topic::Origins => events,
+        Topic::Operators => {
+            let is_configuration =
+                |event: &CatalogueEvent| matches!(event, CatalogueEvent::Deployment(_));
+            let last = events.iter().rposition(is_configuration);
+            // A row holds the newest configuration only.
+            let is_current = |index| last.is_none_or(|last| index >= last);
+            let kept = events.into_iter().enumerate();
+            kept.filter(|(index, event)| is_current(*index) || !is_configuration(event))
+                .map(|(_, event)| event)
+                .collect()
+        }
+        Topic::Origins => events,
         Topic::Facts => events.into_iter().next_back().into_iter().collect(),
         Topic::Servers => {
             let mut list: Vec<ListedServer> = Vec::new();
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -164,6 +164,7 @@
             retry_budget: RetryBudgetSettings { ratio: 0.2, slack: 160.0, window_ms: 10_000 },
             allowance_bounds: Some(ALLOWANCE_BOUNDS),
             clock_difference_ms: 60_000,
+            is_first_start: true,
             memory_max_mb,
         };
         let shutdown = ShutdownSignal::default();
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -18,6 +18,7 @@
 //! - `facts`: what processes learn from answers of backend servers and tell each other
 //! - `kept_marks`: decides when marks of crashes are read from the catalogue and written there
 //! - `kept_origins`: decides when origins of streams are read from the catalogue and written there
+//! - `kept_routes`: decides what the catalogue keeps of the targets of routes
 //! - `recipients`: decides when an agent sends updates to which entries
 //! - `holders`: chooses the agents that hold what entries have to know from each other
 //! - `stream_origins`: remembers which service and software version began a stream
@@ -41,6 +42,7 @@
 mod holders;
 mod kept_marks;
 mod kept_origins;
+mod kept_routes;
 mod key;
 mod listing;
 mod moved_routes;
@@ -134,6 +136,10 @@
 pub use kept_origins::OriginWriteStep;
 pub use kept_origins::OutdatedRow;
 pub use kept_origins::SeenVersion;
+pub use kept_routes::KeptRoute;
+pub use kept_routes::KeptRoutes;
+pub use kept_routes::RouteRow;
+pub use kept_routes::RouteWriteStep;
 pub use key::AdapterKey;
 pub use key::ServerId;
 pub use listing::ListedModel;
--- a/crates/filbertcleat-serve/src/moved_routes.rs
+++ b/crates/filbertcleat-serve/src/moved_routes.rs
@@ -9,14 +9,15 @@
 use crate::Target;
 
 /// The host of a route, in lower case, and its path prefix.
-type Place = (String, String);
+pub(crate) type RoutePlace = (String, String);
 
 /// The routes whose targets changed of late.
 ///
 /// A stream that nobody knows may have begun at a service to which its route led before.
 #[derive(Clone, Debug, Default)]
 pub struct MovedRoutes {
-    moved_at: BTreeMap<Place, MonoTime>,
+    /// Until when a change is remembered.
+    moved_until: BTreeMap<RoutePlace, MonoTime>,
 }
 
 impl MovedRoutes {
@@ -25,20 +26,36 @@
 
     /// Records that the routes `after` have replaced the routes `before`.
     pub fn on_replaced(&mut self, now: MonoTime, before: &[Route], after: &[Route]) {
-        self.moved_at.retain(|_, at| now.ms_since(*at) <= Self::REMEMBERED_MS);
+        self.moved_until.retain(|_, until| now <= *until);
         let (before, after) = (targets(before), targets(after));
         for place in before.keys().chain(after.keys()) {
             if before.get(place) != after.get(place) {
-                self.moved_at.insert(place.clone(), now);
+                self.mark(place.clone(), now.plus_ms(Self::REMEMBERED_MS));
             }
         }
     }
 
+    /// Records that the targets of a route changed, which is remembered until a time.
+    pub(crate) fn mark(&mut self, place: RoutePlace, until: MonoTime) {
+        let known = self.moved_until.entry(place).or_insert(until);
+        *known = until.max(*known);
+    }
+
+    /// Returns until when the change of a route is remembered, if it is.
+    pub(crate) fn until(&self, now: MonoTime, place: &RoutePlace) -> Option<MonoTime> {
+        self.moved_until.get(place).copied().filter(|until| now <= *until)
+    }
+
+    /// Returns the host and the path prefix of a route.
+    pub(crate) fn place(route: &Route) -> RoutePlace {
+        (route.host.to_ascii_lowercase(), route.path_prefix.clone())
+    }
+
     /// Returns whether requests for a path, which take this route now, may have gone elsewhere
     /// within the time that is remembered.
     pub fn has_moved(&self, now: MonoTime, route: &Route, path: &str) -> bool {
-        self.moved_at.iter().any(|((host, prefix), at)| {
-            now.ms_since(*at) <= Self::REMEMBERED_MS
+        self.moved_until.iter().any(|((host, prefix), until)| {
+            now <= *until
                 && route.host.eq_ignore_ascii_case(host)
                 && path.starts_with(prefix)
                 // A shorter prefix did not match while this route was there.
@@ -47,7 +64,6 @@
     }
 }
 
-fn targets(routes: &[Route]) -> BTreeMap<Place, &[Target]> {
-    let place = |route: &Route| (route.host.to_ascii_lowercase(), route.path_prefix.clone());
-    routes.iter().map(|route| (place(route), &route.targets[..])).collect()
+fn targets(routes: &[Route]) -> BTreeMap<RoutePlace, &[Target]> {
+    routes.iter().map(|route| (MovedRoutes::place(route), &route.targets[..])).collect()
 }
