--- a/crates/filbertcleat-gateway/tests/broken_streams.rs
+++ b/crates/filbertcleat-gateway/tests/broken_streams.rs
@@ -7,6 +7,7 @@
 use filbertcleat_gateway::CatalogueEvent;
 use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::RetryPolicy;
+use rstest::rstest;
 
 use self::support::Backend;
 use self::support::Call;
@@ -29,10 +30,14 @@
 const PAST_STALL: Duration = Duration::from_millis(1_600);
 
 fn stream(steps: &[StreamStep]) -> Script {
+    framed_stream(Framing::Chunked, steps)
+}
+
+fn framed_stream(framing: Framing, steps: &[StreamStep]) -> Script {
     Script::Stream(ScriptedStream {
         total: TOTAL,
         version: "v1",
-        framing: Framing::Chunked,
+        framing,
         pad_bytes: 0,
         steps: steps.to_vec(),
     })
@@ -116,3 +121,21 @@
         assert_eq!(one.arrivals(), 2);
     });
 }
+
+/// A stream that broke off between its last event and its end is complete once a server shows that
+/// nothing is left.
+#[rstest]
+#[case::chunked(Framing::Chunked)]
+#[case::with_length(Framing::Length)]
+fn empty_rest_completes(#[case] framing: Framing) {
+    World::run(async move {
+        let one = Backend::start("w1", framed_stream(framing, &[])).await;
+        let world = World::start(vec![route("write", RESUMABLE, 4)], &[&one]).await;
+        one.script_next(stream(&[StreamStep::Events(TOTAL), StreamStep::Reset]));
+
+        let reply = call(&world).await;
+
+        assert_whole(&reply);
+        assert_eq!(one.arrivals(), 2);
+    });
+}
