Apply updates without an engine's id to the latest start

While the records of two starts at one IP address were listed, as for some seconds after an engine has started again under another id, an update without an engine's id was applied to the record with the lower id. The engine that runs there could look as if it never reported (latest_start_updated: an announcement of the new start was lost, 200 in place of 503). Now the record with the latest start gets the update. Reports of the prepared machines name no id.

--- a/crates/filbertcleat-gateway/src/entry/agent_updates.rs
+++ b/crates/filbertcleat-gateway/src/entry/agent_updates.rs
@@ -215,8 +215,10 @@
             && service.is_some_and(|service| service.engine.is_some())
     };
     let engine = if id.as_str().is_empty() {
-        // An engine that reports no id is the one at the IP address of its agent.
-        state.fleet.servers().find(is_beside)
+        // An engine that reports no id is the last one that started at the IP address of its agent:
+        // the record of an earlier start may still be listed.
+        let beside = state.fleet.servers().filter(is_beside);
+        beside.max_by_key(|server| server.listed.started_unix_ms)
     } else {
         state.fleet.server(id).filter(is_beside)
     };
--- a/crates/filbertcleat-gateway/tests/foreign_updates.rs
+++ b/crates/filbertcleat-gateway/tests/foreign_updates.rs
@@ -10,8 +10,10 @@
 
 use filbertcleat_gateway::CatalogueDelays;
 use filbertcleat_gateway::CatalogueEvent;
+use filbertcleat_serve::ListedServer;
 use filbertcleat_serve::ListingChange;
 use filbertcleat_serve::RetryPolicy;
+use filbertcleat_serve::ServerId;
 use filbertcleat_wire::v1;
 use filbertcleat_wire::v1::datagram::Update;
 use prost::Message;
@@ -148,3 +150,26 @@
         assert_eq!(site.status_of("/book/1").await, 200);
     });
 }
+
+/// Guards against an update without an engine's id that is applied to the record of the engine which had
+/// the address before, while the one that runs there looks as if it never reported.
+#[test]
+fn latest_start_updated() {
+    World::run(async {
+        let site = Site::start(true).await;
+        let next =
+            ListedServer { id: ServerId::new("w2"), started_unix_ms: 2, ..listed(&site.engine) };
+        let change = ListingChange::Upserted(next);
+        site.world.catalogue.write(CatalogueEvent::Listing(change));
+        tokio::time::sleep(Duration::from_secs(2)).await;
+
+        site.announce_leaving(site.engine.address.ip(), "").await;
+
+        let leaving = site.world.metric("filbertcleat_servers{are=\"leaving\"}").await;
+        assert_eq!(leaving, Some(1));
+        let change = ListingChange::Removed(ServerId::new("w1"));
+        site.world.catalogue.write(CatalogueEvent::Listing(change));
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(site.status_of("/write/1").await, 503);
+    });
+}
