Ask for a server's start before a stream that may go on elsewhere

Callers saw the pieces of two software versions joined: a server had started again under the same id with other software, its record showed that 0.2 to 1.2 s later, and streams began or went on there under the version of the record.

The cause is that the version of a response is read from the list when its request is sent, and no response names the start or the software of its server. Hence the origin of a new stream was wrong, the rest of a broken one was asked for at the next start of the same server, and `single` was concluded from a list that did not show the version which sends.

An entry now asks for the start, by the report of an engine, before it sends a request of a resumable route on a connection that has not been asked: on the connection itself, which ends with its process. If another start answers, the request is not sent, and goes elsewhere. Each such connection costs one question; other routes ask nothing.

Fake servers of four tests answered questions for their identity not at all or as a server that the test's catalogue did not list. They now answer as the start that is listed; what the tests check is unchanged. `late_proof_ends_move` has a server that answers only its second question late, as the first one now comes before the stream.

--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -29,9 +29,12 @@
 use super::exchange::Exchange;
 use super::exchange_error::ExchangeError;
 use super::in_flight::InFlightAttempt;
+use super::listed_start::StartCheck;
+use super::listed_start::check_start;
 use super::request::CallerRequest;
 use super::response_sender::ResponseSender;
 use super::state::Entry;
+use super::stream_relay::STALL_TIMEOUT_MS;
 use crate::AttemptMetadata;
 use crate::Dialect;
 use crate::ResponseMetadata;
@@ -150,12 +153,19 @@
         let deployment = state.deployment.get();
         deployment.and_then(|deployment| deployment.services.get(&request.service)).cloned()
     };
+    let sender = ResponseSender {
+        request: request.id.clone(),
+        server: attempt.server().clone(),
+        address,
+        started_unix_ms,
+        service,
+    };
     // A pooled connection that turns out to be closed has not transmitted the request, so another
     // connection may be tried.
     let mut is_admitted = false;
     for _ in 0..CONNECTIONS_MAX {
         let checked_out = entry.pool.checkout(address, RequestHash::of(&request.id)).await;
-        let connection = checked_out.map_err(|error| {
+        let mut connection = checked_out.map_err(|error| {
             log::debug!("event=connect-failed peer={address} reason=\"{error}\"");
             if error.kind() == ErrorKind::ConnectionRefused {
                 on_connection_refused(entry, attempt.server());
@@ -165,6 +175,9 @@
                 "connecting to the backend server failed",
             )
         })?;
+        if !is_listed_start(entry, request, &mut connection, &sender).await? {
+            continue;
+        }
         let now = entry.now();
         let remaining_ms = request.remaining_ms(now);
         if remaining_ms == 0 {
@@ -213,13 +226,6 @@
             }
         };
         let requests_pause = answer.requests_pause;
-        let sender = ResponseSender {
-            request: request.id.clone(),
-            server: attempt.server().clone(),
-            address,
-            started_unix_ms,
-            service,
-        };
         let (response, metadata) = begin_response(request, answer, sender, software_version);
         let validated = validate_response(entry, request, attempt, response, &metadata);
         return validated.map_err(|failure| failure.with_pause(requests_pause));
@@ -230,6 +236,33 @@
     ))
 }
 
+/// Returns whether the listed start of the backend server is at the other end of a connection, if
+/// another server may have to send a part of the response: it has to be of the same software version.
+async fn is_listed_start<D: Dialect>(
+    entry: &Rc<Entry<D>>,
+    request: &CallerRequest,
+    connection: &mut BackendConnection,
+    server: &ResponseSender,
+) -> Result<bool, AttemptFailure> {
+    let now = entry.now();
+    if !request.route.retry_policy.is_resumable() || !accepts_requests(entry, &server.server, now) {
+        return Ok(true);
+    }
+    let wait = Duration::from_millis(request.remaining_ms(now).min(STALL_TIMEOUT_MS));
+    match check_start(entry, connection, server, wait).await {
+        StartCheck::Listed => Ok(true),
+        StartCheck::Untold => Ok(false),
+        StartCheck::Other => Err(AttemptFailure::not_arrived(
+            AttemptOutcome::Misdirected,
+            "the listed start of the backend server has ended",
+        )),
+        StartCheck::Silent => Err(AttemptFailure::not_arrived(
+            AttemptOutcome::Unreachable,
+            "the backend server does not tell its start",
+        )),
+    }
+}
+
 /// Prepares to read the body of an answer.
 fn begin_response(
     request: &CallerRequest,
--- a/crates/filbertcleat-gateway/src/entry/backend_connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/backend_connection.rs
@@ -26,6 +26,8 @@
     stream: Weak<TcpStream>,
     /// The requests that were sent last, oldest first.
     recent: VecDeque<RequestHash>,
+    /// The start of the server that has answered on the connection, in Unix ms.
+    started_unix_ms: Option<u64>,
 }
 
 impl BackendConnection {
@@ -39,7 +41,7 @@
         allowance: ReadAllowance,
         stream: Weak<TcpStream>,
     ) -> Self {
-        Self { sender, allowance, stream, recent: VecDeque::new() }
+        Self { sender, allowance, stream, recent: VecDeque::new(), started_unix_ms: None }
     }
 
     /// Sends a request and waits for the head of the response; an error returns the request if it
@@ -62,6 +64,17 @@
         &self.allowance
     }
 
+    /// Returns the start of the server that has answered on the connection, in Unix ms, if it was
+    /// asked.
+    pub fn started_unix_ms(&self) -> Option<u64> {
+        self.started_unix_ms
+    }
+
+    /// Records the start of the server that has answered on the connection.
+    pub fn confirm_start(&mut self, started_unix_ms: u64) {
+        self.started_unix_ms = Some(started_unix_ms);
+    }
+
     /// Returns whether the connection can take another request.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
--- a/crates/filbertcleat-gateway/src/entry/liveness.rs
+++ b/crates/filbertcleat-gateway/src/entry/liveness.rs
@@ -4,18 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use filbertcleat_serve::RequestHash;
-use http::HeaderValue;
 use http::Request;
-use http::header::HOST;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use tokio::time::Instant;
 
-use super::backend_body::BackendBody;
-use super::backend_body::BodyKind;
+use super::identity_answer::ask_identity;
 use super::response_sender::ResponseSender;
 use super::state::Entry;
 use crate::Dialect;
@@ -26,8 +18,6 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// By how much each pause exceeds the one before.
 const PAUSE_FACTOR: u32 = 3;
-/// The largest answer: tens of thousands of adapter names in a report.
-const ANSWER_MAX_BYTES: usize = 1024 * 1024;
 
 /// Whether the process that sent a response still runs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -113,26 +103,13 @@
     sender: &ResponseSender,
     request: &Request<()>,
 ) -> Liveness {
-    let mut request = request.clone().map(|()| Full::<Bytes>::default());
-    let Ok(host) = HeaderValue::try_from(sender.address.to_string()) else {
-        return Liveness::Unknown;
-    };
-    request.headers_mut().insert(HOST, host);
     let mut connection = match entry.pool.connect(sender.address).await {
         Ok(connection) => connection,
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => return Liveness::Ended,
         Err(_other) => return Liveness::Unknown,
     };
-    // The connection is new, so that any hash will do.
-    let sent = connection.try_send(RequestHash::of("identity"), request).await;
-    let Ok(response) = sent else { return Liveness::Unknown };
-    let (head, body) = response.into_parts();
-    let body = BackendBody::new(body, connection.allowance().clone(), BodyKind::Whole);
-    // The head may name the server also if its body is cut off.
-    let read = Limited::new(body, ANSWER_MAX_BYTES).collect().await;
-    let body = read.map(http_body_util::Collected::to_bytes).unwrap_or_default();
-    entry.pool.keep(sender.address, connection, &head.headers);
-    let metadata = entry.dialect.parse_response(&head.headers);
-    let identity = entry.dialect.parse_identity(&head.headers, &body);
-    sender.judge(head.status, &metadata, &identity)
+    let answer = ask_identity(&entry.dialect, &mut connection, sender.address, request).await;
+    let Some(answer) = answer else { return Liveness::Unknown };
+    entry.pool.keep(sender.address, connection, &answer.headers);
+    sender.judge(answer.status, &answer.metadata, &answer.identity)
 }
--- a/crates/filbertcleat-gateway/src/entry/whole_body.rs
+++ b/crates/filbertcleat-gateway/src/entry/whole_body.rs
@@ -74,16 +74,19 @@
                 () = receiver.closed() => tokio::time::timeout(READ_ON, reading).await,
             }
         };
-        match read.map(|read| receiver.send(read)) {
-            Ok(Ok(())) => {}
-            Ok(Err(Ok(_unclaimed))) => {
+        let Ok(read) = read else {
+            attempt.on_abandoned();
+            return;
+        };
+        match receiver.send(read) {
+            Ok(()) => {}
+            Err(Ok(_unclaimed)) => {
                 if outcome == AttemptOutcome::Answered {
                     attempt.on_sound();
                 }
                 attempt.end(outcome);
             }
-            Ok(Err(Err(failure))) => attempt.end(failure.outcome),
-            Err(_elapsed) => attempt.on_abandoned(),
+            Err(Err(failure)) => attempt.end(failure.outcome),
         }
     }
 
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -15,6 +15,8 @@
     StreamEnds,
     /// Checks whether a backend server has outlived an unframed response, by outcome.
     EndChecks,
+    /// Checks whether the listed start of a backend server is at the end of a connection, by outcome.
+    StartChecks,
     /// Streams that callers took up, by how their software version was found.
     OriginLookups,
     /// Agents asked for the software version that began a stream, by their reply.
@@ -92,13 +94,14 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 43] = [
+pub const METRICS: [Metric; 44] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
     Metric::Retries,
     Metric::StreamEnds,
     Metric::EndChecks,
+    Metric::StartChecks,
     Metric::OriginLookups,
     Metric::OriginReplies,
     Metric::PromptTurns,
@@ -148,6 +151,7 @@
             Self::Retries => "repeats",
             Self::StreamEnds => "stream_ends",
             Self::EndChecks => "end_checks",
+            Self::StartChecks => "start_checks",
             Self::OriginLookups => "origin_lookups",
             Self::OriginReplies => "origin_replies",
             Self::PromptTurns => "prompt_turns",
--- a/crates/filbertcleat-gateway/tests/brief_silences.rs
+++ b/crates/filbertcleat-gateway/tests/brief_silences.rs
@@ -13,6 +13,7 @@
 use rstest::rstest;
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
 use self::support::Backend;
@@ -105,8 +106,15 @@
         let mut caller = world.caller().await;
         caller.send(&call("/write/1")).await.expect("the entry reads the request");
         let (mut stream, _) = listener.accept().await.expect("the entry connects");
+        // Delayed acknowledgements would take real time, which paused time does not wait for.
+        stream.set_nodelay(true).expect("the socket is open");
         let mut head = [0; 4_096];
-        let length = stream.read(&mut head).await.expect("a request");
+        let mut length = stream.read(&mut head).await.expect("a request");
+        if head.starts_with(b"GET /report ") {
+            let report = "HTTP/1.1 200 X\r\nx-server: w1\r\ncontent-length: 9\r\n\r\nstarted 1";
+            stream.write_all(report.as_bytes()).await.expect("the connection is open");
+            length = stream.read(&mut head).await.expect("a request");
+        }
         assert!(length > 0, "the connection has a request");
         let send = |text: String| {
             let sent =
--- a/crates/filbertcleat-gateway/tests/extreme_numbers.rs
+++ b/crates/filbertcleat-gateway/tests/extreme_numbers.rs
@@ -20,6 +20,7 @@
 
 use self::support::Backend;
 use self::support::Call;
+use self::support::Identity;
 use self::support::Script;
 use self::support::World;
 use self::support::panic_count::count_panics;
@@ -106,6 +107,7 @@
         // New starts of the servers have no limit, and the longest pause has passed.
         for server in &servers {
             server.drop_scripts();
+            server.identify_as(Identity::Restarted);
             let again = ListedServer { started_unix_ms: 2, ..listed(server) };
             world.catalogue.write(CatalogueEvent::Listing(ListingChange::Upserted(again)));
         }
--- a/crates/filbertcleat-gateway/tests/malformed_updates.rs
+++ b/crates/filbertcleat-gateway/tests/malformed_updates.rs
@@ -35,6 +35,7 @@
 
 use self::support::Backend;
 use self::support::Call;
+use self::support::Identity;
 use self::support::Script;
 use self::support::TestCatalogue;
 use self::support::World;
@@ -250,7 +251,8 @@
         // A request meets the state that the datagrams left; it may be refused.
         world.caller().await.call(&Call::new("a", "/write/1")).await.expect("a response");
         // Of a server under another id nothing was told.
-        let other = ListedServer { id: ServerId::new("w2"), ..listed(&writer) };
+        let other = ListedServer { id: ServerId::new("another"), ..listed(&writer) };
+        writer.identify_as(Identity::Other);
         world.catalogue.write(CatalogueEvent::Listing(ListingChange::Upserted(other)));
         tokio::time::sleep(Duration::from_secs(3)).await;
 
--- a/crates/filbertcleat-gateway/tests/stalled_streams.rs
+++ b/crates/filbertcleat-gateway/tests/stalled_streams.rs
@@ -63,7 +63,7 @@
     Close,
 }
 
-/// A backend server that takes the same steps for every request.
+/// A backend server that tells its start, and takes the same steps for every other request.
 #[derive(Clone, Debug)]
 struct SteppedServer {
     listed: ListedServer,
@@ -91,14 +91,18 @@
     }
 
     async fn serve(self, mut stream: TcpStream, steps: &'static [Step]) {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            match stream.read_u8().await {
-                Ok(byte) => head.push(byte),
-                Err(_) => return,
+        // Delayed acknowledgements would take real time, which paused time does not wait for.
+        stream.set_nodelay(true).expect("the socket is open");
+        let Some(mut head) = read_head(&mut stream).await else { return };
+        while head.starts_with("GET /report ") {
+            let report = format!("HTTP/1.1 200 X\r\nx-server: {}\r\n", self.listed.id);
+            let report = format!("{report}content-length: 9\r\n\r\nstarted 1");
+            if stream.write_all(report.as_bytes()).await.is_err() {
+                return;
             }
+            let Some(next) = read_head(&mut stream).await else { return };
+            head = next;
         }
-        let head = String::from_utf8(head).expect("the head is UTF-8");
         self.arrivals.set(self.arrivals.get() + 1);
         let (mut reader, mut writer) = stream.into_split();
         let mut probe = [0];
@@ -112,6 +116,14 @@
     }
 }
 
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    Some(String::from_utf8(head).expect("the head is UTF-8"))
+}
+
 /// Takes the steps and returns whether the entry has closed the connection before their end.
 async fn take_steps(
     stream: &mut (impl AsyncWriteExt + Unpin),
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -127,6 +127,8 @@
     Restarted,
     /// As the server that it is, after some time.
     Late(Duration),
+    /// As the server that it is, at once to the first question and after some time to later ones.
+    LateAfterFirst(Duration),
     /// Without a name in a report.
     NamelessReport,
     /// As the start that it is, without a name.
@@ -348,6 +350,12 @@
                 tokio::time::sleep(after).await;
                 write(stream, &named(&self.id, 1)).await
             }
+            Identity::LateAfterFirst(after) => {
+                if self.asked_at.borrow().len() > 1 {
+                    tokio::time::sleep(after).await;
+                }
+                write(stream, &named(&self.id, 1)).await
+            }
             Identity::Full => {
                 write(stream, &response_text("HTTP/1.1 503 X\r\nx-not-run: 1\r\n", "full")).await
             }
--- a/crates/filbertcleat-gateway/tests/unframed_streams.rs
+++ b/crates/filbertcleat-gateway/tests/unframed_streams.rs
@@ -199,7 +199,7 @@
             Backend::start("w1", Script::Unframed { body: events(3) }).await,
             Backend::start("w2", Script::Silent).await,
         );
-        one.identify_as(Identity::Late(Duration::from_secs(2)));
+        one.identify_as(Identity::LateAfterFirst(Duration::from_secs(2)));
         let world = World::start(vec![route("write", RESUMABLE, 2)], &[&one, &two]).await;
 
         let (mut first, mut second) = (world.caller().await, world.caller().await);
