Count a whole list as a gap in the list of servers

Callers saw a stream of one software version go on at another one. An entry whose history of the list had lapsed listed the servers anew and took that for having followed the list without a gap; a server of the next version that had been listed, had begun streams and had been removed before that list was not in it, so that the entry concluded `single`.

A whole list begins the observation anew, so that the entry reads the rows of the others before it excludes another version, as after a start: one list of rows after each gap, if a stream comes within a minute that nobody knows.

--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -302,7 +302,13 @@
     pub fn on_topic_read(&self, topic: Topic, began_at: MonoTime, is_list: bool) {
         if topic == Topic::Servers {
             observe_versions(self);
-            self.state.borrow_mut().origins.kept.on_followed(self.now(), began_at);
+            let now = self.now();
+            {
+                let state = &mut *self.state.borrow_mut();
+                // A list does not show servers that were listed and removed before it.
+                let has_gap = is_list;
+                state.origins.kept.on_followed(now, began_at, has_gap);
+            }
             self.origins_changed.notify_one();
             self.list_reads.send_modify(|reads| *reads += 1);
             let state = self.state.borrow();
--- a/crates/filbertcleat-gateway/tests/lagging_lists.rs
+++ b/crates/filbertcleat-gateway/tests/lagging_lists.rs
@@ -6,6 +6,7 @@
 
 use rstest::rstest;
 
+use self::support::Call;
 use self::support::PowerSite;
 use self::support::TestCatalogue;
 use self::support::World;
@@ -76,6 +77,47 @@
     });
 }
 
+/// A server of the next version is listed and removed between two responses on the list of the entry
+/// that takes streams up. No agent tells their origins.
+#[rstest]
+#[case::history_lapsed(true)]
+fn short_version_joins_nothing(#[case] has_lapsed: bool) {
+    const IDS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+    World::run(async move {
+        let site = PowerSite::start(2).await;
+        site.list(0, "v1");
+        site.run_vms(0..2, false, async |worlds| {
+            tokio::time::sleep(WINDOW).await;
+            worlds[1].catalogue.set_cut(true);
+            site.list(1, "v2");
+            tokio::time::sleep(LISTING_DELAY).await;
+            for id in IDS {
+                worlds[0].caller().await.call(&Call::new(id, "/write/1")).await;
+            }
+            assert!(site.backends[1].arrivals() > 0, "no stream began at the new version");
+            site.unlist(1);
+            worlds[0].catalogue.set_cut(true);
+            worlds[1].catalogue.set_cut(false);
+            for _ in 0..200 {
+                if has_lapsed {
+                    // A list of another topic would end that.
+                    site.catalogue.expire_cursors();
+                }
+                tokio::time::sleep(LISTING_DELAY / 200).await;
+            }
+            site.mend_streams();
+
+            for id in IDS {
+                take_up(&worlds[1], id).await;
+            }
+        })
+        .await;
+        let (kept, joined) = site.taken_up();
+        assert_eq!(joined, 0, "joined streams");
+        assert!(kept > 0, "no stream went on");
+    });
+}
+
 /// A stream whose origin nobody knows goes on soon if one version serves, though the list has to be
 /// read again for that.
 #[test]
--- a/crates/filbertcleat-serve/src/kept_origins.rs
+++ b/crates/filbertcleat-serve/src/kept_origins.rs
@@ -128,10 +128,11 @@
     }
 
     /// Records a response to a call that began at `began_at`, so that all changes of the list of
-    /// backend servers before that time are known.
-    pub fn on_followed(&mut self, now: MonoTime, began_at: MonoTime) {
-        let is_gap = |at: MonoTime| now.ms_since(at) > Self::FOLLOW_GAP_MS;
-        if self.followed_at.is_none_or(is_gap) {
+    /// backend servers before that time are known. `has_gap` tells whether servers may have been
+    /// listed and removed since the response before without having been shown.
+    pub fn on_followed(&mut self, now: MonoTime, began_at: MonoTime, has_gap: bool) {
+        let is_late = |at: MonoTime| now.ms_since(at) > Self::FOLLOW_GAP_MS;
+        if has_gap || self.followed_at.is_none_or(is_late) {
             self.followed_since = Some(now);
         }
         self.followed_at = Some(now);
--- a/crates/filbertcleat-serve/tests/kept_origins.rs
+++ b/crates/filbertcleat-serve/tests/kept_origins.rs
@@ -43,7 +43,7 @@
 fn follow(kept: &mut KeptOrigins, now: MonoTime, versions: &[&str]) {
     let versions = versions.iter().map(|text| (version(text), 0)).collect::<BTreeMap<_, _>>();
     kept.observe(now, &writer(), versions);
-    kept.on_followed(now, now);
+    kept.on_followed(now, now, false);
 }
 
 fn begin(kept: &mut KeptOrigins, now: MonoTime, request: u64, text: &str) {
@@ -316,10 +316,10 @@
     assert_eq!(decide(&kept, at(61_500)), OriginVerdict::Follow);
 
     // The response of a call that was open then.
-    kept.on_followed(at(62_000), at(61_400));
+    kept.on_followed(at(62_000), at(61_400), false);
     assert_eq!(decide(&kept, at(62_000)), OriginVerdict::Follow);
 
-    kept.on_followed(at(63_000), at(62_500));
+    kept.on_followed(at(63_000), at(62_500), false);
     assert_eq!(decide(&kept, at(63_000)), OriginVerdict::Single(version("v1")));
 }
 
@@ -359,6 +359,26 @@
     assert_eq!(decide(&kept, at(100_000), 1), OriginVerdict::Read);
 }
 
+/// A version that came and left between two responses stays unknown to the entry until it has read
+/// what the others saw; from then on it needs no further list.
+#[test]
+fn unshown_servers_restart_observation() {
+    let mut kept = kept();
+    for second in 0..70 {
+        follow(&mut kept, at(second * 1_000), &["v1"]);
+    }
+
+    kept.on_followed(at(70_000), at(70_000), true);
+
+    assert_eq!(decide(&kept, at(70_000), 1), OriginVerdict::Read);
+    read(&mut kept, at(70_000), &[row("edge-2", 1_000, &[])]);
+    assert_eq!(decide(&kept, at(70_000), 1), OriginVerdict::Unknown);
+    for second in 71..140 {
+        follow(&mut kept, at(second * 1_000), &["v1"]);
+    }
+    assert_eq!(decide(&kept, at(139_000), 1), OriginVerdict::Single(version("v1")));
+}
+
 /// Callers that come at once share one list, and lists are at least a second apart.
 #[test]
 fn lists_are_spaced() {
--- a/crates/filbertcleat-serve/tests/kept_origins_runs.rs
+++ b/crates/filbertcleat-serve/tests/kept_origins_runs.rs
@@ -315,7 +315,7 @@
         entry.fleet.apply_listing(now, ListingChange::Snapshot(list.collect()));
         let versions = entry.fleet.software_versions(now, &writer());
         entry.kept.observe(now, &writer(), versions);
-        entry.kept.on_followed(now, now);
+        entry.kept.on_followed(now, now, false);
     }
 
     fn write(&mut self, number: usize) {
