Count the removal of an unlisted server as a gap

Callers saw a stream of one software version go on at another one. Changes of the list of servers name removed servers by their ids only, and each id once. A server of the next version that was listed and removed between two responses showed as the removal of an id that the entry had never seen, and it concluded `single` from the version that it knew.

Such a removal begins the observation anew, so that the entry reads the rows of the others first. The removal of a server that this entry has removed already does not count. The tests' catalogue names each changed server once and removed ones without their records, as the store does, which is stricter.

short_version_joins_nothing, case history_read: 3 of 6 streams joined with the stricter catalogue before, none now. unseen_removal_told_once guards what counts.

--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -306,7 +306,7 @@
             {
                 let state = &mut *self.state.borrow_mut();
                 // A list does not show servers that were listed and removed before it.
-                let has_gap = is_list;
+                let has_gap = state.fleet.take_unseen_removal() || is_list;
                 state.origins.kept.on_followed(now, began_at, has_gap);
             }
             self.origins_changed.notify_one();
--- a/crates/filbertcleat-gateway/tests/lagging_lists.rs
+++ b/crates/filbertcleat-gateway/tests/lagging_lists.rs
@@ -80,6 +80,7 @@
 /// A server of the next version is listed and removed between two responses on the list of the entry
 /// that takes streams up. No agent tells their origins.
 #[rstest]
+#[case::history_read(false)]
 #[case::history_lapsed(true)]
 fn short_version_joins_nothing(#[case] has_lapsed: bool) {
     const IDS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
--- a/crates/filbertcleat-gateway/tests/support/catalogue.rs
+++ b/crates/filbertcleat-gateway/tests/support/catalogue.rs
@@ -23,6 +23,7 @@
 use filbertcleat_serve::OriginRow;
 use filbertcleat_serve::OutdatedRow;
 use filbertcleat_serve::RouteRow;
+use filbertcleat_serve::ServerId;
 use tokio::time::Instant;
 
 /// A catalogue in memory that tests write to.
@@ -263,7 +264,7 @@
                 let epoch = self.epoch.get().map(|epoch| epoch - 1);
                 return CatalogueResponse { epoch, result: Ok(data) };
             }
-            let changes = self.after(topic, after);
+            let changes = self.after(topic, after).map(latest);
             let is_empty =
                 matches!(&changes, Ok(CatalogueData::Events { events, .. }) if events.is_empty());
             if !is_empty || waited >= wait {
@@ -373,6 +374,30 @@
     kept.next().unwrap_or_default()
 }
 
+/// Keeps the last change of each backend server, since the catalogue names a changed key once, and a
+/// removed one without its record.
+fn latest(data: CatalogueData) -> CatalogueData {
+    let CatalogueData::Events { events, cursor } = data else { return data };
+    let mut latest: Vec<CatalogueEvent> = Vec::new();
+    for event in events {
+        if let Some(id) = server_id(&event) {
+            latest.retain(|earlier| server_id(earlier) != Some(id));
+        }
+        latest.push(event);
+    }
+    CatalogueData::Events { events: latest, cursor }
+}
+
+/// Returns the backend server whose record an event changes.
+fn server_id(event: &CatalogueEvent) -> Option<&ServerId> {
+    let CatalogueEvent::Listing(change) = event else { return None };
+    match change {
+        ListingChange::Snapshot(_) => None,
+        ListingChange::Upserted(listed) => Some(&listed.id),
+        ListingChange::Removed(id) | ListingChange::Invalid(id) => Some(id),
+    }
+}
+
 /// Returns the current entries of a topic: of the servers' topic, the complete list.
 fn current(topic: Topic, events: Vec<CatalogueEvent>) -> Vec<CatalogueEvent> {
     match topic {
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -80,6 +80,7 @@
     /// Servers that left, whose records a restored catalogue may list again.
     removed: RemovedServers,
     former_versions: FormerVersions,
+    has_unseen_removal: bool,
     facts: SharedFacts,
     paused: PausedServers,
     /// What the engines of each service have shown.
@@ -129,10 +130,21 @@
                 }
             }
             ListingChange::Upserted(listed) => self.upsert(now, listed),
-            ListingChange::Removed(id) | ListingChange::Invalid(id) => self.remove(now, &id),
+            ListingChange::Removed(id) => {
+                let is_known = self.servers.contains_key(&id) || self.removed.is_known(now, &id);
+                self.has_unseen_removal |= !is_known;
+                self.remove(now, &id);
+            }
+            ListingChange::Invalid(id) => self.remove(now, &id),
         }
     }
 
+    /// Returns whether a backend server was removed since the last call that had not been listed
+    /// here, so that its software version is unknown.
+    pub fn take_unseen_removal(&mut self) -> bool {
+        mem::take(&mut self.has_unseen_removal)
+    }
+
     /// Records that the catalogue does not answer. Servers cannot write their records meanwhile.
     pub fn on_catalogue_lost(&mut self) {
         self.is_catalogue_lost = true;
--- a/crates/filbertcleat-serve/src/fleet/removed_servers.rs
+++ b/crates/filbertcleat-serve/src/fleet/removed_servers.rs
@@ -56,6 +56,12 @@
         self.removed.insert(listed.id.clone(), removed);
     }
 
+    /// Returns whether a server left recently, or whether its record is held back.
+    pub fn is_known(&self, now: MonoTime, id: &ServerId) -> bool {
+        let is_recent = |removed: &RemovedServer| now.ms_since(removed.at) < Self::REMEMBERED_MS;
+        self.removed.get(id).is_some_and(is_recent) || self.held_back.contains_key(id)
+    }
+
     /// Returns the limits that this start of a server had named when it was removed.
     pub fn limits_of(&self, id: &ServerId, started_unix_ms: u64) -> Option<LimitState> {
         let removed = self.removed.get(id);
--- a/crates/filbertcleat-serve/tests/listing.rs
+++ b/crates/filbertcleat-serve/tests/listing.rs
@@ -36,6 +36,22 @@
     assert_eq!(server_ids(&fleet), ["b"]);
 }
 
+/// The removal of a server that was never listed here shows that its version is unknown.
+#[test]
+fn unseen_removal_told_once() {
+    let mut fleet = fleet(at(0), &[("a", &[]), ("b", &[])]);
+    fleet.apply_listing(at(10), ListingChange::Removed(id("a")));
+    fleet.apply_listing(at(20), ListingChange::Removed(id("a")));
+    fleet.apply_listing(at(30), ListingChange::Invalid(id("b")));
+    fleet.apply_listing(at(40), ListingChange::Removed(id("b")));
+    assert!(!fleet.take_unseen_removal(), "both were known");
+
+    fleet.apply_listing(at(50), ListingChange::Removed(id("c")));
+
+    assert!(fleet.take_unseen_removal());
+    assert!(!fleet.take_unseen_removal());
+}
+
 #[test]
 fn draining_is_unusable() {
     let mut fleet = fleet(at(0), &[("a", &[])]);
