Remember origins for as long as their streams run

Callers saw a stream of 75 s go on at another software version. Entries, agents and rows forgot an origin 60 s after the stream began, whatever the timeout of its route; the server of the old version had left the list, so that the entry at which the caller came back concluded `single` from the next version. With both versions listed, such streams were refused.

The entry that runs a stream, also one that it took up, records its origin again every 15 s. A later record extends the time of the same origin at entries, agents and in rows, and does not replace another one. The version of a stream that still runs counts as seen.

--- a/crates/filbertcleat-gateway/src/entry/stream_relay.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_relay.rs
@@ -5,6 +5,7 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
 use filbertcleat_serve::ServerId;
+use filbertcleat_serve::StreamOrigins;
 use http::Response;
 use tokio::task::spawn_local;
 
@@ -65,6 +66,7 @@
         request,
         sender,
         is_resumable,
+        origin_kept_at: None,
         last_bytes_at: None,
         progress_at: entry.now(),
         part: StreamPart::new(source.server().clone(), source.software_version().clone()),
@@ -85,6 +87,8 @@
     pub(super) request: CallerRequest,
     pub(super) sender: StreamSender,
     is_resumable: bool,
+    /// When the origin of the stream was last recorded here.
+    origin_kept_at: Option<MonoTime>,
     pub(super) position: StreamPosition,
     last_bytes_at: Option<MonoTime>,
     /// When the stream last got on, by an event with data or a new backend server.
@@ -251,14 +255,22 @@
         let begun_at = self.entry.now();
         loop {
             let (limit, end) = self.next_event_limit(begun_at, deadline);
-            let limit = self.entry.clock().instant(limit);
+            let renewal_at = self.origin_kept_at.map(|at| at.plus_ms(StreamOrigins::RENEWAL_MS));
+            let wake_at = renewal_at.map_or(limit, |at| at.min(limit));
+            let wake_at = self.entry.clock().instant(wake_at);
             // What has arrived comes first: after a pause of this process the time may have passed
             // without the server being silent.
             let item = tokio::select! {
                 biased;
                 () = self.sender.closed() => return StreamEnd::CallerGone,
                 item = source.next() => item,
-                () = tokio::time::sleep_until(limit) => return end,
+                () = tokio::time::sleep_until(wake_at) => {
+                    if limit <= self.entry.now() {
+                        return end;
+                    }
+                    self.keep_software_version(source);
+                    continue;
+                }
             };
             let is_progress = item.is_progress();
             let events = match item {
@@ -285,15 +297,19 @@
     }
 
     /// Restricts the rest of a resumable stream to the software version that sends its first event,
-    /// because the parts that two versions write do not fit together.
+    /// because the parts that two versions write do not fit together. Records the version, and again
+    /// while the stream runs, before it is forgotten.
     fn keep_software_version(&mut self, source: &StreamSource<D>) {
-        if !self.is_resumable || self.request.has_origin {
+        let now = self.entry.now();
+        let is_recent = |at: MonoTime| now.ms_since(at) < StreamOrigins::RENEWAL_MS;
+        if !self.is_resumable || self.origin_kept_at.is_some_and(is_recent) {
             return;
         }
+        self.origin_kept_at = Some(now);
         self.request.has_origin = true;
-        let version = source.software_version().clone();
+        let version = &mut self.request.demand.software_version;
+        let version = version.get_or_insert_with(|| source.software_version().clone()).clone();
         record_origin(&self.entry, &self.request, &version);
-        self.request.demand.software_version = Some(version);
     }
 
     /// Sends an event to the caller, unless the stream is resumable and the caller has already seen
--- a/crates/filbertcleat-serve/src/kept_origins.rs
+++ b/crates/filbertcleat-serve/src/kept_origins.rs
@@ -29,6 +29,7 @@
 use crate::SoftwareVersion;
 use crate::StreamOrigin;
 use crate::recent_streams::RecentStreams;
+use crate::recent_streams::StreamRecord;
 
 /// A software version of a service.
 type ServiceVersion = (ServiceName, SoftwareVersion);
@@ -163,12 +164,18 @@
         }
     }
 
-    /// Records that this entry forwards the first event of a resumable stream.
+    /// Records that this entry forwards the first event of a resumable stream, or still forwards the
+    /// stream.
     pub fn on_begun(&mut self, now: MonoTime, service: &ServiceName, origin: &StreamOrigin) {
         let version = (service.clone(), origin.software_version.clone());
-        if self.begun.record(now, origin.request, 0, version.clone()) {
-            self.on_seen(now, version, 0);
-            self.needs_write |= self.is_mixed(now, service);
+        match self.begun.record(now, origin.request, 0, version.clone()) {
+            StreamRecord::New => {
+                self.on_seen(now, version, 0);
+                self.needs_write |= self.is_mixed(now, service);
+            }
+            // The next write comes early enough.
+            StreamRecord::Extended => self.on_seen(now, version, 0),
+            StreamRecord::Unchanged => {}
         }
     }
 
@@ -361,7 +368,8 @@
         }
     }
 
-    /// Records the origin that a row tells. If rows differ, the older origin holds.
+    /// Records the origin that a row tells. If rows differ, the older origin holds; if they agree, the
+    /// later one tells for how long.
     fn keep(&mut self, now: MonoTime, request: RequestHash, age_ms: u64, version: &ServiceVersion) {
         let Some(left_ms) = Self::WINDOW_MS.checked_sub(age_ms) else { return };
         let until = now.plus_ms(left_ms);
@@ -370,10 +378,15 @@
             Entry::Vacant(vacant) if !is_full => {
                 vacant.insert((until, version.clone()));
             }
-            Entry::Occupied(mut known) if until < known.get().0 => {
-                known.insert((until, version.clone()));
+            Entry::Occupied(mut known) => {
+                let (known_until, known_version) = known.get();
+                let is_same = known_version == version;
+                let is_changed = if is_same { *known_until < until } else { until < *known_until };
+                if is_changed {
+                    known.insert((until, version.clone()));
+                }
             }
-            Entry::Vacant(_) | Entry::Occupied(_) => {}
+            Entry::Vacant(_) => {}
         }
     }
 
--- a/crates/filbertcleat-serve/src/recent_streams.rs
+++ b/crates/filbertcleat-serve/src/recent_streams.rs
@@ -19,8 +19,19 @@
     count_max: usize,
 }
 
-impl<V> RecentStreams<V> {
-    /// How long a stream is remembered: twice the longest time that callers wait for a stream.
+/// What a record of a stream has changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum StreamRecord {
+    /// The stream was not remembered, or with another value.
+    New,
+    /// The stream is remembered for longer.
+    Extended,
+    Unchanged,
+}
+
+impl<V: PartialEq> RecentStreams<V> {
+    /// How long a stream is remembered after its last record: twice the longest time that callers
+    /// wait for a stream.
     pub const LIFETIME_MS: u64 = 60_000;
 
     /// Creates an empty memory of at most `count_max` streams.
@@ -28,15 +39,29 @@
         Self { streams: HashMap::new(), ends: BTreeSet::new(), count_max }
     }
 
-    /// Records a stream that began `age_ms` ago. If it was recorded before, what is older holds.
-    /// Returns whether the memory changed.
-    pub fn record(&mut self, now: MonoTime, request: RequestHash, age_ms: u64, value: V) -> bool {
+    /// Records a stream that began, or still ran, `age_ms` ago. A record with the same value extends the
+    /// time for which the stream is remembered; of different values the older one holds.
+    pub fn record(
+        &mut self,
+        now: MonoTime,
+        request: RequestHash,
+        age_ms: u64,
+        value: V,
+    ) -> StreamRecord {
         self.expire(now);
-        let Some(left_ms) = Self::LIFETIME_MS.checked_sub(age_ms) else { return false };
+        let Some(left_ms) = Self::LIFETIME_MS.checked_sub(age_ms) else {
+            return StreamRecord::Unchanged;
+        };
         let end = now.plus_ms(left_ms);
-        if let Some((known, _)) = self.streams.get(&request) {
-            if *known <= end {
-                return false;
+        let mut record = StreamRecord::New;
+        if let Some((known, known_value)) = self.streams.get(&request) {
+            let is_same = *known_value == value;
+            let is_changed = if is_same { *known < end } else { end < *known };
+            if !is_changed {
+                return StreamRecord::Unchanged;
+            }
+            if is_same {
+                record = StreamRecord::Extended;
             }
             self.ends.remove(&(*known, request));
         }
@@ -45,7 +70,7 @@
         if self.ends.len() > self.count_max {
             self.remove_oldest();
         }
-        true
+        record
     }
 
     /// Returns what is remembered of a stream.
@@ -53,8 +78,8 @@
         self.streams.get(&request).map(|(_, value)| value)
     }
 
-    /// Returns the streams that began within the lifetime with their ages in milliseconds, the
-    /// newest first.
+    /// Returns the streams that were recorded within the lifetime with the times in milliseconds since
+    /// then, the newest first.
     pub fn newest_first(&self, now: MonoTime) -> impl Iterator<Item = (RequestHash, u64, &V)> {
         let recent = self.ends.range((now, RequestHash::new(0))..).rev();
         recent.filter_map(move |(end, request)| {
--- a/crates/filbertcleat-serve/src/stream_origins.rs
+++ b/crates/filbertcleat-serve/src/stream_origins.rs
@@ -30,12 +30,16 @@
 }
 
 impl StreamOrigins {
-    /// How long an origin is remembered.
+    /// How long an origin is remembered after its last record.
     pub const LIFETIME_MS: u64 = RecentStreams::<StreamOrigin>::LIFETIME_MS;
+    /// The time between two records of an origin while its stream runs, so that the origin is
+    /// remembered for 45 s after the stream breaks off at least, which is longer than callers wait.
+    pub const RENEWAL_MS: u64 = 15_000;
     /// The most origins that are remembered, about two megabytes of them.
     pub const COUNT_MAX: usize = 16_384;
 
-    /// Records an origin. The first one recorded for a request holds.
+    /// Records an origin. The first one recorded for a request holds, and is remembered for longer if
+    /// it is recorded again.
     pub fn record(&mut self, now: MonoTime, origin: StreamOrigin) {
         self.streams.record(now, origin.request, 0, origin);
     }
--- a/crates/filbertcleat-serve/tests/kept_origins.rs
+++ b/crates/filbertcleat-serve/tests/kept_origins.rs
@@ -239,6 +239,34 @@
     written(kept.write_step(at(350)));
 }
 
+/// The version of a stream that still runs counts as seen, and its row is not written more often.
+#[test]
+fn running_stream_keeps_version() {
+    let mut kept = kept();
+    follow(&mut kept, at(0), &["v1", "v2"]);
+    begin(&mut kept, at(0), 1, "v1");
+    read(&mut kept, at(0), &[]);
+    written(kept.write_step(at(0)));
+    for ms in (15_000..=120_000).step_by(15_000) {
+        follow(&mut kept, at(ms), &["v2"]);
+        begin(&mut kept, at(ms), 1, "v1");
+        assert_eq!(requests(&written(kept.write_step(at(ms)))), [1], "after {ms} ms");
+        begin(&mut kept, at(ms + 1_000), 1, "v1");
+        let refresh_at = at(ms + KeptOrigins::REFRESH_INTERVAL_MS);
+        let wait = OriginWriteStep::Wait { until: Some(refresh_at) };
+        assert_eq!(kept.write_step(at(ms + 1_000)), wait);
+    }
+
+    let mut other = KeptOrigins::new(NodeName::new("edge-3"));
+    follow(&mut other, at(0), &["v2"]);
+    let row = |age_ms| OriginRow { version: age_ms, ..row("edge-1", age_ms, &[(1, age_ms)]) };
+    read(&mut other, at(0), &[row(50_000)]);
+    read(&mut other, at(1_000), &[row(5_000)]);
+    assert_eq!(decide(&other, at(50_000), 1), OriginVerdict::Kept(writer(), version("v1")));
+    read(&mut other, at(50_000), &[]);
+    assert_eq!(decide(&other, at(50_000), 1), OriginVerdict::Kept(writer(), version("v1")));
+}
+
 /// The copy that a catalogue is restored from lacks the newest rows.
 #[test]
 fn restore_writes_again() {
--- a/crates/filbertcleat-serve/tests/stream_origins.rs
+++ b/crates/filbertcleat-serve/tests/stream_origins.rs
@@ -47,6 +47,24 @@
     assert!(origins.of(RequestHash::new(2)).is_some());
 }
 
+/// A stream that runs for longer than the lifetime is recorded again; another origin does not profit.
+#[test]
+fn renewed_origin_lasts() {
+    let mut origins = StreamOrigins::default();
+    for ms in (0..=90_000).step_by(15_000) {
+        origins.record(at(ms), origin(1, "v1"));
+        origins.record(at(ms + 1), origin(1, "v2"));
+        origins.record(at(ms + 1), origin(2, "v1"));
+    }
+    let end = 90_000 + StreamOrigins::LIFETIME_MS;
+
+    origins.record(at(end), origin(3, "v1"));
+    assert_eq!(origins.of(RequestHash::new(1)), Some(&origin(1, "v1")));
+
+    origins.record(at(end + 1), origin(4, "v1"));
+    assert_eq!(origins.of(RequestHash::new(1)), None);
+}
+
 #[test]
 fn memory_is_bounded() {
     let mut origins = StreamOrigins::default();
