Read rows before a long stream counts as of the only version

Callers saw a stream of 75 s go on at another software version when no agent told its origin. An entry that had followed the list of servers for 60 s took the only version of that time for the one that began the stream; the server that ran it had left the list 73 s before and gone on sending.

On routes whose timeout exceeds 30 s, which is 60 s less the time for which callers wait, only a list of rows that was just read proves a single version: the entry that ran the stream shows its version there. That costs one list per entry and second at most, while streams that nobody knows are taken up there.

long_stream_keeps_version, case rows_only: joined (200) before, refused (503) now. long_streams_need_rows guards the decision.

--- a/crates/filbertcleat-gateway/src/entry/origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/origins.rs
@@ -250,7 +250,8 @@
     let state = entry.state.borrow();
     let is_served = state.fleet.lists_service(&request.service);
     let kept = &state.origins.kept;
-    kept.decide(now, request.arrived_at, &request.service, resumed, is_served)
+    let stream_max_ms = request.route.timeout_ms;
+    kept.decide(now, request.arrived_at, &request.service, resumed, is_served, stream_max_ms)
 }
 
 /// Applies an agent's response to a question.
--- a/crates/filbertcleat-gateway/tests/long_streams.rs
+++ b/crates/filbertcleat-gateway/tests/long_streams.rs
@@ -68,6 +68,7 @@
 /// goes on.
 #[rstest]
 #[case::agents(true)]
+#[case::rows_only(false)]
 fn long_stream_keeps_version(#[case] has_agents: bool) {
     World::run(async move {
         let site = start().await;
--- a/crates/filbertcleat-serve/src/kept_origins.rs
+++ b/crates/filbertcleat-serve/src/kept_origins.rs
@@ -68,6 +68,8 @@
 impl KeptOrigins {
     /// For how long a version counts after it was last listed: as long as origins are remembered.
     pub const WINDOW_MS: u64 = RecentStreams::<SoftwareVersion>::LIFETIME_MS;
+    /// How long callers wait for a stream at most.
+    const CALLER_WAIT_MS: u64 = 30_000;
     /// The shortest time between the beginnings of two writes.
     pub const WRITE_INTERVAL_MS: u64 = 250;
     /// The longest time between two writes while several versions serve, so that a row shows a
@@ -182,7 +184,7 @@
     /// Decides on a stream whose origin neither the entry nor the agents know, and which a caller
     /// took up at `taken_up_at`. The request is the one that began it, if its caller names it.
     /// `is_served` tells whether a backend server of the service is listed, without which the
-    /// versions that will serve are unknown.
+    /// versions that will serve are unknown. The stream may have run for `stream_max_ms`.
     pub fn decide(
         &self,
         now: MonoTime,
@@ -190,6 +192,7 @@
         service: &ServiceName,
         request: Option<RequestHash>,
         is_served: bool,
+        stream_max_ms: u64,
     ) -> OriginVerdict {
         let kept = request.and_then(|request| self.kept.get(&request));
         if let Some((_, (service, version))) = kept {
@@ -201,7 +204,7 @@
         let mut versions = self.versions(now, service);
         let single = versions.next().filter(|_| versions.next().is_none());
         match single {
-            Some(version) if self.knows_all_versions(now) => {
+            Some(version) if self.knows_all_versions(now, stream_max_ms) => {
                 // The server that began the stream was listed before the caller came back.
                 if self.listed_at.is_some_and(|at| taken_up_at <= at) {
                     OriginVerdict::Single(version.clone())
@@ -390,9 +393,10 @@
         }
     }
 
-    /// Returns whether any version that served in the last minute is known: the entry has followed
-    /// the list of backend servers for as long, or since it read what other entries had seen.
-    fn knows_all_versions(&self, now: MonoTime) -> bool {
+    /// Returns whether any version is known that may have begun a stream of this length: the entry has
+    /// followed the list of backend servers for a minute, or since it read what other entries had seen. A
+    /// longer stream may be of a version that left before, which the entry that ran it shows.
+    fn knows_all_versions(&self, now: MonoTime, stream_max_ms: u64) -> bool {
         let is_just_read =
             self.read_at.is_some_and(|at| now.ms_since(at) <= Self::READ_INTERVAL_MS);
         let is_followed =
@@ -400,7 +404,8 @@
         let has_followed = self.followed_since.is_some_and(|since| {
             now.ms_since(since) > Self::WINDOW_MS || self.read_at.is_some_and(|at| since <= at)
         });
-        is_just_read || (is_followed && has_followed)
+        let is_short = stream_max_ms <= Self::WINDOW_MS - Self::CALLER_WAIT_MS;
+        is_just_read || (is_short && is_followed && has_followed)
     }
 
     fn versions(
--- a/crates/filbertcleat-serve/tests/kept_origins.rs
+++ b/crates/filbertcleat-serve/tests/kept_origins.rs
@@ -27,6 +27,9 @@
 use self::support::id;
 use self::support::listed;
 
+/// The longest time for which streams of the route run.
+const STREAM_MAX_MS: u64 = 10_000;
+
 fn writer() -> ServiceName {
     ServiceName::new("writer")
 }
@@ -56,7 +59,7 @@
 }
 
 fn decide(kept: &KeptOrigins, now: MonoTime, request: u64) -> OriginVerdict {
-    kept.decide(now, now, &writer(), Some(RequestHash::new(request)), true)
+    kept.decide(now, now, &writer(), Some(RequestHash::new(request)), true, STREAM_MAX_MS)
 }
 
 /// Returns a row with the versions `v1` and `v2`, both seen `age_ms` ago, and streams of the first.
@@ -340,7 +343,9 @@
         follow(&mut kept, at(second * 1_000), &["v1"]);
     }
     let (taken_up_at, request) = (at(61_500), Some(RequestHash::new(1)));
-    let decide = |kept: &KeptOrigins, now| kept.decide(now, taken_up_at, &writer(), request, true);
+    let decide = |kept: &KeptOrigins, now| {
+        kept.decide(now, taken_up_at, &writer(), request, true, STREAM_MAX_MS)
+    };
     assert_eq!(decide(&kept, at(61_500)), OriginVerdict::Follow);
 
     // The response of a call that was open then.
@@ -407,6 +412,26 @@
     assert_eq!(decide(&kept, at(139_000), 1), OriginVerdict::Single(version("v1")));
 }
 
+/// A stream that runs for long may be of a version that left the list more than a minute ago, so that
+/// following the list proves nothing.
+#[test]
+fn long_streams_need_rows() {
+    let mut kept = kept();
+    for second in 0..=200 {
+        follow(&mut kept, at(second * 1_000), &["v2"]);
+    }
+    let decide = |kept: &KeptOrigins, stream_max_ms| {
+        kept.decide(at(200_000), at(200_000), &writer(), None, true, stream_max_ms)
+    };
+    assert_eq!(decide(&kept, 30_000), OriginVerdict::Single(version("v2")));
+    assert_eq!(decide(&kept, 30_001), OriginVerdict::Read);
+
+    read(&mut kept, at(200_000), &[]);
+    assert_eq!(decide(&kept, 30_001), OriginVerdict::Single(version("v2")));
+    read(&mut kept, at(201_000), &[row("edge-2", 10_000, &[])]);
+    assert_eq!(decide(&kept, 30_001), OriginVerdict::Unknown);
+}
+
 /// Callers that come at once share one list, and lists are at least a second apart.
 #[test]
 fn lists_are_spaced() {
--- a/crates/filbertcleat-serve/tests/kept_origins_runs.rs
+++ b/crates/filbertcleat-serve/tests/kept_origins_runs.rs
@@ -34,6 +34,9 @@
 /// The longest time that a caller waits for a stream.
 const CALLER_WAIT_MS: u64 = 30_000;
 
+/// The longest time for which a stream runs.
+const STREAM_MAX_MS: u64 = 10_000;
+
 /// What happens in a run.
 #[derive(Clone, Copy, Debug)]
 enum Event {
@@ -246,7 +249,7 @@
             let state = &mut self.entries[entry];
             let now = state.now(self.now_ms);
             let is_served = state.fleet.lists_service(&writer());
-            match state.kept.decide(now, now, &writer(), request, is_served) {
+            match state.kept.decide(now, now, &writer(), request, is_served, STREAM_MAX_MS) {
                 OriginVerdict::Follow => {
                     state.next_poll_ms = self.now_ms;
                     self.poll(entry);
