--- a/crates/filbertcleat-serve/src/kept_origins.rs
+++ b/crates/filbertcleat-serve/src/kept_origins.rs
@@ -29,6 +29,7 @@
 use crate::SoftwareVersion;
 use crate::StreamOrigin;
 use crate::recent_streams::RecentStreams;
+use crate::recent_streams::StreamRecord;
 
 /// A software version of a service.
 type ServiceVersion = (ServiceName, SoftwareVersion);
@@ -67,6 +68,8 @@
 impl KeptOrigins {
     /// For how long a version counts after it was last listed: as long as origins are remembered.
     pub const WINDOW_MS: u64 = RecentStreams::<SoftwareVersion>::LIFETIME_MS;
+    /// How long callers wait for a stream at most.
+    const CALLER_WAIT_MS: u64 = 30_000;
     /// The shortest time between the beginnings of two writes.
     pub const WRITE_INTERVAL_MS: u64 = 250;
     /// The longest time between two writes while several versions serve, so that a row shows a
@@ -128,10 +131,11 @@
     }
 
     /// Records a response to a call that began at `began_at`, so that all changes of the list of
-    /// backend servers before that time are known.
-    pub fn on_followed(&mut self, now: MonoTime, began_at: MonoTime) {
-        let is_gap = |at: MonoTime| now.ms_since(at) > Self::FOLLOW_GAP_MS;
-        if self.followed_at.is_none_or(is_gap) {
+    /// backend servers before that time are known. `has_gap` tells whether servers may have been
+    /// listed and removed since the response before without having been shown.
+    pub fn on_followed(&mut self, now: MonoTime, began_at: MonoTime, has_gap: bool) {
+        let is_late = |at: MonoTime| now.ms_since(at) > Self::FOLLOW_GAP_MS;
+        if has_gap || self.followed_at.is_none_or(is_late) {
             self.followed_since = Some(now);
         }
         self.followed_at = Some(now);
@@ -162,19 +166,25 @@
         }
     }
 
-    /// Records that this entry forwards the first event of a resumable stream.
+    /// Records that this entry forwards the first event of a resumable stream, or still forwards the
+    /// stream.
     pub fn on_begun(&mut self, now: MonoTime, service: &ServiceName, origin: &StreamOrigin) {
         let version = (service.clone(), origin.software_version.clone());
-        if self.begun.record(now, origin.request, 0, version.clone()) {
-            self.on_seen(now, version, 0);
-            self.needs_write |= self.is_mixed(now, service);
+        match self.begun.record(now, origin.request, 0, version.clone()) {
+            StreamRecord::New => {
+                self.on_seen(now, version, 0);
+                self.needs_write |= self.is_mixed(now, service);
+            }
+            // The next write comes early enough.
+            StreamRecord::Extended => self.on_seen(now, version, 0),
+            StreamRecord::Unchanged => {}
         }
     }
 
     /// Decides on a stream whose origin neither the entry nor the agents know, and which a caller
     /// took up at `taken_up_at`. The request is the one that began it, if its caller names it.
     /// `is_served` tells whether a backend server of the service is listed, without which the
-    /// versions that will serve are unknown.
+    /// versions that will serve are unknown. The stream may have run for `stream_max_ms`.
     pub fn decide(
         &self,
         now: MonoTime,
@@ -182,6 +192,7 @@
         service: &ServiceName,
         request: Option<RequestHash>,
         is_served: bool,
+        stream_max_ms: u64,
     ) -> OriginVerdict {
         let kept = request.and_then(|request| self.kept.get(&request));
         if let Some((_, (service, version))) = kept {
@@ -193,7 +204,7 @@
         let mut versions = self.versions(now, service);
         let single = versions.next().filter(|_| versions.next().is_none());
         match single {
-            Some(version) if self.knows_all_versions(now) => {
+            Some(version) if self.knows_all_versions(now, stream_max_ms) => {
                 // The server that began the stream was listed before the caller came back.
                 if self.listed_at.is_some_and(|at| taken_up_at <= at) {
                     OriginVerdict::Single(version.clone())
@@ -360,7 +371,8 @@
         }
     }
 
-    /// Records the origin that a row tells. If rows differ, the older origin holds.
+    /// Records the origin that a row tells. If rows differ, the older origin holds; if they agree, the
+    /// later one tells for how long.
     fn keep(&mut self, now: MonoTime, request: RequestHash, age_ms: u64, version: &ServiceVersion) {
         let Some(left_ms) = Self::WINDOW_MS.checked_sub(age_ms) else { return };
         let until = now.plus_ms(left_ms);
@@ -369,16 +381,22 @@
             Entry::Vacant(vacant) if !is_full => {
                 vacant.insert((until, version.clone()));
             }
-            Entry::Occupied(mut known) if until < known.get().0 => {
-                known.insert((until, version.clone()));
+            Entry::Occupied(mut known) => {
+                let (known_until, known_version) = known.get();
+                let is_same = known_version == version;
+                let is_changed = if is_same { *known_until < until } else { until < *known_until };
+                if is_changed {
+                    known.insert((until, version.clone()));
+                }
             }
-            Entry::Vacant(_) | Entry::Occupied(_) => {}
+            Entry::Vacant(_) => {}
         }
     }
 
-    /// Returns whether any version that served in the last minute is known: the entry has followed
-    /// the list of backend servers for as long, or since it read what other entries had seen.
-    fn knows_all_versions(&self, now: MonoTime) -> bool {
+    /// Returns whether any version is known that may have begun a stream of this length: the entry has
+    /// followed the list of backend servers for a minute, or since it read what other entries had seen. A
+    /// longer stream may be of a version that left before, which the entry that ran it shows.
+    fn knows_all_versions(&self, now: MonoTime, stream_max_ms: u64) -> bool {
         let is_just_read =
             self.read_at.is_some_and(|at| now.ms_since(at) <= Self::READ_INTERVAL_MS);
         let is_followed =
@@ -386,7 +404,8 @@
         let has_followed = self.followed_since.is_some_and(|since| {
             now.ms_since(since) > Self::WINDOW_MS || self.read_at.is_some_and(|at| since <= at)
         });
-        is_just_read || (is_followed && has_followed)
+        let is_short = stream_max_ms <= Self::WINDOW_MS - Self::CALLER_WAIT_MS;
+        is_just_read || (is_short && is_followed && has_followed)
     }
 
     fn versions(
--- a/crates/filbertcleat-serve/tests/kept_origins.rs
+++ b/crates/filbertcleat-serve/tests/kept_origins.rs
@@ -27,6 +27,9 @@
 use self::support::id;
 use self::support::listed;
 
+/// The longest time for which streams of the route run.
+const STREAM_MAX_MS: u64 = 10_000;
+
 fn writer() -> ServiceName {
     ServiceName::new("writer")
 }
@@ -43,7 +46,7 @@
 fn follow(kept: &mut KeptOrigins, now: MonoTime, versions: &[&str]) {
     let versions = versions.iter().map(|text| (version(text), 0)).collect::<BTreeMap<_, _>>();
     kept.observe(now, &writer(), versions);
-    kept.on_followed(now, now);
+    kept.on_followed(now, now, false);
 }
 
 fn begin(kept: &mut KeptOrigins, now: MonoTime, request: u64, text: &str) {
@@ -56,7 +59,7 @@
 }
 
 fn decide(kept: &KeptOrigins, now: MonoTime, request: u64) -> OriginVerdict {
-    kept.decide(now, now, &writer(), Some(RequestHash::new(request)), true)
+    kept.decide(now, now, &writer(), Some(RequestHash::new(request)), true, STREAM_MAX_MS)
 }
 
 /// Returns a row with the versions `v1` and `v2`, both seen `age_ms` ago, and streams of the first.
@@ -239,6 +242,34 @@
     written(kept.write_step(at(350)));
 }
 
+/// The version of a stream that still runs counts as seen, and its row is not written more often.
+#[test]
+fn running_stream_keeps_version() {
+    let mut kept = kept();
+    follow(&mut kept, at(0), &["v1", "v2"]);
+    begin(&mut kept, at(0), 1, "v1");
+    read(&mut kept, at(0), &[]);
+    written(kept.write_step(at(0)));
+    for ms in (15_000..=120_000).step_by(15_000) {
+        follow(&mut kept, at(ms), &["v2"]);
+        begin(&mut kept, at(ms), 1, "v1");
+        assert_eq!(requests(&written(kept.write_step(at(ms)))), [1], "after {ms} ms");
+        begin(&mut kept, at(ms + 1_000), 1, "v1");
+        let refresh_at = at(ms + KeptOrigins::REFRESH_INTERVAL_MS);
+        let wait = OriginWriteStep::Wait { until: Some(refresh_at) };
+        assert_eq!(kept.write_step(at(ms + 1_000)), wait);
+    }
+
+    let mut other = KeptOrigins::new(NodeName::new("edge-3"));
+    follow(&mut other, at(0), &["v2"]);
+    let row = |age_ms| OriginRow { version: age_ms, ..row("edge-1", age_ms, &[(1, age_ms)]) };
+    read(&mut other, at(0), &[row(50_000)]);
+    read(&mut other, at(1_000), &[row(5_000)]);
+    assert_eq!(decide(&other, at(50_000), 1), OriginVerdict::Kept(writer(), version("v1")));
+    read(&mut other, at(50_000), &[]);
+    assert_eq!(decide(&other, at(50_000), 1), OriginVerdict::Kept(writer(), version("v1")));
+}
+
 /// The copy that a catalogue is restored from lacks the newest rows.
 #[test]
 fn restore_writes_again() {
@@ -312,14 +343,16 @@
         follow(&mut kept, at(second * 1_000), &["v1"]);
     }
     let (taken_up_at, request) = (at(61_500), Some(RequestHash::new(1)));
-    let decide = |kept: &KeptOrigins, now| kept.decide(now, taken_up_at, &writer(), request, true);
+    let decide = |kept: &KeptOrigins, now| {
+        kept.decide(now, taken_up_at, &writer(), request, true, STREAM_MAX_MS)
+    };
     assert_eq!(decide(&kept, at(61_500)), OriginVerdict::Follow);
 
     // The response of a call that was open then.
-    kept.on_followed(at(62_000), at(61_400));
+    kept.on_followed(at(62_000), at(61_400), false);
     assert_eq!(decide(&kept, at(62_000)), OriginVerdict::Follow);
 
-    kept.on_followed(at(63_000), at(62_500));
+    kept.on_followed(at(63_000), at(62_500), false);
     assert_eq!(decide(&kept, at(63_000)), OriginVerdict::Single(version("v1")));
 }
 
@@ -359,6 +392,46 @@
     assert_eq!(decide(&kept, at(100_000), 1), OriginVerdict::Read);
 }
 
+/// A version that came and left between two responses stays unknown to the entry until it has read
+/// what the others saw; from then on it needs no further list.
+#[test]
+fn unshown_servers_restart_observation() {
+    let mut kept = kept();
+    for second in 0..70 {
+        follow(&mut kept, at(second * 1_000), &["v1"]);
+    }
+
+    kept.on_followed(at(70_000), at(70_000), true);
+
+    assert_eq!(decide(&kept, at(70_000), 1), OriginVerdict::Read);
+    read(&mut kept, at(70_000), &[row("edge-2", 1_000, &[])]);
+    assert_eq!(decide(&kept, at(70_000), 1), OriginVerdict::Unknown);
+    for second in 71..140 {
+        follow(&mut kept, at(second * 1_000), &["v1"]);
+    }
+    assert_eq!(decide(&kept, at(139_000), 1), OriginVerdict::Single(version("v1")));
+}
+
+/// A stream that runs for long may be of a version that left the list more than a minute ago, so that
+/// following the list proves nothing.
+#[test]
+fn long_streams_need_rows() {
+    let mut kept = kept();
+    for second in 0..=200 {
+        follow(&mut kept, at(second * 1_000), &["v2"]);
+    }
+    let decide = |kept: &KeptOrigins, stream_max_ms| {
+        kept.decide(at(200_000), at(200_000), &writer(), None, true, stream_max_ms)
+    };
+    assert_eq!(decide(&kept, 30_000), OriginVerdict::Single(version("v2")));
+    assert_eq!(decide(&kept, 30_001), OriginVerdict::Read);
+
+    read(&mut kept, at(200_000), &[]);
+    assert_eq!(decide(&kept, 30_001), OriginVerdict::Single(version("v2")));
+    read(&mut kept, at(201_000), &[row("edge-2", 10_000, &[])]);
+    assert_eq!(decide(&kept, 30_001), OriginVerdict::Unknown);
+}
+
 /// Callers that come at once share one list, and lists are at least a second apart.
 #[test]
 fn lists_are_spaced() {
