Believe a refusal without an id only on a fresh connection

Callers saw 503 for requests that a server was running: the answer to the question for a server's identity names no request, its connection carries a caller's request next, and a late copy of it that says "not run" (503, 429, 421) was taken for the refusal of that request. It may then be sent again and run twice.

Cause: an answer without an id counted as one to the request at hand. The id tells which request an answer belongs to; without it that is certain only if nothing else was sent on the connection.

A response without an id on a connection that carried anything before counts as broken now, so that the request may have run. On the first request of a connection a refusal without an id is believed as before.

`extra_responses`: on the code before, `copy_of_end_answer_unused` (3 cases) and `copy_of_start_answer_unused` failed (the latter, and the former where traced, with 503 in place of 502); all 13 tests pass now. `first_answer_needs_no_id` (3 cases) passes on both.

--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -306,6 +306,13 @@
             "the response is for another request",
         ));
     }
+    // A copy of the answer to a question for the server's identity names no request either.
+    if metadata.id.is_none() && !response.connection.is_first_request() {
+        return Err(AttemptFailure::unknown(
+            AttemptOutcome::Broken,
+            "the response without an id may be for an earlier request",
+        ));
+    }
     let status = response.head.status;
     if status == StatusCode::MISDIRECTED_REQUEST {
         let is_other = metadata.server.as_ref().is_some_and(|server| server != attempt.server());
--- a/crates/filbertcleat-gateway/src/entry/backend_connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/backend_connection.rs
@@ -24,7 +24,7 @@
     allowance: ReadAllowance,
     /// The stream, until the connection has ended.
     stream: Weak<TcpStream>,
-    /// The requests that were sent last, oldest first.
+    /// The requests that were sent last, oldest first, with the questions for the server's identity.
     recent: VecDeque<RequestHash>,
     /// The start of the server that has answered on the connection, in Unix ms.
     started_unix_ms: Option<u64>,
@@ -91,6 +91,11 @@
         self.recent.contains(&id)
     }
 
+    /// Returns whether one request was sent on this connection so far, so that any answer answers it.
+    pub fn is_first_request(&self) -> bool {
+        self.recent.len() == 1
+    }
+
     /// Returns whether the backend server has neither sent anything nor closed the connection.
     ///
     /// It asks the kernel, since the runtime learns of bytes only after the tasks that are due.
--- a/crates/filbertcleat-gateway/tests/extra_responses.rs
+++ b/crates/filbertcleat-gateway/tests/extra_responses.rs
@@ -34,7 +34,11 @@
 
 impl RawServer {
     async fn start() -> Self {
-        let mut backend = Backend::start("d1", Script::Silent).await;
+        Self::start_as("d1").await
+    }
+
+    async fn start_as(id: &str) -> Self {
+        let mut backend = Backend::start(id, Script::Silent).await;
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a port");
         backend.address = listener.local_addr().expect("bound");
         Self { backend, listener }
@@ -49,11 +53,16 @@
 
 /// Reads the head of a request, byte by byte, and returns the id of the request.
 async fn read_id(stream: &mut TcpStream) -> String {
+    header(&read_head(stream).await, "x-id").expect("an id")
+}
+
+/// Reads the head of a request, byte by byte.
+async fn read_head(stream: &mut TcpStream) -> String {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.expect("a request"));
     }
-    header(&String::from_utf8(head).expect("the head is UTF-8"), "x-id").expect("an id")
+    String::from_utf8(head).expect("the head is UTF-8")
 }
 
 fn response(id: &str, body: &str) -> Vec<u8> {
@@ -130,6 +139,92 @@
     });
 }
 
+/// Guards against a late copy of the answer to the question that follows an unframed response being
+/// taken for the answer to the caller's request that comes next on the connection: the server runs
+/// it, and the caller would be told that it does not.
+#[rstest]
+#[case::full("503 X\r\nx-not-run: 1")]
+#[case::limited("429 X\r\nx-not-run: 1")]
+#[case::misdirected("421 X\r\nx-server: d2")]
+fn copy_of_end_answer_unused(#[case] answer: &str) {
+    let answer = format!("HTTP/1.1 {answer}\r\ncontent-length: 0\r\n\r\n");
+    World::run(async move {
+        let server = RawServer::start().await;
+        let routes = vec![route("book", RetryPolicy::AtMostOnce, 1)];
+        let world = World::start(routes, &[&server.backend]).await;
+        spawn_local(async move {
+            let mut unframed = server.accept().await;
+            let id = read_id(&mut unframed).await;
+            let text = format!("HTTP/1.1 200 X\r\nx-id: {id}\r\nx-seal: s\r\n\r\nwhole");
+            unframed.write_all(text.as_bytes()).await.expect("written");
+            drop(unframed);
+            let mut asked = server.accept().await;
+            assert!(read_head(&mut asked).await.starts_with("GET /health "));
+            asked.write_all(answer.as_bytes()).await.expect("written");
+            assert_eq!(read_id(&mut asked).await, "b");
+            asked.write_all(answer.as_bytes()).await.expect("written");
+            std::future::pending::<()>().await;
+        });
+
+        let mut caller = world.caller().await;
+        caller.call(&Call::new("a", "/book/1")).await.expect("a response");
+        let run = caller.call(&Call::new("b", "/book/2")).await.expect("a response");
+
+        assert_eq!(run.status, 502, "{run:?}");
+    });
+}
+
+/// Guards against the same for the question that precedes a stream.
+#[test]
+fn copy_of_start_answer_unused() {
+    World::run(async {
+        let server = RawServer::start_as("w1").await;
+        let resumable = RetryPolicy::Stream { resumable: true };
+        let world = World::start(vec![route("write", resumable, 1)], &[&server.backend]).await;
+        spawn_local(async move {
+            const ANSWER: &[u8] =
+                b"HTTP/1.1 503 X\r\nx-not-run: 1\r\ncontent-length: 9\r\n\r\nstarted 1";
+            let mut asked = server.accept().await;
+            assert!(read_head(&mut asked).await.starts_with("GET /report "));
+            asked.write_all(ANSWER).await.expect("written");
+            assert_eq!(read_id(&mut asked).await, "a");
+            asked.write_all(ANSWER).await.expect("written");
+            std::future::pending::<()>().await;
+        });
+
+        let reply = world.caller().await.call(&Call::new("a", "/write/1")).await;
+
+        let reply = reply.expect("a response");
+        assert_eq!(reply.status, 502, "{reply:?}");
+    });
+}
+
+/// What answers the first request of a connection can answer nothing else: some servers turn
+/// requests away before they read the id.
+#[rstest]
+#[case::full("503 X\r\nx-not-run: 1")]
+#[case::limited("429 X\r\nx-not-run: 1")]
+#[case::misdirected("421 X")]
+fn first_answer_needs_no_id(#[case] answer: &str) {
+    let answer = format!("HTTP/1.1 {answer}\r\ncontent-length: 0\r\n\r\n");
+    World::run(async move {
+        let server = RawServer::start().await;
+        let routes = vec![route("book", RetryPolicy::AtMostOnce, 1)];
+        let world = World::start(routes, &[&server.backend]).await;
+        spawn_local(async move {
+            let mut stream = server.accept().await;
+            read_id(&mut stream).await;
+            stream.write_all(answer.as_bytes()).await.expect("written");
+            std::future::pending::<()>().await;
+        });
+
+        let reply = world.caller().await.call(&Call::new("a", "/book/1")).await;
+
+        let reply = reply.expect("a response");
+        assert_eq!(reply.status, 503, "{reply:?}");
+    });
+}
+
 /// Guards against the use of a connection on which bytes have arrived, or which was closed, that
 /// the runtime does not know of yet: a request that may not be sent twice would be lost with it.
 #[rstest]
