Disbelieve unframed ends at the deadline that a server was told

Callers got the beginning of a response as a complete one: a server stops work at the deadline that it is told and closes the connection, which is the only mark of the end of an unframed response. As the server lives on, the question after the end found it alive.

Cause: the check tells the end of a process, not that of the work on a request. The server counts from the arrival of the request, so it can't stop before the time of sending plus the time that it was told. An end seen from then on counts as broken (`stopped`), without a question: a stream is cut, another response is answered with 504. An end seen before is judged as ever. The time is that of each sending, since the told whole milliseconds may end before the request's own deadline.

On the code before, `end_at_deadline_cuts` (2 cases; complete), `half_body_at_deadline` (2 cases; 200) failed; `end_at_told_deadline_cuts` failed with the request's deadline in place of the told one. All pass now, as does `end_before_deadline_believed`, which passed before.

--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -153,11 +153,12 @@
         let deployment = state.deployment.get();
         deployment.and_then(|deployment| deployment.services.get(&request.service)).cloned()
     };
-    let sender = ResponseSender {
+    let mut sender = ResponseSender {
         request: request.id.clone(),
         server: attempt.server().clone(),
         address,
         started_unix_ms,
+        deadline: request.deadline,
         service,
     };
     // A pooled connection that turns out to be closed has not transmitted the request, so another
@@ -202,6 +203,7 @@
                 "backend servers ended under such requests",
             ));
         }
+        sender.deadline = now.plus_ms(remaining_ms);
         let outbound = build_request(entry, request, attempt, remaining_ms, resume_after);
         let limit = Duration::from_millis(remaining_ms + RESPONSE_GRACE_MS);
         let exchange = Exchange {
--- a/crates/filbertcleat-gateway/src/entry/liveness.rs
+++ b/crates/filbertcleat-gateway/src/entry/liveness.rs
@@ -28,6 +28,9 @@
     Ended,
     /// Another backend server, or another start of it, has answered.
     Replaced,
+    /// The deadline had passed before the end was seen, at which the server closes the connection
+    /// in order and lives on.
+    Stopped,
     /// Nobody has answered.
     Unknown,
 }
@@ -39,6 +42,7 @@
             Self::Alive => "alive",
             Self::Ended => "ended",
             Self::Replaced => "replaced",
+            Self::Stopped => "stopped",
             Self::Unknown => "unknown",
         }
     }
@@ -50,13 +54,14 @@
             Self::Alive => None,
             Self::Ended => Some("the connection ended with the server"),
             Self::Replaced => Some("the connection ended with an earlier start of the server"),
+            Self::Stopped => Some("the connection ended after the deadline"),
             Self::Unknown => Some("the connection ended and the server does not answer"),
         }
     }
 }
 
-/// Asks whether the process that sent a response still runs, after the end of its connection and
-/// at most until a time.
+/// Asks whether the process that sent a response still runs, as soon as the end of its connection is
+/// seen and at most until a time.
 ///
 /// Each question has a connection of its own: on another one, a late answer from before the end
 /// could be taken for the answer.
@@ -66,8 +71,12 @@
     until: Instant,
 ) -> Liveness {
     let asked_at = entry.now();
-    let checked = tokio::time::timeout_at(until, ask_until_answered(&entry, &sender)).await;
-    let liveness = checked.unwrap_or(Liveness::Unknown);
+    let liveness = if sender.deadline <= asked_at {
+        Liveness::Stopped
+    } else {
+        let checked = tokio::time::timeout_at(until, ask_until_answered(&entry, &sender)).await;
+        checked.unwrap_or(Liveness::Unknown)
+    };
     let label = liveness.label();
     log::info!(
         "event=end-checked id={} server={} peer={} is={label} took_ms={}",
@@ -90,7 +99,10 @@
     for request in requests.iter().cycle() {
         match ask(entry, sender, request).await {
             Liveness::Unknown => {}
-            known @ (Liveness::Alive | Liveness::Ended | Liveness::Replaced) => return known,
+            known
+            @ (Liveness::Alive | Liveness::Ended | Liveness::Replaced | Liveness::Stopped) => {
+                return known;
+            }
         }
         tokio::time::sleep(pause).await;
         pause *= PAUSE_FACTOR;
--- a/crates/filbertcleat-gateway/src/entry/response_sender.rs
+++ b/crates/filbertcleat-gateway/src/entry/response_sender.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use filbertcleat_base::MonoTime;
 use filbertcleat_serve::ServerId;
 use filbertcleat_serve::ServiceSpec;
 use http::StatusCode;
@@ -20,6 +21,9 @@
     pub address: SocketAddr,
     /// The Unix time of the start in milliseconds; 0 if unknown.
     pub started_unix_ms: u64,
+    /// The deadline that the backend server was told, in whole milliseconds from the time of sending.
+    /// It stops work then, or later by the time that the request took to arrive.
+    pub deadline: MonoTime,
     /// The service, by the configuration in force when the request was sent. The one in force at the
     /// end of the response may lack it.
     pub service: Option<Rc<ServiceSpec>>,
--- a/crates/filbertcleat-gateway/src/entry/whole_body.rs
+++ b/crates/filbertcleat-gateway/src/entry/whole_body.rs
@@ -139,7 +139,11 @@
 ) -> Result<(), AttemptFailure> {
     let liveness = check_liveness(entry, sender, deadline).await;
     let Some(reason) = liveness.broken_reason() else { return Ok(()) };
-    let is_silent = liveness == Liveness::Unknown && deadline <= Instant::now();
-    let outcome = if is_silent { AttemptOutcome::Silent } else { AttemptOutcome::Broken };
+    let is_late = match liveness {
+        Liveness::Stopped => true,
+        Liveness::Unknown => deadline <= Instant::now(),
+        Liveness::Alive | Liveness::Ended | Liveness::Replaced => false,
+    };
+    let outcome = if is_late { AttemptOutcome::Silent } else { AttemptOutcome::Broken };
     Err(AttemptFailure::unknown(outcome, reason))
 }
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -49,6 +49,8 @@
     /// Sends a body without HTTP framing, and ends the server after a time, which closes all its
     /// connections in order.
     UnframedThenEnd { body: &'static str, after: Duration, down: Duration },
+    /// Sends a body without HTTP framing, and closes the connection at the deadline that it was told.
+    UnframedUntilDeadline { body: &'static str },
     /// Sends one event and half of the next, and ends the stream properly.
     FramedPartialEvent,
     /// Runs the request and closes the connection without a response.
@@ -422,11 +424,7 @@
             Script::EventsWithSilence { count, after, silence } => {
                 write(stream, &events_head).await;
                 let next = last_event_id.saturating_add(1);
-                write_events(stream, next..=after.min(count), Duration::ZERO).await;
-                if (next..=count).contains(&after) {
-                    tokio::time::sleep(silence).await;
-                }
-                write_events(stream, next.max(after + 1)..=count, Duration::ZERO).await;
+                write_around_silence(stream, next..=count, after, silence).await;
                 write(stream, "0\r\n\r\n").await
             }
             Script::EventsThenPieces { count, piece, pause } => {
@@ -446,6 +444,10 @@
                 write(stream, &format!("{}\r\n{body}", response_head(200))).await;
                 false
             }
+            Script::UnframedUntilDeadline { body } => {
+                let text = format!("{}\r\n{body}", response_head(200));
+                write_until_deadline(stream, &text, head).await
+            }
             Script::UnframedThenEnd { body, after, down } => {
                 let text = format!("{}\r\n{body}", response_head(200));
                 self.end_after(stream, &text, after, down).await
@@ -633,6 +635,31 @@
     }
 }
 
+/// Writes events and falls silent once after event `after`, if it is one of them.
+async fn write_around_silence(
+    stream: &mut OwnedWriteHalf,
+    numbers: RangeInclusive<u64>,
+    after: u64,
+    silence: Duration,
+) {
+    let (next, count) = numbers.clone().into_inner();
+    write_events(stream, next..=after.min(count), Duration::ZERO).await;
+    if numbers.contains(&after) {
+        tokio::time::sleep(silence).await;
+    }
+    write_events(stream, next.max(after + 1)..=count, Duration::ZERO).await;
+}
+
+/// Writes a text, waits for the deadline that the head of the request tells, and returns that the
+/// connection does not stay open.
+async fn write_until_deadline(stream: &mut OwnedWriteHalf, text: &str, head: &str) -> bool {
+    let wait_ms = header(head, "x-wait-ms").and_then(|text| text.parse().ok());
+    let deadline = Instant::now() + Duration::from_millis(wait_ms.expect("a deadline"));
+    write(stream, text).await;
+    tokio::time::sleep_until(deadline).await;
+    false
+}
+
 /// Writes events of `bytes` data bytes each.
 async fn write_large_events(stream: &mut OwnedWriteHalf, count: u64, bytes: usize) {
     let data = "x".repeat(bytes);
--- a/crates/filbertcleat-gateway/tests/unframed_bodies.rs
+++ b/crates/filbertcleat-gateway/tests/unframed_bodies.rs
@@ -110,6 +110,23 @@
     });
 }
 
+/// Guards against a body that its server gives up at the deadline, as it was told, and that passes for
+/// whole since the server lives on.
+#[rstest]
+#[case::at_most_once(RetryPolicy::AtMostOnce)]
+#[case::idempotent(RetryPolicy::Idempotent)]
+fn half_body_at_deadline(#[case] policy: RetryPolicy) {
+    World::run(async move {
+        let desk = Backend::start("d1", Script::UnframedUntilDeadline { body: "wh" }).await;
+        let world = World::start(vec![route("book", policy, 2)], &[&desk]).await;
+        let call = Call { wait_ms: 1_000, ..Call::new("a", "/book/1") };
+
+        let reply = world.caller().await.call(&call).await.expect("a response");
+
+        assert_eq!(reply.status, 504, "{reply:?}");
+    });
+}
+
 /// A server at which requests wait for a slot answers late.
 #[test]
 fn late_proof_awaited() {
--- a/crates/filbertcleat-gateway/tests/unframed_streams.rs
+++ b/crates/filbertcleat-gateway/tests/unframed_streams.rs
@@ -122,6 +122,71 @@
     });
 }
 
+/// Guards against a stream that its server gives up at the deadline, as it was told, and that passes
+/// for complete since the server lives on.
+#[rstest]
+#[case::not_resumable(NOT_RESUMABLE)]
+#[case::resumable(RESUMABLE)]
+fn end_at_deadline_cuts(#[case] policy: RetryPolicy) {
+    World::run(async move {
+        let script = Script::UnframedUntilDeadline { body: events(3) };
+        let writer = Backend::start("w1", script).await;
+        let world = World::start(vec![route("write", policy, 2)], &[&writer]).await;
+        let call = Call { wait_ms: 1_000, ..Call::new("a", "/write/1") };
+
+        let reply = world.caller().await.call(&call).await.expect("a response head");
+
+        assert_eq!(reply.body, events(3));
+        assert!(!reply.is_complete);
+        let ends = world.metric("filbertcleat_end_checks{outcome=\"stopped\"}").await;
+        assert_eq!(ends, Some(1));
+    });
+}
+
+/// The server is told whole milliseconds, so that its deadline may come before that of the request.
+#[test]
+fn end_at_told_deadline_cuts() {
+    World::run(async {
+        let script = Script::UnframedUntilDeadline { body: events(3) };
+        let writer = Backend::start("w1", script).await;
+        writer.identify_as(Identity::Late(Duration::from_millis(10)));
+        let world = World::start(vec![route("write", RESUMABLE, 1)], &[&writer]).await;
+        let mut caller = world.caller().await;
+        // Timers fire at whole milliseconds: the deadline of the server is one, that of the request
+        // is 0.7 ms later.
+        tokio::time::advance(Duration::from_micros(700)).await;
+        let call = Call { wait_ms: 1_000, ..Call::new("a", "/write/1") };
+        caller.send(&call).await.expect("the entry reads the request");
+        while writer.asked_at.borrow().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        tokio::time::advance(Duration::from_micros(300)).await;
+
+        let reply = caller.read_reply().await.expect("a response head");
+
+        assert_eq!(reply.body, events(3));
+        assert!(!reply.is_complete);
+    });
+}
+
+/// A stream that ends before its deadline is complete also if the server answers after it.
+#[test]
+fn end_before_deadline_believed() {
+    World::run(async {
+        let whole = Box::new(Script::Unframed { body: events(3) });
+        let script = Script::Delayed { after: Duration::from_millis(950), script: whole };
+        let writer = Backend::start("w1", script).await;
+        writer.identify_as(Identity::Late(Duration::from_millis(100)));
+        let world = World::start(vec![route("write", NOT_RESUMABLE, 1)], &[&writer]).await;
+        let call = Call { wait_ms: 1_000, ..Call::new("a", "/write/1") };
+
+        let reply = world.caller().await.call(&call).await.expect("a response head");
+
+        assert!(reply.is_complete);
+        assert_eq!(reply.body, events(3));
+    });
+}
+
 /// A caller that has all events takes up a stream of which no event is left.
 #[test]
 fn empty_rest_believed() {
