Guard the service of unknown streams and the question's own connection

Two decisions had no test that fails without them. `unknown_stream_keeps_service`: without a known origin the id of the request that began a stream draws its service, not that of the take-up; it fails with the latter. `question_has_own_connection`: the question after an unframed end has a connection of its own; it fails if the question goes out on a pooled one. Both pass on the code as it is.

--- a/crates/filbertcleat-gateway/tests/split_routes.rs
+++ b/crates/filbertcleat-gateway/tests/split_routes.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use filbertcleat_base::ServiceName;
@@ -15,6 +16,7 @@
 
 use self::support::Backend;
 use self::support::Call;
+use self::support::PowerSite;
 use self::support::Script;
 use self::support::TestCatalogue;
 use self::support::World;
@@ -77,6 +79,46 @@
     });
 }
 
+/// Guards against a service drawn by the id of the take-up: without a known origin the id of the
+/// request that began the stream tells the service.
+#[test]
+fn unknown_stream_keeps_service() {
+    const IDS: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    World::run(async {
+        let resumable = RetryPolicy::Stream { resumable: true };
+        let targets = ["writer", "desk"];
+        let targets = targets.map(|name| Target { service: ServiceName::new(name), weight: 1 });
+        let split = Route { targets: targets.into(), ..route("write", resumable, 1) };
+        let mut site = PowerSite::start_with_routes(1, vec![split]).await;
+        let ip = Ipv4Addr::new(127, 0, site.subnet, 103);
+        site.backends.push(Backend::start_at("d1", ip, Script::EventsThenCut { count: 3 }).await);
+        site.list(0, "v1");
+        site.list(1, "v1");
+        site.run_vms(0..1, false, async |worlds| {
+            for id in IDS {
+                begin(&worlds[0], id).await;
+                tokio::time::sleep(LISTING_DELAY).await;
+            }
+        })
+        .await;
+        let seen_at_servers = |name| -> Vec<Vec<String>> {
+            site.backends.iter().map(|backend| seen(backend, name)).collect()
+        };
+        let begun = seen_at_servers("x-id");
+        assert!(begun.iter().all(|ids| !ids.is_empty()), "a service without streams: {begun:?}");
+        site.mend_streams();
+
+        site.run_vms(0..1, false, async |worlds| {
+            for id in IDS {
+                assert_eq!(take_up(&worlds[0], id).await, 200);
+            }
+        })
+        .await;
+
+        assert_eq!(seen_at_servers("x-resumes"), begun);
+    });
+}
+
 /// A caller that does not name the request that began its stream may have been served by either
 /// service.
 #[rstest]
@@ -102,3 +144,8 @@
         assert_eq!(arrivals, [expected, 0]);
     });
 }
+
+/// Returns the values of a header of the requests that arrived.
+fn seen(backend: &Backend, name: &str) -> Vec<String> {
+    backend.seen.borrow().iter().filter_map(|head| header(head, name)).collect()
+}
--- a/crates/filbertcleat-gateway/tests/unframed_bodies.rs
+++ b/crates/filbertcleat-gateway/tests/unframed_bodies.rs
@@ -142,6 +142,32 @@
     });
 }
 
+/// Guards against a question on a connection that was open before the end: a late answer to an
+/// earlier question or request there would show that the server has outlived the end.
+#[test]
+fn question_has_own_connection() {
+    World::run(async {
+        let after = Duration::from_millis(50);
+        let framed = Script::Respond { status: 200, body: "whole", after };
+        let desk = Backend::start("d1", framed).await;
+        let world = World::start(vec![route("book", RetryPolicy::AtMostOnce, 1)], &[&desk]).await;
+        let (mut one, mut two) = (world.caller().await, world.caller().await);
+        one.send(&Call::new("a", "/book/1")).await.expect("the entry reads the request");
+        two.send(&Call::new("b", "/book/2")).await.expect("the entry reads the request");
+        for caller in [&mut one, &mut two] {
+            assert_eq!(caller.read_reply().await.expect("a response").status, 200);
+        }
+        assert_eq!((desk.connections.get(), desk.used_connections.get()), (2, 2));
+        desk.set_default(UNFRAMED);
+
+        let reply = one.call(&Call::new("c", "/book/3")).await;
+
+        assert_eq!(reply.expect("a response").status, 200);
+        assert_eq!(desk.asked_at.borrow().len(), 1);
+        assert_eq!((desk.connections.get(), desk.used_connections.get()), (3, 2));
+    });
+}
+
 /// A busy server resets new connections for a while.
 #[test]
 fn resets_outlasted() {
