--- a/crates/filbertcleat-gateway/tests/unframed_bodies.rs
+++ b/crates/filbertcleat-gateway/tests/unframed_bodies.rs
@@ -110,6 +110,23 @@
     });
 }
 
+/// Guards against a body that its server gives up at the deadline, as it was told, and that passes for
+/// whole since the server lives on.
+#[rstest]
+#[case::at_most_once(RetryPolicy::AtMostOnce)]
+#[case::idempotent(RetryPolicy::Idempotent)]
+fn half_body_at_deadline(#[case] policy: RetryPolicy) {
+    World::run(async move {
+        let desk = Backend::start("d1", Script::UnframedUntilDeadline { body: "wh" }).await;
+        let world = World::start(vec![route("book", policy, 2)], &[&desk]).await;
+        let call = Call { wait_ms: 1_000, ..Call::new("a", "/book/1") };
+
+        let reply = world.caller().await.call(&call).await.expect("a response");
+
+        assert_eq!(reply.status, 504, "{reply:?}");
+    });
+}
+
 /// A server at which requests wait for a slot answers late.
 #[test]
 fn late_proof_awaited() {
@@ -125,6 +142,32 @@
     });
 }
 
+/// Guards against a question on a connection that was open before the end: a late answer to an
+/// earlier question or request there would show that the server has outlived the end.
+#[test]
+fn question_has_own_connection() {
+    World::run(async {
+        let after = Duration::from_millis(50);
+        let framed = Script::Respond { status: 200, body: "whole", after };
+        let desk = Backend::start("d1", framed).await;
+        let world = World::start(vec![route("book", RetryPolicy::AtMostOnce, 1)], &[&desk]).await;
+        let (mut one, mut two) = (world.caller().await, world.caller().await);
+        one.send(&Call::new("a", "/book/1")).await.expect("the entry reads the request");
+        two.send(&Call::new("b", "/book/2")).await.expect("the entry reads the request");
+        for caller in [&mut one, &mut two] {
+            assert_eq!(caller.read_reply().await.expect("a response").status, 200);
+        }
+        assert_eq!((desk.connections.get(), desk.used_connections.get()), (2, 2));
+        desk.set_default(UNFRAMED);
+
+        let reply = one.call(&Call::new("c", "/book/3")).await;
+
+        assert_eq!(reply.expect("a response").status, 200);
+        assert_eq!(desk.asked_at.borrow().len(), 1);
+        assert_eq!((desk.connections.get(), desk.used_connections.get()), (3, 2));
+    });
+}
+
 /// A busy server resets new connections for a while.
 #[test]
 fn resets_outlasted() {
