Reset the HTTP/1.0 callers of an entry that ends

Callers of HTTP/1.0 got the beginning of a stream as a complete one if their entry was killed, or ended at its grace time: they get no chunks, and the kernel closes the connections of a process that ends in order.

The caller's socket lingers for no time (SO_LINGER, 0) from the head of a response whose end only the connection marks, so that the kernel resets it. Once the kernel has taken the whole rest of the response the option is taken back, so that a slow reader still gets it if the entry ends then.

`entry_end_is_reset::running` failed on the code before (an orderly end after nine events of 100) and passes now. `whole_stream_outlives_entry` fails (connection reset) if the option is not taken back. The tests drop the entry with its sockets; no process was killed for them.

--- a/crates/filbertcleat-gateway/src/entry/caller_socket.rs
+++ b/crates/filbertcleat-gateway/src/entry/caller_socket.rs
@@ -98,8 +98,9 @@
 
     /// Hyper flushes the stream when it has taken all buffered bytes.
     fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.activity.on_flush();
-        Poll::Ready(Ok(()))
+        // Until now the kernel would have reset the connection.
+        let is_whole = self.activity.on_flush();
+        Poll::Ready(if is_whole { SockRef::from(&*self.stream).set_linger(None) } else { Ok(()) })
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -93,6 +93,7 @@
             let active = ActiveRequest::begin(&activity);
             let open = OpenResponse::begin(&activity, request.version());
             let activity = Rc::clone(&activity);
+            let stream = Rc::clone(&stream);
             async move {
                 let mut response = handle_request(&entry, request, active).await;
                 if entry.shutdown.is_triggered() {
@@ -101,7 +102,13 @@
                 if response.headers().contains_key(CONNECTION) {
                     activity.end_after_response();
                 }
-                Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, open)))
+                let response = response.map(|body| ResponseBody::new(body, open));
+                if response.body().is_end_unmarked() {
+                    // The kernel closes the connections of a process that ends.
+                    reset_on_close(&stream);
+                    activity.end_unmarked();
+                }
+                Ok::<_, Infallible>(response)
             }
         });
         let header_max_bytes = entry.caller_limits().header_max_bytes;
--- a/crates/filbertcleat-gateway/src/entry/connection_activity.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_activity.rs
@@ -26,6 +26,8 @@
     is_ending: Cell<bool>,
     /// Whether a response was cut, and an orderly end of the connection would make it look whole.
     is_reset_due: Cell<bool>,
+    /// Whether only the end of the connection marks the end of the current response.
+    is_end_unmarked: Cell<bool>,
     /// What of responses is in the buffer of the connection.
     buffered: HeldBytes,
     /// Since when the socket has taken nothing of the buffer.
@@ -53,6 +55,7 @@
             head_since: Cell::new(None),
             is_ending: Cell::new(false),
             is_reset_due: Cell::new(false),
+            is_end_unmarked: Cell::new(false),
             buffered: held.hold(0),
             write_blocked_since: Cell::new(None),
             is_stall_suspected: Cell::new(false),
@@ -114,12 +117,20 @@
         self.buffered.get()
     }
 
-    /// Records that the socket has taken all that was in the buffer of the connection.
-    pub fn on_flush(&self) {
+    /// Records that the socket has taken all that was in the buffer of the connection, and returns
+    /// whether that was the rest of a response whose end only that of the connection marks.
+    pub fn on_flush(&self) -> bool {
         self.buffered.release_all();
-        if self.is_flush_due.replace(false) {
-            self.idle_since.set(self.clock.now());
+        if !self.is_flush_due.replace(false) {
+            return false;
         }
+        self.idle_since.set(self.clock.now());
+        self.is_end_unmarked.replace(false) && !self.is_reset_due.get()
+    }
+
+    /// Records that only the end of the connection marks the end of the current response.
+    pub fn end_unmarked(&self) {
+        self.is_end_unmarked.set(true);
     }
 
     /// Records that the connection ends after the current response.
--- a/crates/filbertcleat-gateway/src/entry/response_body.rs
+++ b/crates/filbertcleat-gateway/src/entry/response_body.rs
@@ -29,6 +29,11 @@
     pub fn new(body: CallerBody, open: OpenResponse) -> Self {
         Self { body, open }
     }
+
+    /// Returns whether only the end of the connection marks the end of the body.
+    pub fn is_end_unmarked(&self) -> bool {
+        !self.open.has_chunks && self.body.size_hint().exact().is_none()
+    }
 }
 
 impl Body for ResponseBody {
