Name the record of a request as it was sent

`ResponseSender` described the request, the start that it went to and the deadline that was told, and `sender` names channels everywhere else. It is `SentRequest` now, `sent` where it is held. No behaviour changes; formatter, imports and the linter of the crate are clean.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -50,7 +50,7 @@
 mod request;
 mod request_log;
 mod response_body;
-mod response_sender;
+mod sent_request;
 mod socket;
 mod state;
 mod stream_close;
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -32,7 +32,7 @@
 use super::listed_start::StartCheck;
 use super::listed_start::check_start;
 use super::request::CallerRequest;
-use super::response_sender::ResponseSender;
+use super::sent_request::SentRequest;
 use super::state::Entry;
 use super::stream_relay::STALL_TIMEOUT_MS;
 use crate::AttemptMetadata;
@@ -50,8 +50,8 @@
     pub head: Parts,
     pub body: BackendBody,
     pub framing: BodyFraming,
-    /// The start of the backend server that sent the response.
-    pub sender: ResponseSender,
+    /// The request that the response answers.
+    pub sent: SentRequest,
     /// The software version of the backend server.
     pub software_version: SoftwareVersion,
     pub connection: BackendConnection,
@@ -153,7 +153,7 @@
         let deployment = state.deployment.get();
         deployment.and_then(|deployment| deployment.services.get(&request.service)).cloned()
     };
-    let mut sender = ResponseSender {
+    let mut sent = SentRequest {
         request: request.id.clone(),
         server: attempt.server().clone(),
         address,
@@ -176,7 +176,7 @@
                 "connecting to the backend server failed",
             )
         })?;
-        if !is_listed_start(entry, request, &mut connection, &sender).await? {
+        if !is_listed_start(entry, request, &mut connection, &sent).await? {
             continue;
         }
         let now = entry.now();
@@ -203,7 +203,7 @@
                 "backend servers ended under such requests",
             ));
         }
-        sender.deadline = now.plus_ms(remaining_ms);
+        sent.deadline = now.plus_ms(remaining_ms);
         let outbound = build_request(entry, request, attempt, remaining_ms, resume_after);
         let limit = Duration::from_millis(remaining_ms + RESPONSE_GRACE_MS);
         let exchange = Exchange {
@@ -228,7 +228,7 @@
             }
         };
         let requests_pause = answer.requests_pause;
-        let (response, metadata) = begin_response(request, answer, sender, software_version);
+        let (response, metadata) = begin_response(request, answer, sent, software_version);
         let validated = validate_response(entry, request, attempt, response, &metadata);
         return validated.map_err(|failure| failure.with_pause(requests_pause));
     }
@@ -244,7 +244,7 @@
     entry: &Rc<Entry<D>>,
     request: &CallerRequest,
     connection: &mut BackendConnection,
-    server: &ResponseSender,
+    server: &SentRequest,
 ) -> Result<bool, AttemptFailure> {
     let now = entry.now();
     if !request.route.retry_policy.is_resumable() || !accepts_requests(entry, &server.server, now) {
@@ -269,7 +269,7 @@
 fn begin_response(
     request: &CallerRequest,
     answer: Answer,
-    sender: ResponseSender,
+    sent: SentRequest,
     software_version: SoftwareVersion,
 ) -> (BackendResponse, ResponseMetadata) {
     let Answer { response, metadata, requests_pause, connection } = answer;
@@ -277,15 +277,8 @@
     let framing = BodyFraming::of(&head.headers, &body);
     let kind = body_kind(request, head.status);
     let body = BackendBody::new(body, connection.allowance().clone(), kind);
-    let response = BackendResponse {
-        head,
-        body,
-        framing,
-        sender,
-        software_version,
-        connection,
-        requests_pause,
-    };
+    let response =
+        BackendResponse { head, body, framing, sent, software_version, connection, requests_pause };
     (response, metadata)
 }
 
@@ -318,7 +311,7 @@
     let status = response.head.status;
     if status == StatusCode::MISDIRECTED_REQUEST {
         let is_other = metadata.server.as_ref().is_some_and(|server| server != attempt.server());
-        entry.pool.keep(response.sender.address, response.connection, &response.head.headers);
+        entry.pool.keep(response.sent.address, response.connection, &response.head.headers);
         return Err(if is_other {
             AttemptFailure::not_run(
                 AttemptOutcome::Misdirected,
@@ -332,7 +325,7 @@
         });
     }
     if metadata.is_not_run {
-        entry.pool.keep(response.sender.address, response.connection, &response.head.headers);
+        entry.pool.keep(response.sent.address, response.connection, &response.head.headers);
         return Err(AttemptFailure::not_run(
             AttemptOutcome::Full,
             "the backend server had no free capacity",
--- a/crates/filbertcleat-gateway/src/entry/handler.rs
+++ b/crates/filbertcleat-gateway/src/entry/handler.rs
@@ -247,11 +247,11 @@
     if outcome != AttemptOutcome::Paused {
         attempt.on_response_bytes();
     }
-    let BackendResponse { mut head, body, framing, sender, connection, .. } = backend_response;
+    let BackendResponse { mut head, body, framing, sent, connection, .. } = backend_response;
     let limit = Duration::from_millis(request.remaining_ms(entry.now()) + RESPONSE_GRACE_MS);
     let held = entry.caller_memory.begin_body();
-    let address = sender.address;
-    let body = WholeBody { body, framing, sender, connection, held, outcome };
+    let address = sent.address;
+    let body = WholeBody { body, framing, sent, connection, held, outcome };
     let read = body.read(attempt.counted(), Instant::now() + limit).await;
     let (body, connection) = match read {
         Ok(read) => read,
--- a/crates/filbertcleat-gateway/src/entry/listed_start.rs
+++ b/crates/filbertcleat-gateway/src/entry/listed_start.rs
@@ -11,7 +11,7 @@
 use super::identity_answer::ask_identity;
 use super::notices::NoticeSource;
 use super::notices::apply_notice;
-use super::response_sender::ResponseSender;
+use super::sent_request::SentRequest;
 use super::state::Entry;
 use crate::Dialect;
 use crate::ServerNotice;
@@ -51,7 +51,7 @@
 pub(super) async fn check_start<D: Dialect>(
     entry: &Rc<Entry<D>>,
     connection: &mut BackendConnection,
-    server: &ResponseSender,
+    server: &SentRequest,
     wait: Duration,
 ) -> StartCheck {
     if let Some(started_unix_ms) = connection.started_unix_ms() {
@@ -91,7 +91,7 @@
 }
 
 /// Returns what an answer tells of the listed start of a server.
-fn judge(listed: &ResponseSender, answer: &IdentityAnswer) -> StartCheck {
+fn judge(listed: &SentRequest, answer: &IdentityAnswer) -> StartCheck {
     let IdentityAnswer { status, metadata, identity, .. } = answer;
     let is_other_server = identity.server.as_ref().is_some_and(|server| *server != listed.server);
     let names_start = identity.started_unix_ms > 0;
@@ -107,7 +107,7 @@
 /// Applies what the server announces in an answer.
 fn apply_answer_notice<D: Dialect>(
     entry: &Entry<D>,
-    server: &ResponseSender,
+    server: &SentRequest,
     answer: &IdentityAnswer,
 ) {
     let notice = answer.metadata.notice.with_status(answer.status);
--- a/crates/filbertcleat-gateway/src/entry/liveness.rs
+++ b/crates/filbertcleat-gateway/src/entry/liveness.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::identity_answer::ask_identity;
-use super::response_sender::ResponseSender;
+use super::sent_request::SentRequest;
 use super::state::Entry;
 use crate::Dialect;
 use crate::metrics::Metric;
@@ -67,22 +67,22 @@
 /// could be taken for the answer.
 pub(super) async fn check_liveness<D: Dialect>(
     entry: Rc<Entry<D>>,
-    sender: ResponseSender,
+    sent: SentRequest,
     until: Instant,
 ) -> Liveness {
     let asked_at = entry.now();
-    let liveness = if sender.deadline <= asked_at {
+    let liveness = if sent.deadline <= asked_at {
         Liveness::Stopped
     } else {
-        let checked = tokio::time::timeout_at(until, ask_until_answered(&entry, &sender)).await;
+        let checked = tokio::time::timeout_at(until, ask_until_answered(&entry, &sent)).await;
         checked.unwrap_or(Liveness::Unknown)
     };
     let label = liveness.label();
     log::info!(
         "event=end-checked id={} server={} peer={} is={label} took_ms={}",
-        sender.request,
-        sender.server,
-        sender.address,
+        sent.request,
+        sent.server,
+        sent.address,
         entry.now().ms_since(asked_at),
     );
     entry.metrics.count(Metric::EndChecks, &[("outcome", label)]);
@@ -90,14 +90,14 @@
 }
 
 /// Asks until an answer tells whether the process runs, if it can be asked at all.
-async fn ask_until_answered<D: Dialect>(entry: &Entry<D>, sender: &ResponseSender) -> Liveness {
-    let requests = sender
+async fn ask_until_answered<D: Dialect>(entry: &Entry<D>, sent: &SentRequest) -> Liveness {
+    let requests = sent
         .service
         .as_ref()
-        .map_or_else(Vec::new, |service| entry.dialect.identity_requests(&sender.server, service));
+        .map_or_else(Vec::new, |service| entry.dialect.identity_requests(&sent.server, service));
     let mut pause = FIRST_PAUSE;
     for request in requests.iter().cycle() {
-        match ask(entry, sender, request).await {
+        match ask(entry, sent, request).await {
             Liveness::Unknown => {}
             known
             @ (Liveness::Alive | Liveness::Ended | Liveness::Replaced | Liveness::Stopped) => {
@@ -110,18 +110,14 @@
     Liveness::Unknown
 }
 
-async fn ask<D: Dialect>(
-    entry: &Entry<D>,
-    sender: &ResponseSender,
-    request: &Request<()>,
-) -> Liveness {
-    let mut connection = match entry.pool.connect(sender.address).await {
+async fn ask<D: Dialect>(entry: &Entry<D>, sent: &SentRequest, request: &Request<()>) -> Liveness {
+    let mut connection = match entry.pool.connect(sent.address).await {
         Ok(connection) => connection,
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => return Liveness::Ended,
         Err(_other) => return Liveness::Unknown,
     };
-    let answer = ask_identity(&entry.dialect, &mut connection, sender.address, request).await;
+    let answer = ask_identity(&entry.dialect, &mut connection, sent.address, request).await;
     let Some(answer) = answer else { return Liveness::Unknown };
-    entry.pool.keep(sender.address, connection, &answer.headers);
-    sender.judge(answer.status, &answer.metadata, &answer.identity)
+    entry.pool.keep(sent.address, connection, &answer.headers);
+    sent.judge(answer.status, &answer.metadata, &answer.identity)
 }
--- a/crates/filbertcleat-gateway/src/entry/response_sender.rs
+++ b/crates/filbertcleat-gateway/src/entry/sent_request.rs
@@ -1,4 +1,4 @@
-//! The start of a backend server that sent a response, and the request.
+//! A request as it was sent to a start of a backend server.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,9 +12,9 @@
 use crate::ResponseMetadata;
 use crate::ServerIdentity;
 
-/// The start of a backend server that sent a response, and the request.
+/// A request as it was sent to a start of a backend server.
 #[derive(Clone, Debug)]
-pub(super) struct ResponseSender {
+pub(super) struct SentRequest {
     /// The id of the caller's request.
     pub request: String,
     pub server: ServerId,
@@ -29,7 +29,7 @@
     pub service: Option<Rc<ServiceSpec>>,
 }
 
-impl ResponseSender {
+impl SentRequest {
     /// Returns what an answer from the address tells of this start.
     pub fn judge(
         &self,
--- a/crates/filbertcleat-gateway/src/entry/stream_source.rs
+++ b/crates/filbertcleat-gateway/src/entry/stream_source.rs
@@ -150,8 +150,8 @@
     /// Ends the attempt after a complete stream and keeps the connection for reuse.
     pub fn complete(self, pool: &ConnectionPool) {
         self.attempt.end_complete();
-        let BackendResponse { head, sender, connection, .. } = *self.response;
-        pool.keep(sender.address, connection, &head.headers);
+        let BackendResponse { head, sent, connection, .. } = *self.response;
+        pool.keep(sent.address, connection, &head.headers);
     }
 
     /// Ends the attempt before the end of the stream, which resets the connection.
@@ -184,7 +184,7 @@
     fn check_end(&self) -> LocalBoxFuture<'static, Liveness> {
         let entry = Rc::clone(&self.attempt.counted().entry);
         let until = Instant::now() + END_CHECK_TIMEOUT;
-        Box::pin(check_liveness(entry, self.response.sender.clone(), until))
+        Box::pin(check_liveness(entry, self.response.sent.clone(), until))
     }
 
     /// Receives the next item. Nothing is lost if the returned future is dropped.
--- a/crates/filbertcleat-gateway/src/entry/whole_body.rs
+++ b/crates/filbertcleat-gateway/src/entry/whole_body.rs
@@ -23,7 +23,7 @@
 use super::exchange::READ_ON;
 use super::liveness::Liveness;
 use super::liveness::check_liveness;
-use super::response_sender::ResponseSender;
+use super::sent_request::SentRequest;
 use super::state::Entry;
 use crate::Dialect;
 
@@ -31,7 +31,7 @@
 pub(super) struct WholeBody {
     pub body: BackendBody,
     pub framing: BodyFraming,
-    pub sender: ResponseSender,
+    pub sent: SentRequest,
     pub connection: BackendConnection,
     pub held: BodyBytes,
     /// The outcome of the attempt if the body is whole.
@@ -98,7 +98,7 @@
         entry: Rc<Entry<D>>,
         mut deadline: Instant,
     ) -> Result<ReadBody, AttemptFailure> {
-        let Self { body, framing, sender, connection, mut held, .. } = self;
+        let Self { body, framing, sent, connection, mut held, .. } = self;
         let mut body = Limited::new(body, RESPONSE_MAX_BYTES);
         let mut bytes = BytesMut::new();
         loop {
@@ -124,7 +124,7 @@
         }
         match framing {
             BodyFraming::Length | BodyFraming::Chunks => {}
-            BodyFraming::Connection => check_end(entry, sender, deadline).await?,
+            BodyFraming::Connection => check_end(entry, sent, deadline).await?,
         }
         let body = Full::new(bytes.freeze());
         Ok((CallerBody::Complete { body, held: Some(held.finish()) }, connection))
@@ -134,10 +134,10 @@
 /// Checks that the server has outlived the connection whose end is that of the body.
 async fn check_end<D: Dialect>(
     entry: Rc<Entry<D>>,
-    sender: ResponseSender,
+    sent: SentRequest,
     deadline: Instant,
 ) -> Result<(), AttemptFailure> {
-    let liveness = check_liveness(entry, sender, deadline).await;
+    let liveness = check_liveness(entry, sent, deadline).await;
     let Some(reason) = liveness.broken_reason() else { return Ok(()) };
     let is_late = match liveness {
         Liveness::Stopped => true,
