--- a/crates/filbertcleat-platform/src/http.rs
+++ b/crates/filbertcleat-platform/src/http.rs
@@ -49,9 +49,9 @@
         Self { client, timeout }
     }
 
-    /// Returns the default time limit of a request.
-    pub fn timeout(&self) -> Duration {
-        self.timeout
+    /// Returns a client with the same time limit and none of the open connections.
+    pub fn without_connections(&self) -> Self {
+        Self::new(self.timeout)
     }
 
     /// Sends a request and reads the complete response, within the request's time limit.
