Keep missing servers only until the entry may be in touch again

Callers' requests reached a server up to 3.15 s after the store had said that it was gone, in place of 2 s, and two bookings of review/1 were answered 502 as it had exited.

Cause: an entry that had lost its calls kept every server whose record was missing for 2.2 s from its own next success on. That grace is for a store that was away for all, whose records expire and come back within 2 s, but it began also when this entry alone had lost its calls, and it counted from the entry's success while DRAIN counts from the end of the disruption.

The grace ends `contactMs` after the earliest time at which the loss may have ended, at which the entry may be in touch again: after the last read of the list if one call has failed, whose connection may have gone silent right then; else after the failure before the last one, as the loss lasted still when the call after that began. In an outage for all that leaves about 2 s, since calls fail each second. Before that end a server is taken out once three quarters of the others have written their records after the removal, as it could have written its own. While records are missing the list is read each 250 ms. After a restore, which is a disruption for all, the leaving of a server counts `contactMs` and `drainMs` later.

Ruled out: the wait for the head, the pool of connections to backend servers and the dispatch queue; the arrivals stop with the removal in Fleet.

--- a/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
+++ b/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
@@ -129,6 +129,10 @@
                 self.cursor = Some(cursor);
                 match self.topic {
                     Topic::Operators | Topic::Facts | Topic::Origins => Duration::ZERO,
+                    // Missing servers may come back, or others may show that they have left.
+                    Topic::Servers if self.entry.state.borrow().fleet.has_unlisted() => {
+                        WANTED_SERVERS_PAUSE
+                    }
                     Topic::Servers => servers_pause(self.entry.settings.catalogue_delays),
                 }
             }
@@ -147,12 +151,14 @@
             let topic = self.topic.as_str();
             log::warn!("event=catalogue-lost topic={topic} reason=\"{fault}\"");
         }
+        let now = self.entry.now();
         if self.topic == Topic::Servers {
-            self.entry.state.borrow_mut().fleet.on_catalogue_lost();
+            let contact_ms = self.entry.settings.catalogue_delays.contact_ms;
+            self.entry.state.borrow_mut().fleet.on_catalogue_lost(now, contact_ms);
         }
         self.failures += 1;
         let interval = (RETRY_INTERVAL * self.failures).min(RETRY_INTERVAL_MAX);
-        interval.saturating_sub(self.entry.now().since(began_at))
+        interval.saturating_sub(now.since(began_at))
     }
 
     /// Records a successful call, and the recovery if earlier calls had failed.
--- a/crates/filbertcleat-gateway/src/entry/placement.rs
+++ b/crates/filbertcleat-gateway/src/entry/placement.rs
@@ -61,6 +61,7 @@
     }
     if !request.uses_engine {
         let state = &mut *entry.state.borrow_mut();
+        state.fleet.expire_unlisted(now);
         let failure_domain = &entry.settings.failure_domain;
         let server =
             place_plain(now, &state.fleet, &request.demand, failure_domain, &request.avoided)
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -45,6 +45,7 @@
 use super::kept_origins::observe_versions;
 use super::origins::OriginState;
 use super::prompt_turns::OpenTurns;
+use crate::CatalogueDelays;
 use crate::CatalogueEvent;
 use crate::Dialect;
 use crate::GatewaySettings;
@@ -301,8 +302,9 @@
     /// has shown, and whether they were those of a list.
     pub fn on_topic_read(&self, topic: Topic, began_at: MonoTime, is_list: bool) {
         if topic == Topic::Servers {
-            observe_versions(self);
             let now = self.now();
+            self.state.borrow_mut().fleet.on_listing_read(now, began_at);
+            observe_versions(self);
             {
                 let state = &mut *self.state.borrow_mut();
                 // A list does not show servers that were listed and removed before it.
@@ -400,8 +402,8 @@
             log::warn!("event=catalogue-restored epoch={epoch} before={before} topic={topic}");
             self.metrics.count(Metric::CatalogueRestores, &[]);
             let (now, state) = (self.now(), &mut *self.state.borrow_mut());
-            state.fleet.on_catalogue_restored(now);
-            let contact_ms = self.settings.catalogue_delays.contact_ms;
+            let CatalogueDelays { contact_ms, draining_ms, .. } = self.settings.catalogue_delays;
+            state.fleet.on_catalogue_restored(now, contact_ms, draining_ms);
             state.deployment.on_catalogue_restored(now, contact_ms);
             self.catalogue_restores.send_modify(|restores| *restores += 1);
         }
--- a/crates/filbertcleat-gateway/tests/support/catalogue.rs
+++ b/crates/filbertcleat-gateway/tests/support/catalogue.rs
@@ -39,6 +39,10 @@
     pub writes: Rc<Cell<u32>>,
     /// Calls of the topic up to this number get no answer.
     silenced: Rc<Cell<Option<(Topic, u32)>>>,
+    /// The topics of the calls that wait for changes.
+    open_calls: Rc<RefCell<Vec<Topic>>>,
+    /// The topic whose next call gets no answer.
+    silenced_next: Rc<Cell<Option<Topic>>>,
     outdated: Rc<RefCell<Option<CatalogueEvent>>>,
     /// The topic whose next call panics.
     panics: Rc<Cell<Option<Topic>>>,
@@ -181,6 +185,16 @@
         self.silenced.set(Some((topic, self.calls.get())));
     }
 
+    /// Makes the open connection of a topic silent: its open call gets no answer, or the next one if
+    /// none is open.
+    pub fn silence_connection(&self, topic: Topic) {
+        if self.open_calls.borrow().contains(&topic) {
+            self.silence_open_calls(topic);
+        } else {
+            self.silenced_next.set(Some(topic));
+        }
+    }
+
     /// Makes the next call of a topic panic.
     pub fn panic_next(&self, topic: Topic) {
         self.panics.set(Some(topic));
@@ -251,6 +265,11 @@
             self.panics.set(None);
             panic!("a call that panics");
         }
+        if self.silenced_next.get() == Some(topic) {
+            self.silenced_next.set(None);
+            self.silenced.set(Some((topic, call)));
+        }
+        let _open = OpenCall::begin(&self.open_calls, topic);
         let mut waited = Duration::ZERO;
         loop {
             let is_silent = |(silent, last)| silent == topic && call <= last;
@@ -347,6 +366,27 @@
     }
 }
 
+/// A call that waits for changes, until it is dropped.
+struct OpenCall {
+    open_calls: Rc<RefCell<Vec<Topic>>>,
+    topic: Topic,
+}
+
+impl OpenCall {
+    fn begin(open_calls: &Rc<RefCell<Vec<Topic>>>, topic: Topic) -> Self {
+        open_calls.borrow_mut().push(topic);
+        Self { open_calls: Rc::clone(open_calls), topic }
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        let open_calls = &mut *self.open_calls.borrow_mut();
+        let position = open_calls.iter().position(|topic| *topic == self.topic);
+        open_calls.remove(position.expect("the call is open"));
+    }
+}
+
 /// Returns a row of origins as it is read some time after it was written.
 fn aged(row: &OriginRow, written_at: Instant) -> OriginRow {
     let ms = u64::try_from(written_at.elapsed().as_millis()).expect("a short test");
--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -10,6 +10,8 @@
 mod kept_share;
 mod limit_source;
 mod limit_state;
+mod listing_grace;
+mod missing_servers;
 mod named_limit;
 mod output_estimate;
 mod output_lengths;
@@ -30,7 +32,6 @@
 mod token_rate;
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::mem;
 
 use filbertcleat_base::ModelName;
@@ -42,6 +43,8 @@
 use self::engine_model::EngineModel;
 use self::former_versions::FormerVersions;
 pub use self::limit_source::LimitSource;
+use self::listing_grace::ListingGrace;
+use self::missing_servers::MissingServers;
 pub use self::named_limit::NamedLimit;
 pub use self::output_estimate::OutputEstimate;
 use self::output_lengths::OutputLengths;
@@ -75,8 +78,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     servers: BTreeMap<ServerId, Server>,
-    /// Servers that are missing in the catalogue after an outage.
-    unconfirmed: BTreeSet<ServerId>,
+    /// Servers that are missing in the catalogue after a loss, and are used for now.
+    missing: MissingServers,
+    grace: ListingGrace,
     /// Servers that left, whose records a restored catalogue may list again.
     removed: RemovedServers,
     former_versions: FormerVersions,
@@ -94,16 +98,9 @@
     last_live_entries: Option<u32>,
     /// The seed of what has to differ between entries.
     seed: u64,
-    is_catalogue_lost: bool,
-    relist_grace_until: MonoTime,
 }
 
 impl Fleet {
-    /// The time after a catalogue outage in which a missing record does not remove its server.
-    /// Records that expired during the outage are back within 2 s of its end; the rest is a margin
-    /// for network transit.
-    const RELIST_GRACE_MS: u64 = 2_200;
-
     /// Creates a fleet without servers. The seed must differ between entries.
     pub fn with_seed(seed: u64) -> Self {
         Self { seed, ..Self::default() }
@@ -123,13 +120,19 @@
                     list.into_iter().partition(|listed| self.removed.is_leftover(now, listed));
                 self.removed.hold_back(leftovers);
                 for listed in current {
+                    self.missing.remove(&listed.id);
                     self.upsert(now, listed);
                 }
                 for id in missing {
                     self.remove(now, &id);
                 }
             }
-            ListingChange::Upserted(listed) => self.upsert(now, listed),
+            ListingChange::Upserted(listed) => {
+                if self.grace.is_in_force(now) {
+                    self.missing.on_written(&listed.id);
+                }
+                self.upsert(now, listed);
+            }
             ListingChange::Removed(id) => {
                 let is_known = self.servers.contains_key(&id) || self.removed.is_known(now, &id);
                 self.has_unseen_removal |= !is_known;
@@ -145,22 +148,33 @@
         mem::take(&mut self.has_unseen_removal)
     }
 
-    /// Records that the catalogue does not answer. Servers cannot write their records meanwhile.
-    pub fn on_catalogue_lost(&mut self) {
-        self.is_catalogue_lost = true;
+    /// Records that a call for the list has failed. A process is in touch with the catalogue again
+    /// `contact_ms` after a loss.
+    pub fn on_catalogue_lost(&mut self, now: MonoTime, contact_ms: u64) {
+        self.grace.on_failed(now, contact_ms);
     }
 
-    /// Records that the catalogue answers again after an outage.
+    /// Records that the catalogue responds again after failed calls.
     pub fn on_catalogue_regained(&mut self, now: MonoTime) {
-        self.is_catalogue_lost = false;
-        self.relist_grace_until = now.plus_ms(Self::RELIST_GRACE_MS);
+        self.grace.on_regained(now);
     }
 
     /// Records that the catalogue was restored from a copy, which may lack the records of servers
-    /// and list older ones.
-    pub fn on_catalogue_restored(&mut self, now: MonoTime) {
+    /// and list older ones. A server that leaves has to be known `draining_ms` later.
+    pub fn on_catalogue_restored(&mut self, now: MonoTime, contact_ms: u64, draining_ms: u64) {
         self.removed.on_restored(now);
-        self.on_catalogue_regained(now);
+        self.grace.on_restored(now, contact_ms, draining_ms);
+    }
+
+    /// Records that the changes of a call for the list have been applied which began at `began_at`.
+    pub fn on_listing_read(&mut self, now: MonoTime, began_at: MonoTime) {
+        self.grace.on_read(began_at);
+        self.expire_unlisted(now);
+    }
+
+    /// Returns whether servers are used that are missing in the catalogue.
+    pub fn has_unlisted(&self) -> bool {
+        !self.missing.is_empty()
     }
 
     /// Adds the backend servers that left before a restore and whose records have stayed in the
@@ -171,13 +185,15 @@
         }
     }
 
-    /// Removes the backend servers whose records did not reappear within the grace time after an
-    /// outage.
+    /// Removes the backend servers whose records are missing and whose grace time has ended, or that
+    /// did not write their records although most others have done so since.
     pub fn expire_unlisted(&mut self, now: MonoTime) {
-        if self.is_in_relist_grace(now) {
-            return;
-        }
-        for id in mem::take(&mut self.unconfirmed) {
+        let expired = if self.grace.is_in_force(now) {
+            self.missing.take_outlived(self.servers.len().saturating_sub(1))
+        } else {
+            self.missing.take()
+        };
+        for id in expired {
             self.take_out(now, &id);
         }
     }
@@ -540,7 +556,6 @@
     }
 
     fn upsert(&mut self, now: MonoTime, listed: ListedServer) {
-        self.unconfirmed.remove(&listed.id);
         let limits = self.removed.limits_of(&listed.id, listed.started_unix_ms);
         self.removed.forget(&listed.id);
         let has_announced_leaving = self.facts.is_leaving(&listed.id, listed.started_unix_ms);
@@ -568,19 +583,15 @@
     }
 
     fn remove(&mut self, now: MonoTime, id: &ServerId) {
-        if self.is_in_relist_grace(now) && self.servers.contains_key(id) {
-            self.unconfirmed.insert(id.clone());
+        if self.grace.is_in_force(now) && self.servers.contains_key(id) {
+            self.missing.insert(id.clone());
             return;
         }
         self.take_out(now, id);
     }
 
-    fn is_in_relist_grace(&self, now: MonoTime) -> bool {
-        self.is_catalogue_lost || now < self.relist_grace_until
-    }
-
     fn take_out(&mut self, now: MonoTime, id: &ServerId) {
-        self.unconfirmed.remove(id);
+        self.missing.remove(id);
         self.removed.release(id);
         if let Some(server) = self.servers.remove(id) {
             self.removed.on_removed(now, &server);
