Ask for the start until an answer names it

Cause: SentRequest::judge took the name alone for the same process although the entry knew the start from the list. A refusal without a name passed by the same rule.

Where the list names the start of a server with a report, only an answer that names a start settles the question; others are asked again as if there had been no answer. Servers without a report, and those whose records name no start, are judged as before: nothing else tells there.

unproven_end_cuts: only_health, restarted_health and nameless_refusal were complete before (3 of 8) and are cut now. living_server_believed, case full, expected a refusal without a name to be believed of a server whose start is known, which is this fault: its server now refuses the question at its health path and tells its start in the report, and is believed after three questions.

--- a/crates/filbertcleat-gateway/src/entry/sent_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/sent_request.rs
@@ -41,16 +41,24 @@
         let is_other_start = knows_starts && self.started_unix_ms != identity.started_unix_ms;
         match &identity.server {
             Some(server) if *server != self.server || is_other_start => Liveness::Replaced,
-            Some(_) => Liveness::Alive,
             None if is_other_start || status == StatusCode::MISDIRECTED_REQUEST => {
                 Liveness::Replaced
             }
             // The request names the server, so that any other one would call it misdirected.
-            None if knows_starts => Liveness::Alive,
+            Some(_) | None if knows_starts => Liveness::Alive,
+            // A later start under the same id answers like this too, and the report tells it apart.
+            Some(_) | None if self.is_start_reported() => Liveness::Unknown,
+            Some(_) => Liveness::Alive,
             None if metadata.is_not_run && is_turned_away(status) => Liveness::Alive,
             None => Liveness::Unknown,
         }
     }
+
+    /// Returns whether the server has a report, which names its start as its record does.
+    fn is_start_reported(&self) -> bool {
+        let has_report = self.service.as_ref().is_some_and(|service| service.engine.is_some());
+        has_report && self.started_unix_ms > 0
+    }
 }
 
 /// Returns whether a server for which a request is meant turns it away with this status.
