Read the row of facts while out of touch

An entry that hears no agent learns only from the row in the store which requests crash servers, and must know it `contactMs` after a loss of the store has ended. Its pause after failed calls grew to 2 s: with 1 s for the call that was under way and the next call that exceeds 3 s.

The pause is 600 ms at most, as for the other topics. row_read_in_touch failed before (a pause of 1,200 ms is the first that is too long) and passes now.

--- a/crates/filbertcleat-serve/src/kept_marks.rs
+++ b/crates/filbertcleat-serve/src/kept_marks.rs
@@ -46,8 +46,10 @@
     const CHECKERS: u32 = 3;
     /// The pause after a failed call, which grows by as much with each further failure.
     const RETRY_PAUSE_MS: u64 = 200;
-    /// The longest pause after a failed call.
-    const RETRY_PAUSE_MAX_MS: u64 = 2_000;
+    /// The longest pause after a failed call. A call that began before the catalogue is back, which takes
+    /// a second, this pause and the next call have to fit within the time after which the process is in
+    /// touch again.
+    const RETRY_PAUSE_MAX_MS: u64 = 600;
 
     /// Creates the state of a process that has not read the row.
     pub fn new(now: MonoTime) -> Self {
--- a/crates/filbertcleat-serve/tests/kept_marks.rs
+++ b/crates/filbertcleat-serve/tests/kept_marks.rs
@@ -133,6 +133,27 @@
     assert!(is_wait(&kept.step(until, &evidence, false)));
 }
 
+/// Guards against an entry that is in touch again after a long loss and has not read the row: the call
+/// under way when the loss ends, the pause after it and the next call fit within the time of contact.
+#[test]
+fn row_read_in_touch() {
+    const CONTACT_MS: u64 = 3_000;
+    const CALL_MS: u64 = 1_000;
+    let (mut kept, evidence) = (kept(), evidence());
+    let mut now_ms = 10_000;
+    for _ in 0..30 {
+        now_ms += CALL_MS;
+        kept.on_failed(at(now_ms));
+        let KeepStep::Wait { until: Some(until) } = kept.step(at(now_ms), &evidence, true) else {
+            panic!("a pause follows a failure")
+        };
+        let pause_ms = until.ms_since(at(now_ms));
+        assert!(CALL_MS + pause_ms + CALL_MS <= CONTACT_MS, "a pause of {pause_ms} ms");
+        assert_eq!(kept.step(until, &evidence, true), KeepStep::Read);
+        now_ms += pause_ms;
+    }
+}
+
 /// Marks of others in the row stay, and those that an answer has cleared tell so.
 #[test]
 fn cleared_marks_told() {
