Keep a server whose record comes back right after the grace

A server whose record came back after the grace time and before the missing servers were taken out was removed together with them, until it wrote its record again, up to a heartbeat later: a write outside the grace did not take it from the missing ones.

Every listed record takes its server from the missing ones, in Fleet::upsert alone, where it stood before.

late_record_counts failed before (no server was left) and passes now.

--- a/crates/filbertcleat-serve/src/fleet.rs
+++ b/crates/filbertcleat-serve/src/fleet.rs
@@ -120,7 +120,6 @@
                     list.into_iter().partition(|listed| self.removed.is_leftover(now, listed));
                 self.removed.hold_back(leftovers);
                 for listed in current {
-                    self.missing.remove(&listed.id);
                     self.upsert(now, listed);
                 }
                 for id in missing {
@@ -556,6 +555,7 @@
     }
 
     fn upsert(&mut self, now: MonoTime, listed: ListedServer) {
+        self.missing.remove(&listed.id);
         let limits = self.removed.limits_of(&listed.id, listed.started_unix_ms);
         self.removed.forget(&listed.id);
         let has_announced_leaving = self.facts.is_leaving(&listed.id, listed.started_unix_ms);
--- a/crates/filbertcleat-serve/src/fleet/missing_servers.rs
+++ b/crates/filbertcleat-serve/src/fleet/missing_servers.rs
@@ -33,7 +33,6 @@
 
     /// Records that a server has written its record.
     pub fn on_written(&mut self, id: &ServerId) {
-        self.remove(id);
         self.writes += 1;
         self.last_writes.insert(id.clone(), self.writes);
     }
--- a/crates/filbertcleat-serve/tests/missing_records.rs
+++ b/crates/filbertcleat-serve/tests/missing_records.rs
@@ -145,6 +145,22 @@
     assert_eq!(server_ids(&fleet), names);
 }
 
+/// Guards against the removal of a server whose record comes back right after the grace time, before the
+/// servers that are still missing have been removed.
+#[test]
+fn late_record_counts() {
+    let mut fleet = fleet(at(0), &[("a", &[]), ("b", &[])]);
+    lose(&mut fleet, 1_000, 10_000);
+    for name in ["a", "b"] {
+        remove(&mut fleet, 10_000, name);
+    }
+
+    fleet.apply_listing(at(12_300), ListingChange::Upserted(listed("a")));
+    fleet.on_listing_read(at(12_300), at(12_290));
+
+    assert_eq!(server_ids(&fleet), ["a"]);
+}
+
 /// An ordinary removal takes effect at once.
 #[test]
 fn removal_without_loss() {
