Read the bodies of requests into segments

The body was collected as a list of the pieces that arrived, of some 40 bytes each, which also kept the buffers that they had been read into, and was copied into one piece at the end, which took its length once more.

A body is copied into segments of up to 64 KiB as it arrives and is sent from them, so that it is held once. The content is hashed piece by piece with the same result. The segments count as held until the connection to the backend server has dropped them too, not only until the request has ended.

--- a/crates/filbertcleat-base/src/hash.rs
+++ b/crates/filbertcleat-base/src/hash.rs
@@ -1,5 +1,6 @@
 //! Hashes that are equal in every process.
 
+use xxhash_rust::xxh3::Xxh3Default;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Hashes a string; the result is the same in every process and version.
@@ -12,6 +13,13 @@
     xxh3_64(bytes)
 }
 
+/// Hashes pieces of bytes like `stable_hash_bytes` hashes them in one piece.
+pub fn stable_hash_pieces<'a>(pieces: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    let mut hasher = Xxh3Default::new();
+    pieces.into_iter().for_each(|piece| hasher.update(piece));
+    hasher.digest()
+}
+
 /// Combines two hashes into one, such as the score of a pair in rendezvous hashing.
 pub const fn mix_hashes(left: u64, right: u64) -> u64 {
     // The SplitMix64 finalizer makes every output bit depend on every input bit.
--- a/crates/filbertcleat-base/src/lib.rs
+++ b/crates/filbertcleat-base/src/lib.rs
@@ -22,6 +22,7 @@
 pub use hash::mix_hashes;
 pub use hash::stable_hash;
 pub use hash::stable_hash_bytes;
+pub use hash::stable_hash_pieces;
 pub use id::AdapterName;
 pub use id::AttemptId;
 pub use id::FailureDomain;
--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -49,6 +49,7 @@
 mod readiness;
 mod refusal;
 mod request;
+mod request_body;
 mod request_log;
 mod response_body;
 mod sent_request;
--- a/crates/filbertcleat-gateway/src/entry/attempt.rs
+++ b/crates/filbertcleat-gateway/src/entry/attempt.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::AttemptOutcome;
 use filbertcleat_serve::RequestHash;
@@ -17,7 +16,6 @@
 use http::StatusCode;
 use http::header;
 use http::response::Parts;
-use http_body_util::Full;
 
 use super::answer::Answer;
 use super::backend_body::BackendBody;
@@ -32,6 +30,7 @@
 use super::listed_start::StartCheck;
 use super::listed_start::check_start;
 use super::request::CallerRequest;
+use super::request_body::RequestBody;
 use super::sent_request::SentRequest;
 use super::state::Entry;
 use super::stream_relay::STALL_TIMEOUT_MS;
@@ -360,7 +359,7 @@
     attempt: &InFlightAttempt<D>,
     remaining_ms: u64,
     resume_after: Option<u64>,
-) -> Request<Full<Bytes>> {
+) -> Request<RequestBody> {
     let mut headers = request.headers.clone();
     strip_connection_headers(&mut headers);
     let metadata = AttemptMetadata {
@@ -373,7 +372,7 @@
         resume_after,
     };
     entry.dialect.write_attempt(&mut headers, &metadata);
-    let mut outbound = Request::new(Full::new(request.body.clone()));
+    let mut outbound = Request::new(request.body.clone());
     *outbound.method_mut() = request.method.clone();
     *outbound.uri_mut() = request.uri.clone();
     *outbound.headers_mut() = headers;
--- a/crates/filbertcleat-gateway/src/entry/backend_connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/backend_connection.rs
@@ -5,11 +5,9 @@
 use std::mem::MaybeUninit;
 use std::rc::Weak;
 
-use bytes::Bytes;
 use filbertcleat_serve::RequestHash;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
@@ -17,10 +15,11 @@
 use tokio::net::TcpStream;
 
 use super::read_allowance::ReadAllowance;
+use super::request_body::RequestBody;
 
 /// A connection to a backend server, with the bytes that the server may still send on it.
 pub(super) struct BackendConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     allowance: ReadAllowance,
     /// The stream, until the connection has ended.
     stream: Weak<TcpStream>,
@@ -37,7 +36,7 @@
 
     /// Creates the connection of a sender, whose socket counts what it reads in `allowance`.
     pub fn new(
-        sender: SendRequest<Full<Bytes>>,
+        sender: SendRequest<RequestBody>,
         allowance: ReadAllowance,
         stream: Weak<TcpStream>,
     ) -> Self {
@@ -49,8 +48,8 @@
     pub async fn try_send(
         &mut self,
         id: RequestHash,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
         if self.recent.len() >= Self::RECENT_MAX {
             self.recent.pop_front();
         }
--- a/crates/filbertcleat-gateway/src/entry/exchange.rs
+++ b/crates/filbertcleat-gateway/src/entry/exchange.rs
@@ -4,12 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use filbertcleat_serve::NamedLimit;
 use filbertcleat_serve::RequestHash;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -20,6 +18,7 @@
 use super::exchange_error::ExchangeError;
 use super::notices::NoticeSource;
 use super::notices::apply_notice;
+use super::request_body::RequestBody;
 use crate::Dialect;
 
 /// How long an answer is read on that nobody waits for any more. What a server announces in its head
@@ -46,7 +45,7 @@
     pub async fn run(
         self,
         connection: BackendConnection,
-        outbound: Request<Full<Bytes>>,
+        outbound: Request<RequestBody>,
         limit: Duration,
     ) -> Result<Answer, ExchangeError> {
         let (sender, receiver) = oneshot::channel();
@@ -61,7 +60,7 @@
     async fn read_answer(
         self,
         mut connection: BackendConnection,
-        outbound: Request<Full<Bytes>>,
+        outbound: Request<RequestBody>,
         mut receiver: oneshot::Sender<Result<Answer, ExchangeError>>,
     ) {
         let sent = {
--- a/crates/filbertcleat-gateway/src/entry/identity_answer.rs
+++ b/crates/filbertcleat-gateway/src/entry/identity_answer.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use filbertcleat_serve::RequestHash;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -10,12 +9,12 @@
 use http::StatusCode;
 use http::header::HOST;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 
 use super::backend_body::BackendBody;
 use super::backend_body::BodyKind;
 use super::backend_connection::BackendConnection;
+use super::request_body::RequestBody;
 use crate::Dialect;
 use crate::ResponseMetadata;
 use crate::ServerIdentity;
@@ -38,7 +37,7 @@
     address: SocketAddr,
     request: &Request<()>,
 ) -> Option<IdentityAnswer> {
-    let mut request = request.clone().map(|()| Full::<Bytes>::default());
+    let mut request = request.clone().map(|()| RequestBody::default());
     let host = HeaderValue::try_from(address.to_string()).ok()?;
     request.headers_mut().insert(HOST, host);
     // No caller's request has this hash, and the answer names no request.
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -5,6 +5,8 @@
 
 use bytes::Bytes;
 use filbertcleat_base::ServiceName;
+use filbertcleat_base::stable_hash_bytes;
+use filbertcleat_base::stable_hash_pieces;
 use filbertcleat_serve::CrashSuspect;
 use filbertcleat_serve::PromptPrefix;
 use filbertcleat_serve::RequestContent;
@@ -19,8 +21,6 @@
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 
@@ -30,6 +30,8 @@
 use super::refusal::RETRY_AFTER_UNAVAILABLE;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
+use super::request_body::BodyBuffer;
+use super::request_body::RequestBody;
 use super::state::Entry;
 use crate::ApiKey;
 use crate::AttemptCaller;
@@ -108,7 +110,6 @@
         method: head.method,
         uri: head.uri,
         headers: head.headers,
-        _held: entry.server_bytes.hold(body.len()),
         body,
         metadata,
         route,
@@ -144,18 +145,23 @@
 /// Returns the content of a request. Of its headers only those count that name the caller, since
 /// others differ between the times at which a request comes. The API key does not count, as a
 /// workspace may use several.
-fn request_content(head: &Parts, body: &[u8], workspace: Option<&Workspace>) -> RequestContent {
+fn request_content(
+    head: &Parts,
+    body: &RequestBody,
+    workspace: Option<&Workspace>,
+) -> RequestContent {
     let header = |name| head.headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
     let target = head.uri.path_and_query().map_or("", PathAndQuery::as_str);
-    let mut fields = vec![
-        head.method.as_str().as_bytes(),
-        header(header::HOST),
-        header(header::AUTHORIZATION),
-        target.as_bytes(),
-        body,
+    let mut field_hashes = vec![
+        stable_hash_bytes(head.method.as_str().as_bytes()),
+        stable_hash_bytes(header(header::HOST)),
+        stable_hash_bytes(header(header::AUTHORIZATION)),
+        stable_hash_bytes(target.as_bytes()),
+        stable_hash_pieces(body.pieces()),
     ];
-    fields.extend(workspace.map(|workspace| workspace.name.as_str().as_bytes()));
-    RequestContent::of(&fields)
+    let workspace = workspace.map(|workspace| workspace.name.as_str().as_bytes());
+    field_hashes.extend(workspace.map(stable_hash_bytes));
+    RequestContent::of(&field_hashes)
 }
 
 /// A request whose head has been matched to a route.
@@ -245,19 +251,30 @@
     entry: &Entry<D>,
     body: Incoming,
     wait: Duration,
-) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, entry.caller_limits().body_max_bytes);
-    let collected = tokio::select! {
+) -> Result<RequestBody, Refusal> {
+    let read = tokio::select! {
         biased;
-        collected = tokio::time::timeout(wait, limited.collect()) => collected,
+        read = tokio::time::timeout(wait, collect_body(entry, body)) => read,
         () = entry.answers_due() => return Err(EXITING),
     };
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(_broken)) => Err(Refusal::BadRequest("the body broke off")),
-        Err(_elapsed) => Err(Refusal::NotRun("the body did not arrive", RETRY_AFTER_FULL)),
+    read.unwrap_or(Err(Refusal::NotRun("the body did not arrive", RETRY_AFTER_FULL)))
+}
+
+async fn collect_body<D: Dialect>(
+    entry: &Entry<D>,
+    mut body: Incoming,
+) -> Result<RequestBody, Refusal> {
+    let max_bytes = entry.caller_limits().body_max_bytes as u64;
+    let mut buffer = BodyBuffer::new(&entry.server_bytes);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_broken| Refusal::BadRequest("the body broke off"))?;
+        let Some(data) = frame.data_ref() else { continue };
+        if buffer.length_bytes() + data.len() as u64 > max_bytes {
+            return Err(Refusal::BodyTooLarge);
+        }
+        buffer.push(data, body.size_hint().exact());
     }
+    Ok(buffer.finish())
 }
 
 /// Reads and drops the body of a refused request, and returns whether it has ended.
--- a/crates/filbertcleat-gateway/src/entry/request.rs
+++ b/crates/filbertcleat-gateway/src/entry/request.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
 use filbertcleat_serve::RequestDemand;
@@ -14,7 +13,7 @@
 use http::Uri;
 
 use super::allowances::RequestCharge;
-use super::held_bytes::HeldBytes;
+use super::request_body::RequestBody;
 use crate::AttemptCaller;
 use crate::RequestMetadata;
 
@@ -25,9 +24,7 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
-    /// Counts the body as held for backend servers.
-    pub _held: HeldBytes,
+    pub body: RequestBody,
     pub metadata: RequestMetadata,
     pub route: Route,
     pub service: ServiceName,
--- a/crates/filbertcleat-serve/src/request_content.rs
+++ b/crates/filbertcleat-serve/src/request_content.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 
 use filbertcleat_base::mix_hashes;
-use filbertcleat_base::stable_hash_bytes;
 
 /// The hash of what a caller asks for, which is equal for a request that comes again under another
 /// id.
@@ -11,9 +10,9 @@
 pub struct RequestContent(u64);
 
 impl RequestContent {
-    /// Hashes the fields of a request that don't differ when it comes again.
-    pub fn of(fields: &[&[u8]]) -> Self {
-        Self(fields.iter().fold(0, |hash, field| mix_hashes(hash, stable_hash_bytes(field))))
+    /// Combines the hashes of the fields of a request that don't differ when it comes again.
+    pub fn of(field_hashes: &[u64]) -> Self {
+        Self(field_hashes.iter().fold(0, |hash, field_hash| mix_hashes(hash, *field_hash)))
     }
 
     /// Creates the hash from its number.
