Bound the memory of request bodies by their share

BodyLedger now owns what all bodies of requests take, from the first byte until the last copy is dropped, with 16 KiB for each request beside: a quarter of limits.memoryMb. Decisions do no I/O. No body waits for memory, since two that are partly read would wait for each other: a segment is granted, taken back from the bodies that are furthest behind their pace, or refused at once with 503. The pace is that at which the largest body arrives before its deadline; what came faster gives no credit, so that a body which stops short, or trickles, falls behind at once, and a slow steady one does not. Bodies over 64 KiB leave a quarter of the share to smaller ones, a workspace leaves half to the others, and one body always fits. A length over the limit gets 413 before any byte of the body is read.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -9,6 +9,7 @@
 mod backend_connection;
 mod body;
 mod body_framing;
+mod body_rooms;
 mod call_times;
 mod caller_memory;
 mod caller_socket;
--- /dev/null
+++ b/crates/filbertcleat-gateway/src/entry/body_rooms.rs
@@ -0,0 +1,114 @@
+//! The memory of the bodies of requests.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use filbertcleat_serve::BodyId;
+use filbertcleat_serve::BodyLedger;
+use filbertcleat_serve::BodySource;
+use filbertcleat_serve::NoRoom;
+use tokio::sync::Notify;
+
+use super::request_body::BodyBuffer;
+use crate::clock::Clock;
+
+/// The memory of the bodies of requests, from the first byte until the last copy is dropped.
+#[derive(Clone, Debug)]
+pub(super) struct BodyRooms {
+    shared: Rc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    ledger: RefCell<BodyLedger>,
+    /// The bodies that are being read.
+    arriving: RefCell<HashMap<BodyId, Rc<ArrivingBody>>>,
+}
+
+/// What is shared with the task that reads a body, so that its memory can be taken back.
+#[derive(Debug, Default)]
+struct ArrivingBody {
+    buffer: RefCell<BodyBuffer>,
+    evicted: Notify,
+}
+
+impl BodyRooms {
+    /// Creates the memory for bodies that may take `max_bytes` together, if that is limited.
+    pub fn new(clock: Clock, max_bytes: Option<u64>) -> Self {
+        let ledger = RefCell::new(BodyLedger::new(max_bytes));
+        Self { shared: Rc::new(Shared { clock, ledger, arriving: RefCell::default() }) }
+    }
+
+    /// Returns the memory that the bodies take, in bytes.
+    pub fn held_bytes(&self) -> u64 {
+        self.shared.ledger.borrow().held_bytes()
+    }
+
+    /// Begins an empty body.
+    pub fn open(&self, source: BodySource) -> Result<BodyRoom, NoRoom> {
+        let opened = self.shared.ledger.borrow_mut().open(self.shared.clock.now(), source);
+        let (id, evicted) = opened?;
+        let body = Rc::new(ArrivingBody::default());
+        self.shared.arriving.borrow_mut().insert(id, Rc::clone(&body));
+        self.evict(&evicted);
+        Ok(BodyRoom { id, body, rooms: self.clone() })
+    }
+
+    /// Drops what has been read of bodies, and wakes the tasks that read them.
+    fn evict(&self, evicted: &[BodyId]) {
+        for id in evicted {
+            if let Some(body) = self.shared.arriving.borrow_mut().remove(id) {
+                body.buffer.take();
+                body.evicted.notify_one();
+            }
+        }
+    }
+}
+
+/// The memory of one body, which is released when this guard is dropped.
+#[derive(Debug)]
+pub(super) struct BodyRoom {
+    id: BodyId,
+    body: Rc<ArrivingBody>,
+    rooms: BodyRooms,
+}
+
+impl BodyRoom {
+    /// Waits until the body has to give up its memory.
+    pub async fn evicted(&self) {
+        self.body.evicted.notified().await;
+    }
+
+    /// Returns the number of bytes that have been read.
+    pub fn length_bytes(&self) -> u64 {
+        self.body.buffer.borrow().length_bytes()
+    }
+
+    /// Adds bytes that have arrived, after which `rest_bytes` follow, if that is known.
+    pub fn push(&self, data: &[u8], rest_bytes: Option<u64>) -> Result<(), NoRoom> {
+        let Shared { clock, ledger, .. } = &*self.rooms.shared;
+        let now = clock.now();
+        ledger.borrow_mut().on_received(now, self.id, data.len() as u64);
+        self.body.buffer.borrow_mut().push(data, rest_bytes, |bytes| {
+            let evicted = ledger.borrow_mut().grow(now, self.id, bytes as u64)?;
+            self.rooms.evict(&evicted);
+            Ok(())
+        })
+    }
+
+    /// Ends the body, and returns what has been read.
+    pub fn finish(&self) -> BodyBuffer {
+        self.rooms.shared.ledger.borrow_mut().on_whole(self.id);
+        self.rooms.shared.arriving.borrow_mut().remove(&self.id);
+        self.body.buffer.take()
+    }
+}
+
+impl Drop for BodyRoom {
+    fn drop(&mut self) {
+        self.rooms.shared.arriving.borrow_mut().remove(&self.id);
+        self.rooms.shared.ledger.borrow_mut().release(self.id);
+    }
+}
--- a/crates/filbertcleat-gateway/src/entry/caller_memory.rs
+++ b/crates/filbertcleat-gateway/src/entry/caller_memory.rs
@@ -7,11 +7,6 @@
 use super::held_bytes::ByteCount;
 use super::held_bytes::HeldBytes;
 
-/// The part of the memory limit that may hold responses: a quarter. The rest is for the bodies of
-/// requests, the routing state, and one response that exceeds the bound.
-const MEMORY_SHARE: u64 = 4;
-/// The bytes in a megabyte of the memory limit.
-const MB_BYTES: u64 = 1_000_000;
 /// What each response may hold at the bound, so that short ones never wait for slow readers.
 const RESPONSE_MIN_BYTES: u64 = 16 * 1024;
 
@@ -30,14 +25,12 @@
 }
 
 impl CallerMemory {
-    /// Creates the bound for a process with this memory limit.
-    pub fn new(memory_max_mb: Option<u64>) -> Self {
-        // A process has to hold at least one response.
-        let bound =
-            |mb: u64| (mb.saturating_mul(MB_BYTES) / MEMORY_SHARE).max(RESPONSE_MAX_BYTES as u64);
+    /// Creates the bound for responses that may take `max_bytes` together, if that is limited.
+    pub fn new(max_bytes: Option<u64>) -> Self {
         Self {
             held: ByteCount::default(),
-            max_bytes: memory_max_mb.map(bound),
+            // A process has to hold at least one response.
+            max_bytes: max_bytes.map(|bytes| bytes.max(RESPONSE_MAX_BYTES as u64)),
             has_overdraft: Rc::default(),
         }
     }
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -7,7 +7,9 @@
 use filbertcleat_base::ServiceName;
 use filbertcleat_base::stable_hash_bytes;
 use filbertcleat_base::stable_hash_pieces;
+use filbertcleat_serve::BodySource;
 use filbertcleat_serve::CrashSuspect;
+use filbertcleat_serve::NoRoom;
 use filbertcleat_serve::PromptPrefix;
 use filbertcleat_serve::RequestContent;
 use filbertcleat_serve::RequestDemand;
@@ -24,13 +26,13 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 
+use super::body_rooms::BodyRoom;
 use super::refusal::EXITING;
 use super::refusal::RETRY_AFTER_FULL;
 use super::refusal::RETRY_AFTER_OTHER_ENTRY;
 use super::refusal::RETRY_AFTER_UNAVAILABLE;
 use super::refusal::Refusal;
 use super::request::CallerRequest;
-use super::request_body::BodyBuffer;
 use super::request_body::RequestBody;
 use super::state::Entry;
 use crate::ApiKey;
@@ -44,6 +46,12 @@
 /// follows its head keeps its connection.
 const REFUSED_BODY_WAIT: Duration = Duration::from_millis(250);
 
+/// The refusal of a request whose body finds no memory.
+const NO_MEMORY: Refusal = Refusal::NotRun("no memory is left for the body", RETRY_AFTER_FULL);
+/// The refusal of a request whose body had to give up its memory.
+const BODY_BEHIND: Refusal =
+    Refusal::NotRun("the body arrived too slowly while memory was short", RETRY_AFTER_FULL);
+
 /// The most tokens of a prompt or a response, if the engines' memory is not known: more than any
 /// model reads. With the memory known, a request of more does not fit into any engine, and counts as
 /// one that does not.
@@ -81,7 +89,12 @@
     let Identity { caller, workspace } = identity;
     let wait_ms = metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
     let deadline = arrived_at.plus_ms(wait_ms);
-    let body = match read_body(entry, body, Duration::from_millis(wait_ms)).await {
+    let source = BodySource {
+        workspace: workspace.as_ref().map(|workspace| workspace.name.clone()),
+        largest_bytes: entry.caller_limits().body_max_bytes as u64,
+        wait_ms,
+    };
+    let body = match read_body(entry, body, source).await {
         Ok(body) => body,
         Err(refusal) => return Err(RefusedRequest { refusal, is_read: false }),
     };
@@ -250,31 +263,35 @@
 async fn read_body<D: Dialect>(
     entry: &Entry<D>,
     body: Incoming,
-    wait: Duration,
+    source: BodySource,
 ) -> Result<RequestBody, Refusal> {
+    // A refusal before the first read also tells a caller that waits for an interim response.
+    if body.size_hint().lower() > source.largest_bytes {
+        return Err(Refusal::BodyTooLarge);
+    }
+    let wait = Duration::from_millis(source.wait_ms);
+    let max_bytes = source.largest_bytes;
+    let room = entry.body_rooms.open(source).map_err(|NoRoom| NO_MEMORY)?;
     let read = tokio::select! {
         biased;
-        read = tokio::time::timeout(wait, collect_body(entry, body)) => read,
+        read = tokio::time::timeout(wait, collect_body(&room, body, max_bytes)) => read,
+        () = room.evicted() => return Err(BODY_BEHIND),
         () = entry.answers_due() => return Err(EXITING),
     };
-    read.unwrap_or(Err(Refusal::NotRun("the body did not arrive", RETRY_AFTER_FULL)))
+    read.unwrap_or(Err(Refusal::NotRun("the body did not arrive", RETRY_AFTER_FULL)))?;
+    Ok(RequestBody::new(room))
 }
 
-async fn collect_body<D: Dialect>(
-    entry: &Entry<D>,
-    mut body: Incoming,
-) -> Result<RequestBody, Refusal> {
-    let max_bytes = entry.caller_limits().body_max_bytes as u64;
-    let mut buffer = BodyBuffer::new(&entry.server_bytes);
+async fn collect_body(room: &BodyRoom, mut body: Incoming, max_bytes: u64) -> Result<(), Refusal> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_broken| Refusal::BadRequest("the body broke off"))?;
         let Some(data) = frame.data_ref() else { continue };
-        if buffer.length_bytes() + data.len() as u64 > max_bytes {
+        if room.length_bytes() + data.len() as u64 > max_bytes {
             return Err(Refusal::BodyTooLarge);
         }
-        buffer.push(data, body.size_hint().exact());
+        room.push(data, body.size_hint().exact()).map_err(|NoRoom| NO_MEMORY)?;
     }
-    Ok(buffer.finish())
+    Ok(())
 }
 
 /// Reads and drops the body of a refused request, and returns whether it has ended.
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -14,6 +14,7 @@
 use filbertcleat_serve::AbandonedRuns;
 use filbertcleat_serve::AdapterKey;
 use filbertcleat_serve::CallerLimits;
+use filbertcleat_serve::CallerShares;
 use filbertcleat_serve::CatalogueEpoch;
 use filbertcleat_serve::CurrentDeployment;
 use filbertcleat_serve::Deployment;
@@ -36,10 +37,10 @@
 use super::EXIT_RESERVE_MS;
 use super::agent_updates::AgentUpdateState;
 use super::allowances::Allowances;
+use super::body_rooms::BodyRooms;
 use super::caller_memory::CallerMemory;
 use super::connection_pool::ConnectionPool;
 use super::crashes::UnverifiedCrashes;
-use super::held_bytes::ByteCount;
 use super::idle_timeouts::IdleTimeouts;
 use super::in_flight::InFlightAttempt;
 use super::kept_origins::observe_versions;
@@ -70,8 +71,8 @@
     pub metrics: Metrics,
     /// Bounds what is held of responses until callers have read it.
     pub caller_memory: CallerMemory,
-    /// The bodies of requests, which are held until their responses have begun or ended.
-    pub server_bytes: ByteCount,
+    /// Bounds what is held of the bodies of requests, until their responses have begun or ended.
+    pub body_rooms: BodyRooms,
     /// The allowances of workspaces, unless the settings do not bound them.
     pub allowances: Option<Rc<Allowances>>,
     /// Wakes the dispatcher when a queued request might be placed.
@@ -146,7 +147,7 @@
         let incarnation = incarnation_id();
         let routes = KeptRoutes::new(settings.is_first_start, incarnation);
         let origins = OriginState::new(settings.name.clone(), routes);
-        let caller_memory = CallerMemory::new(settings.memory_max_mb);
+        let shares = CallerShares::of(settings.memory_max_mb);
         let allowances = settings.allowance_bounds.as_ref();
         let allowances =
             allowances.map(|bounds| Rc::new(Allowances::new(clock, incarnation, bounds)));
@@ -158,8 +159,8 @@
             shutdown,
             pool: ConnectionPool::new(clock),
             metrics: Metrics::new(),
-            caller_memory,
-            server_bytes: ByteCount::default(),
+            caller_memory: CallerMemory::new(shares.memory_max_bytes),
+            body_rooms: BodyRooms::new(clock, shares.memory_max_bytes),
             allowances,
             dispatcher_wakeup: Notify::new(),
             facts_changed: Notify::new(),
@@ -473,10 +474,11 @@
         let in_flight = state.fleet.servers().map(|server| u64::from(server.open_requests)).sum();
         metrics.gauge(Metric::InFlight, &[], in_flight);
         metrics.gauge(Metric::Queued, &[], state.queue.len() as u64);
-        for (reader, held) in
-            [("callers", self.caller_memory.held()), ("servers", &self.server_bytes)]
-        {
-            metrics.gauge(Metric::HeldBytes, &[("for", reader)], held.get());
+        for (reader, held) in [
+            ("callers", self.caller_memory.held().get()),
+            ("servers", self.body_rooms.held_bytes()),
+        ] {
+            metrics.gauge(Metric::HeldBytes, &[("for", reader)], held);
         }
         metrics.gauge(Metric::PooledServers, &[], self.pool.addresses() as u64);
         let suspected = state.fleet.facts().crashes().suspected().len();
--- a/crates/filbertcleat-serve/src/lib.rs
+++ b/crates/filbertcleat-serve/src/lib.rs
@@ -31,7 +31,9 @@
 
 mod allowances;
 mod attempts;
+mod body_ledger;
 mod budget;
+mod caller_shares;
 mod crash_evidence;
 mod deployment;
 mod deployment_check;
@@ -83,7 +85,12 @@
 pub use attempts::Attempts;
 pub use attempts::FailedAttempt;
 pub use attempts::NextAttempt;
+pub use body_ledger::BodyId;
+pub use body_ledger::BodyLedger;
+pub use body_ledger::BodySource;
+pub use body_ledger::NoRoom;
 pub use budget::RetryBudget;
+pub use caller_shares::CallerShares;
 pub use crash_evidence::AbandonedRuns;
 pub use crash_evidence::CrashEvidence;
 pub use crash_evidence::CrashId;
