Bound the connections for readiness checks and metrics

Each listener had a loop of its own, and a failure to accept ended that of the metrics.

Both are served by one side listener now: at most 16 connections, of which a further one closes the oldest, heads of at most 8 KiB that arrive within 10 s, and a small receive buffer. Checks and collectors that come anew each time are never kept out.

--- a/crates/filbertcleat-gateway/src/lib.rs
+++ b/crates/filbertcleat-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod peer_socket;
 mod settings;
 mod shutdown;
+mod side_listener;
 
 pub use agent::AgentListeners;
 pub use agent::run_agent;
--- a/crates/filbertcleat-gateway/src/metrics/serve.rs
+++ b/crates/filbertcleat-gateway/src/metrics/serve.rs
@@ -1,19 +1,14 @@
 //! The HTTP endpoint for metrics.
 
-use std::convert::Infallible;
-
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Response;
 use http::header::CONTENT_TYPE;
 use http_body_util::Full;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
 
 use super::Metrics;
+use crate::side_listener::serve_side_listener;
 
 /// Answers every request with all metrics, after `refresh` has updated the gauges.
 pub(crate) async fn serve_metrics(
@@ -21,22 +16,11 @@
     metrics: Metrics,
     refresh: impl Fn(&Metrics) + Clone + 'static,
 ) {
-    // A failure to accept ends the metrics endpoint, but not the process.
-    while let Ok((stream, _from)) = listener.accept().await {
-        let (metrics, refresh) = (metrics.clone(), refresh.clone());
-        spawn_local(async move {
-            let service = service_fn(|_request| {
-                refresh(&metrics);
-                let response = text_response(metrics.render_text());
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = served.await {
-                log::debug!("event=metrics-connection-ended reason=\"{error}\"");
-            }
-        });
-    }
-    log::warn!("event=metrics-ended");
+    let respond = move || {
+        refresh(&metrics);
+        text_response(metrics.render_text())
+    };
+    serve_side_listener("metrics", &listener, respond).await;
 }
 
 fn text_response(text: String) -> Response<Full<Bytes>> {
