Bound the connections of callers by their share

Nothing bounded the number of connections.

CallerShares derives the most connections from limits.memoryMb, limits.maxFds and maxHeaderBytes: a quarter of the memory, and 7/16 of the sockets that the process does not need for itself; as many are left for requests at backend servers, and 2/16 for idle connections to them. At the bound a new connection replaces one that has never brought a whole request, then one that stops short, then the one that has been idle longest; callers reuse idle connections, so that those go last. Connections on which a request is handled stay. If there is none to replace, the new one is closed unread, which tells its caller that nothing ran. Heads beyond a 64th of the share are refused, however large the configuration allows them.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -11,6 +11,7 @@
 mod body_framing;
 mod body_rooms;
 mod call_times;
+mod caller_connections;
 mod caller_memory;
 mod caller_socket;
 mod caller_stream;
@@ -39,7 +40,6 @@
 mod listed_start;
 mod liveness;
 mod notices;
-mod open_connection;
 mod open_query;
 mod origin_question;
 mod origins;
@@ -194,7 +194,7 @@
         "event=stop role=entry node={} requests={} connections={}",
         settings.name,
         entry.open_requests(),
-        entry.open_connections()
+        entry.connections.len()
     );
     Ok(())
 }
@@ -216,7 +216,7 @@
     let since = entry.now();
     loop {
         let elapsed_ms = entry.now().ms_since(since);
-        let is_idle = entry.open_requests() == 0 && entry.open_connections() == 0;
+        let is_idle = entry.open_requests() == 0 && entry.connections.len() == 0;
         let is_done = elapsed_ms >= BALANCER_DELAY_MS && is_idle;
         if is_done || elapsed_ms + EXIT_RESERVE_MS >= entry.settings.grace_ms {
             return;
--- a/crates/filbertcleat-gateway/src/entry/body_rooms.rs
+++ b/crates/filbertcleat-gateway/src/entry/body_rooms.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use filbertcleat_base::MonoTime;
 use filbertcleat_serve::BodyId;
 use filbertcleat_serve::BodyLedger;
 use filbertcleat_serve::BodySource;
@@ -46,6 +47,11 @@
         self.shared.ledger.borrow().held_bytes()
     }
 
+    /// Returns the time up to which a body keeps its pace, if it is being read.
+    pub fn paced_until(&self, id: BodyId) -> Option<MonoTime> {
+        self.shared.ledger.borrow().paced_until(id)
+    }
+
     /// Begins an empty body.
     pub fn open(&self, source: BodySource) -> Result<BodyRoom, NoRoom> {
         let opened = self.shared.ledger.borrow_mut().open(self.shared.clock.now(), source);
@@ -76,6 +82,11 @@
 }
 
 impl BodyRoom {
+    /// Returns the number of the body.
+    pub fn id(&self) -> BodyId {
+        self.id
+    }
+
     /// Waits until the body has to give up its memory.
     pub async fn evicted(&self) {
         self.body.evicted.notified().await;
--- a/crates/filbertcleat-gateway/src/entry/close_reason.rs
+++ b/crates/filbertcleat-gateway/src/entry/close_reason.rs
@@ -11,6 +11,10 @@
     ReaderStalled,
     /// The entry is shutting down.
     Leaving,
+    /// The connection makes room for a new one.
+    Replaced,
+    /// There is no room for the connection.
+    Refused,
 }
 
 impl CloseReason {
@@ -21,6 +25,8 @@
             Self::HeadOverdue => "head-overdue",
             Self::ReaderStalled => "reader-stalled",
             Self::Leaving => "leaving",
+            Self::Replaced => "replaced",
+            Self::Refused => "refused",
         }
     }
 }
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::pin::pin;
@@ -10,7 +11,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use filbertcleat_base::MonoTime;
 use http::HeaderValue;
 use http::header::CONNECTION;
 use hyper::server::conn::http1;
@@ -21,6 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 use super::DRAIN_CHECK_INTERVAL;
@@ -29,7 +30,6 @@
 pub(super) use super::connection_activity::ActiveRequest;
 use super::connection_activity::ConnectionActivity;
 use super::handler::handle_request;
-use super::open_connection::OpenConnection;
 use super::response_body::OpenResponse;
 use super::response_body::ResponseBody;
 use super::state::Entry;
@@ -37,6 +37,7 @@
 use super::stream_close::close_idle;
 use super::stream_close::has_unread_bytes;
 use crate::Dialect;
+use crate::metrics::Metric;
 use crate::panics::contain;
 
 /// The delay after a connection could not be accepted, for example for lack of file descriptors.
@@ -52,19 +53,29 @@
 /// megabytes, a caller that reads 100 kB a second would seem to have stopped for longer than a
 /// stalled one is kept.
 const SEND_BUFFER_BYTES: usize = 128 * 1024;
-/// The smallest read buffer that hyper accepts.
-const BUFFER_MIN_BYTES: usize = 8_192;
 
 /// Accepts connections from callers for as long as the process runs.
 pub(super) async fn serve_callers<D: Dialect>(entry: Rc<Entry<D>>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
+                let held = entry.caller_memory.held();
+                let activity = Rc::new(ConnectionActivity::new(entry.clock(), held));
+                let limits = entry.caller_limits();
+                let opened = entry.connections.open(entry.now(), limits, &activity);
+                let Some(open) = opened else {
+                    log_close(&entry, from, CloseReason::Refused, &activity);
+                    continue;
+                };
                 let entry = Rc::clone(&entry);
                 spawn_local(async move {
                     let metrics = entry.metrics.clone();
-                    contain("connection", &metrics, serve_connection(entry, stream, from)).await;
+                    let serving = serve_connection(entry, stream, from, activity);
+                    contain("connection", &metrics, serving).await;
+                    drop(open);
                 });
+                // A connection that makes room is closed before the next one is accepted.
+                yield_now().await;
             }
             Err(error) => {
                 log::warn!("event=accept-failed listener=callers reason=\"{error}\"");
@@ -74,18 +85,17 @@
     }
 }
 
-async fn serve_connection<D: Dialect>(entry: Rc<Entry<D>>, stream: TcpStream, from: SocketAddr) {
-    if let Err(error) = stream.set_nodelay(true) {
+async fn serve_connection<D: Dialect>(
+    entry: Rc<Entry<D>>,
+    stream: TcpStream,
+    from: SocketAddr,
+    activity: Rc<ConnectionActivity>,
+) {
+    if let Err(error) = set_options(&stream) {
         log::debug!("event=caller-gone reason=\"{error}\"");
         return;
     }
-    if let Err(error) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
-        log::debug!("event=caller-gone reason=\"{error}\"");
-        return;
-    }
-    let _open = OpenConnection::new(&entry);
     let stream = Rc::new(stream);
-    let activity = Rc::new(ConnectionActivity::new(entry.clock(), entry.caller_memory.held()));
     let mut unread = Bytes::new();
     let has_responded = loop {
         let service = service_fn(|request| {
@@ -111,19 +121,24 @@
                 Ok::<_, Infallible>(response)
             }
         });
-        let header_max_bytes = entry.caller_limits().header_max_bytes;
+        let head_max_bytes = entry.connections.head_max_bytes(entry.caller_limits());
         let socket = CallerSocket::new(&stream, &activity, unread);
         let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(None)
-            .max_buf_size(header_max_bytes.max(BUFFER_MIN_BYTES))
+            .max_buf_size(head_max_bytes)
             .serve_connection(TokioIo::new(socket), service);
         let mut check = pin!(tokio::time::sleep(check_interval(&entry)));
+        let mut replaced = pin!(activity.replaced());
         let progress = poll_fn(|context| {
+            if replaced.as_mut().poll(context).is_ready() {
+                return Poll::Ready(Progress::Replaced);
+            }
             if let Poll::Ready(ended) = Pin::new(&mut connection).poll(context) {
                 return Poll::Ready(Progress::Ended(ended));
             }
-            let is_outdated = entry.caller_limits().header_max_bytes != header_max_bytes;
+            let is_outdated =
+                entry.connections.head_max_bytes(entry.caller_limits()) != head_max_bytes;
             if is_outdated && activity.is_quiet() {
                 return Poll::Ready(Progress::Outdated);
             }
@@ -132,7 +147,7 @@
                 let Some(reason) = due_close(&entry, &activity) else { continue };
                 let is_stalled = reason == CloseReason::ReaderStalled;
                 if is_stalled || !has_unread_bytes(&stream) {
-                    log_close(from, reason, &activity, entry.now());
+                    log_close(&entry, from, reason, &activity);
                     let due = if is_stalled { Progress::Stalled } else { Progress::Due };
                     return Poll::Ready(due);
                 }
@@ -156,16 +171,33 @@
                 reset_on_close(&stream);
                 return;
             }
+            Progress::Replaced => {
+                log_close(&entry, from, CloseReason::Replaced, &activity);
+                return;
+            }
             Progress::Outdated => unread = connection.into_parts().read_buf,
         }
     };
-    if has_responded {
-        close_after_response(&stream, entry.caller_limits().body_max_bytes).await;
-    } else {
-        close_idle(&stream).await;
+    activity.begin_ending();
+    let ending = async {
+        if has_responded {
+            close_after_response(&stream, entry.caller_limits().body_max_bytes).await;
+        } else {
+            close_idle(&stream).await;
+        }
+    };
+    tokio::select! {
+        biased;
+        () = activity.replaced() => log_close(&entry, from, CloseReason::Replaced, &activity),
+        () = ending => {}
     }
 }
 
+fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_send_buffer_size(SEND_BUFFER_BYTES)
+}
+
 /// Lets the kernel reset the connection when the stream is dropped.
 fn reset_on_close(stream: &TcpStream) {
     if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
@@ -185,6 +217,8 @@
     Due,
     /// The entry resets the connection, as the caller has stopped reading.
     Stalled,
+    /// The connection makes room for another one.
+    Replaced,
     /// The connection is quiet, and its buffer has the size of an older configuration.
     Outdated,
 }
@@ -208,7 +242,14 @@
     }
 }
 
-fn log_close(from: SocketAddr, reason: CloseReason, activity: &ConnectionActivity, now: MonoTime) {
+fn log_close<D: Dialect>(
+    entry: &Entry<D>,
+    from: SocketAddr,
+    reason: CloseReason,
+    activity: &ConnectionActivity,
+) {
+    let now = entry.now();
+    entry.metrics.count(Metric::ConnectionCloses, &[("reason", reason.as_str())]);
     log::info!(
         "event=connection-closed from={from} reason={} requests={} open_ms={} idle_ms={} \
          unread_bytes={}",
--- a/crates/filbertcleat-gateway/src/entry/connection_activity.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_activity.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 
 use filbertcleat_base::MonoTime;
+use filbertcleat_serve::BodyId;
+use tokio::sync::Notify;
 
 use super::held_bytes::ByteCount;
 use super::held_bytes::HeldBytes;
@@ -34,6 +36,14 @@
     write_blocked_since: Cell<Option<MonoTime>>,
     /// Whether a check has found that the caller has stopped reading.
     is_stall_suspected: Cell<bool>,
+    responses: Cell<u32>,
+    /// The body that is being read.
+    arriving_body: Cell<Option<BodyId>>,
+    /// Since when the caller is waited for to close the connection.
+    ending_since: Cell<Option<MonoTime>>,
+    is_replaced: Cell<bool>,
+    /// Wakes the task of the connection when it has to make room for another.
+    replaced: Notify,
 }
 
 impl ConnectionActivity {
@@ -59,6 +69,11 @@
             buffered: held.hold(0),
             write_blocked_since: Cell::new(None),
             is_stall_suspected: Cell::new(false),
+            responses: Cell::new(0),
+            arriving_body: Cell::new(None),
+            ending_since: Cell::new(None),
+            is_replaced: Cell::new(false),
+            replaced: Notify::new(),
         }
     }
 
@@ -81,6 +96,7 @@
     /// Records that the whole response is in the buffer of the connection.
     pub fn end_response(&self) {
         self.is_flush_due.set(true);
+        self.responses.set(self.responses.get().saturating_add(1));
         self.end_request();
     }
 
@@ -173,6 +189,55 @@
         self.open_requests.get() > 0 || self.is_flush_due.get() || self.is_ending.get()
     }
 
+    /// Records which body is being read, if one is.
+    pub fn set_arriving_body(&self, body: Option<BodyId>) {
+        self.arriving_body.set(body);
+    }
+
+    /// Returns the body that is being read.
+    pub fn arriving_body(&self) -> Option<BodyId> {
+        self.arriving_body.get()
+    }
+
+    /// Records that the caller is waited for to close the connection.
+    pub fn begin_ending(&self) {
+        self.ending_since.set(Some(self.clock.now()));
+    }
+
+    /// Returns since when the caller is waited for to close the connection.
+    pub fn ending_since(&self) -> Option<MonoTime> {
+        self.ending_since.get()
+    }
+
+    /// Returns since when the first request, or the rest of a head, is awaited.
+    pub fn awaited_since(&self) -> Option<MonoTime> {
+        if self.is_busy() {
+            return None;
+        }
+        self.head_since.get().or_else(|| (self.requests.get() == 0).then_some(self.opened_at))
+    }
+
+    /// Returns whether a request has had its response.
+    pub fn has_responded(&self) -> bool {
+        self.responses.get() > 0
+    }
+
+    /// Has the connection make room for another one.
+    pub fn replace(&self) {
+        self.is_replaced.set(true);
+        self.replaced.notify_one();
+    }
+
+    /// Returns whether the connection has to make room for another one.
+    pub fn is_replaced(&self) -> bool {
+        self.is_replaced.get()
+    }
+
+    /// Waits until the connection has to make room for another one.
+    pub async fn replaced(&self) {
+        self.replaced.notified().await;
+    }
+
     /// Returns how many requests arrived.
     pub fn requests(&self) -> u32 {
         self.requests.get()
--- a/crates/filbertcleat-gateway/src/entry/connection_pool.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_pool.rs
@@ -49,6 +49,8 @@
 /// instead of being read as the response to the next request.
 pub(super) struct ConnectionPool {
     clock: Clock,
+    /// The most idle connections to all backend servers, if they are limited.
+    idle_max: Option<usize>,
     idle: RefCell<HashMap<SocketAddr, VecDeque<Idle>>>,
 }
 
@@ -58,9 +60,9 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool.
-    pub fn new(clock: Clock) -> Self {
-        Self { clock, idle: RefCell::new(HashMap::new()) }
+    /// Creates an empty pool, which keeps at most `idle_max` connections, if they are limited.
+    pub fn new(clock: Clock, idle_max: Option<usize>) -> Self {
+        Self { clock, idle_max, idle: RefCell::new(HashMap::new()) }
     }
 
     /// Returns an idle connection for a request, or connects if there is none.
@@ -106,6 +108,10 @@
         let Some(keep_ms) = keep_ms(head) else { return };
         let expires_at = self.clock.now().plus_ms(keep_ms);
         let mut idle = self.idle.borrow_mut();
+        let number: usize = idle.values().map(VecDeque::len).sum();
+        if self.idle_max.is_some_and(|idle_max| number >= idle_max) {
+            return;
+        }
         let queue = idle.entry(address).or_default();
         if queue.len() < IDLE_MAX {
             queue.push_back(Idle { connection, expires_at });
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -38,6 +38,7 @@
 use super::agent_updates::AgentUpdateState;
 use super::allowances::Allowances;
 use super::body_rooms::BodyRooms;
+use super::caller_connections::CallerConnections;
 use super::caller_memory::CallerMemory;
 use super::connection_pool::ConnectionPool;
 use super::crashes::UnverifiedCrashes;
@@ -73,6 +74,8 @@
     pub caller_memory: CallerMemory,
     /// Bounds what is held of the bodies of requests, until their responses have begun or ended.
     pub body_rooms: BodyRooms,
+    /// Bounds the connections of callers.
+    pub connections: CallerConnections,
     /// The allowances of workspaces, unless the settings do not bound them.
     pub allowances: Option<Rc<Allowances>>,
     /// Wakes the dispatcher when a queued request might be placed.
@@ -100,7 +103,6 @@
     pub incarnation: u64,
     clock: Clock,
     open_requests: Cell<usize>,
-    open_connections: Cell<usize>,
     shutdown_since: Cell<Option<MonoTime>>,
     configured_at: Cell<MonoTime>,
     idle_timeouts: RefCell<IdleTimeouts>,
@@ -147,7 +149,8 @@
         let incarnation = incarnation_id();
         let routes = KeptRoutes::new(settings.is_first_start, incarnation);
         let origins = OriginState::new(settings.name.clone(), routes);
-        let shares = CallerShares::of(settings.memory_max_mb);
+        let shares = CallerShares::of(settings.memory_max_mb, settings.sockets_max);
+        let body_rooms = BodyRooms::new(clock, shares.memory_max_bytes);
         let allowances = settings.allowance_bounds.as_ref();
         let allowances =
             allowances.map(|bounds| Rc::new(Allowances::new(clock, incarnation, bounds)));
@@ -157,10 +160,11 @@
             peers,
             retry_budget,
             shutdown,
-            pool: ConnectionPool::new(clock),
+            pool: ConnectionPool::new(clock, shares.idle_sockets_max),
             metrics: Metrics::new(),
             caller_memory: CallerMemory::new(shares.memory_max_bytes),
-            body_rooms: BodyRooms::new(clock, shares.memory_max_bytes),
+            connections: CallerConnections::new(shares, body_rooms.clone()),
+            body_rooms,
             allowances,
             dispatcher_wakeup: Notify::new(),
             facts_changed: Notify::new(),
@@ -191,7 +195,6 @@
             }),
             clock,
             open_requests: Cell::new(0),
-            open_connections: Cell::new(0),
             shutdown_since: Cell::new(None),
             configured_at: Cell::new(MonoTime::ZERO),
             idle_timeouts: RefCell::default(),
@@ -227,21 +230,6 @@
         self.open_requests.set(self.open_requests.get().saturating_sub(1));
     }
 
-    /// Returns the number of open connections of callers.
-    pub fn open_connections(&self) -> usize {
-        self.open_connections.get()
-    }
-
-    /// Counts a caller's connection as open.
-    pub fn add_open_connection(&self) {
-        self.open_connections.set(self.open_connections.get() + 1);
-    }
-
-    /// Removes a closed connection from the count of open ones.
-    pub fn remove_open_connection(&self) {
-        self.open_connections.set(self.open_connections.get().saturating_sub(1));
-    }
-
     /// Returns whether the entry accepts callers: it has a configuration and is not shutting down.
     pub fn is_ready(&self) -> bool {
         self.state.borrow().deployment.get().is_some() && !self.shutdown.is_triggered()
@@ -480,6 +468,7 @@
         ] {
             metrics.gauge(Metric::HeldBytes, &[("for", reader)], held);
         }
+        metrics.gauge(Metric::Connections, &[], self.connections.len() as u64);
         metrics.gauge(Metric::PooledServers, &[], self.pool.addresses() as u64);
         let suspected = state.fleet.facts().crashes().suspected().len();
         metrics.gauge(Metric::Suspects, &[], suspected as u64);
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -63,6 +63,10 @@
     Queued,
     /// Bytes that the entry holds for callers and backend servers that have not read them.
     HeldBytes,
+    /// Connections of callers.
+    Connections,
+    /// Connections of callers that the entry has closed or refused, by reason.
+    ConnectionCloses,
     /// Backend servers to which the pool keeps connections.
     PooledServers,
     /// Orders to the engine, by kind and outcome.
@@ -94,7 +98,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 44] = [
+pub const METRICS: [Metric; 46] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -125,6 +129,8 @@
     Metric::InFlight,
     Metric::Queued,
     Metric::HeldBytes,
+    Metric::Connections,
+    Metric::ConnectionCloses,
     Metric::PooledServers,
     Metric::Orders,
     Metric::Adapters,
@@ -175,6 +181,8 @@
             Self::InFlight => "open",
             Self::Queued => "waiting",
             Self::HeldBytes => "held_bytes",
+            Self::Connections => "connections",
+            Self::ConnectionCloses => "connection_closes",
             Self::PooledServers => "pooled_servers",
             Self::Orders => "orders",
             Self::Adapters => "adapters",
--- a/crates/filbertcleat-gateway/src/settings.rs
+++ b/crates/filbertcleat-gateway/src/settings.rs
@@ -48,9 +48,12 @@
     pub clock_difference_ms: u64,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
-    /// The memory of the process in MB. Without it, what all slow readers together hold is not
+    /// The memory of the process in MB. Without it, what callers make the process hold is not
     /// bounded.
     pub memory_max_mb: Option<u64>,
+    /// The sockets of the process. Without them, the connections of callers are bounded by the memory
+    /// alone.
+    pub sockets_max: Option<usize>,
 }
 
 impl GatewaySettings {
--- a/crates/filbertcleat-gateway/tests/support/world.rs
+++ b/crates/filbertcleat-gateway/tests/support/world.rs
@@ -166,6 +166,7 @@
             clock_difference_ms: 60_000,
             is_first_start: true,
             memory_max_mb,
+            sockets_max: None,
         };
         let shutdown = ShutdownSignal::default();
         let retry_budget = watch::Sender::new(settings.retry_budget);
--- a/crates/filbertcleat-serve/src/body_ledger.rs
+++ b/crates/filbertcleat-serve/src/body_ledger.rs
@@ -71,6 +71,12 @@
         self.bodies.len()
     }
 
+    /// Returns the time up to which a body keeps its pace, if it is being read.
+    pub fn paced_until(&self, id: BodyId) -> Option<MonoTime> {
+        let body = self.bodies.get(&id).filter(|body| body.stage == Stage::Arriving);
+        body.map(|body| body.paced_until)
+    }
+
     /// Adds an empty body, and returns the bodies that have to give up their memory.
     pub fn open(
         &mut self,
--- a/crates/filbertcleat-serve/src/body_ledger/open_body.rs
+++ b/crates/filbertcleat-serve/src/body_ledger/open_body.rs
@@ -13,7 +13,7 @@
     pub held_bytes: u64,
     /// The time up to which what has arrived keeps the pace. Bytes that came faster count for no
     /// later time, so that a body which stops falls behind at once.
-    paced_until: MonoTime,
+    pub paced_until: MonoTime,
     /// What has arrived since the last whole ms of the pace.
     unpaced_bytes: u64,
 }
