Bound what the kernel receives for an entry

While a request is handled, nothing more is read on its connection, and the kernel goes on receiving: 400 clients that send a request of 1 MiB ahead made it keep 35 MB beside 54 MB of the process, of 64 MB. The kernel sizes the buffer of each connection by itself, and lets it grow to megabytes once much has been read.

The callers' listener asks for a receive buffer of 12 KiB (24 KiB with what the kernel adds), which is part of what a connection counts. While a body over 64 KiB arrives, its connection has 256 KiB, which count with the body, so that a large body from far away is not slowed down; without room for that it arrives at the small buffer's pace. A connection counts 24 KiB and a request 24 KiB beside, as measured with 300 open requests.

--- a/crates/filbertcleat-gateway/src/entry.rs
+++ b/crates/filbertcleat-gateway/src/entry.rs
@@ -48,6 +48,7 @@
 mod read_allowance;
 mod read_request;
 mod readiness;
+mod receive_buffer;
 mod refusal;
 mod request;
 mod request_body;
--- a/crates/filbertcleat-gateway/src/entry/body_rooms.rs
+++ b/crates/filbertcleat-gateway/src/entry/body_rooms.rs
@@ -100,13 +100,22 @@
     /// Adds bytes that have arrived, after which `rest_bytes` follow, if that is known.
     pub fn push(&self, data: &[u8], rest_bytes: Option<u64>) -> Result<(), NoRoom> {
         let Shared { clock, ledger, .. } = &*self.rooms.shared;
-        let now = clock.now();
-        ledger.borrow_mut().on_received(now, self.id, data.len() as u64);
-        self.body.buffer.borrow_mut().push(data, rest_bytes, |bytes| {
-            let evicted = ledger.borrow_mut().grow(now, self.id, bytes as u64)?;
-            self.rooms.evict(&evicted);
-            Ok(())
-        })
+        ledger.borrow_mut().on_received(clock.now(), self.id, data.len() as u64);
+        let mut buffer = self.body.buffer.borrow_mut();
+        buffer.push(data, rest_bytes, |bytes| self.take(bytes as u64))
+    }
+
+    /// Takes memory for the body.
+    pub fn take(&self, bytes: u64) -> Result<(), NoRoom> {
+        let Shared { clock, ledger, .. } = &*self.rooms.shared;
+        let evicted = ledger.borrow_mut().grow(clock.now(), self.id, bytes)?;
+        self.rooms.evict(&evicted);
+        Ok(())
+    }
+
+    /// Returns memory that the body does not need any more.
+    pub fn give_back(&self, bytes: u64) {
+        self.rooms.shared.ledger.borrow_mut().shrink(self.id, bytes);
     }
 
     /// Ends the body, and returns what has been read.
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -30,6 +30,7 @@
 pub(super) use super::connection_activity::ActiveRequest;
 use super::connection_activity::ConnectionActivity;
 use super::handler::handle_request;
+use super::receive_buffer::limit_receive_buffers;
 use super::response_body::OpenResponse;
 use super::response_body::ResponseBody;
 use super::state::Entry;
@@ -56,6 +57,7 @@
 
 /// Accepts connections from callers for as long as the process runs.
 pub(super) async fn serve_callers<D: Dialect>(entry: Rc<Entry<D>>, listener: Rc<TcpListener>) {
+    limit_receive_buffers(&listener);
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
@@ -100,7 +102,7 @@
     let has_responded = loop {
         let service = service_fn(|request| {
             let entry = Rc::clone(&entry);
-            let active = ActiveRequest::begin(&activity);
+            let active = ActiveRequest::begin(&activity, &stream);
             let open = OpenResponse::begin(&activity, request.version());
             let activity = Rc::clone(&activity);
             let stream = Rc::clone(&stream);
--- a/crates/filbertcleat-gateway/src/entry/connection_activity.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_activity.rs
@@ -5,10 +5,12 @@
 
 use filbertcleat_base::MonoTime;
 use filbertcleat_serve::BodyId;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use super::held_bytes::ByteCount;
 use super::held_bytes::HeldBytes;
+use super::receive_buffer::ReceiveBuffer;
 use crate::clock::Clock;
 
 /// The activity of a connection, which its time limits are checked against.
@@ -258,13 +260,19 @@
 #[derive(Debug)]
 pub(super) struct ActiveRequest {
     activity: Rc<ConnectionActivity>,
+    receive_buffer: ReceiveBuffer,
 }
 
 impl ActiveRequest {
     /// Records that the head of a request has been read.
-    pub fn begin(activity: &Rc<ConnectionActivity>) -> Self {
+    pub fn begin(activity: &Rc<ConnectionActivity>, stream: &Rc<TcpStream>) -> Self {
         activity.begin_request();
-        Self { activity: Rc::clone(activity) }
+        Self { activity: Rc::clone(activity), receive_buffer: ReceiveBuffer::new(stream) }
+    }
+
+    /// Returns the kernel's buffer for the request's connection.
+    pub fn receive_buffer(&self) -> &ReceiveBuffer {
+        &self.receive_buffer
     }
 
     /// Returns the activity of the request's connection.
--- a/crates/filbertcleat-gateway/src/entry/handler.rs
+++ b/crates/filbertcleat-gateway/src/entry/handler.rs
@@ -55,7 +55,7 @@
     let metadata = entry.dialect.parse_request(request.headers());
     let id = metadata.id.clone();
     let mut open = OpenRequest::new(entry, id.clone());
-    let mut request = match read_request(entry, request, metadata, active.activity()).await {
+    let mut request = match read_request(entry, request, metadata, &active).await {
         Ok(request) => request,
         Err(RefusedRequest { refusal, is_read }) => {
             open.is_answered = true;
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -27,7 +27,7 @@
 use hyper::body::Incoming;
 
 use super::body_rooms::BodyRoom;
-use super::connection_activity::ConnectionActivity;
+use super::connection::ActiveRequest;
 use super::refusal::EXITING;
 use super::refusal::RETRY_AFTER_FULL;
 use super::refusal::RETRY_AFTER_OTHER_ENTRY;
@@ -76,7 +76,7 @@
     entry: &Rc<Entry<D>>,
     request: Request<Incoming>,
     metadata: RequestMetadata,
-    activity: &ConnectionActivity,
+    active: &ActiveRequest,
 ) -> Result<CallerRequest, RefusedRequest> {
     let arrived_at = entry.now();
     let (head, body) = request.into_parts();
@@ -96,7 +96,7 @@
         largest_bytes: entry.caller_limits().body_max_bytes as u64,
         wait_ms,
     };
-    let body = match read_body(entry, body, source, activity).await {
+    let body = match read_body(entry, body, source, active).await {
         Ok(body) => body,
         Err(refusal) => return Err(RefusedRequest { refusal, is_read: false }),
     };
@@ -266,7 +266,7 @@
     entry: &Entry<D>,
     body: Incoming,
     source: BodySource,
-    activity: &ConnectionActivity,
+    active: &ActiveRequest,
 ) -> Result<RequestBody, Refusal> {
     // A refusal before the first read also tells a caller that waits for an interim response.
     if body.size_hint().lower() > source.largest_bytes {
@@ -275,19 +275,25 @@
     let wait = Duration::from_millis(source.wait_ms);
     let max_bytes = source.largest_bytes;
     let room = entry.body_rooms.open(source).map_err(|NoRoom| NO_MEMORY)?;
-    activity.set_arriving_body(Some(room.id()));
+    active.activity().set_arriving_body(Some(room.id()));
     let read = tokio::select! {
         biased;
-        read = tokio::time::timeout(wait, collect_body(&room, body, max_bytes)) => read,
+        read = tokio::time::timeout(wait, collect_body(&room, body, max_bytes, active)) => read,
         () = room.evicted() => Ok(Err(BODY_BEHIND)),
         () = entry.answers_due() => Ok(Err(EXITING)),
     };
-    activity.set_arriving_body(None);
+    active.activity().set_arriving_body(None);
     read.unwrap_or(Err(Refusal::NotRun("the body did not arrive", RETRY_AFTER_FULL)))?;
     Ok(RequestBody::new(room))
 }
 
-async fn collect_body(room: &BodyRoom, mut body: Incoming, max_bytes: u64) -> Result<(), Refusal> {
+async fn collect_body(
+    room: &BodyRoom,
+    mut body: Incoming,
+    max_bytes: u64,
+    active: &ActiveRequest,
+) -> Result<(), Refusal> {
+    let mut wide_buffer = None;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_broken| Refusal::BadRequest("the body broke off"))?;
         let Some(data) = frame.data_ref() else { continue };
@@ -295,6 +301,9 @@
             return Err(Refusal::BodyTooLarge);
         }
         room.push(data, body.size_hint().exact()).map_err(|NoRoom| NO_MEMORY)?;
+        if wide_buffer.is_none() && !body.is_end_stream() {
+            wide_buffer = active.receive_buffer().widen_for(room);
+        }
     }
     Ok(())
 }
--- a/crates/filbertcleat-serve/src/body_ledger.rs
+++ b/crates/filbertcleat-serve/src/body_ledger.rs
@@ -44,8 +44,8 @@
 }
 
 impl BodyLedger {
-    /// What a request takes beside its body: its head, which is sent on too, and its buffers.
-    pub const REQUEST_BYTES: u64 = 16 * 1024;
+    /// What a request takes beside its body: its head, and its connection to a backend server.
+    pub const REQUEST_BYTES: u64 = 24 * 1024;
     /// Bodies up to this size use the part that large ones leave.
     const SMALL_MAX_BYTES: u64 = 64 * 1024;
     /// The part of the memory that large bodies leave to small ones.
@@ -101,6 +101,12 @@
         Ok(evicted)
     }
 
+    /// Takes back memory that a body does not need any more.
+    pub fn shrink(&mut self, id: BodyId, bytes: u64) {
+        let held_bytes = self.bodies.get(&id).map_or(0, |body| body.held_bytes);
+        self.set_held(id, held_bytes.saturating_sub(bytes));
+    }
+
     /// Records that bytes of a body have arrived.
     pub fn on_received(&mut self, now: MonoTime, id: BodyId, bytes: u64) {
         if let Some(body) = self.bodies.get_mut(&id) {
--- a/crates/filbertcleat-serve/src/caller_shares.rs
+++ b/crates/filbertcleat-serve/src/caller_shares.rs
@@ -6,7 +6,7 @@
 /// rest is for the routing state and the process itself.
 const MEMORY_PARTS: u64 = 4;
 /// What a connection takes beside the head of a request: its task and its write buffer.
-const CONNECTION_BYTES: u64 = 16 * 1024;
+const CONNECTION_BYTES: u64 = 24 * 1024;
 /// The smallest buffer that the HTTP library reads a head into.
 const HEAD_MIN_BYTES: usize = 8 * 1024;
 /// The memory of connections holds at least this number of the largest heads.
@@ -31,6 +31,9 @@
 }
 
 impl CallerShares {
+    /// What the kernel may receive on a connection while nothing is read of it.
+    pub const RECEIVE_BUFFER_BYTES: usize = 24 * 1024;
+
     /// Returns the shares of a machine with limits on memory in MB and on sockets.
     pub fn of(memory_max_mb: Option<u64>, sockets_max: Option<usize>) -> Self {
         let part_of_sockets = |parts: usize| {
@@ -54,8 +57,10 @@
     /// `header_max_bytes`.
     pub fn connections_max(&self, header_max_bytes: usize) -> usize {
         let head_bytes = self.head_max_bytes(header_max_bytes) as u64;
-        // The buffer of a head grows by doubling.
-        let connection_bytes = CONNECTION_BYTES.saturating_add((head_bytes / 2).saturating_mul(3));
+        // The buffer of a head grows by doubling. A connection is read while it has no whole head.
+        let unread_bytes = Self::RECEIVE_BUFFER_BYTES as u64;
+        let arrived_bytes = (head_bytes / 2).saturating_mul(3).max(unread_bytes);
+        let connection_bytes = CONNECTION_BYTES.saturating_add(arrived_bytes);
         let by_memory = self.memory_max_bytes.map(|bytes| (bytes / connection_bytes).max(1));
         let by_memory =
             by_memory.map_or(usize::MAX, |number| usize::try_from(number).unwrap_or(usize::MAX));
