--- a/crates/filbertcleat-config/src/settings/callers.rs
+++ b/crates/filbertcleat-config/src/settings/callers.rs
@@ -17,6 +17,9 @@
     /// The maximum size of a request body.
     #[serde(default = "default_body")]
     pub body_max_bytes: usize,
+    /// The memory that the bodies of all requests may take together.
+    #[serde(default = "default_bodies")]
+    pub bodies_max_bytes: u64,
     /// The maximum size of a request's head.
     #[serde(default = "default_header")]
     pub header_max_bytes: usize,
@@ -33,6 +36,10 @@
     1024 * 1024
 }
 
+fn default_bodies() -> u64 {
+    64 * 1024 * 1024
+}
+
 fn default_header() -> usize {
     16 * 1024
 }
--- a/crates/filbertcleat-daemon/src/entry.rs
+++ b/crates/filbertcleat-daemon/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod async_requests;
 mod body;
+mod body_reader;
 mod callers;
 mod claims;
 mod event;
@@ -13,6 +14,7 @@
 mod server;
 
 pub(crate) use self::async_requests::AsyncRequestWorker;
+pub(crate) use self::body_reader::BodyReader;
 pub(crate) use self::callers::CallerContext;
 pub(crate) use self::callers::serve_callers;
 pub(crate) use self::event::EntryEvent;
--- a/crates/filbertcleat-daemon/src/entry/callers.rs
+++ b/crates/filbertcleat-daemon/src/entry/callers.rs
@@ -22,6 +22,7 @@
 use super::async_requests;
 use super::body;
 use super::body::CompletionApi;
+use super::body_reader::BodyFault;
 use super::pending_request::RequestPayload;
 use super::request_headers::CompletionFields;
 use super::request_headers::RequestHeaders;
@@ -162,27 +163,27 @@
 }
 
 async fn read_body(request: &mut Request, context: &CallerContext) -> Result<Bytes, BodyError> {
-    let limit_bytes = context.body_max_bytes;
-    let read =
-        tokio::time::timeout(context.read_timeout, request.payload_with_max_size(limit_bytes));
-    match read.await {
-        Ok(Ok(body)) => Ok(body.clone()),
-        Ok(Err(salvo::http::ParseError::PayloadTooLarge)) => Err(BodyError {
-            status: StatusCode::PAYLOAD_TOO_LARGE,
-            message: format!("body is larger than {limit_bytes} bytes"),
-        }),
-        Ok(Err(error)) => Err(BodyError {
-            status: StatusCode::BAD_REQUEST,
-            message: format!("body can't be read: {error}"),
-        }),
-        Err(_elapsed) => Err(BodyError {
-            status: StatusCode::REQUEST_TIMEOUT,
-            message: format!(
-                "body was not received within {} ms",
-                context.read_timeout.as_millis()
-            ),
-        }),
-    }
+    let fault = match context.body_reader.read(request.take_body()).await {
+        Ok(body) => return Ok(body),
+        Err(fault) => fault,
+    };
+    let (status, message) = match fault {
+        BodyFault::TooLarge(limit_bytes) => {
+            (StatusCode::PAYLOAD_TOO_LARGE, format!("body is larger than {limit_bytes} bytes"))
+        }
+        BodyFault::Broken(error) => {
+            (StatusCode::BAD_REQUEST, format!("body can't be read: {error}"))
+        }
+        BodyFault::Late => {
+            let timeout_ms = context.read_timeout.as_millis();
+            (StatusCode::REQUEST_TIMEOUT, format!("body was not received within {timeout_ms} ms"))
+        }
+        BodyFault::NoRoom => {
+            (StatusCode::SERVICE_UNAVAILABLE, "no memory is left for the body".to_owned())
+        }
+    };
+    log::info!("event=body-refused status={} reason=\"{message}\"", status.as_u16());
+    Err(BodyError { status, message })
 }
 
 fn context(depot: &Depot) -> Option<CallerContext> {
--- a/crates/filbertcleat-daemon/src/entry/callers/context.rs
+++ b/crates/filbertcleat-daemon/src/entry/callers/context.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
+use crate::entry::BodyReader;
 use crate::entry::EntryEvent;
 use crate::loop_event::LoopEvent;
 use crate::loop_event::LoopSender;
@@ -24,7 +25,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct CallerContext {
     pub loop_sender: LoopSender,
-    pub body_max_bytes: usize,
+    pub body_reader: BodyReader,
     pub read_timeout: Duration,
     pub table: HttpTable,
     pub objects: HttpObjectStore,
@@ -40,7 +41,11 @@
             loop_sender: node.loop_sender.clone(),
             table: node.table.clone(),
             objects: node.objects.clone(),
-            body_max_bytes: settings.body_max_bytes,
+            body_reader: BodyReader::new(
+                settings.body_max_bytes,
+                settings.bodies_max_bytes,
+                settings.read_timeout_ms,
+            ),
             read_timeout: settings.read_timeout_ms,
             id_prefix: Arc::from(format!("{}-{:x}", node.name(), node.incarnation)),
             next_id: Arc::default(),
