--- a/crates/filbertcleat-gateway/src/entry/body_rooms.rs
+++ b/crates/filbertcleat-gateway/src/entry/body_rooms.rs
@@ -1,5 +1,6 @@
 //! The memory of the bodies of requests.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -59,7 +60,7 @@
         let body = Rc::new(ArrivingBody::default());
         self.shared.arriving.borrow_mut().insert(id, Rc::clone(&body));
         self.evict(&evicted);
-        Ok(BodyRoom { id, body, rooms: self.clone() })
+        Ok(BodyRoom { id, untold_bytes: Cell::new(0), body, rooms: self.clone() })
     }
 
     /// Drops what has been read of bodies, and wakes the tasks that read them.
@@ -77,11 +78,16 @@
 #[derive(Debug)]
 pub(super) struct BodyRoom {
     id: BodyId,
+    /// What has arrived since the ledger was last told.
+    untold_bytes: Cell<u64>,
     body: Rc<ArrivingBody>,
     rooms: BodyRooms,
 }
 
 impl BodyRoom {
+    /// The ledger is told of bytes in such amounts, since a body may come in chunks of one byte.
+    const TELL_BYTES: u64 = 1_024;
+
     /// Returns the number of the body.
     pub fn id(&self) -> BodyId {
         self.id
@@ -99,8 +105,13 @@
 
     /// Adds bytes that have arrived, after which `rest_bytes` follow, if that is known.
     pub fn push(&self, data: &[u8], rest_bytes: Option<u64>) -> Result<(), NoRoom> {
-        let Shared { clock, ledger, .. } = &*self.rooms.shared;
-        ledger.borrow_mut().on_received(clock.now(), self.id, data.len() as u64);
+        let untold_bytes = self.untold_bytes.get() + data.len() as u64;
+        let is_told = untold_bytes >= Self::TELL_BYTES;
+        if is_told {
+            let Shared { clock, ledger, .. } = &*self.rooms.shared;
+            ledger.borrow_mut().on_received(clock.now(), self.id, untold_bytes);
+        }
+        self.untold_bytes.set(if is_told { 0 } else { untold_bytes });
         let mut buffer = self.body.buffer.borrow_mut();
         buffer.push(data, rest_bytes, |bytes| self.take(bytes as u64))
     }
--- a/crates/filbertcleat-gateway/src/entry/read_request.rs
+++ b/crates/filbertcleat-gateway/src/entry/read_request.rs
@@ -47,6 +47,9 @@
 /// follows its head keeps its connection.
 const REFUSED_BODY_WAIT: Duration = Duration::from_millis(250);
 
+/// The receive buffer of a connection is widened for the rest of a body once this much has arrived,
+/// and is tried again after as much if there was no memory for that.
+const WIDEN_BYTES: u64 = 64 * 1024;
 /// The refusal of a request whose body finds no memory.
 const NO_MEMORY: Refusal = Refusal::NotRun("no memory is left for the body", RETRY_AFTER_FULL);
 /// The refusal of a request whose body had to give up its memory.
@@ -293,7 +296,7 @@
     max_bytes: u64,
     active: &ActiveRequest,
 ) -> Result<(), Refusal> {
-    let mut wide_buffer = None;
+    let (mut wide_buffer, mut widen_from_bytes) = (None, WIDEN_BYTES);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_broken| Refusal::BadRequest("the body broke off"))?;
         let Some(data) = frame.data_ref() else { continue };
@@ -301,8 +304,9 @@
             return Err(Refusal::BodyTooLarge);
         }
         room.push(data, body.size_hint().exact()).map_err(|NoRoom| NO_MEMORY)?;
-        if wide_buffer.is_none() && !body.is_end_stream() {
+        if wide_buffer.is_none() && room.length_bytes() >= widen_from_bytes {
             wide_buffer = active.receive_buffer().widen_for(room);
+            widen_from_bytes += WIDEN_BYTES;
         }
     }
     Ok(())
--- a/crates/filbertcleat-gateway/src/entry/receive_buffer.rs
+++ b/crates/filbertcleat-gateway/src/entry/receive_buffer.rs
@@ -14,8 +14,6 @@
 const WIDE_BYTES: usize = 128 * 1024;
 /// The kernel doubles the size that is asked for.
 const WIDE_HELD_BYTES: u64 = 2 * WIDE_BYTES as u64;
-/// The part of a body after which it counts as large.
-const LARGE_FROM_BYTES: u64 = 64 * 1024;
 
 /// Bounds what the kernel receives on connections while nothing is read.
 pub(super) fn limit_receive_buffers(listener: &TcpListener) {
@@ -34,12 +32,10 @@
         Self { stream: Rc::clone(stream) }
     }
 
-    /// Widens the buffer for a body if it is large and has room for that, until the returned guard is
+    /// Widens the buffer for a large body if it has room for that, until the returned guard is
     /// dropped.
     pub fn widen_for<'a>(&'a self, room: &'a BodyRoom) -> Option<WideBuffer<'a>> {
-        if room.length_bytes() < LARGE_FROM_BYTES || room.take(WIDE_HELD_BYTES).is_err() {
-            return None;
-        }
+        room.take(WIDE_HELD_BYTES).ok()?;
         set_size(&SockRef::from(&*self.stream), WIDE_BYTES);
         Some(WideBuffer { buffer: self, room })
     }
