Accept connections in series unless one has to make room

The accept loop gave way to all other tasks after each connection, so that an entry with little processor time took one new connection a round, and callers of a burst would wait. It gives way only when another connection has to close for the new one.

--- a/crates/filbertcleat-gateway/src/entry/caller_connections.rs
+++ b/crates/filbertcleat-gateway/src/entry/caller_connections.rs
@@ -64,7 +64,9 @@
         activity: &Rc<ConnectionActivity>,
     ) -> Option<OpenConnection> {
         let Shared { shares, open, replaced, next_number, .. } = &*self.shared;
-        if self.len() - replaced.get() >= shares.connections_max(limits.header_max_bytes) {
+        let is_full =
+            self.len() - replaced.get() >= shares.connections_max(limits.header_max_bytes);
+        if is_full {
             let open = open.borrow();
             let states = open.values().map(|other| (other, self.state(now, other)));
             choose_connection(now, states.filter_map(|(other, state)| Some((other, state?))))?
@@ -73,7 +75,7 @@
         }
         let number = next_number.replace(next_number.get() + 1);
         open.borrow_mut().insert(number, Rc::clone(activity));
-        Some(OpenConnection { number, connections: self.clone() })
+        Some(OpenConnection { number, has_replaced: is_full, connections: self.clone() })
     }
 
     /// Returns the state of a connection, unless it has to close already.
@@ -101,9 +103,17 @@
 #[derive(Debug)]
 pub(super) struct OpenConnection {
     number: u64,
+    has_replaced: bool,
     connections: CallerConnections,
 }
 
+impl OpenConnection {
+    /// Returns whether another connection has to close for this one.
+    pub fn has_replaced(&self) -> bool {
+        self.has_replaced
+    }
+}
+
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         let Shared { open, replaced, .. } = &*self.connections.shared;
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -69,6 +69,7 @@
                     log_close(&entry, from, CloseReason::Refused, &activity);
                     continue;
                 };
+                let has_replaced = open.has_replaced();
                 let entry = Rc::clone(&entry);
                 spawn_local(async move {
                     let metrics = entry.metrics.clone();
@@ -76,8 +77,10 @@
                     contain("connection", &metrics, serving).await;
                     drop(open);
                 });
-                // A connection that makes room is closed before the next one is accepted.
-                yield_now().await;
+                if has_replaced {
+                    // The other connection is closed before the next one is accepted.
+                    yield_now().await;
+                }
             }
             Err(error) => {
                 log::warn!("event=accept-failed listener=callers reason=\"{error}\"");
