Let the bounds of callers share what the gateway has

Read once more, the change had written some things twice. The delay after a failed accept and the way to ask for a receive buffer stood at the callers' listener and at the side listener; both are in listen.rs.

The pool of connections counted its idle ones for each response, also without a limit on them; it counts them only with one. The number of a body, its source and its refusal have files of their own, and the parts of the sockets a line each.

Behaviour, bounds and assertions are unchanged.

--- a/crates/filbertcleat-daemon/src/entry/body_reader.rs
+++ b/crates/filbertcleat-daemon/src/entry/body_reader.rs
@@ -27,8 +27,8 @@
     TooLarge(usize),
     /// It broke off.
     Broken(String),
-    /// It did not arrive in time.
-    Late,
+    /// It did not arrive within the given time.
+    Late(Duration),
     /// There is no memory for it, or it arrived too slowly while memory was short.
     NoRoom,
 }
@@ -78,7 +78,7 @@
         tokio::select! {
             biased;
             read = tokio::time::timeout(read_timeout, self.collect(body, &mut room)) => {
-                read.unwrap_or(Err(BodyFault::Late))?;
+                read.unwrap_or(Err(BodyFault::Late(read_timeout)))?;
             }
             () = evicted.notified() => return Err(BodyFault::NoRoom),
         }
--- a/crates/filbertcleat-daemon/src/entry/callers.rs
+++ b/crates/filbertcleat-daemon/src/entry/callers.rs
@@ -174,8 +174,8 @@
         BodyFault::Broken(error) => {
             (StatusCode::BAD_REQUEST, format!("body can't be read: {error}"))
         }
-        BodyFault::Late => {
-            let timeout_ms = context.read_timeout.as_millis();
+        BodyFault::Late(read_timeout) => {
+            let timeout_ms = read_timeout.as_millis();
             (StatusCode::REQUEST_TIMEOUT, format!("body was not received within {timeout_ms} ms"))
         }
         BodyFault::NoRoom => {
--- a/crates/filbertcleat-daemon/src/entry/callers/context.rs
+++ b/crates/filbertcleat-daemon/src/entry/callers/context.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use filbertcleat_base::RequestId;
 use filbertcleat_config::CallerSettings;
@@ -26,7 +25,6 @@
 pub(crate) struct CallerContext {
     pub loop_sender: LoopSender,
     pub body_reader: BodyReader,
-    pub read_timeout: Duration,
     pub table: HttpTable,
     pub objects: HttpObjectStore,
     /// The part of ids that is unique to this incarnation of the entry.
@@ -46,7 +44,6 @@
                 settings.bodies_max_bytes,
                 settings.read_timeout_ms,
             ),
-            read_timeout: settings.read_timeout_ms,
             id_prefix: Arc::from(format!("{}-{:x}", node.name(), node.incarnation)),
             next_id: Arc::default(),
             ready: Arc::default(),
--- a/crates/filbertcleat-gateway/src/entry/caller_connections.rs
+++ b/crates/filbertcleat-gateway/src/entry/caller_connections.rs
@@ -68,9 +68,8 @@
             self.len() - replaced.get() >= shares.connections_max(limits.header_max_bytes);
         if is_full {
             let open = open.borrow();
-            let states = open.values().map(|other| (other, self.state(now, other)));
-            choose_connection(now, states.filter_map(|(other, state)| Some((other, state?))))?
-                .replace();
+            let states = open.values().filter_map(|other| Some((other, self.state(now, other)?)));
+            choose_connection(now, states)?.replace();
             replaced.set(replaced.get() + 1);
         }
         let number = next_number.replace(next_number.get() + 1);
--- a/crates/filbertcleat-gateway/src/entry/connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection.rs
@@ -38,11 +38,10 @@
 use super::stream_close::close_idle;
 use super::stream_close::has_unread_bytes;
 use crate::Dialect;
+use crate::listen::ACCEPT_RETRY_DELAY;
 use crate::metrics::Metric;
 use crate::panics::contain;
 
-/// The delay after a connection could not be accepted, for example for lack of file descriptors.
-pub(super) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// How often a connection is checked against its time limits.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a connection to a leaving entry has to be idle before it is closed: some network round
--- a/crates/filbertcleat-gateway/src/entry/connection_pool.rs
+++ b/crates/filbertcleat-gateway/src/entry/connection_pool.rs
@@ -108,8 +108,8 @@
         let Some(keep_ms) = keep_ms(head) else { return };
         let expires_at = self.clock.now().plus_ms(keep_ms);
         let mut idle = self.idle.borrow_mut();
-        let number: usize = idle.values().map(VecDeque::len).sum();
-        if self.idle_max.is_some_and(|idle_max| number >= idle_max) {
+        let is_full = |idle_max| idle.values().map(VecDeque::len).sum::<usize>() >= idle_max;
+        if self.idle_max.is_some_and(is_full) {
             return;
         }
         let queue = idle.entry(address).or_default();
--- a/crates/filbertcleat-gateway/src/entry/receive_buffer.rs
+++ b/crates/filbertcleat-gateway/src/entry/receive_buffer.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 
 use super::body_rooms::BodyRoom;
+use crate::listen::set_receive_buffer;
 
 /// The size that is asked for while a large body arrives: with a round trip of 100 ms, 4 MiB take
 /// some 3 s.
@@ -17,7 +18,7 @@
 
 /// Bounds what the kernel receives on connections while nothing is read.
 pub(super) fn limit_receive_buffers(listener: &TcpListener) {
-    set_size(&SockRef::from(listener), CallerShares::RECEIVE_BUFFER_BYTES / 2);
+    set_receive_buffer(&SockRef::from(listener), CallerShares::RECEIVE_BUFFER_BYTES / 2);
 }
 
 /// The kernel's buffer for a connection, which is widened while a large body arrives.
@@ -36,7 +37,7 @@
     /// dropped.
     pub fn widen_for<'a>(&'a self, room: &'a BodyRoom) -> Option<WideBuffer<'a>> {
         room.take(WIDE_HELD_BYTES).ok()?;
-        set_size(&SockRef::from(&*self.stream), WIDE_BYTES);
+        set_receive_buffer(&SockRef::from(&*self.stream), WIDE_BYTES);
         Some(WideBuffer { buffer: self, room })
     }
 }
@@ -50,13 +51,10 @@
 
 impl Drop for WideBuffer<'_> {
     fn drop(&mut self) {
-        set_size(&SockRef::from(&*self.buffer.stream), CallerShares::RECEIVE_BUFFER_BYTES / 2);
+        set_receive_buffer(
+            &SockRef::from(&*self.buffer.stream),
+            CallerShares::RECEIVE_BUFFER_BYTES / 2,
+        );
         self.room.give_back(WIDE_HELD_BYTES);
     }
 }
-
-fn set_size(socket: &SockRef<'_>, bytes: usize) {
-    if let Err(error) = socket.set_recv_buffer_size(bytes) {
-        log::debug!("event=receive-buffer-unset reason=\"{error}\"");
-    }
-}
--- a/crates/filbertcleat-gateway/src/side_listener.rs
+++ b/crates/filbertcleat-gateway/src/side_listener.rs
@@ -18,6 +18,9 @@
 use tokio::task::spawn_local;
 use tokio::task::yield_now;
 
+use crate::listen::ACCEPT_RETRY_DELAY;
+use crate::listen::set_receive_buffer;
+
 /// The most connections of a listener: several for each of a few callers that check or collect.
 const SIDE_CONNECTIONS_MAX: usize = 16;
 /// The time in which the head of a request has to arrive: several times the interval of checks.
@@ -26,8 +29,6 @@
 const HEAD_MAX_BYTES: usize = 8 * 1024;
 /// The size that is asked for the kernel's buffer of a request, whose body is not read.
 const RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
-/// The delay after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Serves a listener for as long as the process runs: every request gets the response that
 /// `respond` returns.
@@ -39,9 +40,7 @@
     listener: &TcpListener,
     respond: impl Fn() -> Response<Full<Bytes>> + Clone + 'static,
 ) {
-    if let Err(error) = SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
-        log::debug!("event=receive-buffer-unset listener={name} reason=\"{error}\"");
-    }
+    set_receive_buffer(&SockRef::from(listener), RECEIVE_BUFFER_BYTES);
     let mut open: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
--- a/crates/filbertcleat-serve/src/body_ledger.rs
+++ b/crates/filbertcleat-serve/src/body_ledger.rs
@@ -1,5 +1,8 @@
 //! Bounds the memory that the bodies of requests take.
 
+mod body_id;
+mod body_source;
+mod no_room;
 mod open_body;
 
 use std::collections::BTreeMap;
@@ -7,28 +10,12 @@
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::WorkspaceName;
 
+pub use self::body_id::BodyId;
+pub use self::body_source::BodySource;
+pub use self::no_room::NoRoom;
 use self::open_body::OpenBody;
 use self::open_body::Stage;
 
-/// The number of a body in its ledger.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct BodyId(u64);
-
-/// Where a body comes from, and how fast it may be expected.
-#[derive(Clone, Debug)]
-pub struct BodySource {
-    /// The workspace of its caller, if the deployment has workspaces.
-    pub workspace: Option<WorkspaceName>,
-    /// The largest body that a caller may send, in bytes.
-    pub largest_bytes: u64,
-    /// The time in which it has to arrive, in ms.
-    pub wait_ms: u64,
-}
-
-/// There is no memory for a body, also not that of bodies that arrive more slowly.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct NoRoom;
-
 /// The bodies of requests that a process holds, and the memory that they may take together.
 ///
 /// No body ever waits for memory: two that are partly read would wait for each other. A body that
--- a/crates/filbertcleat-serve/src/caller_shares.rs
+++ b/crates/filbertcleat-serve/src/caller_shares.rs
@@ -13,10 +13,11 @@
 const HEADS_MIN: u64 = 64;
 /// The sockets that a process needs for itself: for the store, peers, checks and metrics.
 const OWN_SOCKETS: usize = 64;
-/// The parts of all other sockets that callers may take, that idle connections to backend servers
-/// may take, and of how many. As many as for callers are left for their requests.
+/// The number of equal parts that all other sockets are divided into.
 const SOCKET_PARTS: usize = 16;
+/// The parts for connections of callers. As many are left for their requests at backend servers.
 const CALLER_SOCKET_PARTS: usize = 7;
+/// The parts for idle connections to backend servers.
 const IDLE_SOCKET_PARTS: usize = 2;
 
 /// The shares of a machine that callers may make a process hold.
@@ -61,9 +62,9 @@
         let unread_bytes = Self::RECEIVE_BUFFER_BYTES as u64;
         let arrived_bytes = (head_bytes / 2).saturating_mul(3).max(unread_bytes);
         let connection_bytes = CONNECTION_BYTES.saturating_add(arrived_bytes);
-        let by_memory = self.memory_max_bytes.map(|bytes| (bytes / connection_bytes).max(1));
-        let by_memory =
-            by_memory.map_or(usize::MAX, |number| usize::try_from(number).unwrap_or(usize::MAX));
+        let by_memory = self
+            .memory_max_bytes
+            .map_or(usize::MAX, |bytes| (bytes / connection_bytes).max(1) as usize);
         by_memory.min(self.caller_sockets_max.unwrap_or(usize::MAX))
     }
 }
