Count the side connections that newer ones close

The listeners for readiness checks and metrics close the oldest connection beyond 16 with a log line only, so that no counter told on call of a crowd there. `side_closes` counts them by listener.

--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -67,6 +67,8 @@
     Connections,
     /// Connections of callers that the entry has closed or refused, by reason.
     ConnectionCloses,
+    /// Connections for readiness checks and metrics that were closed for newer ones, by listener.
+    SideCloses,
     /// Backend servers to which the pool keeps connections.
     PooledServers,
     /// Orders to the engine, by kind and outcome.
@@ -98,7 +100,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 46] = [
+pub const METRICS: [Metric; 47] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -131,6 +133,7 @@
     Metric::HeldBytes,
     Metric::Connections,
     Metric::ConnectionCloses,
+    Metric::SideCloses,
     Metric::PooledServers,
     Metric::Orders,
     Metric::Adapters,
@@ -183,6 +186,7 @@
             Self::HeldBytes => "held_bytes",
             Self::Connections => "connections",
             Self::ConnectionCloses => "connection_closes",
+            Self::SideCloses => "side_closes",
             Self::PooledServers => "pooled_servers",
             Self::Orders => "orders",
             Self::Adapters => "adapters",
--- a/crates/filbertcleat-gateway/src/metrics/serve.rs
+++ b/crates/filbertcleat-gateway/src/metrics/serve.rs
@@ -16,11 +16,12 @@
     metrics: Metrics,
     refresh: impl Fn(&Metrics) + Clone + 'static,
 ) {
+    let served = metrics.clone();
     let respond = move || {
-        refresh(&metrics);
-        text_response(metrics.render_text())
+        refresh(&served);
+        text_response(served.render_text())
     };
-    serve_side_listener("metrics", &listener, respond).await;
+    serve_side_listener("metrics", &listener, &metrics, respond).await;
 }
 
 fn text_response(text: String) -> Response<Full<Bytes>> {
--- a/crates/filbertcleat-gateway/src/side_listener.rs
+++ b/crates/filbertcleat-gateway/src/side_listener.rs
@@ -20,6 +20,8 @@
 
 use crate::listen::ACCEPT_RETRY_DELAY;
 use crate::listen::set_receive_buffer;
+use crate::metrics::Metric;
+use crate::metrics::Metrics;
 
 /// The most connections of a listener: several for each of a few callers that check or collect.
 const SIDE_CONNECTIONS_MAX: usize = 16;
@@ -38,6 +40,7 @@
 pub(crate) async fn serve_side_listener(
     name: &'static str,
     listener: &TcpListener,
+    metrics: &Metrics,
     respond: impl Fn() -> Response<Full<Bytes>> + Clone + 'static,
 ) {
     set_receive_buffer(&SockRef::from(listener), RECEIVE_BUFFER_BYTES);
@@ -56,6 +59,7 @@
             && let Some(oldest) = open.pop_front()
         {
             log::info!("event=side-connection-closed listener={name} reason=\"too many are open\"");
+            metrics.count(Metric::SideCloses, &[("listener", name)]);
             oldest.abort();
             // The task drops its connection before the next one is accepted.
             yield_now().await;
