--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10, with the standard library alone.
+# Builds the stand-ins of the scripts of this review, with the standard library alone.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/standin-2/case_cut_answer.rs
+++ b/review/standin-2/case_cut_answer.rs
@@ -33,7 +33,7 @@
 
 pub fn play(world: &World) -> Verdict {
     let store = Store::new();
-    let _door = store.open(world.store(2));
+    store.open(world.store(2));
     store.put("op", "config", CONFIG);
     let program = std::env::current_exe().expect("the path of this program");
     let start = |replica: &Replica| {
--- a/review/standin-2/daemons.rs
+++ b/review/standin-2/daemons.rs
@@ -17,7 +17,6 @@
 use crate::http::wait_until;
 use crate::record::Record;
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 
 extern "C" {
@@ -134,16 +133,12 @@
     pub fn start(&self, name: &str, settings: &str) -> Daemon {
         let path = self.folder.join(format!("{name}.conf"));
         let daemon = Daemon { name: name.to_owned(), settings: path, pid: Cell::new(None) };
-        self.write_settings(&daemon, settings);
+        fs::write(&daemon.settings, settings).expect("the settings can be written");
         self.start_again(&daemon);
         daemon
     }
 
-    pub fn write_settings(&self, daemon: &Daemon, settings: &str) {
-        fs::write(&daemon.settings, settings).expect("the settings can be written");
-    }
-
-    pub fn start_again(&self, daemon: &Daemon) {
+    fn start_again(&self, daemon: &Daemon) {
         let mut command = Command::new(&self.daemon);
         command.args(["--prepared", "--metrics", "9464"]);
         command.env_clear().env("FILBERTCLEAT_BOOT", &daemon.settings);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,12 +1,11 @@
-//! The stand-ins of the cases 6 to 10: a store, backend servers, callers and links, all on loopback.
+//! The stand-ins of the scripts of this review: a store, backend servers, callers and links, all on
+//! loopback.
 //!
 //! `standin CASE RECORD FOLDER DAEMON` plays a case. `standin replica ...` is one backend server of a
 //! plain service as a process of its own, so that its end is that of a real process.
-mod case_cut_answer;
-mod case_store_address;
 
+mod case_cut_answer;
 mod daemons;
-
 mod http;
 mod json;
 mod link;
@@ -37,7 +36,6 @@
     let world = daemons::World::new(&args[2], &args[3], &args[4], has_trouble);
     let verdict = match args[1].as_str() {
         "cut-answer" => case_cut_answer::play(&world),
-        "store-address" => case_store_address::play(&world),
         other => Verdict::NotRun(format!("no case {other}")),
     };
     world.end_all();
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -3,10 +3,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::net::TcpStream;
-use std::net::Shutdown;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
@@ -36,22 +32,6 @@
     version: u64,
 }
 
-/// An address at which the store is served.
-pub struct Door {
-    is_open: Arc<AtomicBool>,
-    streams: Arc<Mutex<Vec<TcpStream>>>,
-}
-
-impl Door {
-    /// Serves nobody at this address any more; connections are closed.
-    pub fn close(&self) {
-        self.is_open.store(false, Ordering::SeqCst);
-        for stream in self.streams.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-}
-
 impl Store {
     pub fn new() -> Self {
         let rows = Mutex::new(Rows { rows: BTreeMap::new(), version: 1 });
@@ -59,29 +39,18 @@
     }
 
     /// Serves the store at an address.
-    pub fn open(&self, address: SocketAddr) -> Door {
+    pub fn open(&self, address: SocketAddr) {
         let listener = TcpListener::bind(address).expect("the store's address is free");
-        let is_open = Arc::new(AtomicBool::new(true));
-        let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
-        let door = Door { is_open: Arc::clone(&is_open), streams: Arc::clone(&streams) };
         let store = self.clone();
         serve(listener, move |mut connection: Connection| {
-            if !is_open.load(Ordering::SeqCst) {
-                return;
-            }
-            if let Ok(stream) = connection.stream.try_clone() {
-                streams.lock().unwrap().push(stream);
-            }
             while let Ok(Some(request)) = connection.read_request() {
                 let (status, body) = store.answer(&request);
-                let is_open = is_open.load(Ordering::SeqCst);
                 let headers = [("Content-Type", "application/json")];
-                if !is_open || connection.respond(status, &headers, &body).is_err() {
+                if connection.respond(status, &headers, &body).is_err() {
                     return;
                 }
             }
         });
-        door
     }
 
     /// Writes a row, as an operator or a replica does.
