Log each failed call to the store, and the size of changes

Change: further failures are logged with their number, duration and reason, which says how much of a body had arrived; changes that operators make are logged with the size and duration of the response that brought them; a counter of failed calls by topic. The three tasks that follow the store share these lines.

--- a/crates/filbertcleat-gateway/src/catalogue/data.rs
+++ b/crates/filbertcleat-gateway/src/catalogue/data.rs
@@ -11,6 +11,8 @@
         events: Vec<CatalogueEvent>,
         /// The cursor for the next watch call in the same epoch.
         cursor: u64,
+        /// The size of the response, of all its pages for a list.
+        size_bytes: usize,
     },
     /// The changes after the cursor are no longer available; the topic has to be listed again.
     CursorExpired,
--- a/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
+++ b/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
@@ -144,7 +144,16 @@
     fn on_data(&mut self, data: CatalogueData, began_at: MonoTime) -> Duration {
         self.on_success();
         match data {
-            CatalogueData::Events { events, cursor } => {
+            CatalogueData::Events { events, cursor, size_bytes } => {
+                if self.topic == Topic::Operators && !events.is_empty() {
+                    let call = if self.cursor.is_none() { "list" } else { "watch" };
+                    log::info!(
+                        "event=catalogue-changes topic=operators call={call} events={} \
+                         bytes={size_bytes} took_ms={}",
+                        events.len(),
+                        self.entry.now().ms_since(began_at),
+                    );
+                }
                 for event in events {
                     self.entry.apply_event(event);
                 }
@@ -170,19 +179,16 @@
         }
     }
 
-    /// Records a failed call, and the loss of the catalogue if it is the first one. Returns the
-    /// pause until the next call.
+    /// Records a failed call. Returns the pause until the next call.
     fn on_failure(&mut self, fault: &Fault, began_at: MonoTime) -> Duration {
-        if self.failures == 0 {
-            let topic = self.topic.as_str();
-            log::warn!("event=catalogue-lost topic={topic} reason=\"{fault}\"");
-        }
         let now = self.entry.now();
+        self.failures += 1;
+        let took_ms = now.ms_since(began_at);
+        self.entry.on_catalogue_failure(self.topic, self.failures, took_ms, fault);
         if self.topic == Topic::Servers {
             let contact_ms = self.entry.settings.catalogue_delays.contact_ms;
             self.entry.state.borrow_mut().fleet.on_catalogue_lost(now, contact_ms);
         }
-        self.failures += 1;
         let interval = (RETRY_INTERVAL * self.failures).min(RETRY_INTERVAL_MAX);
         interval.saturating_sub(now.since(began_at))
     }
@@ -190,13 +196,9 @@
     /// Records a successful call, and the recovery if earlier calls had failed.
     fn on_success(&mut self) {
         self.entry.on_catalogue_response(self.topic);
-        if self.failures == 0 {
-            return;
-        }
-        let (topic, failures) = (self.topic.as_str(), self.failures);
-        log::info!("event=catalogue-regained topic={topic} failures={failures}");
-        self.failures = 0;
-        if self.topic == Topic::Servers {
+        let failures = std::mem::take(&mut self.failures);
+        self.entry.on_catalogue_success(self.topic, failures);
+        if failures > 0 && self.topic == Topic::Servers {
             let now = self.entry.now();
             self.entry.state.borrow_mut().fleet.on_catalogue_regained(now);
         }
--- a/crates/filbertcleat-gateway/src/entry/kept_facts.rs
+++ b/crates/filbertcleat-gateway/src/entry/kept_facts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use filbertcleat_base::Fault;
+use filbertcleat_base::MonoTime;
 use filbertcleat_base::Step;
 use filbertcleat_base::mix_hashes;
 use filbertcleat_serve::EpochChange;
@@ -33,7 +34,7 @@
 /// Keeps marks in the catalogue for as long as the process runs.
 pub(super) async fn keep_facts<C: Catalogue, D: Dialect>(entry: Rc<Entry<D>>, catalogue: C) {
     let mut restores = entry.catalogue_restores();
-    let mut keeper = FactKeeper { entry, cursor: 0, is_lost: false };
+    let mut keeper = FactKeeper { entry, cursor: 0, failures: 0 };
     loop {
         tokio::select! {
             biased;
@@ -47,7 +48,7 @@
 struct FactKeeper<D: Dialect> {
     entry: Rc<Entry<D>>,
     cursor: u64,
-    is_lost: bool,
+    failures: u32,
 }
 
 impl<D: Dialect> FactKeeper<D> {
@@ -61,7 +62,7 @@
         match step {
             KeepStep::Read => {
                 let response = catalogue.list(Topic::Facts).await;
-                self.apply(response, true);
+                self.apply(response, now, true);
             }
             KeepStep::Watch => {
                 let delays = self.entry.settings.catalogue_delays;
@@ -70,11 +71,11 @@
                     () = self.entry.facts_changed.notified() => return,
                     response = catalogue.watch(Topic::Facts, self.cursor, times) => response,
                 };
-                self.apply(response, false);
+                self.apply(response, now, false);
             }
             KeepStep::Write(row) => {
                 let response = catalogue.keep(&row).await;
-                self.apply_write(row, response);
+                self.apply_write(row, response, now);
             }
             KeepStep::Wait { until } => {
                 let pause = until.map(|until| Duration::from_millis(until.ms_since(now).max(1)));
@@ -86,13 +87,13 @@
     }
 
     /// Applies the response to a list or watch call.
-    fn apply(&mut self, response: CatalogueResponse, is_list: bool) {
+    fn apply(&mut self, response: CatalogueResponse, began_at: MonoTime, is_list: bool) {
         let CatalogueResponse { epoch, result } = response;
         let data = match self.check_epoch(epoch, result) {
             Ok(data) => data,
-            Err(fault) => return self.on_failed(&fault),
+            Err(fault) => return self.on_failed(&fault, began_at),
         };
-        let CatalogueData::Events { events, cursor } = data else {
+        let CatalogueData::Events { events, cursor, .. } = data else {
             let now = self.entry.now();
             return self.entry.state.borrow_mut().kept.on_outdated(now);
         };
@@ -131,7 +132,7 @@
         );
     }
 
-    fn apply_write(&mut self, row: KeptRow, response: KeepResponse<KeptRow>) {
+    fn apply_write(&mut self, row: KeptRow, response: KeepResponse<KeptRow>, began_at: MonoTime) {
         let KeepResponse { epoch, result } = response;
         match self.check_epoch(epoch, result) {
             Ok(KeepOutcome::Written { version }) => {
@@ -145,7 +146,7 @@
                 let (now, draw) = (self.entry.now(), self.draw());
                 self.entry.state.borrow_mut().kept.on_conflict(now, current, draw);
             }
-            Err(fault) => self.on_failed(&fault),
+            Err(fault) => self.on_failed(&fault, began_at),
         }
     }
 
@@ -178,20 +179,15 @@
         self.entry.state.borrow_mut().kept.on_restored(now, draw);
     }
 
-    fn on_failed(&mut self, fault: &Fault) {
-        if !self.is_lost {
-            self.is_lost = true;
-            log::warn!("event=catalogue-lost topic=facts reason=\"{fault}\"");
-        }
+    fn on_failed(&mut self, fault: &Fault, began_at: MonoTime) {
         let now = self.entry.now();
+        self.failures += 1;
+        self.entry.on_catalogue_failure(Topic::Facts, self.failures, now.ms_since(began_at), fault);
         self.entry.state.borrow_mut().kept.on_failed(now);
     }
 
     fn on_success(&mut self) {
-        if self.is_lost {
-            self.is_lost = false;
-            log::info!("event=catalogue-regained topic=facts");
-        }
+        self.entry.on_catalogue_success(Topic::Facts, std::mem::take(&mut self.failures));
     }
 
     fn draw(&self) -> u64 {
--- a/crates/filbertcleat-gateway/src/entry/kept_origins.rs
+++ b/crates/filbertcleat-gateway/src/entry/kept_origins.rs
@@ -50,7 +50,7 @@
 
 /// Reads the rows whenever a request needs them, for as long as the process runs.
 pub(super) async fn read_origins<C: Catalogue, D: Dialect>(entry: Rc<Entry<D>>, catalogue: C) {
-    let mut reader = OriginReader { entry, is_lost: false };
+    let mut reader = OriginReader { entry, failures: 0 };
     loop {
         reader.entry.origins_wanted.notified().await;
         let next_at = reader.entry.state.borrow().origins.kept.next_read_at();
@@ -98,7 +98,7 @@
 /// Reads the rows and logs what came of it.
 struct OriginReader<D: Dialect> {
     entry: Rc<Entry<D>>,
-    is_lost: bool,
+    failures: u32,
 }
 
 impl<D: Dialect> OriginReader<D> {
@@ -112,18 +112,14 @@
         let rows = match self.rows(response) {
             Ok(rows) => rows,
             Err(fault) => {
-                if !self.is_lost {
-                    self.is_lost = true;
-                    log::warn!("event=catalogue-lost topic=origins reason=\"{fault}\"");
-                }
+                self.failures += 1;
+                let took_ms = self.entry.now().ms_since(began_at);
+                self.entry.on_catalogue_failure(Topic::Origins, self.failures, took_ms, &fault);
                 self.entry.state.borrow_mut().origins.kept.on_read_failed();
                 return Vec::new();
             }
         };
-        if self.is_lost {
-            self.is_lost = false;
-            log::info!("event=catalogue-regained topic=origins");
-        }
+        self.entry.on_catalogue_success(Topic::Origins, std::mem::take(&mut self.failures));
         let now = self.entry.now();
         let state = &mut *self.entry.state.borrow_mut();
         let entries = state.fleet.live_entries(now).unwrap_or(1);
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use filbertcleat_base::Fault;
 use filbertcleat_base::ModelName;
 use filbertcleat_base::MonoTime;
 use filbertcleat_base::ServiceName;
@@ -386,6 +387,24 @@
         self.catalogue_responded_at[topic_index(topic)].set(self.now());
     }
 
+    /// Counts and logs a call of a topic that failed, the one with number `failures` in a row.
+    pub fn on_catalogue_failure(&self, topic: Topic, failures: u32, took_ms: u64, fault: &Fault) {
+        let topic = topic.as_str();
+        self.metrics.count(Metric::CatalogueFailures, &[("topic", topic)]);
+        let event = if failures == 1 { "catalogue-lost" } else { "catalogue-call-failed" };
+        log::warn!(
+            "event={event} topic={topic} failures={failures} took_ms={took_ms} reason=\"{fault}\""
+        );
+    }
+
+    /// Logs the first call of a topic that succeeded after `failures` others, if there were any.
+    pub fn on_catalogue_success(&self, topic: Topic, failures: u32) {
+        if failures > 0 {
+            let topic = topic.as_str();
+            log::info!("event=catalogue-regained topic={topic} failures={failures}");
+        }
+    }
+
     /// Records the epoch that a response of the catalogue names. If the catalogue was restored, all
     /// topics are listed again.
     pub fn observe_catalogue_epoch(&self, topic: Topic, named: Option<u64>) -> EpochChange {
--- a/crates/filbertcleat-gateway/src/metrics/metric.rs
+++ b/crates/filbertcleat-gateway/src/metrics/metric.rs
@@ -41,6 +41,8 @@
     ConfigurationAge,
     /// The time since the catalogue last answered, by topic.
     CatalogueAge,
+    /// Calls to the catalogue without a usable response, by topic.
+    CatalogueFailures,
     /// Restores of the catalogue from a copy that the entry has seen.
     CatalogueRestores,
     /// Backend servers, by status.
@@ -100,7 +102,7 @@
 }
 
 /// All metrics.
-pub const METRICS: [Metric; 47] = [
+pub const METRICS: [Metric; 48] = [
     Metric::Requests,
     Metric::Refusals,
     Metric::Attempts,
@@ -120,6 +122,7 @@
     Metric::ConfigurationVersion,
     Metric::ConfigurationAge,
     Metric::CatalogueAge,
+    Metric::CatalogueFailures,
     Metric::CatalogueRestores,
     Metric::Servers,
     Metric::LeavingAnnouncements,
@@ -173,6 +176,7 @@
             Self::ConfigurationVersion => "configuration_version",
             Self::ConfigurationAge => "configuration_age_ms",
             Self::CatalogueAge => "catalogue_age_ms",
+            Self::CatalogueFailures => "catalogue_failures",
             Self::CatalogueRestores => "catalogue_restores",
             Self::Servers => "servers",
             Self::LeavingAnnouncements => "leaving",
--- a/crates/filbertcleat-gateway/tests/support/catalogue.rs
+++ b/crates/filbertcleat-gateway/tests/support/catalogue.rs
@@ -229,7 +229,7 @@
         }
         let events = rows.iter().skip(cursor as usize).filter(|(row_topic, _)| *row_topic == topic);
         let events = events.map(|(_, event)| event.clone()).collect();
-        Ok(CatalogueData::Events { events, cursor: rows.len() as u64 })
+        Ok(CatalogueData::Events { events, cursor: rows.len() as u64, size_bytes: 0 })
     }
 }
 
@@ -240,17 +240,21 @@
             self.origin_lists.set(self.origin_lists.get() + 1);
             tokio::time::sleep(self.origin_delay.get()).await;
             let events = self.origin_rows().into_iter().map(CatalogueEvent::Origins).collect();
-            let data = self.after(topic, 0).map(|_| CatalogueData::Events { events, cursor: 0 });
+            let data = self.after(topic, 0).map(|_| CatalogueData::Events {
+                events,
+                cursor: 0,
+                size_bytes: 0,
+            });
             return self.respond(data);
         }
         self.is_expired.set(false);
         let entries = self.after(topic, 0).map(|data| match data {
-            CatalogueData::Events { events, cursor } => {
+            CatalogueData::Events { events, cursor, size_bytes } => {
                 let mut events = current(topic, events);
                 if topic == Topic::Facts && self.route_row().version > 0 {
                     events.push(CatalogueEvent::Routes(self.route_row()));
                 }
-                CatalogueData::Events { events, cursor }
+                CatalogueData::Events { events, cursor, size_bytes }
             }
             CatalogueData::CursorExpired => CatalogueData::CursorExpired,
         });
@@ -282,7 +286,8 @@
                 return self.respond(Ok(CatalogueData::CursorExpired));
             }
             if let Some(event) = self.outdated.borrow_mut().take_if(|_| topic == Topic::Operators) {
-                let data = CatalogueData::Events { events: vec![event], cursor: after };
+                let events = vec![event];
+                let data = CatalogueData::Events { events, cursor: after, size_bytes: 0 };
                 let epoch = self.epoch.get().map(|epoch| epoch - 1);
                 return CatalogueResponse { epoch, result: Ok(data) };
             }
@@ -420,7 +425,7 @@
 /// Keeps the last change of each backend server, since the catalogue names a changed key once, and a
 /// removed one without its record.
 fn latest(data: CatalogueData) -> CatalogueData {
-    let CatalogueData::Events { events, cursor } = data else { return data };
+    let CatalogueData::Events { events, cursor, size_bytes } = data else { return data };
     let mut latest: Vec<CatalogueEvent> = Vec::new();
     for event in events {
         if let Some(id) = server_id(&event) {
@@ -428,7 +433,7 @@
         }
         latest.push(event);
     }
-    CatalogueData::Events { events: latest, cursor }
+    CatalogueData::Events { events: latest, cursor, size_bytes }
 }
 
 /// Returns the backend server whose record an event changes.
--- a/crates/filbertcleat-platform/src/http.rs
+++ b/crates/filbertcleat-platform/src/http.rs
@@ -15,12 +15,14 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
-use tokio::time::timeout;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 pub use self::request::HttpRequest;
 use self::request::TimeLimit;
@@ -58,24 +60,14 @@
     pub async fn send(&self, request: HttpRequest) -> Result<HttpResponse, CallError> {
         let (step, peer) = (request.step, request.peer());
         let max_bytes = request.response_max_bytes.unwrap_or(Self::RESPONSE_MAX_BYTES);
-        let no_answer = |limit: Duration| {
-            let reason = format!("no answer within {} ms", limit.as_millis());
+        let limit = request.time_limit.unwrap_or(TimeLimit::Whole(self.timeout));
+        let begun_at = Instant::now();
+        let head = timeout_at(limit.deadline(begun_at), self.send_streaming(request)).await;
+        let response = head.map_err(|_elapsed| {
+            let reason = format!("no answer within {} ms", limit.duration().as_millis());
             CallError { sent: true, fault: Fault::new(step, &peer, reason) }
-        };
-        match request.time_limit.unwrap_or(TimeLimit::Whole(self.timeout)) {
-            TimeLimit::Whole(limit) => {
-                let exchange = async {
-                    let response = self.send_streaming(request).await?;
-                    read_whole(response, step, &peer, max_bytes, Duration::MAX).await
-                };
-                timeout(limit, exchange).await.map_err(|_elapsed| no_answer(limit))?
-            }
-            TimeLimit::Idle(limit) => {
-                let response = timeout(limit, self.send_streaming(request)).await;
-                let response = response.map_err(|_elapsed| no_answer(limit))??;
-                read_whole(response, step, &peer, max_bytes, limit).await
-            }
-        }
+        })??;
+        read_whole(response, step, &peer, max_bytes, limit, begun_at).await
     }
 
     /// Sends a request and returns its response once the head has arrived.
@@ -119,21 +111,29 @@
         .map_err(|error| CallError { sent: false, fault: Fault::new(step, peer, error) })
 }
 
-/// Reads the body of a response, which may pause for `idle_timeout` at most.
+/// Reads the body of the response to a request that was sent at `begun_at`, within its time limit.
 async fn read_whole(
     response: Response<Incoming>,
     step: Step,
     peer: &str,
     max_bytes: usize,
-    idle_timeout: Duration,
+    limit: TimeLimit,
+    begun_at: Instant,
 ) -> Result<HttpResponse, CallError> {
     let failure = |reason: String| CallError { sent: true, fault: Fault::new(step, peer, reason) };
     let (head, body) = response.into_parts();
+    let expected = body.size_hint().exact();
     let mut body = Limited::new(body, max_bytes);
     let mut bytes = BytesMut::new();
     loop {
-        let Ok(frame) = timeout(idle_timeout, body.frame()).await else {
-            return Err(failure(format!("no data within {} ms", idle_timeout.as_millis())));
+        let Ok(frame) = timeout_at(limit.deadline(begun_at), body.frame()).await else {
+            let expected = expected.map_or("unknown".to_owned(), |length| length.to_string());
+            return Err(failure(format!(
+                "{} within {} ms, {} of {expected} bytes arrived",
+                limit.missing_part(),
+                limit.duration().as_millis(),
+                bytes.len(),
+            )));
         };
         let Some(frame) = frame else { break };
         let frame = frame.map_err(|error| failure(error.to_string()))?;
--- a/crates/filbertcleat-platform/src/http/request.rs
+++ b/crates/filbertcleat-platform/src/http/request.rs
@@ -8,6 +8,7 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
+use tokio::time::Instant;
 
 /// What the time limit of a request applies to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -18,6 +19,31 @@
     Idle(Duration),
 }
 
+impl TimeLimit {
+    /// Returns when the next part of the response to a request that was sent at `begun_at` is due.
+    pub(super) fn deadline(self, begun_at: Instant) -> Instant {
+        match self {
+            Self::Whole(limit) => begun_at + limit,
+            Self::Idle(limit) => Instant::now() + limit,
+        }
+    }
+
+    /// Returns the duration of the limit.
+    pub(super) fn duration(self) -> Duration {
+        match self {
+            Self::Whole(limit) | Self::Idle(limit) => limit,
+        }
+    }
+
+    /// Returns what is missing when the limit is exceeded within a body.
+    pub(super) fn missing_part(self) -> &'static str {
+        match self {
+            Self::Whole(_) => "no complete answer",
+            Self::Idle(_) => "no data",
+        }
+    }
+}
+
 /// An HTTP request with the processing step that errors are attributed to.
 #[derive(Clone, Debug)]
 pub struct HttpRequest {
