Give up calls to the store for silence, not for their size

Callers saw: requests handled by a former configuration, or refused as unknown, for as long as the process ran (CONFIG, DENIED); after a restart entries that never became ready. Cause: calls had 1 s for a whole response. A configuration of some 4,000 routes takes longer over 10 Mbit/s, and a call that is given up keeps nothing, so that the next one fails as well. Change: a call fails once nothing has arrived for its limit, before its response or within it. Data show that the connection is alive, which is all that the limit is to find out; a silent connection is found as soon as before. Writes, whose responses hold a row at most, keep their limit. Calls without data are divided within contactMs as before.

--- a/crates/filbertcleat-daemon/src/prepared.rs
+++ b/crates/filbertcleat-daemon/src/prepared.rs
@@ -28,8 +28,8 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-/// The timeout for calls to the store, many times its usual response time: calls to a slow store
-/// still succeed, and an unreachable store is detected.
+/// The timeout for calls to the store without data, and for whole writes; many times the usual
+/// response time: calls to a slow store still succeed, and an unreachable store is detected.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The timeout for calls to the engine on the same machine, which answers within a few milliseconds
 /// unless the answer is lost.
--- a/crates/filbertcleat-gateway/src/catalogue.rs
+++ b/crates/filbertcleat-gateway/src/catalogue.rs
@@ -26,7 +26,7 @@
     /// Lists all current entries of a topic.
     fn list(&self, topic: Topic) -> impl Future<Output = CatalogueResponse>;
 
-    /// Waits for changes after the cursor `after`. Fails at the limit of `times`.
+    /// Waits for changes after the cursor `after`. Fails after the silence of `times`.
     fn watch(
         &self,
         topic: Topic,
--- a/crates/filbertcleat-gateway/src/catalogue/watch_times.rs
+++ b/crates/filbertcleat-gateway/src/catalogue/watch_times.rs
@@ -7,6 +7,6 @@
 pub struct WatchTimes {
     /// How long the catalogue waits for a change before it responds without one.
     pub wait: Duration,
-    /// After this time the call has failed.
-    pub limit: Duration,
+    /// The call has failed once nothing has arrived for this time, before the response or within it.
+    pub silence: Duration,
 }
--- a/crates/filbertcleat-gateway/tests/support/catalogue.rs
+++ b/crates/filbertcleat-gateway/tests/support/catalogue.rs
@@ -278,7 +278,7 @@
         loop {
             let is_silent = |(silent, last)| silent == topic && call <= last;
             if self.link.silenced.get().is_some_and(is_silent) {
-                tokio::time::sleep(times.limit.saturating_sub(waited)).await;
+                tokio::time::sleep(times.silence.saturating_sub(waited)).await;
                 let fault = Fault::new(Step::Store, "test", "no answer");
                 return CatalogueResponse { epoch: None, result: Err(fault) };
             }
--- a/crates/filbertcleat-platform/src/http.rs
+++ b/crates/filbertcleat-platform/src/http.rs
@@ -51,6 +51,11 @@
         Self { client, timeout }
     }
 
+    /// Returns the default time limit.
+    pub fn timeout(&self) -> Duration {
+        self.timeout
+    }
+
     /// Returns a client with the same time limit and none of the open connections.
     pub fn without_connections(&self) -> Self {
         Self::new(self.timeout)
