Withhold responses of backend servers without a valid status

Callers saw: a response with status 600, 777 or 999, also without the server's seal, or 101 and no body, as the response to a request; with Not-Executed beside such a status, a 503 that promises that the request has not run. Not 000: the HTTP library gives its connection up, and the caller has 502, or the response of another server where the request may run twice. The same holds for 001, 099, 1xx other than 101, 1000 and what is no number. Cause: the HTTP library takes each status from 100 to 999, and nothing looked at the number. Change: a connection to a backend server passes on final statuses of HTTP, 200 to 599. Another one counts as a connection that broke before its response, in attempts, moved streams and questions for the server's identity.

--- a/crates/filbertcleat-gateway/src/entry/backend_connection.rs
+++ b/crates/filbertcleat-gateway/src/entry/backend_connection.rs
@@ -3,20 +3,24 @@
 use std::collections::VecDeque;
 use std::io;
 use std::mem::MaybeUninit;
+use std::ops::RangeInclusive;
 use std::rc::Weak;
 
 use filbertcleat_serve::RequestHash;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
-use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
+use super::exchange_error::ExchangeError;
 use super::read_allowance::ReadAllowance;
 use super::request_body::RequestBody;
 
+/// The statuses of final responses (RFC 9110, section 15). The HTTP library accepts others too.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// A connection to a backend server, with the bytes that the server may still send on it.
 pub(super) struct BackendConnection {
     sender: SendRequest<RequestBody>,
@@ -43,19 +47,26 @@
         Self { sender, allowance, stream, recent: VecDeque::new(), started_unix_ms: None }
     }
 
-    /// Sends a request and waits for the head of the response; an error returns the request if it
-    /// was not transmitted.
+    /// Sends a request and waits for the head of the response, which has a valid final status.
     pub async fn try_send(
         &mut self,
         id: RequestHash,
         request: Request<RequestBody>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
+    ) -> Result<Response<Incoming>, ExchangeError> {
         if self.recent.len() >= Self::RECENT_MAX {
             self.recent.pop_front();
         }
         self.recent.push_back(id);
         self.allowance.grant_head();
-        self.sender.try_send_request(request).await
+        let sent = self.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut error| match error.take_message() {
+            Some(_returned) => ExchangeError::Unsent,
+            None => ExchangeError::Broken,
+        })?;
+        if !FINAL_STATUSES.contains(&response.status().as_u16()) {
+            return Err(ExchangeError::Broken);
+        }
+        Ok(response)
     }
 
     /// Returns the bytes that the backend server may still send.
--- a/crates/filbertcleat-gateway/src/entry/exchange.rs
+++ b/crates/filbertcleat-gateway/src/entry/exchange.rs
@@ -80,13 +80,7 @@
             self.attempt.on_abandoned();
             return;
         };
-        let result = match sent {
-            Ok(response) => Ok(self.apply_head(response, connection)),
-            Err(mut error) => Err(match error.take_message() {
-                Some(_returned) => ExchangeError::Unsent,
-                None => ExchangeError::Broken,
-            }),
-        };
+        let result = sent.map(|response| self.apply_head(response, connection));
         if let Err(unclaimed) = receiver.send(result) {
             self.on_unclaimed(&unclaimed);
         }
--- a/crates/filbertcleat-gateway/src/entry/exchange_error.rs
+++ b/crates/filbertcleat-gateway/src/entry/exchange_error.rs
@@ -5,7 +5,7 @@
 pub(super) enum ExchangeError {
     /// The connection was closed before the request was transmitted.
     Unsent,
-    /// The connection broke before an answer arrived.
+    /// The connection broke before an answer arrived, or what arrived is no answer.
     Broken,
     /// No answer arrived in time.
     Silent,
--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -61,6 +61,8 @@
     RespondTwice { after: Duration },
     /// Responds with the id of another request.
     ForeignId,
+    /// Responds with a status as it is written and header lines, each with its line end.
+    StatusText { status: &'static str, lines: &'static str },
     /// Responds without a response seal.
     Unsealed,
     /// Never responds.
@@ -404,6 +406,13 @@
         )
     }
 
+    /// Returns a response with a status as it is written and further header lines, but no seal.
+    fn status_text(&self, id: &str, status: &str, lines: &str) -> String {
+        let server = &self.id;
+        let head = format!("HTTP/1.1 {status} X\r\nx-id: {id}\r\nx-server: {server}\r\n{lines}");
+        response_text(&head, "not to be taken")
+    }
+
     /// Runs a script and returns whether the connection stays open.
     async fn respond(
         &self,
@@ -488,10 +497,10 @@
                 let text = response_head(200).replace(id, "another-request");
                 write(stream, &response_text(&text, "not yours")).await
             }
-            Script::Unsealed => {
-                let text = response_head(200).replace("x-seal: s\r\n", "");
-                write(stream, &response_text(&text, "no seal")).await
+            Script::StatusText { status, lines } => {
+                write(stream, &self.status_text(id, status, lines)).await
             }
+            Script::Unsealed => write(stream, &self.status_text(id, "200", "")).await,
             Script::Silent => std::future::pending().await,
             Script::Endless { start, piece } => {
                 write(stream, &start.replace("HEAD", &response_head(200))).await;
