--- a/crates/filbertcleat-platform/src/http/request.rs
+++ b/crates/filbertcleat-platform/src/http/request.rs
@@ -70,6 +70,12 @@
         }
     }
 
+    /// Creates a request that reads, and has failed once nothing has arrived for `silence`. A limit on
+    /// the whole response would limit its size on a narrow link.
+    pub fn read(step: Step, url: String, silence: Duration) -> Self {
+        Self::new(step, Method::GET, url).with_idle_timeout(silence)
+    }
+
     /// Adds a header; a name or value that is invalid in HTTP is ignored.
     pub fn with_header(mut self, name: &str, value: &str) -> Self {
         let name = HeaderName::try_from(name);
--- a/crates/filbertcleat-platform/src/object_store.rs
+++ b/crates/filbertcleat-platform/src/object_store.rs
@@ -35,8 +35,8 @@
         Self { client, url: url.trim_end_matches('/').to_owned() }
     }
 
-    fn request(&self, method: Method, key: &str) -> HttpRequest {
-        HttpRequest::new(Step::Store, method, format!("{}{}{key}", self.url, paths::OBJECT))
+    fn url_of(&self, key: &str) -> String {
+        format!("{}{}{key}", self.url, paths::OBJECT)
     }
 
     fn unexpected_status(&self, status: StatusCode) -> CallError {
@@ -50,7 +50,8 @@
 
 impl ObjectStore for HttpObjectStore {
     async fn read(&self, key: &str) -> Result<Option<Vec<u8>>, CallError> {
-        let response = self.client.send(self.request(Method::GET, key)).await?;
+        let request = HttpRequest::read(Step::Store, self.url_of(key), self.client.timeout());
+        let response = self.client.send(request).await?;
         match response.status {
             StatusCode::OK => Ok(Some(response.body.to_vec())),
             StatusCode::NOT_FOUND => Ok(None),
@@ -59,7 +60,8 @@
     }
 
     async fn write(&self, key: &str, value: Vec<u8>) -> Result<(), CallError> {
-        let response = self.client.send(self.request(Method::PUT, key).with_body(value)).await?;
+        let request = HttpRequest::new(Step::Store, Method::PUT, self.url_of(key));
+        let response = self.client.send(request.with_body(value)).await?;
         if response.status.is_success() {
             Ok(())
         } else {
--- a/crates/filbertcleat-platform/src/table.rs
+++ b/crates/filbertcleat-platform/src/table.rs
@@ -80,8 +80,8 @@
             self.url,
             paths::TABLE_LIST
         );
-        let response =
-            self.client.send(HttpRequest::new(Step::Store, Method::GET, url)).await.ok()?;
+        let request = HttpRequest::read(Step::Store, url, self.client.timeout());
+        let response = self.client.send(request).await.ok()?;
         if response.status != StatusCode::OK {
             return None;
         }
--- a/crates/filbertcleat-platform/src/vm_list.rs
+++ b/crates/filbertcleat-platform/src/vm_list.rs
@@ -3,7 +3,6 @@
 mod vm;
 
 use filbertcleat_base::Step;
-use http::Method;
 use http::StatusCode;
 
 pub use self::vm::Vm;
@@ -27,8 +26,8 @@
 
     /// Returns the listed VMs, or `None` if the request fails.
     pub async fn list(&self) -> Option<Vec<Vm>> {
-        let request =
-            HttpRequest::new(Step::Store, Method::GET, format!("{}{}", self.url, paths::VMS));
+        let url = format!("{}{}", self.url, paths::VMS);
+        let request = HttpRequest::read(Step::Store, url, self.client.timeout());
         let response = self.client.send(request).await.ok()?;
         if response.status != StatusCode::OK {
             return None;
