Count only answers with data as up to date

Callers saw: 401 for an API key that had been added while the entry had lost the store, from the answer that regained it until the list was read. Cause: each answer of the store counted as one that had told all changes, also one that says that the topic has to be listed: an expired cursor, changes that are larger than the list, or a restore. Until then the entry answers 503, as it may lack the key. Change: the time of the last answer is that of the last data.

--- a/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
+++ b/crates/filbertcleat-gateway/src/entry/catalogue_watch.rs
@@ -155,6 +155,7 @@
         self.on_success();
         match data {
             CatalogueData::Events { events, cursor, size_bytes } => {
+                self.entry.on_catalogue_data(self.topic);
                 if self.topic == Topic::Operators && !events.is_empty() {
                     let call = if self.cursor.is_none() { "list" } else { "watch" };
                     log::info!(
@@ -214,7 +215,6 @@
 
     /// Records a successful call, and the recovery if earlier calls had failed.
     fn on_success(&mut self) {
-        self.entry.on_catalogue_response(self.topic);
         let failures = std::mem::take(&mut self.failures);
         log_regained(self.topic, failures);
         if failures > 0 && self.topic == Topic::Servers {
--- a/crates/filbertcleat-gateway/src/entry/state.rs
+++ b/crates/filbertcleat-gateway/src/entry/state.rs
@@ -112,8 +112,8 @@
     listing_version: Cell<u64>,
     /// The number of times that the catalogue was restored, for the tasks that have to list again.
     catalogue_restores: watch::Sender<u64>,
-    /// When the catalogue last responded, by topic.
-    catalogue_responded_at: [Cell<MonoTime>; 4],
+    /// When the catalogue last told all changes, by topic.
+    catalogue_read_at: [Cell<MonoTime>; 4],
 }
 
 /// The state that routing decisions are based on.
@@ -202,7 +202,7 @@
             catalogue_epoch: Cell::default(),
             listing_version: Cell::new(0),
             catalogue_restores: watch::Sender::new(0),
-            catalogue_responded_at: [const { Cell::new(MonoTime::ZERO) }; 4],
+            catalogue_read_at: [const { Cell::new(MonoTime::ZERO) }; 4],
         }
     }
 
@@ -382,9 +382,9 @@
         is_allowed
     }
 
-    /// Records that the catalogue has responded on a topic.
-    pub fn on_catalogue_response(&self, topic: Topic) {
-        self.catalogue_responded_at[topic_index(topic)].set(self.now());
+    /// Records that the catalogue has told all changes of a topic.
+    pub fn on_catalogue_data(&self, topic: Topic) {
+        self.catalogue_read_at[topic_index(topic)].set(self.now());
     }
 
     /// Counts and logs a call of a topic that failed, the one with number `failures` in a row.
@@ -432,10 +432,10 @@
     }
 
     /// Returns whether a configuration may be in force that this entry has not read, because the
-    /// catalogue has not responded for longer than a configuration may take to be applied.
+    /// catalogue has not told its changes for longer than a configuration may take to be applied.
     pub fn may_lack_configuration(&self) -> bool {
-        let responded_at = self.catalogue_responded_at[topic_index(Topic::Operators)].get();
-        self.now().ms_since(responded_at) > self.settings.catalogue_delays.configuration_ms
+        let read_at = self.catalogue_read_at[topic_index(Topic::Operators)].get();
+        self.now().ms_since(read_at) > self.settings.catalogue_delays.configuration_ms
     }
 
     /// Returns whether the configuration has workspaces.
@@ -455,7 +455,7 @@
         metrics.gauge(Metric::ConfigurationVersion, &[], state.deployment.version());
         metrics.gauge(Metric::ConfigurationAge, &[], now.ms_since(self.configured_at.get()));
         for topic in [Topic::Operators, Topic::Servers] {
-            let age_ms = now.ms_since(self.catalogue_responded_at[topic_index(topic)].get());
+            let age_ms = now.ms_since(self.catalogue_read_at[topic_index(topic)].get());
             metrics.gauge(Metric::CatalogueAge, &[("topic", topic.as_str())], age_ms);
         }
         let count = |is_counted: &dyn Fn(&Server) -> bool| {
