--- a/crates/filbertcleat-gateway/tests/support/backend.rs
+++ b/crates/filbertcleat-gateway/tests/support/backend.rs
@@ -500,7 +500,7 @@
             Script::StatusText { status, lines } => {
                 write(stream, &self.status_text(id, status, lines)).await
             }
-            Script::Unsealed => write(stream, &self.status_text(id, "200", "")).await,
+            Script::Unsealed => write(stream, &self.status_text(id, "200", lines)).await,
             Script::Silent => std::future::pending().await,
             Script::Endless { start, piece } => {
                 write(stream, &start.replace("HEAD", &response_head(200))).await;
